--- /dev/null
+++ b/apps/ctl_main.cpp
@@ -0,0 +1,405 @@
+/// @file
+/// `peridotctl`: the operator's command line.
+
+#include "peridotrudder/entry/operator_api.hpp"
+#include "peridotrudder/links/http_client.hpp"
+#include "peridotrudder/settings/entry_settings.hpp"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <thread>
+
+DEFINE_string(url, "http://127.0.0.1:7001", "Operators' address of any entry");
+DEFINE_string(token_file, "", "File with the operators' token");
+DEFINE_bool(json, false, "Print JSON in place of tables");
+DEFINE_bool(wait, false, "Wait until every entry has the change in force");
+DEFINE_uint32(timeout_s, 30, "Time to wait with --wait");
+DEFINE_string(reason, "", "Why the change is made; kept in the fleet's history");
+
+namespace {
+
+using namespace peridotrudder;
+
+/// Exit codes, told apart so that scripts can act on them.
+enum exit_code {
+    exit_ok = 0,
+    exit_usage = 1,
+    exit_bad_settings = 2,
+    exit_unreachable = 3,
+    exit_refused = 4,
+    exit_conflict = 5,
+    exit_outage = 6,
+    exit_unknown_outcome = 7,
+};
+
+constexpr const char* usage =
+    "COMMAND ...\n\n"
+    "  contract apply FILE            apply every contract in an INI file\n"
+    "  contract list                  list contracts\n"
+    "  contract show CUSTOMER         show a contract and the limits that follow from it\n"
+    "  contract remove CUSTOMER       end a contract\n"
+    "  maintenance declare ID POOL    reboot each VM of a pool once\n"
+    "  maintenance cancel ID          stop a wave\n"
+    "  maintenance status             list waves\n"
+    "  status                         show entries, pools and the planner's term\n"
+    "  explain vm|customer|wave NAME  show an object with its history\n"
+    "  explain request ID             show the hops of a request\n"
+    "  settings check FILE            check the settings of an entry VM\n"
+    "  contracts check FILE           check a file of contracts\n\n"
+    "Exit codes: 0 done, 1 wrong usage, 2 bad settings or contracts, 3 entry unreachable,\n"
+    "4 refused, 5 conflict with another operator's change, 6 log unavailable (no effect),\n"
+    "7 outcome unknown (the change may still take effect).";
+
+std::string read_token()
+{
+    std::ifstream file{FLAGS_token_file};
+    std::string token;
+    file >> token;
+    return token;
+}
+
+http_result ask(const std::string& url, const std::string& method, const std::string& path,
+                std::string body)
+{
+    http_call query;
+    query.m_method = method;
+    query.m_url = url + path;
+    query.m_body = std::move(body);
+    query.m_timeout = milliseconds{20'000};
+    query.m_may_reuse_connection = false;
+    query.m_headers.push_back({"Authorization", "Bearer " + read_token()});
+    return fetch(query);
+}
+
+int code_of(const http_response& response)
+{
+    const auto body = parse_json(response.m_body);
+    if (response.m_status < 300) {
+        return exit_ok;
+    }
+    if (response.m_status == 409) {
+        return exit_conflict;
+    }
+    if (response.m_status == 503 && body && body->value("error", "") == "log_unavailable") {
+        return exit_outage;
+    }
+    return response.m_status == 503 ? exit_unknown_outcome : exit_refused;
+}
+
+int print_errors(const std::vector<settings_error>& errors)
+{
+    for (const auto& each : errors) {
+        std::cerr << to_text(each) << '\n';
+    }
+    return exit_bad_settings;
+}
+
+std::optional<nlohmann::json> get(const std::string& url, const std::string& path, int& code)
+{
+    const auto answer = ask(url, "GET", path, "");
+    if (!answer) {
+        std::cerr << "no entry at " << url << '\n';
+        code = exit_unreachable;
+        return std::nullopt;
+    }
+    code = code_of(*answer);
+    if (code != exit_ok) {
+        std::cerr << answer->m_body << '\n';
+        return std::nullopt;
+    }
+    const auto body = parse_json(answer->m_body);
+    return body ? std::optional{*body} : std::nullopt;
+}
+
+std::optional<fleet_state> get_state(int& code)
+{
+    const auto body = get(FLAGS_url, "/v1/state", code);
+    if (!body) {
+        return std::nullopt;
+    }
+    auto state = fleet_state::from_json(*body);
+    return state ? std::optional{std::move(*state)} : std::nullopt;
+}
+
+/// Returns whether every entry of the view has folded the log up to `offset`.
+bool in_force_everywhere(std::uint64_t offset)
+{
+    int code = exit_ok;
+    const auto state = get_state(code);
+    if (!state) {
+        return false;
+    }
+    const auto& members = state->current_view().m_members;
+    return std::all_of(members.begin(), members.end(), [&](const member& each) {
+        const auto url = fmt::format("http://{}:{}", each.m_address, each.m_operator_port);
+        const auto body = get(url, "/v1/offset", code);
+        return body && body->value("next_offset", std::uint64_t{0}) > offset;
+    });
+}
+
+int wait_in_force(std::uint64_t offset)
+{
+    constexpr milliseconds pause{50};
+    const auto begin = std::chrono::steady_clock::now();
+    const auto deadline = begin + std::chrono::seconds{FLAGS_timeout_s};
+    while (!in_force_everywhere(offset)) {
+        if (std::chrono::steady_clock::now() >= deadline) {
+            std::cerr << "accepted, but not every entry confirmed it in time\n";
+            return exit_unknown_outcome;
+        }
+        std::this_thread::sleep_for(pause);
+    }
+    std::cout << "in force everywhere after "
+              << remaining(begin, std::chrono::steady_clock::now()).count() << " ms\n";
+    return exit_ok;
+}
+
+int change(const std::string& method, const std::string& path, change_request request)
+{
+    if (!FLAGS_reason.empty()) {
+        request.m_reason = FLAGS_reason;
+    }
+    const auto answer = ask(FLAGS_url, method, path, encode_json(request).dump());
+    if (!answer) {
+        std::cerr << "no answer from " << FLAGS_url << '\n';
+        return answer.error() == transport_fault::not_connected ? exit_unreachable
+                                                                : exit_unknown_outcome;
+    }
+    std::cout << path << ' ' << answer->m_body << '\n';
+    const auto result = decode_text<fold_result>(answer->m_body);
+    const int code = code_of(*answer);
+    if (code == exit_ok && FLAGS_wait && result) {
+        return wait_in_force(result->m_offset);
+    }
+    return code;
+}
+
+int apply_contracts(const std::string& file)
+{
+    const auto contracts = load_contracts(file);
+    if (!contracts) {
+        return print_errors(contracts.error());
+    }
+    int code = exit_ok;
+    const auto state = get_state(code);
+    if (!state) {
+        return code;
+    }
+    for (const auto& each : *contracts) {
+        change_request request;
+        request.m_based_on = state->next_offset();
+        request.m_contract = each;
+        code = std::max(code, change("PUT", "/v1/contracts/" + each.m_customer, request));
+    }
+    return code;
+}
+
+int list_contracts()
+{
+    int code = exit_ok;
+    const auto state = get_state(code);
+    if (!state) {
+        return code;
+    }
+    if (FLAGS_json) {
+        auto list = nlohmann::json::array();
+        for (const auto& [customer, entry] : state->contracts()) {
+            list.push_back(encode_json(entry));
+        }
+        std::cout << list.dump(2) << '\n';
+        return exit_ok;
+    }
+    std::cout << fmt::format("{:<20} {:<8} {:>6} {:>5} {:>8} {:>10}  {}\n", "CUSTOMER", "CLASS",
+                             "SLOTS", "AWAY", "WAIT-MS", "AVAIL-PPM", "POOLS");
+    for (const auto& [customer, entry] : state->contracts()) {
+        const auto& value = entry.m_contract;
+        std::cout << fmt::format("{:<20} {:<8} {:>6} {:>5} {:>8} {:>10}  {}\n", customer,
+                                 to_string(value.m_class), value.m_capacity_slots, value.m_vms_away,
+                                 value.m_time_to_wait.count(), value.m_availability_ppm,
+                                 fmt::join(value.m_pools, ","));
+    }
+    return exit_ok;
+}
+
+int list_waves()
+{
+    int code = exit_ok;
+    const auto state = get_state(code);
+    if (!state) {
+        return code;
+    }
+    std::cout << fmt::format("{:<20} {:<16} {:<10} {:>5} {:>8}\n", "WAVE", "POOL", "STATUS", "DONE",
+                             "PENDING");
+    for (const auto& [id, wave] : state->waves()) {
+        std::cout << fmt::format("{:<20} {:<16} {:<10} {:>5} {:>8}\n", id, wave.m_wave.m_pool,
+                                 to_string(wave.m_status), wave.m_done.size(),
+                                 wave.m_pending.size());
+    }
+    return exit_ok;
+}
+
+/// The VMs of one pool, by phase.
+struct pool_line {
+    std::uint32_t m_serving{0};
+    std::uint32_t m_draining{0};
+    std::uint32_t m_away{0};
+    std::uint32_t m_slots{0};
+};
+
+int show_status()
+{
+    int code = exit_ok;
+    const auto state = get_state(code);
+    if (!state) {
+        return code;
+    }
+    if (FLAGS_json) {
+        std::cout << state->to_json().dump(2) << '\n';
+        return exit_ok;
+    }
+    std::cout << fmt::format("log offset {}, term {} held by {}\n\n", state->next_offset(),
+                             state->term().m_number, state->term().m_holder);
+    std::cout << fmt::format("{:<12} {:<18} {:<10} {}\n", "ENTRY", "INCARNATION", "ZONE",
+                             "ADDRESS");
+    for (const auto& each : state->current_view().m_members) {
+        std::cout << fmt::format("{:<12} {:<18} {:<10} {}:{}\n", each.m_entry, each.m_incarnation,
+                                 each.m_zone, each.m_address, each.m_operator_port);
+    }
+    std::map<std::string, pool_line> pools;
+    for (const auto& [id, entry] : state->vms()) {
+        auto& line = pools[entry.m_vm.m_pool];
+        line.m_slots += entry.m_vm.m_slots;
+        line.m_serving += entry.m_phase == vm_phase::serving ? 1 : 0;
+        line.m_draining += entry.m_phase == vm_phase::draining ? 1 : 0;
+        line.m_away += entry.m_phase == vm_phase::away ? 1 : 0;
+    }
+    std::cout << fmt::format("\n{:<16} {:>8} {:>9} {:>5} {:>6}\n", "POOL", "SERVING", "DRAINING",
+                             "AWAY", "SLOTS");
+    for (const auto& [pool, line] : pools) {
+        std::cout << fmt::format("{:<16} {:>8} {:>9} {:>5} {:>6}\n", pool, line.m_serving,
+                                 line.m_draining, line.m_away, line.m_slots);
+    }
+    return exit_ok;
+}
+
+int explain(const std::string& kind, const std::string& name)
+{
+    int code = exit_ok;
+    const auto body = get(FLAGS_url, fmt::format("/v1/explain/{}/{}", kind, name), code);
+    if (body) {
+        std::cout << body->dump(2) << '\n';
+    }
+    return code;
+}
+
+/// Gathers the hops that each entry keeps of a request.
+int explain_request(const std::string& id)
+{
+    int code = exit_ok;
+    const auto state = get_state(code);
+    if (!state) {
+        return code;
+    }
+    for (const auto& each : state->current_view().m_members) {
+        const auto url = fmt::format("http://{}:{}", each.m_address, each.m_operator_port);
+        const auto body = get(url, "/v1/requests/" + id, code);
+        if (!body) {
+            continue;
+        }
+        const auto& spans = (*body)["resourceSpans"][0]["scopeSpans"][0]["spans"];
+        for (const auto& hop : spans) {
+            const auto start = std::stoull(hop["startTimeUnixNano"].get<std::string>());
+            const auto end = std::stoull(hop["endTimeUnixNano"].get<std::string>());
+            std::cout << fmt::format(
+                "{:<12} {:<10} {:>10.3f} ms  {}\n", each.m_entry, hop["name"].get<std::string>(),
+                static_cast<double>(end - start) / 1e6,
+                hop["attributes"][1]["value"]["stringValue"].get<std::string>());
+        }
+    }
+    return exit_ok;
+}
+
+int check_settings(const std::string& file)
+{
+    const auto settings = load_entry_settings(file);
+    if (!settings) {
+        return print_errors(settings.error());
+    }
+    std::cout << file << ": sound\n";
+    return exit_ok;
+}
+
+int check_contracts(const std::string& file)
+{
+    const auto contracts = load_contracts(file);
+    if (!contracts) {
+        return print_errors(contracts.error());
+    }
+    std::cout << file << ": " << contracts->size() << " sound contracts\n";
+    return exit_ok;
+}
+
+int declare_wave(const std::string& id, const std::string& pool)
+{
+    change_request request;
+    request.m_wave = maintenance_wave{id, pool};
+    return change("PUT", "/v1/waves/" + id, request);
+}
+
+int run_command(const std::vector<std::string>& words)
+{
+    const auto is = [&](std::string_view noun, std::string_view verb, std::size_t count) {
+        return words.size() == count && words[0] == noun && (verb.empty() || words[1] == verb);
+    };
+    if (is("contract", "apply", 3)) {
+        return apply_contracts(words[2]);
+    }
+    if (is("contract", "list", 2)) {
+        return list_contracts();
+    }
+    if (is("contract", "show", 3)) {
+        return explain("customer", words[2]);
+    }
+    if (is("contract", "remove", 3)) {
+        return change("DELETE", "/v1/contracts/" + words[2], {});
+    }
+    if (is("maintenance", "declare", 4)) {
+        return declare_wave(words[2], words[3]);
+    }
+    if (is("maintenance", "cancel", 3)) {
+        return change("DELETE", "/v1/waves/" + words[2], {});
+    }
+    if (is("maintenance", "status", 2)) {
+        return list_waves();
+    }
+    if (is("status", "", 1)) {
+        return show_status();
+    }
+    if (is("explain", "request", 3)) {
+        return explain_request(words[2]);
+    }
+    if (is("explain", "", 3)) {
+        return explain(words[1], words[2]);
+    }
+    if (is("settings", "check", 3)) {
+        return check_settings(words[2]);
+    }
+    if (is("contracts", "check", 3)) {
+        return check_contracts(words[2]);
+    }
+    std::cerr << "peridotctl " << usage << '\n';
+    return exit_usage;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage(usage);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    return run_command({argv + 1, argv + argc});
+}
--- /dev/null
+++ b/include/peridotrudder/base/codec.hpp
@@ -0,0 +1,283 @@
+#pragma once
+
+/// @file
+/// Encodes described structs as JSON and CBOR, and decodes them with typed errors.
+///
+/// A struct describes its fields once, for both directions:
+///
+///     struct point {
+///         int m_x{0};
+///         template <typename Archive, typename Self>
+///         static void describe(Archive& archive, Self& self) { archive.field("x", self.m_x); }
+///     };
+
+#include "peridotrudder/base/clock.hpp"
+#include "peridotrudder/base/enum_names.hpp"
+
+#include <nlohmann/json.hpp>
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <gsl/span>
+#include <limits>
+#include <map>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <vector>
+
+namespace peridotrudder {
+
+/// Why bytes or a JSON value could not be decoded.
+enum class decode_fault { malformed, missing_field, wrong_type, out_of_range, unknown_name };
+
+template <>
+struct enum_names<decode_fault> {
+    static constexpr std::array<std::string_view, 5> values{
+        "malformed", "missing_field", "wrong_type", "out_of_range", "unknown_name"};
+};
+
+/// A decoding failure and the name of the field it was met in (empty for the whole input).
+struct decode_error {
+    decode_fault m_fault{decode_fault::malformed};
+    std::string m_field;
+};
+
+namespace internal {
+
+/// Carries a `decode_error` out of nested readers; never leaves this module.
+class decode_exception : public std::runtime_error {
+public:
+    explicit decode_exception(decode_error error)
+        : std::runtime_error{"decode failed"}, m_error{std::move(error)}
+    {
+    }
+    const decode_error& error() const noexcept { return m_error; }
+
+private:
+    decode_error m_error;
+};
+
+template <typename T>
+struct is_vector : std::false_type {
+};
+template <typename T>
+struct is_vector<std::vector<T>> : std::true_type {
+};
+template <typename T>
+struct is_optional : std::false_type {
+};
+template <typename T>
+struct is_optional<std::optional<T>> : std::true_type {
+};
+template <typename T>
+struct is_string_map : std::false_type {
+};
+template <typename T>
+struct is_string_map<std::map<std::string, T>> : std::true_type {
+};
+
+template <typename T>
+nlohmann::json to_value(const T& value);
+template <typename T>
+void from_value(const nlohmann::json& json, T& value, const char* field);
+
+class field_writer {
+public:
+    explicit field_writer(nlohmann::json& json) : m_json{&json} {}
+
+    template <typename T>
+    void field(const char* name, const T& value)
+    {
+        (*m_json)[name] = to_value(value);
+    }
+
+private:
+    nlohmann::json* m_json;
+};
+
+class field_reader {
+public:
+    explicit field_reader(const nlohmann::json& json) : m_json{&json} {}
+
+    template <typename T>
+    void field(const char* name, T& value)
+    {
+        const auto found = m_json->find(name);
+        if (found != m_json->end()) {
+            from_value(*found, value, name);
+            return;
+        }
+        if constexpr (!is_optional<T>::value) {
+            throw decode_exception{{decode_fault::missing_field, name}};
+        }
+    }
+
+private:
+    const nlohmann::json* m_json;
+};
+
+template <typename T>
+nlohmann::json to_value(const T& value)
+{
+    if constexpr (std::is_arithmetic_v<T> || std::is_same_v<T, std::string> ||
+                  std::is_same_v<T, nlohmann::json>) {
+        return value;
+    }
+    else if constexpr (std::is_enum_v<T>) {
+        return std::string{to_string(value)};
+    }
+    else if constexpr (std::is_same_v<T, milliseconds>) {
+        return value.count();
+    }
+    else if constexpr (is_optional<T>::value) {
+        return value ? to_value(*value) : nlohmann::json{};
+    }
+    else if constexpr (is_vector<T>::value) {
+        auto array = nlohmann::json::array();
+        for (const auto& item : value) {
+            array.push_back(to_value(item));
+        }
+        return array;
+    }
+    else if constexpr (is_string_map<T>::value) {
+        auto object = nlohmann::json::object();
+        for (const auto& [name, item] : value) {
+            object[name] = to_value(item);
+        }
+        return object;
+    }
+    else {
+        auto object = nlohmann::json::object();
+        field_writer writer{object};
+        T::describe(writer, value);
+        return object;
+    }
+}
+
+template <typename T>
+void read_integer(const nlohmann::json& json, T& value, const char* field)
+{
+    if (!json.is_number_integer()) {
+        throw decode_exception{{decode_fault::wrong_type, field}};
+    }
+    const bool large = json.is_number_unsigned() &&
+                       json.get<std::uint64_t>() > std::uint64_t{std::numeric_limits<T>::max()};
+    const bool negative =
+        !json.is_number_unsigned() &&
+        (std::is_unsigned_v<T> ||
+         json.get<std::int64_t>() < static_cast<std::int64_t>(std::numeric_limits<T>::min()));
+    if (large || negative) {
+        throw decode_exception{{decode_fault::out_of_range, field}};
+    }
+    value = json.get<T>();
+}
+
+template <typename T>
+void from_value(const nlohmann::json& json, T& value, const char* field)
+{
+    const auto require = [field](bool matches) {
+        if (!matches) {
+            throw decode_exception{{decode_fault::wrong_type, field}};
+        }
+    };
+    if constexpr (std::is_same_v<T, nlohmann::json>) {
+        value = json;
+    }
+    else if constexpr (std::is_same_v<T, bool>) {
+        require(json.is_boolean());
+        value = json.get<bool>();
+    }
+    else if constexpr (std::is_integral_v<T>) {
+        read_integer(json, value, field);
+    }
+    else if constexpr (std::is_floating_point_v<T>) {
+        require(json.is_number());
+        value = json.get<T>();
+    }
+    else if constexpr (std::is_same_v<T, std::string>) {
+        require(json.is_string());
+        value = json.get<std::string>();
+    }
+    else if constexpr (std::is_enum_v<T>) {
+        require(json.is_string());
+        const auto found = from_string<T>(json.get_ref<const std::string&>());
+        if (!found) {
+            throw decode_exception{{decode_fault::unknown_name, field}};
+        }
+        value = *found;
+    }
+    else if constexpr (std::is_same_v<T, milliseconds>) {
+        std::int64_t count = 0;
+        read_integer(json, count, field);
+        value = milliseconds{count};
+    }
+    else if constexpr (is_optional<T>::value) {
+        if (json.is_null()) {
+            value.reset();
+            return;
+        }
+        from_value(json, value.emplace(), field);
+    }
+    else if constexpr (is_vector<T>::value) {
+        require(json.is_array());
+        value.clear();
+        for (const auto& item : json) {
+            from_value(item, value.emplace_back(), field);
+        }
+    }
+    else if constexpr (is_string_map<T>::value) {
+        require(json.is_object());
+        value.clear();
+        for (const auto& [name, item] : json.items()) {
+            from_value(item, value[name], field);
+        }
+    }
+    else {
+        require(json.is_object());
+        field_reader reader{json};
+        T::describe(reader, value);
+    }
+}
+
+} // namespace internal
+
+/// Returns `value` as a JSON object.
+template <typename T>
+nlohmann::json encode_json(const T& value)
+{
+    return internal::to_value(value);
+}
+
+/// Returns a `T` read from `json`. Unknown fields are ignored, so that a newer peer can add some.
+template <typename T>
+tl::expected<T, decode_error> decode_json(const nlohmann::json& json)
+{
+    T value{};
+    try {
+        internal::from_value(json, value, "");
+    }
+    catch (const internal::decode_exception& exception) {
+        return tl::make_unexpected(exception.error());
+    }
+    return value;
+}
+
+/// Returns the JSON value in `text`, or `malformed`.
+tl::expected<nlohmann::json, decode_error> parse_json(std::string_view text);
+
+/// Returns the value in the CBOR bytes, or `malformed`. Nesting deeper than 32 levels is refused,
+/// since the library's CBOR reader recurses for each level.
+tl::expected<nlohmann::json, decode_error> parse_cbor(gsl::span<const std::uint8_t> bytes);
+
+/// Returns a `T` read from JSON text.
+template <typename T>
+tl::expected<T, decode_error> decode_text(std::string_view text)
+{
+    return parse_json(text).and_then(
+        [](const nlohmann::json& json) { return decode_json<T>(json); });
+}
+
+} // namespace peridotrudder
--- /dev/null
+++ b/include/peridotrudder/entry/planner_process.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+/// @file
+/// The process on an entry VM that plans maintenance, while it holds the term.
+
+#include "peridotrudder/links/log_watcher.hpp"
+#include "peridotrudder/planning/planner.hpp"
+#include "peridotrudder/settings/entry_settings.hpp"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace peridotrudder {
+
+/// Claims the term when nobody holds it, and then acts on the planner's decisions.
+///
+/// Runs on the caller's thread. A holder stops acting by its own clock before others may claim.
+class planner_process {
+public:
+    explicit planner_process(const entry_settings& settings);
+
+    /// Runs until `should_stop` returns true.
+    void run(const std::function<bool()>& should_stop);
+
+private:
+    void step();
+    bool hold_term(time_point now);
+    void claim_term(const fleet_state& state, time_point now);
+    void renew_term(time_point now);
+    void act(time_point now);
+    void append_record(const planned_record& planned);
+    void reboot(const planned_reboot& planned);
+    void take_snapshot_if_due();
+    drain_status check_drain(const fleet_state& state, const std::string& id, const vm_entry& entry,
+                             time_point now);
+    bool entries_are_done(const fleet_state& state, const std::string& id,
+                          const vm_entry& entry) const;
+    static bool worker_is_idle(const vm& machine, milliseconds at_most_old);
+
+    entry_settings m_settings;
+    std::string m_self;
+    platform_client m_platform;
+    log_watcher m_log;
+    planner m_planner;
+    std::uint64_t m_my_term{0};
+    time_point m_renewed;
+    std::uint64_t m_seen_renewal{0};
+    time_point m_seen_renewal_at;
+    std::uint64_t m_snapshot_offset{0};
+    /// When all entries were first seen to be done with a draining VM, by VM and drain.
+    std::map<std::pair<std::string, std::uint64_t>, time_point> m_entries_done_since;
+};
+
+} // namespace peridotrudder
--- /dev/null
+++ b/include/peridotrudder/entry/request_router.hpp
@@ -0,0 +1,141 @@
+#pragma once
+
+/// @file
+/// Takes each call from its arrival to its outcome.
+
+#include "peridotrudder/entry/call.hpp"
+#include "peridotrudder/entry/partition_table.hpp"
+#include "peridotrudder/entry/pool_lane.hpp"
+#include "peridotrudder/links/http_client.hpp"
+#include "peridotrudder/links/peer_messages.hpp"
+#include "peridotrudder/routing/retry_budget.hpp"
+#include "peridotrudder/telemetry/metrics.hpp"
+#include "peridotrudder/telemetry/spans.hpp"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <shared_mutex>
+#include <string>
+
+namespace peridotrudder {
+
+struct router_options {
+    std::string m_self;
+    milliseconds m_upstream_timeout{60'000};
+    /// Makes the slot policy of one pool.
+    std::function<lane_policy()> m_make_policy;
+};
+
+/// What the router needs from the rest of the entry.
+struct router_links {
+    /// Sends a message to a member; returns whether it was handed to the link.
+    std::function<bool(const std::string& to, const peer_message&)> m_send;
+    http_client* m_upstreams{nullptr};
+    entry_metrics* m_metrics{nullptr};
+    span_store* m_spans{nullptr};
+};
+
+/// Routes calls: to the home of their key, into their pool's queue, to a worker, and back.
+///
+/// Thread-safe. Every call that is submitted is answered once, at the latest when its time to wait
+/// and the upstream timeout have passed. The owner calls `tick` every few milliseconds.
+class request_router {
+public:
+    request_router(router_options options, router_links links);
+
+    /// Takes a caller's request.
+    void submit(const call_ptr& submitted);
+
+    /// Takes over the newest state of the log and the VMs that the VM list has as leaving.
+    void set_state(const std::shared_ptr<const fleet_state>& state,
+                   const std::set<std::string>& leaving_vms);
+
+    /// Handles a message of the request path from another entry.
+    void receive(const std::string& from, const forwarded_call& message);
+    void receive(const std::string& from, const forwarded_reply& message);
+    void receive(const std::string& from, const slot_report& message);
+    void receive(const std::string& from, const slot_grant& message);
+    void receive(const std::string& from, const partition_message& message);
+
+    void tick();
+
+    /// Returns the requests of this entry in flight at one worker.
+    std::uint32_t in_flight(const std::string& vm) const;
+
+    /// Returns the calls that are not answered yet, of this entry's callers and of other entries.
+    std::size_t open_calls() const { return m_open_calls; }
+
+    const partition_table& partitions() const { return m_partitions; }
+
+private:
+    /// A call that the home of its key handles.
+    struct forwarded {
+        call_ptr m_call;
+        std::string m_home;
+        bool m_sent{false};
+        time_point m_next_send;
+        time_point m_give_up;
+    };
+
+    /// A call whose intent waits to be kept.
+    struct awaiting_intent {
+        dispatched_call m_dispatched;
+        time_point m_deadline;
+    };
+
+    void adopt(const call_ptr& taken);
+    void submit_keyed(const call_ptr& submitted);
+    void retry_later(const call_ptr& delayed);
+    void forward(const call_ptr& submitted);
+    void send_forwarded(forwarded& each, time_point now);
+    void enqueue(const call_ptr& queued);
+    void pump(const std::shared_ptr<pool_lane>& lane);
+    void dispatch(dispatched_call ready);
+    void intent_kept(const acknowledged_intent& kept);
+    void send_upstream(const dispatched_call& ready);
+    void take_answer(const dispatched_call& sent, const http_result& result);
+    static outcome classify(const http_result& result, bool& not_started);
+    bool may_retry(call& failed, bool not_started, const outcome& result, time_point now);
+    void finish(const call_ptr& ended, const outcome& result);
+    void conclude(const call_ptr& ended, const outcome& result);
+    void send_grants(const std::vector<addressed_grant>& grants);
+    void send_reports(const std::shared_ptr<pool_lane>& lane, time_point now);
+    void check_forwarded(time_point now);
+    void check_intents(time_point now);
+    void resubmit_delayed(time_point now);
+
+    std::shared_ptr<pool_lane> lane_of(const std::string& pool) const;
+    std::vector<std::shared_ptr<pool_lane>> all_lanes() const;
+
+    router_options m_options;
+    router_links m_links;
+    partition_table m_partitions;
+
+    std::mutex m_state_mutex;
+    std::uint64_t m_state_offset{0};
+
+    mutable std::shared_mutex m_lanes_mutex;
+    std::map<std::string, std::shared_ptr<pool_lane>> m_lanes;
+
+    std::mutex m_forwarded_mutex;
+    std::map<std::string, forwarded> m_forwarded;
+
+    std::mutex m_intents_mutex;
+    std::map<std::string, awaiting_intent> m_intents;
+
+    std::mutex m_delayed_mutex;
+    std::multimap<time_point, call_ptr> m_delayed;
+
+    std::mutex m_budgets_mutex;
+    std::map<std::string, retry_budget> m_budgets;
+
+    std::mutex m_tick_mutex;
+    time_point m_next_partition_tick;
+
+    std::atomic<std::size_t> m_open_calls{0};
+};
+
+} // namespace peridotrudder
--- /dev/null
+++ b/include/peridotrudder/journal/fleet_state.hpp
@@ -0,0 +1,258 @@
+#pragma once
+
+/// @file
+/// The fleet's state: a pure fold over the records of the log.
+
+#include "peridotrudder/contracts/limits.hpp"
+#include "peridotrudder/journal/record.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace peridotrudder {
+
+/// What the fold made of a record.
+enum class verdict {
+    accepted,
+    /// The id was folded before; the record has no effect.
+    duplicate,
+    /// Another record changed the same object after the author had read it.
+    conflict,
+    /// The record was written under a term that has ended.
+    stale_term,
+    /// The object that the record names does not exist.
+    unknown_object,
+    /// The object exists already, or is past the change.
+    not_applicable,
+    /// The contract has a fault of its own.
+    invalid,
+    /// The contract asks for more than its pools have.
+    exceeds_fleet,
+    /// Too few members stand behind an eviction.
+    too_few_observers,
+};
+
+template <>
+struct enum_names<verdict> {
+    static constexpr std::array<std::string_view, 9> values{
+        "accepted",       "duplicate", "conflict",      "stale_term",       "unknown_object",
+        "not_applicable", "invalid",   "exceeds_fleet", "too_few_observers"};
+};
+
+/// What became of one record. `m_winner` is the offset of the change that stands, for a conflict.
+struct fold_result {
+    std::string m_id;
+    std::uint64_t m_offset{0};
+    verdict m_verdict{verdict::accepted};
+    std::uint64_t m_winner{0};
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("id", self.m_id);
+        archive.field("offset", self.m_offset);
+        archive.field("verdict", self.m_verdict);
+        archive.field("winner", self.m_winner);
+    }
+};
+
+/// A contract and the offset of the record that set it.
+struct contract_entry {
+    contract m_contract;
+    std::uint64_t m_version{0};
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("contract", self.m_contract);
+        archive.field("version", self.m_version);
+    }
+};
+
+/// A VM, its phase and what it is in that phase for.
+struct vm_entry {
+    vm m_vm;
+    vm_phase m_phase{vm_phase::serving};
+    std::string m_wave;
+    std::string m_to_pool;
+    std::uint64_t m_boot{0};
+    std::uint64_t m_version{0};
+    /// Why the last change was made.
+    std::string m_reason;
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("vm", self.m_vm);
+        archive.field("phase", self.m_phase);
+        archive.field("wave", self.m_wave);
+        archive.field("to_pool", self.m_to_pool);
+        archive.field("boot", self.m_boot);
+        archive.field("version", self.m_version);
+        archive.field("reason", self.m_reason);
+    }
+};
+
+enum class wave_status { running, cancelled, finished };
+
+template <>
+struct enum_names<wave_status> {
+    static constexpr std::array<std::string_view, 3> values{"running", "cancelled", "finished"};
+};
+
+/// A wave and the VMs that it has still to reboot.
+struct wave_entry {
+    maintenance_wave m_wave;
+    wave_status m_status{wave_status::running};
+    std::vector<std::string> m_pending;
+    std::vector<std::string> m_done;
+    std::uint64_t m_version{0};
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("wave", self.m_wave);
+        archive.field("status", self.m_status);
+        archive.field("pending", self.m_pending);
+        archive.field("done", self.m_done);
+        archive.field("version", self.m_version);
+    }
+};
+
+/// The planner's term. Its number is the offset of the claim.
+struct term_entry {
+    std::uint64_t m_number{0};
+    std::string m_holder;
+    std::uint64_t m_renewed_at{0};
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("number", self.m_number);
+        archive.field("holder", self.m_holder);
+        archive.field("renewed_at", self.m_renewed_at);
+    }
+};
+
+/// One line of the fleet's history, for `explain`.
+struct decision {
+    std::uint64_t m_offset{0};
+    std::string m_kind;
+    std::string m_object;
+    std::string m_author;
+    std::string m_reason;
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("offset", self.m_offset);
+        archive.field("kind", self.m_kind);
+        archive.field("object", self.m_object);
+        archive.field("author", self.m_author);
+        archive.field("reason", self.m_reason);
+    }
+};
+
+/// The fleet as the log describes it up to one offset.
+///
+/// A value type without locks: the owner folds records into it one at a time, and hands out copies.
+/// Two states that folded the same records are equal, whatever process folded them.
+///
+///     fleet_state state;
+///     const fold_result result = state.fold(offset, record);
+///     if (result.m_verdict == verdict::conflict) { ... }
+class fleet_state {
+public:
+    /// Folds the record at `offset`. Offsets below `next_offset` are ignored as duplicates: the
+    /// state never goes back.
+    fold_result fold(std::uint64_t offset, const record& value);
+
+    /// Returns the offset of the first record that is not folded yet.
+    std::uint64_t next_offset() const { return m_next_offset; }
+    const std::map<std::string, contract_entry>& contracts() const { return m_contracts; }
+    const std::map<std::string, vm_entry>& vms() const { return m_vms; }
+    const std::map<std::string, wave_entry>& waves() const { return m_waves; }
+    const view& current_view() const { return m_view; }
+    /// Returns the members that left the view lately, oldest first.
+    const std::vector<member>& former_members() const { return m_former_members; }
+    const term_entry& term() const { return m_term; }
+    const std::vector<partition_history>& histories() const { return m_histories; }
+    const std::vector<decision>& decisions() const { return m_decisions; }
+
+    /// Returns the member with that incarnation, also when it has left the view lately, or null.
+    const member* find_member(std::string_view incarnation) const;
+
+    /// Returns what became of the record with that id, if it was folded lately.
+    std::optional<fold_result> result_of(std::string_view id) const;
+
+    /// Returns the slots of all VMs that belong to the pool, in whatever phase.
+    std::uint32_t pool_slots(std::string_view pool) const;
+
+    /// Returns the state as JSON, for snapshots.
+    nlohmann::json to_json() const;
+
+    /// Returns the state in a snapshot, or why there is none in it.
+    static tl::expected<fleet_state, decode_error> from_json(const nlohmann::json& json);
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("next_offset", self.m_next_offset);
+        archive.field("contracts", self.m_contracts);
+        archive.field("vms", self.m_vms);
+        archive.field("waves", self.m_waves);
+        archive.field("view", self.m_view);
+        archive.field("former_members", self.m_former_members);
+        archive.field("histories", self.m_histories);
+        archive.field("term", self.m_term);
+        archive.field("results", self.m_results);
+        archive.field("decisions", self.m_decisions);
+    }
+
+private:
+    /// The verdict on one record, and the winner's offset for a conflict.
+    struct outcome {
+        verdict m_verdict{verdict::accepted};
+        std::uint64_t m_winner{0};
+    };
+
+    outcome apply(std::uint64_t offset, const record& value, const contract_applied& body);
+    outcome apply(std::uint64_t offset, const record& value, const contract_removed& body);
+    outcome apply(std::uint64_t offset, const record& value, const entry_joined& body);
+    outcome apply(std::uint64_t offset, const record& value, const entry_left& body);
+    outcome apply(std::uint64_t offset, const record& value, const entry_evicted& body);
+    outcome apply(std::uint64_t offset, const record& value, const vms_added& body);
+    outcome apply(std::uint64_t offset, const record& value, const vm_removed& body);
+    outcome apply(std::uint64_t offset, const record& value, const vm_phase_changed& body);
+    outcome apply(std::uint64_t offset, const record& value, const wave_declared& body);
+    outcome apply(std::uint64_t offset, const record& value, const wave_cancelled& body);
+    outcome apply(std::uint64_t offset, const record& value, const term_claimed& body);
+    outcome apply(std::uint64_t offset, const record& value, const term_renewed& body);
+    outcome apply(std::uint64_t offset, const record& value, const snapshot_taken& body);
+
+    bool term_holds(const record& value) const;
+    bool pool_exists(std::string_view pool) const;
+    std::uint32_t held_slots(std::string_view pool, std::string_view except_customer) const;
+    outcome remove_member(std::uint64_t offset, std::string_view incarnation);
+    void change_view(std::uint64_t offset);
+    void finish_wave_vm(const vm_phase_changed& change);
+    void settle_wave(wave_entry& wave) const;
+    void remember(const fold_result& result);
+    void note_decision(std::uint64_t offset, const record& value);
+
+    std::uint64_t m_next_offset{0};
+    std::map<std::string, contract_entry> m_contracts;
+    std::map<std::string, vm_entry> m_vms;
+    std::map<std::string, wave_entry> m_waves;
+    view m_view;
+    std::vector<member> m_former_members;
+    std::vector<partition_history> m_histories;
+    term_entry m_term;
+    std::vector<fold_result> m_results;
+    std::vector<decision> m_decisions;
+};
+
+} // namespace peridotrudder
--- /dev/null
+++ b/include/peridotrudder/links/http_client.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+/// @file
+/// An HTTP client; the only module that knows libcurl.
+
+#include "peridotrudder/links/http.hpp"
+
+#include <tl/expected.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace peridotrudder {
+
+/// One call to make.
+struct http_call {
+    std::string m_method{"GET"};
+    /// With an IP number for the host.
+    std::string m_url;
+    std::vector<http_header> m_headers;
+    std::string m_body;
+    milliseconds m_connect_timeout{1'000};
+    /// Time for the whole call, connecting included.
+    milliseconds m_timeout{5'000};
+    /// Whether an idle connection may be used. libcurl sends a request again by itself when a
+    /// reused connection turns out to be dead, so this must be false for what may run only once.
+    bool m_may_reuse_connection{true};
+    std::size_t m_max_answer_bytes{16'777'216};
+    /// A header that the answer must repeat, so that another request's answer is not taken.
+    std::optional<http_header> m_required_header;
+};
+
+/// How a call failed.
+enum class transport_fault {
+    /// No connection was made: not a byte of the request was sent.
+    not_connected,
+    /// The time ran out, or the connection broke, after the request may have been sent.
+    broken,
+    /// The answer ended early, or did not say where it ends.
+    incomplete_answer,
+    /// The answer is longer than the call allows.
+    answer_too_long,
+    /// The answer lacks the required header or has another value for it.
+    crossed_answer,
+};
+
+using http_result = tl::expected<http_response, transport_fault>;
+
+/// Takes the result; runs on the client's thread and must not block.
+using http_callback = std::function<void(http_result)>;
+
+/// Makes many calls at once on a thread of its own. Thread-safe.
+class http_client {
+public:
+    static std::unique_ptr<http_client> create();
+
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+    http_client(http_client&&) = delete;
+    http_client& operator=(http_client&&) = delete;
+    /// Ends the calls under way as `broken` and joins the thread.
+    ~http_client();
+
+    void send(http_call call, http_callback callback);
+
+private:
+    class implementation;
+    explicit http_client(std::unique_ptr<implementation> inside);
+    std::unique_ptr<implementation> m_inside;
+};
+
+/// Makes one call and waits for its result.
+http_result fetch(const http_call& call);
+
+} // namespace peridotrudder
--- /dev/null
+++ b/include/peridotrudder/links/http_server.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+/// @file
+/// An HTTP server; the only module that knows RESTinio.
+
+#include "peridotrudder/links/http.hpp"
+
+#include <tl/expected.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace peridotrudder {
+
+/// Sends the response; may be called once, from any thread, at any later time.
+using http_responder = std::function<void(http_response)>;
+
+/// Handles a request; runs on a thread of the server and must not block.
+using http_handler = std::function<void(http_request, http_responder)>;
+
+struct http_server_options {
+    std::string m_address;
+    std::uint16_t m_port{0};
+    std::size_t m_threads{1};
+    /// Longest body taken; a longer one closes the connection with status 413.
+    std::size_t m_max_body_bytes{1'048'576};
+    /// Time to read one request, so that a slow client does not hold a connection for ever.
+    milliseconds m_read_timeout{10'000};
+    /// Time a handler may take to respond.
+    milliseconds m_handle_timeout{700'000};
+};
+
+/// Why a server did not start: the address could not be bound or is no IP number.
+struct listen_error {
+    std::string m_address;
+    std::uint16_t m_port{0};
+    std::string m_reason;
+};
+
+/// Serves HTTP/1.1 on own threads from its creation until its destruction.
+///
+///     auto server = http_server::create(options, [](http_request request, http_responder respond)
+///     {
+///         respond(json_response(200, "{}"));
+///     });
+class http_server {
+public:
+    static tl::expected<std::unique_ptr<http_server>, listen_error>
+    create(const http_server_options& options, http_handler handler);
+
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+    http_server(http_server&&) = delete;
+    http_server& operator=(http_server&&) = delete;
+    /// Closes all connections and joins the threads.
+    ~http_server();
+
+private:
+    class implementation;
+    explicit http_server(std::unique_ptr<implementation> inside);
+    std::unique_ptr<implementation> m_inside;
+};
+
+} // namespace peridotrudder
--- /dev/null
+++ b/include/peridotrudder/links/peer_mesh.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+/// @file
+/// The links between entries; the only module that knows websocketpp.
+
+#include "peridotrudder/base/clock.hpp"
+#include "peridotrudder/links/http_server.hpp"
+#include "peridotrudder/links/peer_messages.hpp"
+
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace peridotrudder {
+
+struct peer_mesh_options {
+    std::string m_address;
+    std::uint16_t m_port{0};
+    /// Incarnation of this process.
+    std::string m_self;
+    /// Secret that all entries share.
+    std::string m_cluster_token;
+    std::size_t m_max_message_bytes{16'777'216};
+};
+
+/// Where a peer listens.
+struct peer_endpoint {
+    std::string m_incarnation;
+    std::string m_address;
+    std::uint16_t m_port{0};
+};
+
+/// Takes a peer's message; runs on the mesh's thread and must not block.
+using peer_handler = std::function<void(const std::string& from, peer_message message)>;
+
+/// Bytes and messages that the mesh has moved.
+struct peer_traffic {
+    std::uint64_t m_sent_messages{0};
+    std::uint64_t m_sent_bytes{0};
+    std::uint64_t m_received_messages{0};
+    std::uint64_t m_received_bytes{0};
+    std::uint64_t m_rejected_messages{0};
+};
+
+/// Keeps one link to each peer and sends messages over it, in order, at most once each.
+///
+/// Each pair of entries has two connections: every entry sends on the one that it opened and
+/// receives on the one that it accepted. A message is lost when its link breaks; the protocols
+/// above repeat what they need. Thread-safe; runs on a thread of its own.
+class peer_mesh {
+public:
+    static tl::expected<std::unique_ptr<peer_mesh>, listen_error>
+    create(const peer_mesh_options& options, peer_handler handler);
+
+    peer_mesh(const peer_mesh&) = delete;
+    peer_mesh& operator=(const peer_mesh&) = delete;
+    peer_mesh(peer_mesh&&) = delete;
+    peer_mesh& operator=(peer_mesh&&) = delete;
+    ~peer_mesh();
+
+    /// Sets the peers to keep links to; links to others are closed.
+    void set_peers(const std::vector<peer_endpoint>& peers);
+
+    /// Sends a message if the link is up. Returns whether it was handed to the link.
+    bool send(const std::string& to, const peer_message& message);
+
+    peer_traffic traffic() const;
+
+    /// Stops the thread: no message is sent or handled any more.
+    void stop();
+
+private:
+    class implementation;
+    explicit peer_mesh(std::unique_ptr<implementation> inside);
+    std::unique_ptr<implementation> m_inside;
+};
+
+} // namespace peridotrudder
--- /dev/null
+++ b/include/peridotrudder/links/platform_client.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+/// @file
+/// Calls to the platform: its log, its VM list and its actions on VMs.
+
+#include "peridotrudder/journal/record.hpp"
+#include "peridotrudder/links/http_client.hpp"
+
+#include <string>
+#include <vector>
+
+namespace peridotrudder {
+
+/// How a call to the platform failed.
+enum class platform_fault {
+    /// The platform did not take the call: it had no effect.
+    unavailable,
+    /// No answer came: the call may have had its effect.
+    answer_lost,
+    /// The answer cannot be read.
+    bad_answer,
+    /// The VM is not at the boot generation that the action was meant for.
+    precondition_failed,
+};
+
+template <>
+struct enum_names<platform_fault> {
+    static constexpr std::array<std::string_view, 4> values{"unavailable", "answer_lost",
+                                                            "bad_answer", "precondition_failed"};
+};
+
+/// A part of the log.
+struct log_page {
+    /// Offset of the oldest record that the log still has.
+    std::uint64_t m_first{0};
+    /// Offset that the next record will get.
+    std::uint64_t m_next{0};
+    std::vector<logged_record> m_records;
+};
+
+/// Makes blocking calls to the platform. Thread-safe; holds no state.
+class platform_client {
+public:
+    explicit platform_client(std::string url);
+
+    /// Returns records from `from` on, at most `limit`.
+    tl::expected<log_page, platform_fault> read_log(std::uint64_t from, std::size_t limit) const;
+
+    /// Appends a record and returns its offset.
+    tl::expected<std::uint64_t, platform_fault> append(const record& value) const;
+
+    tl::expected<vm_list, platform_fault> list_vms() const;
+
+    /// Reboots the VM if it is still at boot generation `boot`.
+    tl::expected<void, platform_fault> reboot(const std::string& vm, std::uint64_t boot) const;
+
+private:
+    std::string m_url;
+};
+
+} // namespace peridotrudder
--- /dev/null
+++ b/include/peridotrudder/routing/work_queue.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+/// @file
+/// Requests that wait for a slot of one pool.
+
+#include "peridotrudder/base/clock.hpp"
+#include "peridotrudder/contracts/contract.hpp"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace peridotrudder {
+
+/// One waiting request.
+struct queued_work {
+    /// Unique within the queue.
+    std::uint64_t m_ticket{0};
+    work_class m_class{work_class::normal};
+    /// Time by which the request must have a slot.
+    time_point m_deadline;
+    /// Whether the request is expected to run long.
+    bool m_long{false};
+};
+
+/// Orders waiting requests by class, then by deadline.
+///
+/// Long work is kept apart, so that it can be passed over when it has used up its slots. Pure; not
+/// thread-safe.
+class work_queue {
+public:
+    void push(const queued_work& work);
+
+    /// Removes and returns the next request; long ones only if `allow_long`.
+    std::optional<queued_work> pop(bool allow_long);
+
+    /// Removes a request that is no longer wanted. Returns whether it was waiting.
+    bool cancel(std::uint64_t ticket);
+
+    /// Removes and returns the requests whose deadline has passed.
+    std::vector<queued_work> take_expired(time_point now);
+
+    std::size_t size() const { return m_by_ticket.size(); }
+
+    /// Returns how many requests wait that are not long, by class.
+    std::size_t waiting_short(work_class of) const;
+
+    /// Returns how many long requests wait.
+    std::size_t waiting_long() const { return m_long.size(); }
+
+private:
+    struct pressing_first {
+        bool operator()(const queued_work& left, const queued_work& right) const;
+    };
+    using ordered_work = std::set<queued_work, pressing_first>;
+
+    ordered_work& lane_of(const queued_work& work);
+    void forget(const queued_work& work);
+
+    ordered_work m_short;
+    ordered_work m_long;
+    std::array<std::size_t, work_class_count> m_short_by_class{};
+    std::unordered_map<std::uint64_t, ordered_work::iterator> m_by_ticket;
+    std::set<std::pair<time_point, std::uint64_t>> m_by_deadline;
+};
+
+} // namespace peridotrudder
--- /dev/null
+++ b/src/base/codec.cpp
@@ -0,0 +1,66 @@
+#include "peridotrudder/base/codec.hpp"
+
+namespace peridotrudder {
+
+namespace {
+
+constexpr int max_cbor_depth = 32;
+
+/// Walks CBOR without keeping it, and stops where the nesting is too deep.
+class depth_guard : public nlohmann::json_sax<nlohmann::json> {
+public:
+    bool null() override { return true; }
+    bool boolean(bool /*value*/) override { return true; }
+    bool number_integer(number_integer_t /*value*/) override { return true; }
+    bool number_unsigned(number_unsigned_t /*value*/) override { return true; }
+    bool number_float(number_float_t /*value*/, const string_t& /*text*/) override { return true; }
+    bool string(string_t& /*value*/) override { return true; }
+    bool binary(binary_t& /*value*/) override { return true; }
+    bool start_object(std::size_t /*elements*/) override { return enter(); }
+    bool key(string_t& /*value*/) override { return true; }
+    bool end_object() override { return leave(); }
+    bool start_array(std::size_t /*elements*/) override { return enter(); }
+    bool end_array() override { return leave(); }
+    bool parse_error(std::size_t /*position*/, const std::string& /*token*/,
+                     const nlohmann::detail::exception& /*error*/) override
+    {
+        return false;
+    }
+
+private:
+    bool enter() { return ++m_depth <= max_cbor_depth; }
+    bool leave()
+    {
+        --m_depth;
+        return true;
+    }
+
+    int m_depth{0};
+};
+
+} // namespace
+
+tl::expected<nlohmann::json, decode_error> parse_json(std::string_view text)
+{
+    auto json = nlohmann::json::parse(text, nullptr, false);
+    if (json.is_discarded()) {
+        return tl::make_unexpected(decode_error{decode_fault::malformed, ""});
+    }
+    return json;
+}
+
+tl::expected<nlohmann::json, decode_error> parse_cbor(gsl::span<const std::uint8_t> bytes)
+{
+    depth_guard guard;
+    if (!nlohmann::json::sax_parse(bytes.begin(), bytes.end(), &guard,
+                                   nlohmann::json::input_format_t::cbor)) {
+        return tl::make_unexpected(decode_error{decode_fault::malformed, ""});
+    }
+    auto json = nlohmann::json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    if (json.is_discarded()) {
+        return tl::make_unexpected(decode_error{decode_fault::malformed, ""});
+    }
+    return json;
+}
+
+} // namespace peridotrudder
--- /dev/null
+++ b/src/contracts/limits.cpp
@@ -0,0 +1,52 @@
+#include "peridotrudder/contracts/limits.hpp"
+
+#include <algorithm>
+
+namespace peridotrudder {
+
+namespace {
+
+/// Demand reaches five times its mean in a customer's turn, so that much may wait for each slot.
+constexpr std::uint32_t pending_per_slot = 6;
+constexpr std::uint32_t retry_ppm = 100'000;
+constexpr std::uint32_t min_retry_burst = 2;
+constexpr std::uint32_t slots_per_burst_retry = 4;
+/// A drain outlasts the longest wait, and leaves the running work its time.
+constexpr int drain_waits = 3;
+constexpr milliseconds min_drain_time{5'000};
+/// At this rate an hour's failures use up a tenth of a 30-day budget or more.
+constexpr double pause_burn_rate = 6.0;
+constexpr double alert_burn_rate = 2.0;
+constexpr std::uint32_t share_headroom = 2;
+
+} // namespace
+
+customer_limits derive_limits(const contract& value)
+{
+    customer_limits limits;
+    limits.m_max_pending = value.m_capacity_slots * pending_per_slot;
+    limits.m_time_to_wait = value.m_time_to_wait;
+    limits.m_retry_ppm = retry_ppm;
+    limits.m_retry_burst =
+        std::max(min_retry_burst, value.m_capacity_slots / slots_per_burst_retry);
+    limits.m_drain_time = std::max(min_drain_time, value.m_time_to_wait * drain_waits);
+    limits.m_vms_away = value.m_vms_away;
+    limits.m_failure_budget_ppm = parts_per_million - value.m_availability_ppm;
+    limits.m_pause_burn_rate = pause_burn_rate;
+    limits.m_alert_burn_rate = alert_burn_rate;
+    limits.m_retry_window = value.m_retry_window;
+    limits.m_class = value.m_class;
+    return limits;
+}
+
+std::uint32_t entry_share(std::uint32_t whole, std::size_t entries)
+{
+    if (entries <= 1) {
+        return std::max(whole, 1U);
+    }
+    const auto count = static_cast<std::uint32_t>(entries);
+    const std::uint32_t share = (whole * share_headroom + count - 1) / count;
+    return std::max(1U, std::min(whole, share));
+}
+
+} // namespace peridotrudder
--- /dev/null
+++ b/src/entry/planner_process.cpp
@@ -0,0 +1,236 @@
+#include "peridotrudder/entry/planner_process.hpp"
+
+#include "peridotrudder/base/hash.hpp"
+#include "peridotrudder/entry/operator_api.hpp"
+#include "peridotrudder/telemetry/log.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+#include <thread>
+
+namespace peridotrudder {
+
+namespace {
+
+constexpr std::size_t incarnation_bytes = 8;
+constexpr milliseconds step_interval{500};
+constexpr milliseconds renew_interval{3'000};
+/// The holder acts for so long after its last renewal was read back.
+constexpr milliseconds act_within{6'000};
+/// Others claim after so long without a renewal.
+constexpr milliseconds claim_after{10'000};
+constexpr milliseconds append_patience{3'000};
+constexpr milliseconds query_timeout{1'000};
+constexpr std::uint64_t records_per_snapshot = 500;
+constexpr std::uint32_t ok = 200;
+
+time_point now_point()
+{
+    return std::chrono::steady_clock::now();
+}
+
+/// A worker's report of what it runs.
+struct usage_report {
+    std::uint32_t m_running{0};
+    std::uint32_t m_queued{0};
+    /// How old the report is.
+    milliseconds m_age{0};
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("running", self.m_running);
+        archive.field("queued", self.m_queued);
+        archive.field("age_ms", self.m_age);
+    }
+};
+
+template <typename T>
+std::optional<T> get_json(const std::string& url, const std::string& token)
+{
+    http_call query;
+    query.m_url = url;
+    query.m_timeout = query_timeout;
+    query.m_headers.push_back({"Authorization", "Bearer " + token});
+    const auto answer = fetch(query);
+    if (!answer || answer->m_status != ok) {
+        return std::nullopt;
+    }
+    auto value = decode_text<T>(answer->m_body);
+    return value ? std::optional<T>{std::move(*value)} : std::nullopt;
+}
+
+} // namespace
+
+planner_process::planner_process(const entry_settings& settings)
+    : m_settings{settings}, m_self{fmt::format("planner-{}-{}", settings.m_name,
+                                               random_hex(incarnation_bytes))},
+      m_platform{settings.m_platform_url}, m_log{m_platform, m_self, {}}, m_seen_renewal_at{
+                                                                              now_point()}
+{
+}
+
+void planner_process::run(const std::function<bool()>& should_stop)
+{
+    m_log.start();
+    while (!should_stop()) {
+        step();
+        std::this_thread::sleep_for(step_interval);
+    }
+    m_log.stop();
+}
+
+void planner_process::step()
+{
+    if (!m_log.is_started() || !m_log.is_connected()) {
+        return;
+    }
+    const auto now = now_point();
+    if (!hold_term(now)) {
+        return;
+    }
+    act(now_point());
+    take_snapshot_if_due();
+}
+
+// Returns whether this process may act now.
+bool planner_process::hold_term(time_point now)
+{
+    const auto state = m_log.state();
+    const auto& term = state->term();
+    if (term.m_renewed_at != m_seen_renewal) {
+        m_seen_renewal = term.m_renewed_at;
+        m_seen_renewal_at = now;
+    }
+    if (term.m_holder == m_self && term.m_number == m_my_term) {
+        if (now - m_renewed >= renew_interval) {
+            renew_term(now);
+        }
+        return now_point() - m_renewed < act_within;
+    }
+    const bool vacant = term.m_number == 0 || now - m_seen_renewal_at >= claim_after;
+    if (vacant) {
+        claim_term(*state, now);
+    }
+    return m_my_term != 0 && m_log.state()->term().m_number == m_my_term;
+}
+
+void planner_process::claim_term(const fleet_state& state, time_point now)
+{
+    const auto claim = m_log.make_record(term_claimed{m_self, state.term().m_number},
+                                         "no renewal was seen for the term");
+    const auto result = m_log.append(claim, append_patience);
+    if (result && result->m_verdict == verdict::accepted) {
+        m_my_term = result->m_offset + 1;
+        m_renewed = now;
+        log_event(log_level::info, "term_claimed", {{"term", std::to_string(m_my_term)}});
+    }
+}
+
+void planner_process::renew_term(time_point now)
+{
+    // The time before the append counts, so that this clock never runs behind the others'.
+    const auto result = m_log.append(m_log.make_record(term_renewed{}, "renewal"), append_patience);
+    if (result && result->m_verdict == verdict::accepted) {
+        m_renewed = now;
+    }
+}
+
+void planner_process::act(time_point now)
+{
+    const auto state = m_log.state();
+    planner_inputs inputs;
+    inputs.m_state = state.get();
+    inputs.m_now = now;
+    auto listed = m_platform.list_vms();
+    if (listed) {
+        inputs.m_vms = std::move(*listed);
+    }
+    for (const auto& [id, entry] : state->vms()) {
+        if (entry.m_phase == vm_phase::draining) {
+            inputs.m_drains[id] = check_drain(*state, id, entry, now);
+        }
+    }
+    for (const auto& action : m_planner.plan(inputs)) {
+        // The term is checked again before each step: the one before may have taken long.
+        if (now_point() - m_renewed >= act_within) {
+            return;
+        }
+        if (const auto* planned = std::get_if<planned_record>(&action)) {
+            append_record(*planned);
+        }
+        else {
+            reboot(std::get<planned_reboot>(action));
+        }
+    }
+}
+
+void planner_process::append_record(const planned_record& planned)
+{
+    auto value = m_log.make_record(planned.m_body, planned.m_reason);
+    value.m_term = m_my_term;
+    const auto result = m_log.append(value, append_patience);
+    const auto made = result ? to_string(result->m_verdict) : to_string(result.error());
+    log_event(log_level::info, "planned",
+              {{"kind", std::string{kind_of(planned.m_body)}},
+               {"reason", planned.m_reason},
+               {"verdict", std::string{made}}});
+}
+
+void planner_process::reboot(const planned_reboot& planned)
+{
+    const auto result = m_platform.reboot(planned.m_vm, planned.m_boot);
+    log_event(log_level::info, "reboot",
+              {{"vm", planned.m_vm},
+               {"boot", std::to_string(planned.m_boot)},
+               {"result", result ? "accepted" : std::string{to_string(result.error())}}});
+}
+
+void planner_process::take_snapshot_if_due()
+{
+    const auto state = m_log.state();
+    if (state->next_offset() < m_snapshot_offset + records_per_snapshot) {
+        return;
+    }
+    m_snapshot_offset = state->next_offset();
+    append_record({snapshot_taken{state->to_json()}, "so that older records may expire"});
+}
+
+drain_status planner_process::check_drain(const fleet_state& state, const std::string& id,
+                                          const vm_entry& entry, time_point now)
+{
+    drain_status status;
+    const auto drain = std::pair{id, entry.m_version};
+    if (!entries_are_done(state, id, entry)) {
+        m_entries_done_since.erase(drain);
+        return status;
+    }
+    status.m_entries_done = true;
+    const auto since = m_entries_done_since.emplace(drain, now).first->second;
+    // A worker reports with a lag: only a report made after the entries were done counts.
+    status.m_worker_idle = worker_is_idle(entry.m_vm, remaining(since, now));
+    return status;
+}
+
+bool planner_process::entries_are_done(const fleet_state& state, const std::string& id,
+                                       const vm_entry& entry) const
+{
+    const auto& members = state.current_view().m_members;
+    return std::all_of(members.begin(), members.end(), [&](const member& each) {
+        const auto url =
+            fmt::format("http://{}:{}/v1/in-flight/{}", each.m_address, each.m_operator_port, id);
+        const auto word = get_json<vm_in_flight>(url, m_settings.m_operator_token);
+        return word && word->m_next_offset >= entry.m_version && word->m_in_flight == 0;
+    });
+}
+
+bool planner_process::worker_is_idle(const vm& machine, milliseconds at_most_old)
+{
+    const auto url = fmt::format("http://{}:{}/usage", machine.m_address, machine.m_port);
+    const auto usage = get_json<usage_report>(url, "");
+    return usage && usage->m_running == 0 && usage->m_queued == 0 && usage->m_age <= at_most_old;
+}
+
+} // namespace peridotrudder
--- /dev/null
+++ b/src/entry/request_router.cpp
@@ -0,0 +1,628 @@
+#include "peridotrudder/entry/request_router.hpp"
+
+#include "peridotrudder/base/hash.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace peridotrudder {
+
+namespace {
+
+constexpr milliseconds not_ready_pause{20};
+constexpr milliseconds forward_pause{50};
+/// A forwarded call is sent to the home again, in case its answer was lost with a link.
+constexpr milliseconds forward_repeat{2'000};
+/// Time beyond the request's own limits that the home gets for its answer.
+constexpr milliseconds forward_slack{2'000};
+constexpr milliseconds intent_timeout{1'000};
+/// A kept intent may be sent within this time; a process that was paused longer must not.
+constexpr milliseconds send_window{2'000};
+constexpr milliseconds partition_tick_interval{50};
+constexpr std::uint32_t max_attempts = 3;
+constexpr std::uint32_t first_failure_status = 500;
+constexpr std::uint32_t service_unavailable = 503;
+constexpr std::string_view request_id_header = "X-Request-Id";
+/// An upstream sets this with status 503 when it took no action on a request.
+constexpr std::string_view not_started_header = "X-Not-Started";
+
+time_point now_point()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::string digest_of(const call& submitted)
+{
+    return fmt::format(
+        "{:016x}",
+        placement_hash(submitted.m_body, placement_hash(submitted.m_method + submitted.m_path)));
+}
+
+} // namespace
+
+request_router::request_router(router_options options, router_links links)
+    : m_options{std::move(options)}, m_links{std::move(links)},
+      m_partitions{m_options.m_self,
+                   [this](const std::string& to, const partition_message& message) {
+                       std::visit([&](const auto& each) { m_links.m_send(to, each); }, message);
+                   },
+                   [this](const acknowledged_intent& kept) { intent_kept(kept); }}
+{
+}
+
+// Counts the call as open until it is answered.
+void request_router::adopt(const call_ptr& taken)
+{
+    ++m_open_calls;
+    taken->m_respond = [this, answer = std::move(taken->m_respond)](const outcome& result) {
+        answer(result);
+        --m_open_calls;
+    };
+}
+
+void request_router::submit(const call_ptr& submitted)
+{
+    adopt(submitted);
+    if (submitted->is_keyed() && !submitted->is_idempotent()) {
+        submit_keyed(submitted);
+        return;
+    }
+    enqueue(submitted);
+}
+
+void request_router::submit_keyed(const call_ptr& submitted)
+{
+    const auto now = now_point();
+    const auto begun = m_partitions.begin(submitted, digest_of(*submitted), now);
+    switch (begun.m_verdict) {
+    case begin_verdict::started:
+        submitted->m_version = begun.m_version;
+        submitted->m_intent_kept = false;
+        enqueue(submitted);
+        return;
+    case begin_verdict::running:
+        return;
+    case begin_verdict::answered:
+        conclude(submitted, *begun.m_outcome);
+        return;
+    case begin_verdict::unknown:
+        conclude(submitted, outcome_unknown(refusal::earlier_attempt));
+        return;
+    case begin_verdict::records_lost:
+        conclude(submitted, outcome_unknown(refusal::records_lost));
+        return;
+    case begin_verdict::key_reused:
+        conclude(submitted, not_run(refusal::key_reused, true));
+        return;
+    case begin_verdict::not_home:
+        forward(submitted);
+        return;
+    case begin_verdict::not_ready:
+        if (now >= submitted->m_wait_until) {
+            conclude(submitted, not_run(refusal::not_ready, true));
+            return;
+        }
+        retry_later(submitted);
+        return;
+    }
+}
+
+void request_router::retry_later(const call_ptr& delayed)
+{
+    const std::lock_guard<std::mutex> lock{m_delayed_mutex};
+    m_delayed.emplace(now_point() + not_ready_pause, delayed);
+}
+
+void request_router::resubmit_delayed(time_point now)
+{
+    std::vector<call_ptr> due;
+    {
+        const std::lock_guard<std::mutex> lock{m_delayed_mutex};
+        const auto end = m_delayed.upper_bound(now);
+        std::transform(m_delayed.begin(), end, std::back_inserter(due),
+                       [](const auto& each) { return each.second; });
+        m_delayed.erase(m_delayed.begin(), end);
+    }
+    for (const auto& each : due) {
+        submit_keyed(each);
+    }
+}
+
+void request_router::forward(const call_ptr& submitted)
+{
+    const auto now = now_point();
+    forwarded entry;
+    entry.m_call = submitted;
+    entry.m_next_send = now;
+    entry.m_give_up = submitted->m_wait_until + m_options.m_upstream_timeout + forward_slack;
+    const std::lock_guard<std::mutex> lock{m_forwarded_mutex};
+    send_forwarded(entry, now);
+    m_forwarded[submitted->m_request_id] = std::move(entry);
+}
+
+void request_router::send_forwarded(forwarded& each, time_point now)
+{
+    const auto& submitted = *each.m_call;
+    each.m_home = m_partitions.home_of(submitted);
+    forwarded_call message;
+    message.m_request_id = submitted.m_request_id;
+    message.m_traceparent = submitted.m_trace.to_traceparent();
+    message.m_customer = submitted.m_customer;
+    message.m_pool = submitted.m_pool;
+    message.m_method = submitted.m_method;
+    message.m_path = submitted.m_path;
+    message.m_content_type = submitted.m_content_type;
+    message.m_body = submitted.m_body;
+    message.m_idempotency_key = submitted.m_idempotency_key;
+    message.m_class = submitted.m_class;
+    message.m_declared_run_time = submitted.m_declared_run_time;
+    message.m_time_to_wait = remaining(now, submitted.m_wait_until);
+    message.m_limits = submitted.m_limits;
+    const bool sent = m_links.m_send(each.m_home, message);
+    each.m_sent = each.m_sent || sent;
+    each.m_next_send = now + (sent ? forward_repeat : forward_pause);
+}
+
+void request_router::check_forwarded(time_point now)
+{
+    std::vector<std::pair<call_ptr, outcome>> given_up;
+    std::vector<call_ptr> mine;
+    {
+        const std::lock_guard<std::mutex> lock{m_forwarded_mutex};
+        for (auto each = m_forwarded.begin(); each != m_forwarded.end();) {
+            auto& [id, entry] = *each;
+            const auto home = m_partitions.home_of(*entry.m_call);
+            const bool over =
+                entry.m_sent ? now >= entry.m_give_up : now >= entry.m_call->m_wait_until;
+            if (over) {
+                given_up.emplace_back(entry.m_call, entry.m_sent
+                                                        ? outcome_unknown(refusal::home_unreachable)
+                                                        : not_run(refusal::home_unreachable, true));
+                each = m_forwarded.erase(each);
+                continue;
+            }
+            if (home == m_options.m_self) {
+                mine.push_back(entry.m_call);
+                each = m_forwarded.erase(each);
+                continue;
+            }
+            if (home != entry.m_home || now >= entry.m_next_send) {
+                send_forwarded(entry, now);
+            }
+            ++each;
+        }
+    }
+    for (const auto& [ended, result] : given_up) {
+        conclude(ended, result);
+    }
+    for (const auto& each : mine) {
+        submit_keyed(each);
+    }
+}
+
+void request_router::receive(const std::string& from, const forwarded_call& message)
+{
+    const auto now = now_point();
+    auto taken = std::make_shared<call>();
+    taken->m_request_id = message.m_request_id;
+    taken->m_trace = parse_traceparent(message.m_traceparent).value_or(new_trace());
+    taken->m_customer = message.m_customer;
+    taken->m_pool = message.m_pool;
+    taken->m_method = message.m_method;
+    taken->m_path = message.m_path;
+    taken->m_content_type = message.m_content_type;
+    taken->m_body = message.m_body;
+    taken->m_idempotency_key = message.m_idempotency_key;
+    taken->m_class = message.m_class;
+    taken->m_declared_run_time = message.m_declared_run_time;
+    taken->m_limits = message.m_limits;
+    taken->m_local = false;
+    taken->m_received = now;
+    taken->m_wait_until = now + message.m_time_to_wait;
+    taken->m_respond = [this, from, id = message.m_request_id](const outcome& result) {
+        m_links.m_send(from, forwarded_reply{id, result});
+    };
+    if (m_partitions.home_of(*taken) != m_options.m_self) {
+        m_links.m_send(from,
+                       forwarded_reply{message.m_request_id, not_run(refusal::home_moved, true)});
+        return;
+    }
+    adopt(taken);
+    submit_keyed(taken);
+}
+
+void request_router::receive(const std::string& from, const forwarded_reply& message)
+{
+    call_ptr answered;
+    {
+        const std::lock_guard<std::mutex> lock{m_forwarded_mutex};
+        const auto found = m_forwarded.find(message.m_request_id);
+        if (found == m_forwarded.end()) {
+            return;
+        }
+        auto& entry = found->second;
+        const auto& result = message.m_outcome;
+        if (result.m_refusal == refusal::home_moved) {
+            entry.m_next_send = std::min(entry.m_next_send, now_point() + forward_pause);
+            return;
+        }
+        // Only the member that has the call now can say that it was not run.
+        if (result.m_fate != fate::done && from != entry.m_home) {
+            return;
+        }
+        answered = entry.m_call;
+        m_forwarded.erase(found);
+    }
+    conclude(answered, message.m_outcome);
+}
+
+void request_router::enqueue(const call_ptr& queued)
+{
+    const auto now = now_point();
+    const auto lane = lane_of(queued->m_pool);
+    if (!lane) {
+        finish(queued, not_run(refusal::no_upstream));
+        return;
+    }
+    if (lane->would_wait_too_long(*queued, now)) {
+        finish(queued, not_run(refusal::wait_exceeded));
+        return;
+    }
+    lane->push(queued, now);
+    pump(lane);
+    send_reports(lane, now);
+}
+
+void request_router::pump(const std::shared_ptr<pool_lane>& lane)
+{
+    for (auto& each : lane->take_ready(now_point())) {
+        dispatch(std::move(each));
+    }
+}
+
+void request_router::dispatch(dispatched_call ready)
+{
+    const auto now = now_point();
+    auto& taken = *ready.m_call;
+    if (taken.m_attempts == 0) {
+        m_links.m_metrics->waited(taken.m_class, now - taken.m_received);
+    }
+    const bool needs_intent = taken.is_keyed() && !taken.is_idempotent();
+    if (!needs_intent) {
+        send_upstream(ready);
+        return;
+    }
+    if (taken.m_intent_kept) {
+        if (now - taken.m_intent_kept_at < send_window) {
+            send_upstream(ready);
+            return;
+        }
+    }
+    else {
+        const auto key = taken.table_key();
+        {
+            const std::lock_guard<std::mutex> lock{m_intents_mutex};
+            m_intents[key] = {ready, now + intent_timeout};
+        }
+        if (m_partitions.write_intent(taken, now)) {
+            return;
+        }
+        const std::lock_guard<std::mutex> lock{m_intents_mutex};
+        m_intents.erase(key);
+    }
+    lane_of(taken.m_pool)->finished(taken, ready.m_worker.m_vm, false, std::nullopt, now);
+    finish(ready.m_call, not_run(refusal::home_moved));
+}
+
+void request_router::intent_kept(const acknowledged_intent& kept)
+{
+    dispatched_call ready;
+    const auto now = now_point();
+    {
+        const std::lock_guard<std::mutex> lock{m_intents_mutex};
+        const auto found = m_intents.find(kept.m_key);
+        // The deadline also stops a process that was paused: its intent may be sealed by now.
+        if (found == m_intents.end() || now >= found->second.m_deadline ||
+            !(found->second.m_dispatched.m_call->m_version == kept.m_version)) {
+            return;
+        }
+        ready = std::move(found->second.m_dispatched);
+        m_intents.erase(found);
+    }
+    ready.m_call->m_intent_kept = true;
+    ready.m_call->m_intent_kept_at = now;
+    send_upstream(ready);
+}
+
+void request_router::check_intents(time_point now)
+{
+    std::vector<dispatched_call> late;
+    {
+        const std::lock_guard<std::mutex> lock{m_intents_mutex};
+        for (auto each = m_intents.begin(); each != m_intents.end();) {
+            if (now < each->second.m_deadline) {
+                ++each;
+                continue;
+            }
+            late.push_back(std::move(each->second.m_dispatched));
+            each = m_intents.erase(each);
+        }
+    }
+    for (const auto& each : late) {
+        lane_of(each.m_call->m_pool)
+            ->finished(*each.m_call, each.m_worker.m_vm, false, std::nullopt, now);
+        finish(each.m_call, not_run(refusal::not_replicated));
+    }
+}
+
+void request_router::send_upstream(const dispatched_call& ready)
+{
+    auto& taken = *ready.m_call;
+    ++taken.m_attempts;
+    taken.m_started = now_point();
+    const auto hop = std::make_shared<span_timer>(taken.m_trace, "upstream", taken.m_request_id);
+    http_call upstream;
+    upstream.m_method = taken.m_method;
+    upstream.m_url = fmt::format("http://{}:{}{}", ready.m_worker.m_address, ready.m_worker.m_port,
+                                 taken.m_path);
+    upstream.m_body = taken.m_body;
+    upstream.m_timeout = m_options.m_upstream_timeout;
+    upstream.m_may_reuse_connection = taken.is_idempotent();
+    upstream.m_required_header = http_header{std::string{request_id_header}, taken.m_request_id};
+    upstream.m_headers.push_back(*upstream.m_required_header);
+    upstream.m_headers.push_back({"traceparent", hop->context().to_traceparent()});
+    upstream.m_headers.push_back({"X-Customer", taken.m_customer});
+    if (taken.is_keyed()) {
+        upstream.m_headers.push_back({"Idempotency-Key", taken.m_idempotency_key});
+    }
+    if (!taken.m_content_type.empty()) {
+        upstream.m_headers.push_back({"Content-Type", taken.m_content_type});
+    }
+    m_links.m_upstreams->send(std::move(upstream), [this, ready, hop](const http_result& result) {
+        m_links.m_spans->add(hop->finish(result ? std::to_string(result->m_status) : "failed"));
+        take_answer(ready, result);
+    });
+}
+
+outcome request_router::classify(const http_result& result, bool& not_started)
+{
+    if (!result) {
+        switch (result.error()) {
+        case transport_fault::not_connected:
+            not_started = true;
+            return not_run(refusal::upstream_refused);
+        case transport_fault::broken:
+            return outcome_unknown(refusal::upstream_failed);
+        case transport_fault::incomplete_answer:
+        case transport_fault::answer_too_long:
+            return outcome_unknown(refusal::incomplete_answer);
+        case transport_fault::crossed_answer:
+            return outcome_unknown(refusal::crossed_answer);
+        }
+    }
+    if (result->m_status == service_unavailable &&
+        find_header(result->m_headers, not_started_header) == "1") {
+        not_started = true;
+        return not_run(refusal::upstream_refused);
+    }
+    outcome done;
+    done.m_fate = fate::done;
+    done.m_status = result->m_status;
+    done.m_content_type = std::string{find_header(result->m_headers, "Content-Type")};
+    done.m_body = result->m_body;
+    return done;
+}
+
+bool request_router::may_retry(call& failed, bool not_started, const outcome& result,
+                               time_point now)
+{
+    const bool failure = result.m_fate != fate::done || result.m_status >= first_failure_status;
+    const bool safe = not_started || failed.is_idempotent();
+    if (!failure || !safe || failed.m_attempts >= max_attempts || now >= failed.m_wait_until) {
+        return false;
+    }
+    const std::lock_guard<std::mutex> lock{m_budgets_mutex};
+    const auto& limits = failed.m_limits;
+    auto& budget =
+        m_budgets.emplace(failed.m_customer, retry_budget{limits.m_retry_ppm, limits.m_retry_burst})
+            .first->second;
+    return budget.spend();
+}
+
+void request_router::take_answer(const dispatched_call& sent, const http_result& result)
+{
+    const auto now = now_point();
+    const auto& taken = sent.m_call;
+    bool not_started = false;
+    const auto ended = classify(result, not_started);
+    const bool failed = ended.m_fate != fate::done || ended.m_status >= first_failure_status;
+    taken->m_may_have_run = taken->m_may_have_run || !not_started;
+    const auto lane = lane_of(taken->m_pool);
+    if (lane) {
+        const auto run_time = failed ? std::optional<milliseconds>{}
+                                     : std::optional{remaining(taken->m_started, now)};
+        lane->finished(*taken, sent.m_worker.m_vm, failed, run_time, now);
+    }
+    if (!failed) {
+        const std::lock_guard<std::mutex> lock{m_budgets_mutex};
+        const auto budget = m_budgets.find(taken->m_customer);
+        if (budget != m_budgets.end()) {
+            budget->second.earn();
+        }
+    }
+    if (may_retry(*taken, not_started, ended, now)) {
+        taken->m_failed_vms.insert(sent.m_worker.m_vm);
+        m_links.m_metrics->retried(taken->m_customer);
+        enqueue(taken);
+    }
+    else {
+        finish(taken, ended);
+    }
+    if (lane) {
+        pump(lane);
+    }
+}
+
+// Ends a call that began an attempt here or needs none.
+void request_router::finish(const call_ptr& ended, const outcome& result)
+{
+    auto told = result;
+    if (told.m_fate == fate::not_run && ended->m_may_have_run) {
+        told = outcome_unknown(refusal::upstream_failed);
+    }
+    std::vector<call_ptr> waiting;
+    if (ended->is_keyed() && !ended->is_idempotent()) {
+        waiting = m_partitions.end(*ended, told, now_point());
+    }
+    conclude(ended, told);
+    for (const auto& each : waiting) {
+        conclude(each, told);
+    }
+}
+
+void request_router::conclude(const call_ptr& ended, const outcome& result)
+{
+    if (result.m_refusal == refusal::home_moved && ended->m_local) {
+        // The call begins again with the new home, which knows what was sent from here.
+        forward(ended);
+        return;
+    }
+    ended->m_respond(result);
+}
+
+std::shared_ptr<pool_lane> request_router::lane_of(const std::string& pool) const
+{
+    const std::shared_lock<std::shared_mutex> lock{m_lanes_mutex};
+    const auto found = m_lanes.find(pool);
+    return found == m_lanes.end() ? nullptr : found->second;
+}
+
+std::vector<std::shared_ptr<pool_lane>> request_router::all_lanes() const
+{
+    const std::shared_lock<std::shared_mutex> lock{m_lanes_mutex};
+    std::vector<std::shared_ptr<pool_lane>> lanes;
+    for (const auto& [pool, lane] : m_lanes) {
+        lanes.push_back(lane);
+    }
+    return lanes;
+}
+
+void request_router::set_state(const std::shared_ptr<const fleet_state>& state,
+                               const std::set<std::string>& leaving_vms)
+{
+    const auto now = now_point();
+    const std::lock_guard<std::mutex> state_lock{m_state_mutex};
+    if (state->next_offset() < m_state_offset) {
+        return;
+    }
+    m_state_offset = state->next_offset();
+    m_partitions.set_state(*state, now);
+    std::map<std::string, lane_setup> setups;
+    for (const auto& [id, entry] : state->vms()) {
+        auto& setup = setups[entry.m_vm.m_pool];
+        if (entry.m_phase == vm_phase::serving && leaving_vms.count(id) == 0) {
+            const auto& machine = entry.m_vm;
+            setup.m_workers.push_back({id, machine.m_address, machine.m_port, machine.m_slots});
+        }
+    }
+    for (auto& [pool, setup] : setups) {
+        const auto ranked = rank_members(state->current_view(), "pool/" + pool, 1);
+        setup.m_dispatcher = ranked.empty() ? "" : ranked.front()->m_incarnation;
+        setup.m_view = state->current_view().m_number;
+        auto lane = lane_of(pool);
+        if (!lane) {
+            lane = std::make_shared<pool_lane>(pool, m_options.m_self, m_options.m_make_policy());
+            const std::unique_lock<std::shared_mutex> lock{m_lanes_mutex};
+            m_lanes.emplace(pool, lane);
+        }
+        lane->set_up(setup, now);
+    }
+    // A pool whose last VM moved away keeps its lane: calls may still wait there.
+    const std::shared_lock<std::shared_mutex> lock{m_lanes_mutex};
+    for (const auto& [pool, lane] : m_lanes) {
+        if (setups.count(pool) == 0) {
+            lane->set_up({}, now);
+        }
+    }
+}
+
+void request_router::receive(const std::string& from, const slot_report& message)
+{
+    const auto lane = lane_of(message.m_pool);
+    if (lane) {
+        send_grants(lane->receive_report(from, message, now_point()));
+    }
+}
+
+void request_router::receive(const std::string& from, const slot_grant& message)
+{
+    const auto lane = lane_of(message.m_pool);
+    if (lane) {
+        lane->receive_grant(from, message);
+        pump(lane);
+        send_reports(lane, now_point());
+    }
+}
+
+void request_router::receive(const std::string& from, const partition_message& message)
+{
+    m_partitions.receive(from, message, now_point());
+}
+
+void request_router::send_grants(const std::vector<addressed_grant>& grants)
+{
+    for (const auto& each : grants) {
+        if (each.m_to == m_options.m_self) {
+            receive(each.m_to, each.m_grant);
+        }
+        else {
+            m_links.m_send(each.m_to, each.m_grant);
+        }
+    }
+}
+
+void request_router::send_reports(const std::shared_ptr<pool_lane>& lane, time_point now)
+{
+    const auto report = lane->take_due_report(now);
+    if (!report) {
+        return;
+    }
+    const auto to = lane->dispatcher();
+    if (to == m_options.m_self) {
+        receive(to, *report);
+    }
+    else {
+        m_links.m_send(to, *report);
+    }
+}
+
+void request_router::tick()
+{
+    const auto now = now_point();
+    for (const auto& lane : all_lanes()) {
+        for (const auto& expired : lane->take_expired(now)) {
+            finish(expired, not_run(refusal::wait_exceeded));
+        }
+        pump(lane);
+        send_reports(lane, now);
+    }
+    check_intents(now);
+    check_forwarded(now);
+    resubmit_delayed(now);
+    const std::lock_guard<std::mutex> lock{m_tick_mutex};
+    if (now >= m_next_partition_tick) {
+        m_next_partition_tick = now + partition_tick_interval;
+        m_partitions.tick(now);
+    }
+}
+
+std::uint32_t request_router::in_flight(const std::string& vm) const
+{
+    std::uint32_t count = 0;
+    for (const auto& lane : all_lanes()) {
+        count += lane->in_flight(vm);
+    }
+    return count;
+}
+
+} // namespace peridotrudder
--- /dev/null
+++ b/src/links/peer_mesh.cpp
@@ -0,0 +1,327 @@
+#include "peridotrudder/links/peer_mesh.hpp"
+
+#include "peridotrudder/base/hash.hpp"
+
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <fmt/format.h>
+#include <map>
+#include <mutex>
+#include <set>
+#include <thread>
+#include <utility>
+
+namespace peridotrudder {
+
+namespace {
+
+using websocketpp::connection_hdl;
+using ws_server = websocketpp::server<websocketpp::config::asio>;
+using ws_client = websocketpp::client<websocketpp::config::asio_client>;
+
+constexpr milliseconds reconnect_interval{200};
+constexpr long connect_timeout_ms = 2'000;
+/// A link whose peer reads no more is given up once so much waits to be sent.
+constexpr std::size_t max_buffered_bytes = 33'554'432;
+constexpr const char* incarnation_header = "X-Peridot-Incarnation";
+
+/// A link that this process opened.
+struct outgoing_link {
+    peer_endpoint m_endpoint;
+    connection_hdl m_connection;
+    bool m_open{false};
+    bool m_connecting{false};
+};
+
+} // namespace
+
+class peer_mesh::implementation {
+public:
+    implementation(peer_mesh_options options, peer_handler handler)
+        : m_options{std::move(options)}, m_handler{std::move(handler)}, m_reconnect{m_context}
+    {
+        set_up_server();
+        set_up_client();
+    }
+
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+    implementation(implementation&&) = delete;
+    implementation& operator=(implementation&&) = delete;
+
+    ~implementation() { stop(); }
+
+    void stop()
+    {
+        m_context.stop();
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+
+    void start()
+    {
+        const asio::ip::tcp::endpoint endpoint{asio::ip::make_address(m_options.m_address),
+                                               m_options.m_port};
+        m_server.listen(endpoint);
+        m_server.start_accept();
+        schedule_reconnect();
+        m_thread = std::thread{[this] { m_context.run(); }};
+    }
+
+    void set_peers(const std::vector<peer_endpoint>& peers)
+    {
+        asio::post(m_context, [this, peers] { replace_peers(peers); });
+    }
+
+    bool send(const std::string& to, const peer_message& message)
+    {
+        connection_hdl connection;
+        {
+            const std::lock_guard<std::mutex> lock{m_mutex};
+            const auto found = m_links.find(to);
+            if (found == m_links.end() || !found->second.m_open) {
+                return false;
+            }
+            connection = found->second.m_connection;
+        }
+        const auto frame = encode_peer_message(message);
+        websocketpp::lib::error_code error;
+        const auto link = m_client.get_con_from_hdl(connection, error);
+        if (error || link->get_buffered_amount() > max_buffered_bytes) {
+            return false;
+        }
+        error = link->send(frame.data(), frame.size(), websocketpp::frame::opcode::binary);
+        if (error) {
+            return false;
+        }
+        ++m_sent_messages;
+        m_sent_bytes += frame.size();
+        return true;
+    }
+
+    peer_traffic traffic() const
+    {
+        return {m_sent_messages, m_sent_bytes, m_received_messages, m_received_bytes,
+                m_rejected_messages};
+    }
+
+private:
+    template <typename Endpoint>
+    static void silence(Endpoint& endpoint)
+    {
+        endpoint.clear_access_channels(websocketpp::log::alevel::all);
+        endpoint.clear_error_channels(websocketpp::log::elevel::all);
+    }
+
+    template <typename Connection>
+    static void send_without_delay(const Connection& connection)
+    {
+        asio::error_code ignored;
+        connection->get_raw_socket().set_option(asio::ip::tcp::no_delay{true}, ignored);
+    }
+
+    void set_up_server()
+    {
+        silence(m_server);
+        m_server.init_asio(&m_context);
+        m_server.set_reuse_addr(true);
+        m_server.set_max_message_size(m_options.m_max_message_bytes);
+        m_server.set_validate_handler([this](connection_hdl hdl) { return is_peer(hdl); });
+        m_server.set_message_handler([this](connection_hdl hdl, const auto& message) {
+            receive(std::move(hdl), message->get_payload());
+        });
+    }
+
+    void set_up_client()
+    {
+        silence(m_client);
+        m_client.init_asio(&m_context);
+        m_client.set_max_message_size(m_options.m_max_message_bytes);
+        m_client.set_open_handshake_timeout(connect_timeout_ms);
+    }
+
+    bool is_peer(connection_hdl hdl)
+    {
+        const auto connection = m_server.get_con_from_hdl(std::move(hdl));
+        const auto expected = fmt::format("Bearer {}", m_options.m_cluster_token);
+        const auto& given = connection->get_request_header("Authorization");
+        const bool named = !connection->get_request_header(incarnation_header).empty();
+        return named && equal_secrets(given, expected);
+    }
+
+    void receive(connection_hdl hdl, const std::string& payload)
+    {
+        ++m_received_messages;
+        m_received_bytes += payload.size();
+        // CBOR is bytes; the library hands them over as characters.
+        const auto* data = reinterpret_cast<const std::uint8_t*>(payload.data());
+        auto message = decode_peer_message({data, payload.size()});
+        if (!message) {
+            ++m_rejected_messages;
+            return;
+        }
+        const auto connection = m_server.get_con_from_hdl(std::move(hdl));
+        m_handler(connection->get_request_header(incarnation_header), std::move(*message));
+    }
+
+    void replace_peers(const std::vector<peer_endpoint>& peers)
+    {
+        std::vector<connection_hdl> closed;
+        {
+            const std::lock_guard<std::mutex> lock{m_mutex};
+            std::set<std::string> wanted;
+            for (const auto& each : peers) {
+                wanted.insert(each.m_incarnation);
+                auto& link = m_links[each.m_incarnation];
+                link.m_endpoint = each;
+            }
+            for (auto each = m_links.begin(); each != m_links.end();) {
+                if (wanted.count(each->first) != 0) {
+                    ++each;
+                    continue;
+                }
+                closed.push_back(each->second.m_connection);
+                each = m_links.erase(each);
+            }
+        }
+        for (const auto& each : closed) {
+            websocketpp::lib::error_code ignored;
+            m_client.close(each, websocketpp::close::status::going_away, "", ignored);
+        }
+        connect_missing();
+    }
+
+    void schedule_reconnect()
+    {
+        m_reconnect.expires_after(reconnect_interval);
+        m_reconnect.async_wait([this](const asio::error_code& error) {
+            if (!error) {
+                connect_missing();
+                schedule_reconnect();
+            }
+        });
+    }
+
+    void connect_missing()
+    {
+        std::vector<peer_endpoint> missing;
+        {
+            const std::lock_guard<std::mutex> lock{m_mutex};
+            for (auto& [incarnation, link] : m_links) {
+                if (!link.m_open && !link.m_connecting) {
+                    link.m_connecting = true;
+                    missing.push_back(link.m_endpoint);
+                }
+            }
+        }
+        for (const auto& each : missing) {
+            connect(each);
+        }
+    }
+
+    void connect(const peer_endpoint& peer)
+    {
+        websocketpp::lib::error_code error;
+        const auto connection =
+            m_client.get_connection(fmt::format("ws://{}:{}/", peer.m_address, peer.m_port), error);
+        if (error) {
+            mark_closed(peer.m_incarnation);
+            return;
+        }
+        connection->append_header("Authorization",
+                                  fmt::format("Bearer {}", m_options.m_cluster_token));
+        connection->append_header(incarnation_header, m_options.m_self);
+        const auto incarnation = peer.m_incarnation;
+        connection->set_open_handler([this, incarnation](connection_hdl hdl) {
+            send_without_delay(m_client.get_con_from_hdl(hdl));
+            mark_open(incarnation, std::move(hdl));
+        });
+        connection->set_fail_handler(
+            [this, incarnation](const connection_hdl& /*hdl*/) { mark_closed(incarnation); });
+        connection->set_close_handler(
+            [this, incarnation](const connection_hdl& /*hdl*/) { mark_closed(incarnation); });
+        m_client.connect(connection);
+    }
+
+    void mark_open(const std::string& incarnation, connection_hdl hdl)
+    {
+        const std::lock_guard<std::mutex> lock{m_mutex};
+        const auto found = m_links.find(incarnation);
+        if (found != m_links.end()) {
+            found->second.m_connection = std::move(hdl);
+            found->second.m_open = true;
+            found->second.m_connecting = false;
+        }
+    }
+
+    void mark_closed(const std::string& incarnation)
+    {
+        const std::lock_guard<std::mutex> lock{m_mutex};
+        const auto found = m_links.find(incarnation);
+        if (found != m_links.end()) {
+            found->second.m_open = false;
+            found->second.m_connecting = false;
+        }
+    }
+
+    peer_mesh_options m_options;
+    peer_handler m_handler;
+    asio::io_context m_context;
+    asio::steady_timer m_reconnect;
+    ws_server m_server;
+    ws_client m_client;
+    std::mutex m_mutex;
+    std::map<std::string, outgoing_link> m_links;
+    std::atomic<std::uint64_t> m_sent_messages{0};
+    std::atomic<std::uint64_t> m_sent_bytes{0};
+    std::atomic<std::uint64_t> m_received_messages{0};
+    std::atomic<std::uint64_t> m_received_bytes{0};
+    std::atomic<std::uint64_t> m_rejected_messages{0};
+    std::thread m_thread;
+};
+
+tl::expected<std::unique_ptr<peer_mesh>, listen_error>
+peer_mesh::create(const peer_mesh_options& options, peer_handler handler)
+{
+    try {
+        auto inside = std::make_unique<implementation>(options, std::move(handler));
+        inside->start();
+        return std::unique_ptr<peer_mesh>{new peer_mesh{std::move(inside)}};
+    }
+    catch (const std::exception& exception) {
+        return tl::make_unexpected(
+            listen_error{options.m_address, options.m_port, exception.what()});
+    }
+}
+
+peer_mesh::peer_mesh(std::unique_ptr<implementation> inside) : m_inside{std::move(inside)} {}
+
+peer_mesh::~peer_mesh() = default;
+
+void peer_mesh::set_peers(const std::vector<peer_endpoint>& peers)
+{
+    m_inside->set_peers(peers);
+}
+
+bool peer_mesh::send(const std::string& to, const peer_message& message)
+{
+    return m_inside->send(to, message);
+}
+
+void peer_mesh::stop()
+{
+    m_inside->stop();
+}
+
+peer_traffic peer_mesh::traffic() const
+{
+    return m_inside->traffic();
+}
+
+} // namespace peridotrudder
--- /dev/null
+++ b/src/routing/work_queue.cpp
@@ -0,0 +1,82 @@
+#include "peridotrudder/routing/work_queue.hpp"
+
+#include <tuple>
+
+namespace peridotrudder {
+
+bool work_queue::pressing_first::operator()(const queued_work& left, const queued_work& right) const
+{
+    return std::tie(left.m_class, left.m_deadline, left.m_ticket) <
+           std::tie(right.m_class, right.m_deadline, right.m_ticket);
+}
+
+work_queue::ordered_work& work_queue::lane_of(const queued_work& work)
+{
+    return work.m_long ? m_long : m_short;
+}
+
+void work_queue::push(const queued_work& work)
+{
+    const auto [position, inserted] = lane_of(work).insert(work);
+    if (!inserted) {
+        return;
+    }
+    m_by_ticket[work.m_ticket] = position;
+    m_by_deadline.emplace(work.m_deadline, work.m_ticket);
+    if (!work.m_long) {
+        ++m_short_by_class.at(static_cast<std::size_t>(work.m_class));
+    }
+}
+
+std::optional<queued_work> work_queue::pop(bool allow_long)
+{
+    const bool has_long = allow_long && !m_long.empty();
+    if (m_short.empty() && !has_long) {
+        return std::nullopt;
+    }
+    const bool take_long =
+        has_long && (m_short.empty() || pressing_first{}(*m_long.begin(), *m_short.begin()));
+    const queued_work next = take_long ? *m_long.begin() : *m_short.begin();
+    forget(next);
+    return next;
+}
+
+bool work_queue::cancel(std::uint64_t ticket)
+{
+    const auto found = m_by_ticket.find(ticket);
+    if (found == m_by_ticket.end()) {
+        return false;
+    }
+    const queued_work work = *found->second;
+    forget(work);
+    return true;
+}
+
+std::vector<queued_work> work_queue::take_expired(time_point now)
+{
+    std::vector<queued_work> expired;
+    while (!m_by_deadline.empty() && m_by_deadline.begin()->first <= now) {
+        const queued_work work = *m_by_ticket.at(m_by_deadline.begin()->second);
+        expired.push_back(work);
+        forget(work);
+    }
+    return expired;
+}
+
+std::size_t work_queue::waiting_short(work_class of) const
+{
+    return m_short_by_class.at(static_cast<std::size_t>(of));
+}
+
+void work_queue::forget(const queued_work& work)
+{
+    const auto found = m_by_ticket.find(work.m_ticket);
+    m_by_deadline.erase({work.m_deadline, work.m_ticket});
+    if (!work.m_long) {
+        --m_short_by_class.at(static_cast<std::size_t>(work.m_class));
+    }
+    lane_of(work).erase(found->second);
+    m_by_ticket.erase(found);
+}
+
+} // namespace peridotrudder
--- /dev/null
+++ b/src/telemetry/log.cpp
@@ -0,0 +1,58 @@
+#include "peridotrudder/telemetry/log.hpp"
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/jsonlayout.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/mdc.h>
+
+#include <deque>
+
+namespace peridotrudder {
+
+namespace {
+
+log4cxx::LevelPtr to_library_level(log_level level)
+{
+    switch (level) {
+    case log_level::debug:
+        return log4cxx::Level::getDebug();
+    case log_level::info:
+        return log4cxx::Level::getInfo();
+    case log_level::warning:
+        return log4cxx::Level::getWarn();
+    case log_level::error:
+        return log4cxx::Level::getError();
+    }
+    return log4cxx::Level::getInfo();
+}
+
+} // namespace
+
+void start_logging(log_level least)
+{
+    const auto layout = std::make_shared<log4cxx::JSONLayout>();
+    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
+        layout, log4cxx::ConsoleAppender::getSystemErr());
+    log4cxx::helpers::Pool pool;
+    appender->activateOptions(pool);
+    const auto root = log4cxx::Logger::getRootLogger();
+    root->addAppender(appender);
+    root->setLevel(to_library_level(least));
+}
+
+void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    const auto root = log4cxx::Logger::getRootLogger();
+    const auto library_level = to_library_level(level);
+    if (!root->isEnabledFor(library_level)) {
+        return;
+    }
+    std::deque<log4cxx::MDC> context;
+    for (const auto& each : fields) {
+        context.emplace_back(each.m_name, each.m_value);
+    }
+    root->log(library_level, std::string{event});
+}
+
+} // namespace peridotrudder
