--- a/include/peridotrudder/entry/partition_table.hpp
+++ b/include/peridotrudder/entry/partition_table.hpp
@@ -24,7 +24,7 @@
     /// Called when an intent is kept by enough holders; runs without any lock.
     using acknowledged_hook = std::function<void(const acknowledged_intent&)>;
 
-    partition_table(std::string self, send_hook send, acknowledged_hook acknowledged);
+    partition_table(const std::string& self, send_hook send, acknowledged_hook acknowledged);
 
     void set_state(const fleet_state& state, time_point now);
     void receive(const std::string& from, const partition_message& message, time_point now);
--- a/include/peridotrudder/entry/request_router.hpp
+++ b/include/peridotrudder/entry/request_router.hpp
@@ -93,7 +93,7 @@
     void send_forwarded(forwarded& each, time_point now);
     void enqueue(const call_ptr& queued);
     void pump(const std::shared_ptr<pool_lane>& lane);
-    void dispatch(dispatched_call ready);
+    void dispatch(const dispatched_call& ready);
     void intent_kept(const acknowledged_intent& kept);
     void send_upstream(const dispatched_call& ready);
     void take_answer(const dispatched_call& sent, const http_result& result);
--- a/src/entry/partition_table.cpp
+++ b/src/entry/partition_table.cpp
@@ -14,7 +14,8 @@
 
 } // namespace
 
-partition_table::partition_table(std::string self, send_hook send, acknowledged_hook acknowledged)
+partition_table::partition_table(const std::string& self, send_hook send,
+                                 acknowledged_hook acknowledged)
     : m_send{std::move(send)}, m_acknowledged{std::move(acknowledged)}
 {
     for (std::uint32_t partition = 0; partition < partition_count; ++partition) {
--- a/src/entry/pool_lane.cpp
+++ b/src/entry/pool_lane.cpp
@@ -160,7 +160,7 @@
     const auto untried = [&](std::string_view vm) {
         return usable(vm) && wanted.m_failed_vms.count(std::string{vm}) == 0;
     };
-    const auto vm = m_policy.m_choose(m_slots, m_setup.m_workers, now, untried);
+    auto vm = m_policy.m_choose(m_slots, m_setup.m_workers, now, untried);
     if (vm || wanted.m_failed_vms.empty()) {
         return vm;
     }
--- a/src/entry/request_router.cpp
+++ b/src/entry/request_router.cpp
@@ -275,12 +275,12 @@
 
 void request_router::pump(const std::shared_ptr<pool_lane>& lane)
 {
-    for (auto& each : lane->take_ready(now_point())) {
-        dispatch(std::move(each));
+    for (const auto& each : lane->take_ready(now_point())) {
+        dispatch(each);
     }
 }
 
-void request_router::dispatch(dispatched_call ready)
+void request_router::dispatch(const dispatched_call& ready)
 {
     const auto now = now_point();
     auto& taken = *ready.m_call;
@@ -472,6 +472,9 @@
     }
     std::vector<call_ptr> waiting;
     if (ended->is_keyed() && !ended->is_idempotent()) {
+        // Until an intent is kept, this member may be a former home that does not know it yet:
+        // another home may have run the key.
+        told.m_earlier_attempt_possible = told.m_fate == fate::not_run && !ended->m_intent_kept;
         waiting = m_partitions.end(*ended, told, now_point());
     }
     conclude(ended, told);
--- a/src/links/peer_mesh.cpp
+++ b/src/links/peer_mesh.cpp
@@ -132,9 +132,9 @@
         m_server.init_asio(&m_context);
         m_server.set_reuse_addr(true);
         m_server.set_max_message_size(m_options.m_max_message_bytes);
-        m_server.set_validate_handler([this](connection_hdl hdl) { return is_peer(hdl); });
-        m_server.set_message_handler([this](connection_hdl hdl, const auto& message) {
-            receive(std::move(hdl), message->get_payload());
+        m_server.set_validate_handler([this](const connection_hdl& hdl) { return is_peer(hdl); });
+        m_server.set_message_handler([this](const connection_hdl& hdl, const auto& message) {
+            receive(hdl, message->get_payload());
         });
     }
 
@@ -146,16 +146,16 @@
         m_client.set_open_handshake_timeout(connect_timeout_ms);
     }
 
-    bool is_peer(connection_hdl hdl)
+    bool is_peer(const connection_hdl& hdl)
     {
-        const auto connection = m_server.get_con_from_hdl(std::move(hdl));
+        const auto connection = m_server.get_con_from_hdl(hdl);
         const auto expected = fmt::format("Bearer {}", m_options.m_cluster_token);
         const auto& given = connection->get_request_header("Authorization");
         const bool named = !connection->get_request_header(incarnation_header).empty();
         return named && equal_secrets(given, expected);
     }
 
-    void receive(connection_hdl hdl, const std::string& payload)
+    void receive(const connection_hdl& hdl, const std::string& payload)
     {
         ++m_received_messages;
         m_received_bytes += payload.size();
@@ -166,7 +166,7 @@
             ++m_rejected_messages;
             return;
         }
-        const auto connection = m_server.get_con_from_hdl(std::move(hdl));
+        const auto connection = m_server.get_con_from_hdl(hdl);
         m_handler(connection->get_request_header(incarnation_header), std::move(*message));
     }
 
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -19,7 +19,7 @@
 constexpr std::uint64_t max_upstream_timeout_ms = 600'000;
 constexpr std::string_view contract_prefix = "contract.";
 constexpr std::uint64_t ms_per_second = 1'000;
-constexpr std::uint64_t max_window_s = 90 * 86'400;
+constexpr std::uint64_t max_window_s = 7'776'000;
 
 std::uint16_t read_port(ini_reader& reader, const std::string& key)
 {
