Drain no VM while VMs of two zones are away already

Cause: the planner asked whether the candidate's zone is among those with an absence; with failures in two zones it is, and a third absence was added.

Change: a drain needs that all absences of the pool lie in the candidate's own zone and rack.

--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -82,6 +82,12 @@
     return absence;
 }
 
+/// Returns whether the set has nothing but `name` in it.
+bool only_contains(const std::set<std::string>& names, const std::string& name)
+{
+    return names.empty() || (names.size() == 1 && names.count(name) == 1);
+}
+
 vm_phase_changed change_phase(const std::string& id, const vm_entry& entry, vm_phase to)
 {
     vm_phase_changed change;
@@ -225,11 +231,11 @@
             continue;
         }
         const auto& machine = found->second.m_vm;
-        if (!absence.m_zones.empty() && absence.m_zones.count(machine.m_zone) == 0) {
+        if (!only_contains(absence.m_zones, machine.m_zone)) {
             step.m_hold = wave_hold::other_zone;
             continue;
         }
-        if (!absence.m_racks.empty() && absence.m_racks.count(machine.m_rack) == 0) {
+        if (!only_contains(absence.m_racks, machine.m_rack)) {
             step.m_hold = wave_hold::other_rack;
             continue;
         }
