--- a/apps/load_main.cpp
+++ b/apps/load_main.cpp
@@ -72,6 +72,8 @@
     std::string m_key;
     std::string m_code;
     std::uint32_t m_tries{0};
+    /// Time of the first try, from the start of the load.
+    double m_arrival_ms{0};
     double m_latency_ms{0};
     std::uint64_t m_run_ms{0};
 };
@@ -231,6 +233,8 @@
         end.m_code = code;
         end.m_tries = made.m_tries;
         end.m_run_ms = made.m_run_ms;
+        end.m_arrival_ms =
+            std::chrono::duration<double, std::milli>(made.m_first_sent - m_start).count();
         end.m_latency_ms = std::chrono::duration<double, std::milli>(
                                std::chrono::steady_clock::now() - made.m_first_sent)
                                .count();
@@ -288,6 +292,7 @@
     }
 
     workload m_workload;
+    time_point m_start{std::chrono::steady_clock::now()};
     std::atomic<std::size_t> m_open{0};
     std::atomic<bool> m_stopping{false};
     std::mutex m_mutex;
@@ -421,11 +426,12 @@
     }
     if (!FLAGS_csv_out.empty()) {
         std::ofstream csv{FLAGS_csv_out};
-        csv << "stream,key,code,tries,latency_ms,run_ms\n";
+        csv << "stream,key,code,tries,arrival_ms,latency_ms,run_ms,urgency,pool\n";
         for (const auto& each : load.ends()) {
-            csv << fmt::format("{},{},{},{},{:.3f},{}\n",
-                               load.what().m_streams[each.m_stream].m_name, each.m_key, each.m_code,
-                               each.m_tries, each.m_latency_ms, each.m_run_ms);
+            const auto& from = load.what().m_streams[each.m_stream];
+            csv << fmt::format("{},{},{},{},{:.3f},{:.3f},{},{},{}\n", from.m_name, each.m_key,
+                               each.m_code, each.m_tries, each.m_arrival_ms, each.m_latency_ms,
+                               each.m_run_ms, from.m_urgency, from.m_pool);
         }
     }
     return code;
--- /dev/null
+++ b/bench/decision_bench.cpp
@@ -0,0 +1,234 @@
+/// @file
+/// Measures the cost of the decisions at several sizes; docs/CAPACITY.md takes its slopes from it.
+
+#include "peridotrudder/journal/log_follower.hpp"
+#include "peridotrudder/links/peer_messages.hpp"
+#include "peridotrudder/planning/planner.hpp"
+#include "peridotrudder/requests/partition_replica.hpp"
+#include "peridotrudder/routing/slot_dispatcher.hpp"
+
+#include <benchmark/benchmark.h>
+#include <fmt/format.h>
+
+namespace {
+
+using namespace peridotrudder;
+
+view make_view(std::size_t entries)
+{
+    view made;
+    made.m_number = 1;
+    for (std::size_t index = 0; index < entries; ++index) {
+        member each;
+        each.m_entry = fmt::format("entry-{}", index);
+        each.m_incarnation = fmt::format("{:016x}", index * 7'919);
+        each.m_zone = fmt::format("zone-{}", index % 6);
+        each.m_address = "127.0.0.1";
+        made.m_members.push_back(each);
+    }
+    return made;
+}
+
+record make_record(std::uint64_t offset, std::uint64_t term, record_body body)
+{
+    record value;
+    value.m_id = fmt::format("{:024x}", offset);
+    value.m_author = "planner";
+    value.m_term = term;
+    value.m_based_on = offset;
+    value.m_body = std::move(body);
+    return value;
+}
+
+contract make_contract(int number, int pools)
+{
+    contract value;
+    value.m_customer = fmt::format("customer-{}", number);
+    value.m_api_key_sha256 = std::string(64, 'a');
+    value.m_pools = {fmt::format("pool-{}", number % pools)};
+    value.m_capacity_slots = 1;
+    value.m_vms_away = 1;
+    value.m_time_to_wait = milliseconds{1'700};
+    value.m_availability_ppm = 999'000;
+    value.m_availability_window = milliseconds{60'000};
+    value.m_retry_window = milliseconds{60'000};
+    return value;
+}
+
+/// Returns a fleet of `vms` workers, with pools and customers in the target's proportions.
+fleet_state make_fleet(int vms)
+{
+    const int pools = std::max(1, vms * 289 / 430);
+    const int customers = std::max(1, vms * 110 / 430);
+    fleet_state state;
+    state.fold(0, make_record(0, 0, term_claimed{"planner", 0}));
+    vms_added added;
+    for (int index = 0; index < vms; ++index) {
+        vm each;
+        each.m_id = fmt::format("vm-{}", index);
+        each.m_address = "127.0.0.1";
+        each.m_zone = fmt::format("zone-{}", index % 6);
+        each.m_rack = fmt::format("zone-{}-rack-{}", index % 6, index / 24);
+        each.m_slots = 8;
+        each.m_pool = fmt::format("pool-{}", index % pools);
+        added.m_vms.push_back(each);
+    }
+    state.fold(1, make_record(1, 1, added));
+    std::uint64_t offset = 2;
+    for (const auto& each : make_view(9).m_members) {
+        state.fold(offset, make_record(offset, 1, entry_joined{each}));
+        ++offset;
+    }
+    for (int number = 0; number < customers; ++number) {
+        state.fold(offset, make_record(offset, 1, contract_applied{make_contract(number, pools)}));
+        ++offset;
+    }
+    return state;
+}
+
+/// One change of a contract folded, and the state copied for its readers.
+void fold_change(benchmark::State& run)
+{
+    auto state = make_fleet(static_cast<int>(run.range(0)));
+    for (auto step : run) {
+        static_cast<void>(step);
+        const auto offset = state.next_offset();
+        state.fold(offset, make_record(offset, 1, contract_applied{make_contract(0, 1)}));
+        benchmark::DoNotOptimize(std::make_shared<const fleet_state>(state));
+    }
+    run.counters["snapshot_bytes"] = static_cast<double>(state.to_json().dump().size());
+}
+
+/// One change of the view with the epochs of all partitions.
+void change_view(benchmark::State& run)
+{
+    const auto whole = make_view(static_cast<std::size_t>(run.range(0)));
+    std::vector<partition_history> histories;
+    auto current = whole;
+    for (auto step : run) {
+        static_cast<void>(step);
+        ++current.m_number;
+        current.m_members = whole.m_members;
+        if (current.m_number % 2 == 0) {
+            current.m_members.pop_back();
+        }
+        extend_histories(histories, current);
+    }
+}
+
+/// One planner's step over the whole fleet, with one wave running.
+void plan_step(benchmark::State& run)
+{
+    auto state = make_fleet(static_cast<int>(run.range(0)));
+    const auto offset = state.next_offset();
+    state.fold(offset, make_record(offset, 1, wave_declared{{"wave", "pool-0"}}));
+    vm_list list;
+    for (const auto& [id, entry] : state.vms()) {
+        list.m_vms.push_back({entry.m_vm, false, 1});
+    }
+    planner_inputs inputs;
+    inputs.m_state = &state;
+    inputs.m_vms = list;
+    planner planned;
+    for (auto step : run) {
+        static_cast<void>(step);
+        benchmark::DoNotOptimize(planned.plan(inputs));
+    }
+}
+
+/// One report taken and one division made, with nine entries that all wait.
+void divide_slots(benchmark::State& run)
+{
+    const time_point now{milliseconds{1'000'000}};
+    slot_dispatcher dispatcher{"pool", "run", now - slot_lease_time};
+    std::vector<worker_slots> workers;
+    for (int index = 0; index < run.range(0); ++index) {
+        workers.push_back({fmt::format("vm-{}", index), 8});
+    }
+    dispatcher.set_workers(workers);
+    slot_report report;
+    report.m_pool = "pool";
+    report.m_waiting = {5, 5, 20};
+    for (int entry = 0; entry < 9; ++entry) {
+        dispatcher.report(fmt::format("entry-{}", entry), report, now);
+    }
+    int turn = 0;
+    for (auto step : run) {
+        static_cast<void>(step);
+        report.m_waiting[0] = static_cast<std::uint32_t>(turn % 7);
+        dispatcher.report(fmt::format("entry-{}", turn++ % 9), report, now);
+        benchmark::DoNotOptimize(dispatcher.divide(now));
+    }
+    slot_grant grant;
+    grant.m_pool = "pool-123";
+    grant.m_dispatcher = "0123456789abcdef/123456";
+    grant.m_slots = {{"pool-123-vm-1", 3}, {"pool-123-vm-2", 3}};
+    run.counters["report_bytes"] = static_cast<double>(encode_peer_message(report).size());
+    run.counters["grant_bytes"] = static_cast<double>(encode_peer_message(grant).size());
+}
+
+/// One keyed request at a home with two copies: begin, intent, acknowledgement, outcome.
+void run_key(benchmark::State& run)
+{
+    std::vector<partition_history> histories;
+    const auto current = make_view(3);
+    extend_histories(histories, current);
+    const auto& holders = histories[0].m_epochs[0].m_holders;
+    const time_point now{milliseconds{1'000'000}};
+    partition_replica home{0, holders[0]};
+    replica_actions actions;
+    home.set_history(histories[0], current, now, actions);
+    home.receive(holders[1], install_reply{0, 1}, now, actions);
+    std::size_t bytes = 0;
+    std::uint64_t number = 0;
+    const auto records = static_cast<std::uint64_t>(run.range(0));
+    for (auto step : run) {
+        static_cast<void>(step);
+        replica_actions sent;
+        const auto key = fmt::format("customer/key-{}", number++ % records);
+        const auto begun = home.begin({key, "digest", milliseconds{60'000}}, now);
+        if (begun.m_verdict != begin_verdict::started) {
+            continue;
+        }
+        home.write_intent(key, begun.m_version, now, sent);
+        home.receive(holders[1], intent_reply{0, 1, key, begun.m_version}, now, sent);
+        outcome done;
+        done.m_fate = fate::done;
+        done.m_body = std::string(100, 'a');
+        home.finish(key, begun.m_version, done, now, sent);
+        if (bytes == 0) {
+            for (const auto& each : sent.m_messages) {
+                std::visit(
+                    [&bytes](const auto& body) { bytes += encode_peer_message(body).size(); },
+                    each.m_message);
+            }
+        }
+    }
+    run.counters["bytes_per_key"] = static_cast<double>(bytes);
+}
+
+/// One heartbeat encoded and decoded.
+void pass_heartbeat(benchmark::State& run)
+{
+    heartbeat message;
+    message.m_next_offset = 123'456;
+    std::size_t bytes = 0;
+    for (auto step : run) {
+        static_cast<void>(step);
+        const auto frame = encode_peer_message(message);
+        bytes = frame.size();
+        benchmark::DoNotOptimize(decode_peer_message(frame));
+    }
+    run.counters["bytes"] = static_cast<double>(bytes);
+}
+
+} // namespace
+
+BENCHMARK(fold_change)->Arg(50)->Arg(200)->Arg(430);
+BENCHMARK(change_view)->Arg(9)->Arg(18)->Arg(27);
+BENCHMARK(plan_step)->Arg(50)->Arg(200)->Arg(430);
+BENCHMARK(divide_slots)->Arg(2)->Arg(12)->Arg(50);
+BENCHMARK(run_key)->Arg(10'000)->Arg(100'000)->Arg(1'000'000);
+BENCHMARK(pass_heartbeat);
+
+BENCHMARK_MAIN();
