Hand every slot that falls idle to waiting urgent work; pack the peer messages

Change: a grant names the least pressing class that may start (the floor). While urgent work waits anywhere, the other entries give each idle slot up, in the report itself, and report within 4 ms. Messages between entries are packed as arrays without field names. The planner reads each customer's burn rate from the entries and pauses waves by it, which was planned for but not fed.

--- a/include/peridotrudder/base/codec.hpp
+++ b/include/peridotrudder/base/codec.hpp
@@ -79,11 +79,20 @@
 struct is_string_map<std::map<std::string, T>> : std::true_type {
 };
 
-template <typename T>
+/// How described structs are laid out.
+enum class layout {
+    /// As objects, with field names and names of enumerators: for people and for the log.
+    named,
+    /// As arrays in the order of description, with numbers for enumerators: for links.
+    packed,
+};
+
+template <layout Layout, typename T>
 nlohmann::json to_value(const T& value);
-template <typename T>
+template <layout Layout, typename T>
 void from_value(const nlohmann::json& json, T& value, const char* field);
 
+template <layout Layout>
 class field_writer {
 public:
     explicit field_writer(nlohmann::json& json) : m_json{&json} {}
@@ -91,13 +100,19 @@
     template <typename T>
     void field(const char* name, const T& value)
     {
-        (*m_json)[name] = to_value(value);
+        if constexpr (Layout == layout::packed) {
+            m_json->push_back(to_value<Layout>(value));
+        }
+        else {
+            (*m_json)[name] = to_value<Layout>(value);
+        }
     }
 
 private:
     nlohmann::json* m_json;
 };
 
+template <layout Layout>
 class field_reader {
 public:
     explicit field_reader(const nlohmann::json& json) : m_json{&json} {}
@@ -105,9 +120,9 @@
     template <typename T>
     void field(const char* name, T& value)
     {
-        const auto found = m_json->find(name);
-        if (found != m_json->end()) {
-            from_value(*found, value, name);
+        const auto* found = find(name);
+        if (found != nullptr) {
+            from_value<Layout>(*found, value, name);
             return;
         }
         if constexpr (!is_optional<T>::value) {
@@ -116,10 +131,23 @@
     }
 
 private:
+    const nlohmann::json* find(const char* name)
+    {
+        if constexpr (Layout == layout::packed) {
+            const auto index = m_next++;
+            return index < m_json->size() ? &(*m_json)[index] : nullptr;
+        }
+        else {
+            const auto found = m_json->find(name);
+            return found == m_json->end() ? nullptr : &*found;
+        }
+    }
+
     const nlohmann::json* m_json;
+    std::size_t m_next{0};
 };
 
-template <typename T>
+template <layout Layout, typename T>
 nlohmann::json to_value(const T& value)
 {
     if constexpr (std::is_arithmetic_v<T> || std::is_same_v<T, std::string> ||
@@ -127,33 +155,38 @@
         return value;
     }
     else if constexpr (std::is_enum_v<T>) {
-        return std::string{to_string(value)};
+        if constexpr (Layout == layout::packed) {
+            return static_cast<unsigned>(value);
+        }
+        else {
+            return std::string{to_string(value)};
+        }
     }
     else if constexpr (std::is_same_v<T, milliseconds>) {
         return value.count();
     }
     else if constexpr (is_optional<T>::value) {
-        return value ? to_value(*value) : nlohmann::json{};
+        return value ? to_value<Layout>(*value) : nlohmann::json{};
     }
     else if constexpr (is_vector<T>::value) {
         auto array = nlohmann::json::array();
         for (const auto& item : value) {
-            array.push_back(to_value(item));
+            array.push_back(to_value<Layout>(item));
         }
         return array;
     }
     else if constexpr (is_string_map<T>::value) {
         auto object = nlohmann::json::object();
         for (const auto& [name, item] : value) {
-            object[name] = to_value(item);
+            object[name] = to_value<Layout>(item);
         }
         return object;
     }
     else {
-        auto object = nlohmann::json::object();
-        field_writer writer{object};
+        auto fields = Layout == layout::packed ? nlohmann::json::array() : nlohmann::json::object();
+        field_writer<Layout> writer{fields};
         T::describe(writer, value);
-        return object;
+        return fields;
     }
 }
 
@@ -175,7 +208,30 @@
     value = json.get<T>();
 }
 
-template <typename T>
+template <layout Layout, typename T>
+void read_enum(const nlohmann::json& json, T& value, const char* field)
+{
+    if constexpr (Layout == layout::packed) {
+        unsigned index = 0;
+        read_integer(json, index, field);
+        if (index >= enum_names<T>::values.size()) {
+            throw decode_exception{{decode_fault::unknown_name, field}};
+        }
+        value = static_cast<T>(index);
+    }
+    else {
+        if (!json.is_string()) {
+            throw decode_exception{{decode_fault::wrong_type, field}};
+        }
+        const auto found = from_string<T>(json.get_ref<const std::string&>());
+        if (!found) {
+            throw decode_exception{{decode_fault::unknown_name, field}};
+        }
+        value = *found;
+    }
+}
+
+template <layout Layout, typename T>
 void from_value(const nlohmann::json& json, T& value, const char* field)
 {
     const auto require = [field](bool matches) {
@@ -202,12 +258,7 @@
         value = json.get<std::string>();
     }
     else if constexpr (std::is_enum_v<T>) {
-        require(json.is_string());
-        const auto found = from_string<T>(json.get_ref<const std::string&>());
-        if (!found) {
-            throw decode_exception{{decode_fault::unknown_name, field}};
-        }
-        value = *found;
+        read_enum<Layout>(json, value, field);
     }
     else if constexpr (std::is_same_v<T, milliseconds>) {
         std::int64_t count = 0;
@@ -219,25 +270,25 @@
             value.reset();
             return;
         }
-        from_value(json, value.emplace(), field);
+        from_value<Layout>(json, value.emplace(), field);
     }
     else if constexpr (is_vector<T>::value) {
         require(json.is_array());
         value.clear();
         for (const auto& item : json) {
-            from_value(item, value.emplace_back(), field);
+            from_value<Layout>(item, value.emplace_back(), field);
         }
     }
     else if constexpr (is_string_map<T>::value) {
         require(json.is_object());
         value.clear();
         for (const auto& [name, item] : json.items()) {
-            from_value(item, value[name], field);
+            from_value<Layout>(item, value[name], field);
         }
     }
     else {
-        require(json.is_object());
-        field_reader reader{json};
+        require(Layout == layout::packed ? json.is_array() : json.is_object());
+        field_reader<Layout> reader{json};
         T::describe(reader, value);
     }
 }
@@ -248,23 +299,48 @@
 template <typename T>
 nlohmann::json encode_json(const T& value)
 {
-    return internal::to_value(value);
+    return internal::to_value<internal::layout::named>(value);
 }
 
-/// Returns a `T` read from `json`. Unknown fields are ignored, so that a newer peer can add some.
+/// Returns `value` as an array of its fields, which is shorter and has no names.
 template <typename T>
-tl::expected<T, decode_error> decode_json(const nlohmann::json& json)
+nlohmann::json encode_packed(const T& value)
+{
+    return internal::to_value<internal::layout::packed>(value);
+}
+
+namespace internal {
+
+template <layout Layout, typename T>
+tl::expected<T, decode_error> decode(const nlohmann::json& json)
 {
     T value{};
     try {
-        internal::from_value(json, value, "");
+        from_value<Layout>(json, value, "");
     }
-    catch (const internal::decode_exception& exception) {
+    catch (const decode_exception& exception) {
         return tl::make_unexpected(exception.error());
     }
     return value;
 }
 
+} // namespace internal
+
+/// Returns a `T` read from `json`. Unknown fields are ignored, so that a newer peer can add some.
+template <typename T>
+tl::expected<T, decode_error> decode_json(const nlohmann::json& json)
+{
+    return internal::decode<internal::layout::named, T>(json);
+}
+
+/// Returns a `T` read from an array that `encode_packed` made. Fields beyond those known are
+/// ignored; absent ones at the end must be optional.
+template <typename T>
+tl::expected<T, decode_error> decode_packed(const nlohmann::json& json)
+{
+    return internal::decode<internal::layout::packed, T>(json);
+}
+
 /// Returns the JSON value in `text`, or `malformed`.
 tl::expected<nlohmann::json, decode_error> parse_json(std::string_view text);
 
--- a/include/peridotrudder/base/variant_codec.hpp
+++ b/include/peridotrudder/base/variant_codec.hpp
@@ -23,16 +23,23 @@
     return std::visit([](const auto& each) { return encode_json(each); }, value);
 }
 
+/// Returns the alternative's fields in the packed layout.
+template <typename... Alternatives>
+nlohmann::json encode_packed_alternative(const std::variant<Alternatives...>& value)
+{
+    return std::visit([](const auto& each) { return encode_packed(each); }, value);
+}
+
 namespace internal {
 
-template <typename Alternative, typename Variant>
+template <layout Layout, typename Alternative, typename Variant>
 bool decode_if_kind(std::string_view kind, const nlohmann::json& body,
                     tl::expected<Variant, decode_error>& result)
 {
     if (kind != Alternative::kind) {
         return false;
     }
-    auto decoded = decode_json<Alternative>(body);
+    auto decoded = decode<Layout, Alternative>(body);
     if (decoded) {
         result = Variant{std::move(*decoded)};
     }
@@ -42,19 +49,19 @@
     return true;
 }
 
-template <typename Variant>
+template <layout Layout, typename Variant>
 struct alternative_decoder;
 
-template <typename... Alternatives>
-struct alternative_decoder<std::variant<Alternatives...>> {
+template <layout Layout, typename... Alternatives>
+struct alternative_decoder<Layout, std::variant<Alternatives...>> {
     using variant_type = std::variant<Alternatives...>;
 
-    static tl::expected<variant_type, decode_error> decode(std::string_view kind,
-                                                           const nlohmann::json& body)
+    static tl::expected<variant_type, decode_error> decode_kind(std::string_view kind,
+                                                                const nlohmann::json& body)
     {
         tl::expected<variant_type, decode_error> result =
             tl::make_unexpected(decode_error{decode_fault::unknown_name, "kind"});
-        (decode_if_kind<Alternatives>(kind, body, result) || ...);
+        (decode_if_kind<Layout, Alternatives>(kind, body, result) || ...);
         return result;
     }
 };
@@ -66,7 +73,16 @@
 tl::expected<Variant, decode_error> decode_alternative(std::string_view kind,
                                                        const nlohmann::json& body)
 {
-    return internal::alternative_decoder<Variant>::decode(kind, body);
+    return internal::alternative_decoder<internal::layout::named, Variant>::decode_kind(kind, body);
+}
+
+/// Returns the alternative of `Variant` called `kind`, read from its packed layout.
+template <typename Variant>
+tl::expected<Variant, decode_error> decode_packed_alternative(std::string_view kind,
+                                                              const nlohmann::json& body)
+{
+    return internal::alternative_decoder<internal::layout::packed, Variant>::decode_kind(kind,
+                                                                                         body);
 }
 
 } // namespace peridotrudder
--- a/include/peridotrudder/entry/caller_api.hpp
+++ b/include/peridotrudder/entry/caller_api.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// The HTTP interface for callers: who is calling, what for, and how outcomes are told.
 
+#include "peridotrudder/contracts/availability.hpp"
 #include "peridotrudder/entry/request_router.hpp"
 #include "peridotrudder/links/http_server.hpp"
 #include "peridotrudder/routing/admission.hpp"
@@ -26,6 +27,9 @@
     /// Refuses new requests from now on; those under way go on.
     void start_draining() { m_draining = true; }
 
+    /// Returns each customer's requests over the last minutes, as this entry saw them.
+    std::map<std::string, availability_counts> availability();
+
     /// Handles one request of a caller.
     void handle(http_request request, const http_responder& respond);
 
@@ -41,6 +45,7 @@
     using directory = std::map<std::string, known_customer>;
 
     std::shared_ptr<const directory> customers() const;
+    void count(const std::string& customer, const outcome& result);
     tl::expected<call_ptr, refusal> make_call(const known_customer& customer,
                                               http_request& request) const;
 
@@ -51,6 +56,8 @@
     std::atomic<bool> m_draining{false};
     mutable std::mutex m_mutex;
     std::shared_ptr<const directory> m_customers;
+    std::mutex m_windows_mutex;
+    std::map<std::string, availability_window> m_windows;
 };
 
 /// Returns the response that tells `result` to a caller.
--- a/include/peridotrudder/entry/operator_api.hpp
+++ b/include/peridotrudder/entry/operator_api.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// The HTTP interface for operators, the planner and the command line.
 
+#include "peridotrudder/contracts/availability.hpp"
 #include "peridotrudder/entry/request_router.hpp"
 #include "peridotrudder/links/http_server.hpp"
 #include "peridotrudder/links/log_watcher.hpp"
@@ -35,6 +36,17 @@
     }
 };
 
+/// An entry's account of its customers' requests.
+struct availability_report {
+    std::map<std::string, availability_counts> m_customers;
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("customers", self.m_customers);
+    }
+};
+
 /// An entry's word on one VM, for drains.
 struct vm_in_flight {
     std::uint64_t m_next_offset{0};
@@ -58,6 +70,8 @@
         request_router* m_router{nullptr};
         entry_metrics* m_metrics{nullptr};
         span_store* m_spans{nullptr};
+        /// Returns each customer's requests over the last minutes.
+        std::function<std::map<std::string, availability_counts>()> m_availability;
         /// Returns whether the entry takes callers' requests.
         std::function<bool()> m_is_ready;
     };
--- a/include/peridotrudder/entry/planner_process.hpp
+++ b/include/peridotrudder/entry/planner_process.hpp
@@ -35,6 +35,7 @@
     void take_snapshot_if_due();
     drain_status check_drain(const fleet_state& state, const std::string& id, const vm_entry& entry,
                              time_point now);
+    std::map<std::string, double> burn_rates(const fleet_state& state) const;
     bool entries_are_done(const fleet_state& state, const std::string& id,
                           const vm_entry& entry) const;
     static bool worker_is_idle(const vm& machine, milliseconds at_most_old);
--- a/include/peridotrudder/entry/pool_lane.hpp
+++ b/include/peridotrudder/entry/pool_lane.hpp
@@ -125,6 +125,7 @@
     time_point m_last_report;
     time_point m_last_use;
     bool m_report_wanted{false};
+    bool m_hurried{false};
 };
 
 } // namespace peridotrudder
--- a/include/peridotrudder/routing/slot_dispatcher.hpp
+++ b/include/peridotrudder/routing/slot_dispatcher.hpp
@@ -65,11 +65,13 @@
     void raise(holder& each, std::uint32_t wanted, std::map<std::string, std::uint32_t>& free);
     std::map<std::string, std::uint32_t> free_slots() const;
     std::uint32_t total_slots() const;
+    work_class floor_class() const;
 
     std::string m_pool;
     std::string m_run;
     time_point m_grants_from;
     std::uint64_t m_last_number{0};
+    work_class m_floor{work_class::archive};
     std::map<std::string, std::uint32_t> m_workers;
     std::map<std::string, holder> m_holders;
 };
--- a/include/peridotrudder/routing/slot_messages.hpp
+++ b/include/peridotrudder/routing/slot_messages.hpp
@@ -35,6 +35,8 @@
     std::uint64_t m_applied_grant{0};
     /// Dispatcher run that the applied grant came from.
     std::string m_applied_dispatcher;
+    /// Slots that the entry still holds of the applied grant, by worker.
+    std::vector<worker_slots> m_held;
     /// Requests in flight, by worker.
     std::vector<worker_slots> m_in_flight;
     std::uint32_t m_long_in_flight{0};
@@ -49,6 +51,7 @@
         archive.field("sent_at", self.m_sent_at);
         archive.field("applied", self.m_applied_grant);
         archive.field("dispatcher", self.m_applied_dispatcher);
+        archive.field("held", self.m_held);
         archive.field("in_flight", self.m_in_flight);
         archive.field("long_in_flight", self.m_long_in_flight);
         archive.field("waiting", self.m_waiting);
@@ -69,6 +72,9 @@
     std::vector<worker_slots> m_slots;
     /// Slots of these that long work may use.
     std::uint32_t m_long_slots{0};
+    /// Least pressing class that may start now. While more pressing work waits at any entry for
+    /// want of a slot, the others give up each slot that falls idle.
+    work_class m_floor{work_class::archive};
 
     template <typename Archive, typename Self>
     static void describe(Archive& archive, Self& self)
@@ -79,6 +85,7 @@
         archive.field("report_sent_at", self.m_report_sent_at);
         archive.field("slots", self.m_slots);
         archive.field("long_slots", self.m_long_slots);
+        archive.field("floor", self.m_floor);
     }
 };
 
--- a/include/peridotrudder/routing/work_queue.hpp
+++ b/include/peridotrudder/routing/work_queue.hpp
@@ -34,8 +34,9 @@
 public:
     void push(const queued_work& work);
 
-    /// Removes and returns the next request; long ones only if `allow_long`.
-    std::optional<queued_work> pop(bool allow_long);
+    /// Removes and returns the next request of class `least` or a more pressing one; long ones
+    /// only if `allow_long`.
+    std::optional<queued_work> pop(bool allow_long, work_class least = work_class::archive);
 
     /// Removes a request that is no longer wanted. Returns whether it was waiting.
     bool cancel(std::uint64_t ticket);
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -45,6 +45,23 @@
     }
 }
 
+/// Returns whether a refusal says nothing of the system's availability.
+bool is_callers_fault(refusal reason)
+{
+    switch (reason) {
+    case refusal::unauthorized:
+    case refusal::bad_request:
+    case refusal::body_too_large:
+    case refusal::key_too_long:
+    case refusal::key_reused:
+    case refusal::unknown_service:
+    case refusal::over_limit:
+        return true;
+    default:
+        return false;
+    }
+}
+
 bool worth_repeating(std::uint32_t status)
 {
     return status == 429 || status == 503 || status == 504;
@@ -169,6 +186,25 @@
     return made;
 }
 
+void caller_api::count(const std::string& customer, const outcome& result)
+{
+    if (is_callers_fault(result.m_refusal)) {
+        return;
+    }
+    const std::lock_guard<std::mutex> lock{m_windows_mutex};
+    m_windows[customer].count(result.m_fate == fate::done, std::chrono::steady_clock::now());
+}
+
+std::map<std::string, availability_counts> caller_api::availability()
+{
+    const std::lock_guard<std::mutex> lock{m_windows_mutex};
+    std::map<std::string, availability_counts> counts;
+    for (auto& [customer, window] : m_windows) {
+        counts[customer] = window.counts(std::chrono::steady_clock::now());
+    }
+    return counts;
+}
+
 void caller_api::handle(http_request request, const http_responder& respond)
 {
     const auto refuse = [&](std::string_view customer, refusal reason) {
@@ -209,6 +245,7 @@
                            id = accepted->m_request_id](const outcome& result) {
         m_admission.leave(name);
         m_metrics.answered(name, result);
+        count(name, result);
         m_spans.add(hop->finish(std::string{to_string(result.m_fate)}));
         respond(to_response(id, result));
     };
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -70,10 +70,10 @@
                                                             return m_mesh->send(to, message);
                                                         },
                                                         m_upstreams.get(), &m_metrics, &m_spans}},
-          m_callers{m_router, m_metrics, m_spans}, m_operators{{settings.m_name,
-                                                                settings.m_operator_token, &m_log,
-                                                                &m_router, &m_metrics, &m_spans,
-                                                                [this] { return m_ready.load(); }}},
+          m_callers{m_router, m_metrics, m_spans},
+          m_operators{{settings.m_name, settings.m_operator_token, &m_log, &m_router, &m_metrics,
+                       &m_spans, [this] { return m_callers.availability(); },
+                       [this] { return m_ready.load(); }}},
           m_detector{m_self, suspect_after}
     {
     }
--- a/src/entry/operator_api.cpp
+++ b/src/entry/operator_api.cpp
@@ -94,6 +94,10 @@
     if (path == "/v1/state") {
         return json_response(200, state->to_json().dump());
     }
+    if (path == "/v1/availability") {
+        const availability_report report{m_parts.m_availability()};
+        return json_response(200, encode_json(report).dump());
+    }
     if (path == "/v1/offset") {
         const nlohmann::json body = {
             {"next_offset", state->next_offset()},
--- a/src/entry/planner_process.cpp
+++ b/src/entry/planner_process.cpp
@@ -62,6 +62,13 @@
     return value ? std::optional<T>{std::move(*value)} : std::nullopt;
 }
 
+bool has_running_wave(const fleet_state& state)
+{
+    return std::any_of(state.waves().begin(), state.waves().end(), [](const auto& each) {
+        return each.second.m_status == wave_status::running;
+    });
+}
+
 } // namespace
 
 planner_process::planner_process(const entry_settings& settings)
@@ -148,6 +155,9 @@
     if (listed) {
         inputs.m_vms = std::move(*listed);
     }
+    if (has_running_wave(*state)) {
+        inputs.m_burn_rates = burn_rates(*state);
+    }
     for (const auto& [id, entry] : state->vms()) {
         if (entry.m_phase == vm_phase::draining) {
             inputs.m_drains[id] = check_drain(*state, id, entry, now);
@@ -214,6 +224,30 @@
     return status;
 }
 
+// Sums up what the entries that answer have seen. One that does not answer holds up drains anyhow.
+std::map<std::string, double> planner_process::burn_rates(const fleet_state& state) const
+{
+    std::map<std::string, availability_counts> sums;
+    for (const auto& each : state.current_view().m_members) {
+        const auto url =
+            fmt::format("http://{}:{}/v1/availability", each.m_address, each.m_operator_port);
+        const auto report = get_json<availability_report>(url, m_settings.m_operator_token);
+        if (!report) {
+            continue;
+        }
+        for (const auto& [customer, counts] : report->m_customers) {
+            sums[customer].m_good += counts.m_good;
+            sums[customer].m_bad += counts.m_bad;
+        }
+    }
+    std::map<std::string, double> rates;
+    for (const auto& [customer, entry] : state.contracts()) {
+        const auto limits = derive_limits(entry.m_contract);
+        rates[customer] = burn_rate(sums[customer], limits.m_failure_budget_ppm);
+    }
+    return rates;
+}
+
 bool planner_process::entries_are_done(const fleet_state& state, const std::string& id,
                                        const vm_entry& entry) const
 {
--- a/src/entry/pool_lane.cpp
+++ b/src/entry/pool_lane.cpp
@@ -10,6 +10,8 @@
 
 /// A report goes out at once when a slot is missing, but no more often than this.
 constexpr milliseconds report_spacing{20};
+/// The same for slots that urgent work waits for.
+constexpr milliseconds hurried_spacing{4};
 /// A lease in use is renewed well before it lapses.
 constexpr milliseconds renewal_interval{400};
 /// Slots are given up after a time without use.
@@ -145,7 +147,7 @@
     while (m_queue.size() > 0) {
         const bool allow_long =
             !m_policy.m_leased || m_slots.may_start_long(now, long_in_flight(now));
-        const auto next = m_queue.pop(allow_long);
+        const auto next = m_queue.pop(allow_long, m_slots.floor(now));
         if (!next) {
             break;
         }
@@ -161,6 +163,8 @@
         m_calls.erase(next->m_ticket);
     }
     m_report_wanted = m_report_wanted || m_queue.size() > 0;
+    const bool gave_up = m_slots.give_up_idle(now);
+    m_hurried = m_hurried || gave_up || m_queue.waiting_short(work_class::urgent) > 0;
     return ready;
 }
 
@@ -240,12 +244,14 @@
     const std::lock_guard<std::mutex> lock{m_mutex};
     const bool in_use = now - m_last_use < idle_time || m_slots.in_flight() > 0;
     const auto since = now - m_last_report;
-    const bool due =
-        (m_report_wanted && since >= report_spacing) || (in_use && since >= renewal_interval);
+    const bool due = (m_report_wanted && since >= report_spacing) ||
+                     (m_hurried && since >= hurried_spacing) ||
+                     (in_use && since >= renewal_interval);
     if (!due || !m_policy.m_leased || m_setup.m_dispatcher.empty()) {
         return std::nullopt;
     }
     m_report_wanted = false;
+    m_hurried = false;
     m_last_report = now;
     return m_slots.make_report(now, m_queue, long_in_flight(now));
 }
--- a/src/entry/request_router.cpp
+++ b/src/entry/request_router.cpp
@@ -460,6 +460,7 @@
     }
     if (lane) {
         pump(lane);
+        send_reports(lane, now);
     }
 }
 
--- a/src/links/peer_messages.cpp
+++ b/src/links/peer_messages.cpp
@@ -22,8 +22,8 @@
 
 std::vector<std::uint8_t> encode_peer_message(const peer_message& message)
 {
-    const peer_frame frame{std::string{variant_kind(message)}, encode_alternative(message)};
-    return nlohmann::json::to_cbor(encode_json(frame));
+    const peer_frame frame{std::string{variant_kind(message)}, encode_packed_alternative(message)};
+    return nlohmann::json::to_cbor(encode_packed(frame));
 }
 
 tl::expected<peer_message, decode_error> decode_peer_message(gsl::span<const std::uint8_t> bytes)
@@ -32,11 +32,11 @@
     if (!json) {
         return tl::make_unexpected(json.error());
     }
-    const auto frame = decode_json<peer_frame>(*json);
+    const auto frame = decode_packed<peer_frame>(*json);
     if (!frame) {
         return tl::make_unexpected(frame.error());
     }
-    return decode_alternative<peer_message>(frame->m_kind, frame->m_body);
+    return decode_packed_alternative<peer_message>(frame->m_kind, frame->m_body);
 }
 
 } // namespace peridotrudder
--- a/src/routing/slot_dispatcher.cpp
+++ b/src/routing/slot_dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace peridotrudder {
 
@@ -80,6 +81,10 @@
     const auto in_flight = by_worker(report.m_in_flight);
     if (report.m_applied_dispatcher == m_run && report.m_applied_grant == each.m_last_grant) {
         // The entry has the newest grant: what it holds is that, and what still runs beyond it.
+        const auto held = by_worker(report.m_held);
+        for (auto& [vm, slots] : each.m_granted) {
+            slots = std::min(slots, value_or_zero(held, vm));
+        }
         each.m_committed = each.m_granted;
     }
     for (const auto& [vm, count] : in_flight) {
@@ -112,9 +117,11 @@
             raise(each, each.m_target + standby_slots, free);
         }
     }
+    const auto floor = floor_class();
+    const bool floor_changed = floor != std::exchange(m_floor, floor);
     for (auto& [entry, each] : m_holders) {
-        const bool changed =
-            each.m_granted != before[entry] || each.m_long_granted != each.m_long_target;
+        const bool changed = floor_changed || each.m_granted != before[entry] ||
+                             each.m_long_granted != each.m_long_target;
         if (!changed && !each.m_unanswered) {
             continue;
         }
@@ -127,6 +134,7 @@
         grant.m_number = each.m_last_grant;
         grant.m_report_sent_at = each.m_report.m_sent_at;
         grant.m_long_slots = each.m_long_granted;
+        grant.m_floor = floor;
         for (const auto& [vm, slots] : each.m_granted) {
             if (slots > 0) {
                 grant.m_slots.push_back({vm, slots});
@@ -150,6 +158,25 @@
     return sum_of(m_workers);
 }
 
+// Returns the most pressing class of which some entry has more waiting than slots.
+work_class slot_dispatcher::floor_class() const
+{
+    for (std::size_t of = 0; of < work_class_count; ++of) {
+        for (const auto& [entry, each] : m_holders) {
+            const auto& waiting = each.m_report.m_waiting;
+            auto wanted = sum_of(by_worker(each.m_report.m_in_flight));
+            for (std::size_t up_to = 0; up_to <= of && up_to < waiting.size(); ++up_to) {
+                wanted += waiting[up_to];
+            }
+            const bool waits = of < waiting.size() && waiting[of] > 0;
+            if (waits && wanted > sum_of(each.m_granted)) {
+                return static_cast<work_class>(of);
+            }
+        }
+    }
+    return work_class::archive;
+}
+
 void slot_dispatcher::set_long_targets()
 {
     std::vector<std::uint32_t> demands;
--- a/src/routing/slot_holder.cpp
+++ b/src/routing/slot_holder.cpp
@@ -1,5 +1,6 @@
 #include "peridotrudder/routing/slot_holder.hpp"
 
+#include <algorithm>
 #include <numeric>
 
 namespace peridotrudder {
@@ -44,6 +45,7 @@
         m_slots[each.m_vm] = each.m_slots;
     }
     m_long_slots = grant.m_long_slots;
+    m_floor = grant.m_floor;
     m_unanswered_since.reset();
 }
 
@@ -92,6 +94,25 @@
     return *best;
 }
 
+work_class slot_holder::floor(time_point now) const
+{
+    return lapsed(now) ? work_class::archive : m_floor;
+}
+
+bool slot_holder::give_up_idle(time_point now)
+{
+    if (floor(now) == work_class::archive) {
+        return false;
+    }
+    bool given = false;
+    for (auto& [vm, slots] : m_slots) {
+        const auto used = in_flight(vm);
+        given = given || used < slots;
+        slots = std::min(slots, used);
+    }
+    return given;
+}
+
 void slot_holder::release(const std::string& vm)
 {
     const auto found = m_in_flight.find(vm);
@@ -114,6 +135,11 @@
     report.m_sent_at = std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count();
     report.m_applied_grant = m_grant;
     report.m_applied_dispatcher = m_dispatcher;
+    for (const auto& [vm, count] : m_slots) {
+        if (count > 0) {
+            report.m_held.push_back({vm, count});
+        }
+    }
     for (const auto& [vm, count] : m_in_flight) {
         report.m_in_flight.push_back({vm, count});
     }
--- a/src/routing/work_queue.cpp
+++ b/src/routing/work_queue.cpp
@@ -28,14 +28,18 @@
     }
 }
 
-std::optional<queued_work> work_queue::pop(bool allow_long)
+std::optional<queued_work> work_queue::pop(bool allow_long, work_class least)
 {
-    const bool has_long = allow_long && !m_long.empty();
-    if (m_short.empty() && !has_long) {
+    const auto has_next = [least](const ordered_work& lane) {
+        return !lane.empty() && lane.begin()->m_class <= least;
+    };
+    const bool has_short = has_next(m_short);
+    const bool has_long = allow_long && has_next(m_long);
+    if (!has_short && !has_long) {
         return std::nullopt;
     }
     const bool take_long =
-        has_long && (m_short.empty() || pressing_first{}(*m_long.begin(), *m_short.begin()));
+        has_long && (!has_short || pressing_first{}(*m_long.begin(), *m_short.begin()));
     const queued_work next = take_long ? *m_long.begin() : *m_short.begin();
     forget(next);
     return next;
--- a/test/links/peer_messages_test.cpp
+++ b/test/links/peer_messages_test.cpp
@@ -33,7 +33,7 @@
 
     void unknown_kind_is_refused()
     {
-        const nlohmann::json frame = {{"kind", "surprise"}, {"body", nlohmann::json::object()}};
+        const nlohmann::json frame = {"surprise", nlohmann::json::array()};
         const auto decoded = decode_peer_message(nlohmann::json::to_cbor(frame));
         CPPUNIT_ASSERT(!decoded && decoded.error().m_fault == decode_fault::unknown_name);
     }
--- a/test/routing/slot_dispatcher_test.cpp
+++ b/test/routing/slot_dispatcher_test.cpp
@@ -72,6 +72,9 @@
                 m_grants[entry].pop_front();
             }
             break;
+        case 8:
+            holder.give_up_idle(m_now);
+            break;
         default:
             m_now += milliseconds{amount % 700};
         }
@@ -101,6 +104,7 @@
 {
     slot_report report;
     report.m_pool = "pool";
+    report.m_sent_at = 1'000'000;
     report.m_waiting = {urgent, 0, archive};
     report.m_long_waiting = long_work;
     return report;
@@ -128,6 +132,8 @@
     CPPUNIT_TEST(new_dispatcher_holds_back_for_one_lease_time);
     CPPUNIT_TEST(slots_move_only_after_the_former_holder_confirmed);
     CPPUNIT_TEST(entry_without_a_dispatcher_uses_its_fixed_share);
+    CPPUNIT_TEST(others_stop_archive_work_while_urgent_work_waits);
+    CPPUNIT_TEST(slots_given_up_go_to_urgent_work_at_once);
     CPPUNIT_TEST(filling_never_exceeds_a_demand);
     CPPUNIT_TEST_SUITE_END();
 
@@ -140,7 +146,7 @@
                 400, rc::gen::arbitrary<
                          std::vector<std::tuple<std::uint8_t, std::uint8_t, std::uint16_t>>>());
             for (const auto& [kind, entry, amount] : steps) {
-                world.perform(kind % 9, entry % 3U, amount);
+                world.perform(kind % 10, entry % 3U, amount);
                 RC_ASSERT(world.leased("vm-1") <= 8U);
                 RC_ASSERT(world.leased("vm-2") <= 8U);
             }
@@ -218,6 +224,39 @@
         CPPUNIT_ASSERT(!holder.acquire(later, any));
     }
 
+    void others_stop_archive_work_while_urgent_work_waits()
+    {
+        auto dispatcher = make_dispatcher();
+        dispatcher.report("a", make_report(0, 100), now);
+        dispatcher.divide(now);
+        dispatcher.report("b", make_report(16, 0), now);
+        for (const auto& each : dispatcher.divide(now)) {
+            CPPUNIT_ASSERT(each.m_grant.m_floor == work_class::urgent);
+        }
+    }
+
+    void slots_given_up_go_to_urgent_work_at_once()
+    {
+        auto dispatcher = make_dispatcher();
+        slot_holder holder{"pool"};
+        dispatcher.report("a", make_report(0, 100), now);
+        holder.apply(dispatcher.divide(now).front().m_grant);
+        for (int count = 0; count < 16; ++count) {
+            CPPUNIT_ASSERT(holder.acquire(now, [](std::string_view) { return true; }));
+        }
+        dispatcher.report("a", holder.make_report(now, {}, 0), now);
+        dispatcher.report("b", make_report(1, 0), now);
+        for (const auto& each : dispatcher.divide(now)) {
+            if (each.m_to == "a") {
+                holder.apply(each.m_grant);
+            }
+        }
+        holder.release("vm-2");
+        holder.give_up_idle(now);
+        dispatcher.report("a", holder.make_report(now, {}, 0), now);
+        CPPUNIT_ASSERT_EQUAL(1U, granted_to(dispatcher.divide(now), "b"));
+    }
+
     void filling_never_exceeds_a_demand()
     {
         CPPUNIT_ASSERT(rc::check("fill", [] {
