Confirm a drain only once no lane can give the VM more work

Cause: an entry answered the planner's question with the offset that it had read; its lanes follow a moment later. In between a request could be sent to a VM that the planner was told is free of this entry's work, and the reboot would have cut it off. Found by reading, not by a failure; a test of the router now holds that an offset counts as applied after the lanes follow it.

Also: an entry evicted between its join and its first request was not noticed (it asked for readiness in place of asking whether it was leaving by itself).

--- a/include/peridotrudder/entry/request_router.hpp
+++ b/include/peridotrudder/entry/request_router.hpp
@@ -63,6 +63,9 @@
 
     void tick();
 
+    /// Returns the offset up to which the log is in force for every call routed from now on.
+    std::uint64_t applied_offset() const { return m_applied_offset; }
+
     /// Returns the requests of this entry in flight at one worker.
     std::uint32_t in_flight(const std::string& vm) const;
 
@@ -105,7 +108,7 @@
     call_forwarder m_forwarder;
 
     std::mutex m_state_mutex;
-    std::uint64_t m_state_offset{0};
+    std::atomic<std::uint64_t> m_applied_offset{0};
 
     mutable std::shared_mutex m_lanes_mutex;
     std::map<std::string, std::shared_ptr<pool_lane>> m_lanes;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -228,6 +228,7 @@
         m_ready = false;
         m_callers.start_draining();
         if (!m_evicted && m_joined) {
+            m_leaving = true;
             m_log.append(m_log.make_record(entry_left{m_self}, "graceful shutdown"),
                          leave_patience);
         }
@@ -248,7 +249,7 @@
         if (current.find(m_self) != nullptr) {
             m_seen_in_view = true;
         }
-        else if (m_seen_in_view && m_ready) {
+        else if (m_seen_in_view && !m_leaving) {
             m_evicted = true;
         }
         std::vector<peer_endpoint> peers;
@@ -470,6 +471,7 @@
     std::atomic<bool> m_ready{false};
     std::atomic<bool> m_joined{false};
     std::atomic<bool> m_seen_in_view{false};
+    std::atomic<bool> m_leaving{false};
     std::atomic<bool> m_evicted{false};
     std::atomic<bool> m_stopping{false};
     std::unique_ptr<http_server> m_caller_server;
--- a/src/entry/operator_api.cpp
+++ b/src/entry/operator_api.cpp
@@ -100,14 +100,16 @@
     }
     if (path == "/v1/offset") {
         const nlohmann::json body = {
-            {"next_offset", state->next_offset()},
+            {"next_offset", m_parts.m_router->applied_offset()},
             {"log_connected", m_parts.m_log->is_connected()},
             {"open_partitions", m_parts.m_router->partitions().open_count()},
             {"open_calls", m_parts.m_router->open_calls()}};
         return json_response(200, body.dump());
     }
     if (const auto vm = rest_after(path, "/v1/in-flight/")) {
-        const vm_in_flight word{state->next_offset(), m_parts.m_router->in_flight(*vm)};
+        // The offset first: what is in flight after it was taken began before the drain.
+        const auto offset = m_parts.m_router->applied_offset();
+        const vm_in_flight word{offset, m_parts.m_router->in_flight(*vm)};
         return json_response(200, encode_json(word).dump());
     }
     if (const auto request = rest_after(path, "/v1/requests/")) {
--- a/src/entry/request_router.cpp
+++ b/src/entry/request_router.cpp
@@ -411,10 +411,9 @@
 {
     const auto now = now_point();
     const std::lock_guard<std::mutex> state_lock{m_state_mutex};
-    if (state->next_offset() < m_state_offset) {
+    if (state->next_offset() < m_applied_offset) {
         return;
     }
-    m_state_offset = state->next_offset();
     m_partitions.set_state(*state, now);
     std::map<std::string, lane_setup> setups;
     for (const auto& [id, entry] : state->vms()) {
@@ -444,6 +443,8 @@
             lane->set_up({}, now);
         }
     }
+    // Only now no lane gives work to a VM that the state has as draining.
+    m_applied_offset = state->next_offset();
 }
 
 void request_router::receive(const std::string& from, const slot_report& message)
