Give the exchange with a worker its own module

Cause: the router built the upstream's request and judged its answer in its own code, with an output parameter for the proof that nothing was started, which the outcome says already. It also wrote a call's start time without the lock that the lane reads it under.

Constructor initializers stand one to a line.

--- a/apps/load_main.cpp
+++ b/apps/load_main.cpp
@@ -120,7 +120,8 @@
 class load_run {
 public:
     explicit load_run(workload value)
-        : m_workload{std::move(value)}, m_client{http_client::create()}
+        : m_workload{std::move(value)},
+          m_client{http_client::create()}
     {
     }
 
--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -145,6 +145,7 @@
     const time_point now{milliseconds{1'000'000}};
     slot_dispatcher dispatcher{"pool", "run", now - slot_lease_time};
     std::vector<worker_slots> workers;
+    workers.reserve(static_cast<std::size_t>(run.range(0)));
     for (int index = 0; index < run.range(0); ++index) {
         workers.push_back({fmt::format("vm-{}", index), 8});
     }
--- a/include/peridotrudder/base/codec.hpp
+++ b/include/peridotrudder/base/codec.hpp
@@ -51,7 +51,8 @@
 class decode_exception : public std::runtime_error {
 public:
     explicit decode_exception(decode_error error)
-        : std::runtime_error{"decode failed"}, m_error{std::move(error)}
+        : std::runtime_error{"decode failed"},
+          m_error{std::move(error)}
     {
     }
     const decode_error& error() const noexcept { return m_error; }
--- a/include/peridotrudder/entry/request_router.hpp
+++ b/include/peridotrudder/entry/request_router.hpp
@@ -89,9 +89,9 @@
     void dispatch(const dispatched_call& ready);
     void intent_kept(const acknowledged_intent& kept);
     void send_upstream(const dispatched_call& ready);
-    void take_answer(const dispatched_call& sent, const http_result& result);
-    static outcome classify(const http_result& result, bool& not_started);
-    bool may_retry(call& failed, bool not_started, const outcome& result, time_point now);
+    void take_answer(const dispatched_call& sent, const outcome& result);
+    void earn_retries(const std::string& customer);
+    bool may_retry(const call& failed, const outcome& result, time_point now);
     void finish(const call_ptr& ended, const outcome& result);
     void conclude(const call_ptr& ended, const outcome& result);
     void send_grants(const std::vector<addressed_grant>& grants);
--- a/src/entry/call_forwarder.cpp
+++ b/src/entry/call_forwarder.cpp
@@ -16,7 +16,9 @@
 } // namespace
 
 call_forwarder::call_forwarder(std::string self, milliseconds patience, hooks wired)
-    : m_self{std::move(self)}, m_patience{patience}, m_hooks{std::move(wired)}
+    : m_self{std::move(self)},
+      m_patience{patience},
+      m_hooks{std::move(wired)}
 {
 }
 
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -122,8 +122,10 @@
 }
 
 caller_api::caller_api(request_router& router, entry_metrics& metrics, span_store& spans)
-    : m_router{router}, m_metrics{metrics}, m_spans{spans}, m_customers{
-                                                                std::make_shared<const directory>()}
+    : m_router{router},
+      m_metrics{metrics},
+      m_spans{spans},
+      m_customers{std::make_shared<const directory>()}
 {
 }
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -62,18 +62,19 @@
 class entry_process::implementation {
 public:
     explicit implementation(const entry_settings& settings)
-        : m_settings{settings}, m_self{random_hex(incarnation_bytes)},
-          m_platform{settings.m_platform_url, settings.m_name}, m_vm_list{m_platform},
-          m_spans{spans_kept}, m_log{m_platform, m_self, poll_interval,
-                                     [this](const std::shared_ptr<const fleet_state>& state) {
-                                         take_state(state);
-                                     }},
-          m_upstreams{http_client::create()}, m_router{make_router_options(settings, m_self),
-                                                       {[this](const std::string& to,
-                                                               const peer_message& message) {
-                                                            return m_mesh->send(to, message);
-                                                        },
-                                                        m_upstreams.get(), &m_metrics, &m_spans}},
+        : m_settings{settings},
+          m_self{random_hex(incarnation_bytes)},
+          m_platform{settings.m_platform_url, settings.m_name},
+          m_vm_list{m_platform},
+          m_spans{spans_kept},
+          m_log{m_platform, m_self, poll_interval,
+                [this](const std::shared_ptr<const fleet_state>& state) { take_state(state); }},
+          m_upstreams{http_client::create()},
+          m_router{make_router_options(settings, m_self),
+                   {[this](const std::string& to, const peer_message& message) {
+                        return m_mesh->send(to, message);
+                    },
+                    m_upstreams.get(), &m_metrics, &m_spans}},
           m_callers{m_router, m_metrics, m_spans},
           m_operators{{settings.m_name, settings.m_operator_token, &m_log, &m_router, &m_metrics,
                        &m_spans, [this] { return m_callers.availability(); },
--- a/src/entry/partition_table.cpp
+++ b/src/entry/partition_table.cpp
@@ -16,7 +16,8 @@
 
 partition_table::partition_table(const std::string& self, send_hook send,
                                  acknowledged_hook acknowledged)
-    : m_send{std::move(send)}, m_acknowledged{std::move(acknowledged)}
+    : m_send{std::move(send)},
+      m_acknowledged{std::move(acknowledged)}
 {
     for (std::uint32_t partition = 0; partition < partition_count; ++partition) {
         m_shards.push_back(std::make_unique<shard>(partition, self));
--- a/src/entry/planner_process.cpp
+++ b/src/entry/planner_process.cpp
@@ -73,10 +73,12 @@
 } // namespace
 
 planner_process::planner_process(const entry_settings& settings)
-    : m_settings{settings}, m_self{fmt::format("planner-{}-{}", settings.m_name,
-                                               random_hex(incarnation_bytes))},
-      m_platform{settings.m_platform_url, settings.m_name}, m_vm_list{m_platform},
-      m_log{m_platform, m_self, poll_interval, {}}, m_seen_renewal_at{now_point()}
+    : m_settings{settings},
+      m_self{fmt::format("planner-{}-{}", settings.m_name, random_hex(incarnation_bytes))},
+      m_platform{settings.m_platform_url, settings.m_name},
+      m_vm_list{m_platform},
+      m_log{m_platform, m_self, poll_interval, {}},
+      m_seen_renewal_at{now_point()}
 {
 }
 
--- a/src/entry/pool_lane.cpp
+++ b/src/entry/pool_lane.cpp
@@ -75,7 +75,10 @@
 }
 
 pool_lane::pool_lane(std::string pool, std::string self, lane_policy policy)
-    : m_pool{std::move(pool)}, m_self{std::move(self)}, m_policy{std::move(policy)}, m_slots{m_pool}
+    : m_pool{std::move(pool)},
+      m_self{std::move(self)},
+      m_policy{std::move(policy)},
+      m_slots{m_pool}
 {
 }
 
--- a/src/entry/request_router.cpp
+++ b/src/entry/request_router.cpp
@@ -1,6 +1,7 @@
 #include "peridotrudder/entry/request_router.hpp"
 
 #include "peridotrudder/base/hash.hpp"
+#include "peridotrudder/entry/upstream_exchange.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -17,11 +18,6 @@
 constexpr milliseconds send_window{2'000};
 constexpr milliseconds partition_tick_interval{50};
 constexpr std::uint32_t max_attempts = 3;
-constexpr std::uint32_t first_failure_status = 500;
-constexpr std::uint32_t service_unavailable = 503;
-constexpr std::string_view request_id_header = "X-Request-Id";
-/// An upstream sets this with status 503 when it took no action on a request.
-constexpr std::string_view not_started_header = "X-Not-Started";
 
 time_point now_point()
 {
@@ -38,7 +34,8 @@
 } // namespace
 
 request_router::request_router(router_options options, router_links links)
-    : m_options{std::move(options)}, m_links{std::move(links)},
+    : m_options{std::move(options)},
+      m_links{std::move(links)},
       m_partitions{m_options.m_self,
                    [this](const std::string& to, const partition_message& message) {
                        std::visit([&](const auto& each) { m_links.m_send(to, each); }, message);
@@ -252,68 +249,22 @@
 
 void request_router::send_upstream(const dispatched_call& ready)
 {
-    auto& taken = *ready.m_call;
-    ++taken.m_attempts;
-    taken.m_started = now_point();
-    const auto hop = std::make_shared<span_timer>(taken.m_trace, "upstream", taken.m_request_id);
-    http_call upstream;
-    upstream.m_method = taken.m_method;
-    upstream.m_url = fmt::format("http://{}:{}{}", ready.m_worker.m_address, ready.m_worker.m_port,
-                                 taken.m_path);
-    upstream.m_body = taken.m_body;
-    upstream.m_timeout = m_options.m_upstream_timeout;
-    upstream.m_may_reuse_connection = taken.is_idempotent();
-    upstream.m_required_header = http_header{std::string{request_id_header}, taken.m_request_id};
-    upstream.m_headers.push_back(*upstream.m_required_header);
-    upstream.m_headers.push_back({"traceparent", hop->context().to_traceparent()});
-    upstream.m_headers.push_back({"X-Customer", taken.m_customer});
-    if (taken.is_keyed()) {
-        upstream.m_headers.push_back({"Idempotency-Key", taken.m_idempotency_key});
-    }
-    if (!taken.m_content_type.empty()) {
-        upstream.m_headers.push_back({"Content-Type", taken.m_content_type});
-    }
-    m_links.m_upstreams->send(std::move(upstream), [this, ready, hop](const http_result& result) {
-        m_links.m_spans->add(hop->finish(result ? std::to_string(result->m_status) : "failed"));
-        take_answer(ready, result);
-    });
+    const auto& taken = ready.m_call;
+    ++taken->m_attempts;
+    const auto hop = std::make_shared<span_timer>(taken->m_trace, "upstream", taken->m_request_id);
+    m_links.m_upstreams->send(
+        make_upstream_call(ready, hop->context(), m_options.m_upstream_timeout),
+        [this, ready, hop](const http_result& result) {
+            m_links.m_spans->add(hop->finish(result ? std::to_string(result->m_status) : "failed"));
+            take_answer(ready, read_upstream_answer(result));
+        });
 }
 
-outcome request_router::classify(const http_result& result, bool& not_started)
+bool request_router::may_retry(const call& failed, const outcome& result, time_point now)
 {
-    if (!result) {
-        switch (result.error()) {
-        case transport_fault::not_connected:
-            not_started = true;
-            return not_run(refusal::upstream_refused);
-        case transport_fault::broken:
-            return outcome_unknown(refusal::upstream_failed);
-        case transport_fault::incomplete_answer:
-        case transport_fault::answer_too_long:
-            return outcome_unknown(refusal::incomplete_answer);
-        case transport_fault::crossed_answer:
-            return outcome_unknown(refusal::crossed_answer);
-        }
-    }
-    if (result->m_status == service_unavailable &&
-        find_header(result->m_headers, not_started_header) == "1") {
-        not_started = true;
-        return not_run(refusal::upstream_refused);
-    }
-    outcome done;
-    done.m_fate = fate::done;
-    done.m_status = result->m_status;
-    done.m_content_type = std::string{find_header(result->m_headers, "Content-Type")};
-    done.m_body = result->m_body;
-    return done;
-}
-
-bool request_router::may_retry(call& failed, bool not_started, const outcome& result,
-                               time_point now)
-{
-    const bool failure = result.m_fate != fate::done || result.m_status >= first_failure_status;
-    const bool safe = not_started || failed.is_idempotent();
-    if (!failure || !safe || failed.m_attempts >= max_attempts || now >= failed.m_wait_until) {
+    const bool safe = result.m_fate == fate::not_run || failed.is_idempotent();
+    if (!is_worker_failure(result) || !safe || failed.m_attempts >= max_attempts ||
+        now >= failed.m_wait_until) {
         return false;
     }
     const std::lock_guard<std::mutex> lock{m_budgets_mutex};
@@ -324,38 +275,37 @@
     return budget.spend();
 }
 
-void request_router::take_answer(const dispatched_call& sent, const http_result& result)
+void request_router::take_answer(const dispatched_call& sent, const outcome& result)
 {
     const auto now = now_point();
     const auto& taken = sent.m_call;
-    bool not_started = false;
-    const auto ended = classify(result, not_started);
-    const bool failed = ended.m_fate != fate::done || ended.m_status >= first_failure_status;
-    taken->m_may_have_run = taken->m_may_have_run || !not_started;
+    const bool failed = is_worker_failure(result);
+    taken->m_may_have_run = taken->m_may_have_run || result.m_fate != fate::not_run;
     const auto lane = lane_of(taken->m_pool);
-    if (lane) {
-        const auto run_time = failed ? std::optional<milliseconds>{}
-                                     : std::optional{remaining(taken->m_started, now)};
-        lane->finished(*taken, sent.m_worker.m_vm, failed, run_time, now);
-    }
+    const auto run_time =
+        failed ? std::optional<milliseconds>{} : std::optional{remaining(taken->m_started, now)};
+    lane->finished(*taken, sent.m_worker.m_vm, failed, run_time, now);
     if (!failed) {
-        const std::lock_guard<std::mutex> lock{m_budgets_mutex};
-        const auto budget = m_budgets.find(taken->m_customer);
-        if (budget != m_budgets.end()) {
-            budget->second.earn();
-        }
+        earn_retries(taken->m_customer);
     }
-    if (may_retry(*taken, not_started, ended, now)) {
+    if (may_retry(*taken, result, now)) {
         taken->m_failed_vms.insert(sent.m_worker.m_vm);
         m_links.m_metrics->retried(taken->m_customer);
         enqueue(taken);
     }
     else {
-        finish(taken, ended);
+        finish(taken, result);
     }
-    if (lane) {
-        pump(lane);
-        send_reports(lane, now);
+    pump(lane);
+    send_reports(lane, now);
+}
+
+void request_router::earn_retries(const std::string& customer)
+{
+    const std::lock_guard<std::mutex> lock{m_budgets_mutex};
+    const auto budget = m_budgets.find(customer);
+    if (budget != m_budgets.end()) {
+        budget->second.earn();
     }
 }
 
--- a/src/links/log_watcher.cpp
+++ b/src/links/log_watcher.cpp
@@ -15,8 +15,11 @@
 
 log_watcher::log_watcher(platform_client platform, std::string author, milliseconds poll_interval,
                          state_hook on_change)
-    : m_platform{std::move(platform)}, m_author{std::move(author)}, m_poll_interval{poll_interval},
-      m_on_change{std::move(on_change)}, m_state{std::make_shared<const fleet_state>()}
+    : m_platform{std::move(platform)},
+      m_author{std::move(author)},
+      m_poll_interval{poll_interval},
+      m_on_change{std::move(on_change)},
+      m_state{std::make_shared<const fleet_state>()}
 {
 }
 
--- a/src/links/peer_mesh.cpp
+++ b/src/links/peer_mesh.cpp
@@ -43,7 +43,9 @@
 class peer_mesh::implementation {
 public:
     implementation(peer_mesh_options options, peer_handler handler)
-        : m_options{std::move(options)}, m_handler{std::move(handler)}, m_reconnect{m_context}
+        : m_options{std::move(options)},
+          m_handler{std::move(handler)},
+          m_reconnect{m_context}
     {
         set_up_server();
         set_up_client();
--- a/src/links/platform_client.cpp
+++ b/src/links/platform_client.cpp
@@ -87,7 +87,8 @@
 } // namespace
 
 platform_client::platform_client(std::string url, std::string client)
-    : m_url{std::move(url)}, m_client{std::move(client)}
+    : m_url{std::move(url)},
+      m_client{std::move(client)}
 {
 }
 
--- a/src/links/vm_list_reader.cpp
+++ b/src/links/vm_list_reader.cpp
@@ -3,7 +3,8 @@
 namespace peridotrudder {
 
 vm_list_reader::vm_list_reader(platform_client platform)
-    : m_platform{std::move(platform)}, m_last{std::make_shared<const vm_list>()}
+    : m_platform{std::move(platform)},
+      m_last{std::make_shared<const vm_list>()}
 {
 }
 
--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -5,7 +5,8 @@
 namespace peridotrudder {
 
 failure_detector::failure_detector(std::string self, milliseconds suspect_after)
-    : m_self{std::move(self)}, m_suspect_after{suspect_after}
+    : m_self{std::move(self)},
+      m_suspect_after{suspect_after}
 {
 }
 
--- a/src/requests/partition_replica.cpp
+++ b/src/requests/partition_replica.cpp
@@ -27,7 +27,8 @@
 } // namespace
 
 partition_replica::partition_replica(std::uint32_t partition, std::string self)
-    : m_partition{partition}, m_self{std::move(self)}
+    : m_partition{partition},
+      m_self{std::move(self)}
 {
 }
 
--- a/src/routing/retry_budget.cpp
+++ b/src/routing/retry_budget.cpp
@@ -7,7 +7,8 @@
 namespace peridotrudder {
 
 retry_budget::retry_budget(std::uint32_t retry_ppm, std::uint32_t burst)
-    : m_earned_per_success{retry_ppm}, m_limit{std::uint64_t{burst} * parts_per_million},
+    : m_earned_per_success{retry_ppm},
+      m_limit{std::uint64_t{burst} * parts_per_million},
       m_balance{m_limit}
 {
 }
--- a/src/routing/slot_dispatcher.cpp
+++ b/src/routing/slot_dispatcher.cpp
@@ -64,7 +64,9 @@
 } // namespace internal
 
 slot_dispatcher::slot_dispatcher(std::string pool, std::string run, time_point now)
-    : m_pool{std::move(pool)}, m_run{std::move(run)}, m_grants_from{now + slot_lease_time}
+    : m_pool{std::move(pool)},
+      m_run{std::move(run)},
+      m_grants_from{now + slot_lease_time}
 {
 }
 
--- /dev/null
+++ b/test/entry/upstream_exchange_test.cpp
@@ -0,0 +1,62 @@
+#include "peridotrudder/entry/upstream_exchange.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace peridotrudder {
+
+class upstream_exchange_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(upstream_exchange_test);
+    CPPUNIT_TEST(only_a_refusal_with_proof_is_not_run);
+    CPPUNIT_TEST(lost_connection_leaves_the_outcome_unknown);
+    CPPUNIT_TEST(request_that_must_not_run_twice_gets_its_own_connection);
+    CPPUNIT_TEST(answer_must_repeat_the_request_id);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void only_a_refusal_with_proof_is_not_run()
+    {
+        http_response refused;
+        refused.m_status = 503;
+        CPPUNIT_ASSERT(read_upstream_answer(refused).m_fate == fate::done);
+        refused.m_headers.push_back({"X-Not-Started", "1"});
+        CPPUNIT_ASSERT(read_upstream_answer(refused).m_fate == fate::not_run);
+        refused.m_status = 200;
+        CPPUNIT_ASSERT(read_upstream_answer(refused).m_fate == fate::done);
+    }
+
+    void lost_connection_leaves_the_outcome_unknown()
+    {
+        const auto of = [](transport_fault fault) {
+            return read_upstream_answer(tl::make_unexpected(fault)).m_fate;
+        };
+        CPPUNIT_ASSERT(of(transport_fault::not_connected) == fate::not_run);
+        CPPUNIT_ASSERT(of(transport_fault::broken) == fate::outcome_unknown);
+        CPPUNIT_ASSERT(of(transport_fault::incomplete_answer) == fate::outcome_unknown);
+        CPPUNIT_ASSERT(of(transport_fault::crossed_answer) == fate::outcome_unknown);
+    }
+
+    void request_that_must_not_run_twice_gets_its_own_connection()
+    {
+        CPPUNIT_ASSERT(!put("POST").m_may_reuse_connection);
+        CPPUNIT_ASSERT(put("GET").m_may_reuse_connection);
+    }
+
+    void answer_must_repeat_the_request_id()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string{"id"}, put("GET").m_required_header->m_value);
+    }
+
+private:
+    static http_call put(const std::string& method)
+    {
+        dispatched_call sent;
+        sent.m_call = std::make_shared<call>();
+        sent.m_call->m_method = method;
+        sent.m_call->m_request_id = "id";
+        return make_upstream_call(sent, new_trace(), milliseconds{1'000});
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(upstream_exchange_test);
+
+} // namespace peridotrudder
