--- a/include/peridotrudder/routing/slot_dispatcher.hpp
+++ b/include/peridotrudder/routing/slot_dispatcher.hpp
@@ -58,7 +58,6 @@
     void drop_lapsed(time_point now);
     void set_long_targets();
     void set_targets();
-    std::uint32_t fill_urgent(std::uint32_t available, std::vector<std::uint32_t>& shares) const;
     void drop_lost_workers(holder& each);
     void lower_where_needed();
     static void take_one(holder& from);
--- a/include/peridotrudder/routing/slot_messages.hpp
+++ b/include/peridotrudder/routing/slot_messages.hpp
@@ -43,9 +43,6 @@
     /// Short requests that wait, by class.
     std::vector<std::uint32_t> m_waiting;
     std::uint32_t m_long_waiting{0};
-    /// Time left until the deadlines of the most pressing urgent requests, in milliseconds,
-    /// shortest first.
-    std::vector<std::uint32_t> m_urgent_left_ms;
 
     template <typename Archive, typename Self>
     static void describe(Archive& archive, Self& self)
@@ -59,7 +56,6 @@
         archive.field("long_in_flight", self.m_long_in_flight);
         archive.field("waiting", self.m_waiting);
         archive.field("long_waiting", self.m_long_waiting);
-        archive.field("urgent_left_ms", self.m_urgent_left_ms);
     }
 };
 
--- a/include/peridotrudder/routing/work_queue.hpp
+++ b/include/peridotrudder/routing/work_queue.hpp
@@ -49,10 +49,6 @@
     /// Returns how many requests wait that are not long, by class.
     std::size_t waiting_short(work_class of) const;
 
-    /// Returns the deadlines of the urgent requests that are not long, the first `limit` of them,
-    /// earliest first.
-    std::vector<time_point> urgent_deadlines(std::size_t limit) const;
-
     /// Returns how many long requests wait.
     std::size_t waiting_long() const { return m_long.size(); }
 
--- a/src/routing/slot_dispatcher.cpp
+++ b/src/routing/slot_dispatcher.cpp
@@ -206,28 +206,6 @@
     }
 }
 
-// Gives slots to the waiting urgent requests of all entries, earliest deadline first.
-std::uint32_t slot_dispatcher::fill_urgent(std::uint32_t available,
-                                           std::vector<std::uint32_t>& shares) const
-{
-    std::vector<std::pair<time_point, std::size_t>> waiting;
-    std::size_t index = 0;
-    for (const auto& [entry, each] : m_holders) {
-        // What is left is counted from the report on; the clocks of two entries are not compared.
-        for (const auto left : each.m_report.m_urgent_left_ms) {
-            waiting.emplace_back(each.m_reported_at + milliseconds{left}, index);
-        }
-        ++index;
-    }
-    const auto served = std::min<std::size_t>(available, waiting.size());
-    std::partial_sort(waiting.begin(), waiting.begin() + static_cast<std::ptrdiff_t>(served),
-                      waiting.end());
-    for (std::size_t position = 0; position < served; ++position) {
-        ++shares[waiting[position].second];
-    }
-    return available - static_cast<std::uint32_t>(served);
-}
-
 // Fills in rounds: first what runs, then what waits, class by class, most pressing first.
 void slot_dispatcher::set_targets()
 {
@@ -237,7 +215,6 @@
     }
     std::vector<std::uint32_t> shares(demands.size(), 0);
     auto available = internal::fill_evenly(total_slots(), demands, shares);
-    available = fill_urgent(available, shares);
     for (std::size_t of = 0; of < work_class_count; ++of) {
         std::size_t index = 0;
         for (const auto& [entry, each] : m_holders) {
--- a/src/routing/slot_holder.cpp
+++ b/src/routing/slot_holder.cpp
@@ -16,7 +16,6 @@
 /// A dispatcher that takes longer to answer is taken for lost.
 constexpr milliseconds fallback_after{100};
 constexpr std::uint32_t fallback_long_percent = 50;
-constexpr std::size_t max_urgent_reported = 16;
 constexpr std::uint32_t percent = 100;
 
 } // namespace
@@ -150,10 +149,6 @@
             static_cast<std::uint32_t>(queue.waiting_short(static_cast<work_class>(of))));
     }
     report.m_long_waiting = static_cast<std::uint32_t>(queue.waiting_long());
-    for (const auto deadline : queue.urgent_deadlines(max_urgent_reported)) {
-        report.m_urgent_left_ms.push_back(
-            static_cast<std::uint32_t>(remaining(now, deadline).count()));
-    }
     return report;
 }
 
--- a/src/routing/work_queue.cpp
+++ b/src/routing/work_queue.cpp
@@ -72,18 +72,6 @@
     return m_short_by_class.at(static_cast<std::size_t>(of));
 }
 
-std::vector<time_point> work_queue::urgent_deadlines(std::size_t limit) const
-{
-    std::vector<time_point> deadlines;
-    for (const auto& each : m_short) {
-        if (each.m_class != work_class::urgent || deadlines.size() == limit) {
-            break;
-        }
-        deadlines.push_back(each.m_deadline);
-    }
-    return deadlines;
-}
-
 void work_queue::forget(const queued_work& work)
 {
     const auto found = m_by_ticket.find(work.m_ticket);
