Touch links between entries on their own thread only

Cause, by ThreadSanitizer over the scenarios entries_replaced and entry_paused: a sender asked websocketpp for the bytes that wait on a link, which the library counts without a lock; and RESTinio numbers connections without one when several accepts run at once.

Change: frames are posted to the mesh's thread, in order; one accept at a time.

--- a/src/links/http_server.cpp
+++ b/src/links/http_server.cpp
@@ -92,7 +92,8 @@
             [](auto& setter) { setter.set_option(asio::ip::tcp::acceptor::reuse_address{true}); })
         .socket_options_setter(
             [](auto& setter) { setter.set_option(asio::ip::tcp::no_delay{true}); })
-        .concurrent_accepts_count(4)
+        // More than one at a time would race for the library's connection ids.
+        .concurrent_accepts_count(1)
         .request_handler([handler = std::move(handler)](const restinio::request_handle_t& handle) {
             return dispatch(handler, handle);
         });
--- a/src/links/peer_mesh.cpp
+++ b/src/links/peer_mesh.cpp
@@ -92,18 +92,10 @@
             }
             connection = found->second.m_connection;
         }
-        const auto frame = encode_peer_message(message);
-        websocketpp::lib::error_code error;
-        const auto link = m_client.get_con_from_hdl(connection, error);
-        if (error || link->get_buffered_amount() > max_buffered_bytes) {
-            return false;
-        }
-        error = link->send(frame.data(), frame.size(), websocketpp::frame::opcode::binary);
-        if (error) {
-            return false;
-        }
-        ++m_sent_messages;
-        m_sent_bytes += frame.size();
+        // The library's count of waiting bytes has no lock: only the mesh's thread touches a link.
+        asio::post(m_context, [this, connection, frame = encode_peer_message(message)] {
+            write(connection, frame);
+        });
         return true;
     }
 
@@ -128,6 +120,20 @@
         connection->get_raw_socket().set_option(asio::ip::tcp::no_delay{true}, ignored);
     }
 
+    void write(const connection_hdl& connection, const std::vector<std::uint8_t>& frame)
+    {
+        websocketpp::lib::error_code error;
+        const auto link = m_client.get_con_from_hdl(connection, error);
+        if (error || link->get_buffered_amount() > max_buffered_bytes) {
+            return;
+        }
+        error = link->send(frame.data(), frame.size(), websocketpp::frame::opcode::binary);
+        if (!error) {
+            ++m_sent_messages;
+            m_sent_bytes += frame.size();
+        }
+    }
+
     void set_up_server()
     {
         silence(m_server);
