--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -8,7 +8,7 @@
     libasio-dev libwebsocketpp-dev librestinio-dev libcurl4-openssl-dev libssl-dev
     prometheus-cpp-dev liblog4cxx-dev libgflags-dev libsimpleini-dev
     nlohmann-json3-dev libexpected-dev libmsgsl-dev libxxhash-dev libfmt-dev
-    libcppunit-dev librapidcheck-dev libbenchmark-dev curl
+    libcppunit-dev librapidcheck-dev libbenchmark-dev curl python3
 )
 
 missing=()
