--- a/apps/load_main.cpp
+++ b/apps/load_main.cpp
@@ -153,6 +153,8 @@
         std::uint32_t m_tries{0};
         time_point m_first_sent;
         std::size_t m_entry{0};
+        /// What the last entry that could be reached said; empty before.
+        std::string m_last_word;
     };
 
     double rate_at(const stream& each, milliseconds since_start) const
@@ -220,12 +222,17 @@
     {
         const bool answered = result.has_value();
         const bool whole = answered && result->m_status < 400 && is_own(made, result->m_body);
-        const std::string code = whole ? "done" : code_of(result);
+        // An entry that cannot be reached says nothing of the request: an earlier word stands.
+        const std::string told = whole ? "done" : code_of(result);
+        const bool unreached = told == "not_connected" && !made.m_last_word.empty();
+        const std::string code = unreached ? made.m_last_word : told;
         const bool again = !whole && m_workload.m_streams[made.m_stream].m_keyed &&
                            made.m_tries < max_tries && code != "over_limit";
         if (again) {
             const std::lock_guard<std::mutex> lock{m_mutex};
-            m_retries.emplace(std::chrono::steady_clock::now() + retry_pause, made);
+            auto next = made;
+            next.m_last_word = code == "not_connected" ? "" : code;
+            m_retries.emplace(std::chrono::steady_clock::now() + retry_pause, std::move(next));
             return;
         }
         request_end end;
@@ -313,6 +320,18 @@
     return values[index];
 }
 
+/// Returns the class that a level of the `Priority` header asks for.
+std::string class_of(std::uint64_t urgency)
+{
+    constexpr std::uint64_t last_urgent = 1;
+    constexpr std::uint64_t last_normal = 4;
+    if (urgency <= last_urgent) {
+        return std::string{to_string(work_class::urgent)};
+    }
+    return std::string{
+        to_string(urgency <= last_normal ? work_class::normal : work_class::archive)};
+}
+
 nlohmann::json report_streams(const load_run& load)
 {
     auto report = nlohmann::json::array();
@@ -334,6 +353,7 @@
             }
         }
         report.push_back({{"stream", load.what().m_streams[index].m_name},
+                          {"class", class_of(load.what().m_streams[index].m_urgency)},
                           {"requests", count},
                           {"tries", tries},
                           {"codes", codes},
@@ -347,15 +367,17 @@
 
 void print_streams(const nlohmann::json& report)
 {
-    std::cout << fmt::format("{:<16} {:>8} {:>8} {:>9} {:>9} {:>9} {:>9}  {}\n", "STREAM",
-                             "REQUESTS", "TRIES", "WAIT-P50", "P99", "P99.9", "MAX", "CODES");
+    std::cout << fmt::format("{:<16} {:<8} {:>8} {:>8} {:>9} {:>9} {:>9} {:>9}  {}\n", "STREAM",
+                             "CLASS", "REQUESTS", "TRIES", "WAIT-P50", "P99", "P99.9", "MAX",
+                             "CODES");
     for (const auto& each : report) {
-        std::cout << fmt::format("{:<16} {:>8} {:>8} {:>9.1f} {:>9.1f} {:>9.1f} {:>9.1f}  {}\n",
-                                 each["stream"].get<std::string>(), each["requests"].get<int>(),
-                                 each["tries"].get<int>(), each["wait_p50_ms"].get<double>(),
-                                 each["wait_p99_ms"].get<double>(),
-                                 each["wait_p999_ms"].get<double>(),
-                                 each["wait_max_ms"].get<double>(), each["codes"].dump());
+        std::cout << fmt::format(
+            "{:<16} {:<8} {:>8} {:>8} {:>9.1f} {:>9.1f} {:>9.1f} {:>9.1f}  {}\n",
+            each["stream"].get<std::string>(), each["class"].get<std::string>(),
+            each["requests"].get<int>(), each["tries"].get<int>(),
+            each["wait_p50_ms"].get<double>(), each["wait_p99_ms"].get<double>(),
+            each["wait_p999_ms"].get<double>(), each["wait_max_ms"].get<double>(),
+            each["codes"].dump());
     }
 }
 
