End what a script started also when its output is closed

Cause: 'faults_test.sh NAME | head' left 23 processes behind: the closed pipe ended the script before its exit trap had run. HUP, INT, TERM and PIPE now go through the exit trap. Before: 23 left; after, the same call with 'head -1': 0 left; without a pipe: passes, 0 left (scenario vm_leaving).

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -41,6 +41,8 @@
     rm -rf "$run_dir"
 }
 trap stop_all EXIT
+# A closed pipe or a signal must not leave processes behind.
+trap 'exit 1' HUP INT TERM PIPE
 
 # wait_until SECONDS COMMAND...: repeats a command until it succeeds.
 wait_until() {
