Do not hand the partitions a state that they have

Found by reading the whole change once more: the VM list brings the router the same folded state twice a second, and each time all 128 partitions took their epochs and members anew. They do so now only when the offset has moved. A call's queueing time was written and never read: gone.

Run: test_entry (19), scenarios entry_left and entry_killed, formatter, linter on the two sources. Not run after it: the whole of scripts/test.sh.

--- a/include/peridotrudder/entry/call.hpp
+++ b/include/peridotrudder/entry/call.hpp
@@ -35,7 +35,6 @@
     bool m_intent_kept{false};
     time_point m_intent_kept_at;
     bool m_long{false};
-    time_point m_queued;
     time_point m_started;
 };
 
--- a/src/entry/pool_lane.cpp
+++ b/src/entry/pool_lane.cpp
@@ -128,7 +128,6 @@
 {
     const std::lock_guard<std::mutex> lock{m_mutex};
     queued->m_long = m_run_times.is_long(queued->route(), queued->m_declared_run_time);
-    queued->m_queued = now;
     const auto ticket = ++m_last_ticket;
     m_queue.push({ticket, queued->m_class, queued->m_wait_until, queued->m_long});
     m_calls.emplace(ticket, queued);
--- a/src/entry/request_router.cpp
+++ b/src/entry/request_router.cpp
@@ -364,7 +364,10 @@
     if (state->next_offset() < m_applied_offset) {
         return;
     }
-    m_partitions.set_state(*state, now);
+    // The VM list alone brings the same state again, twice a second: its epochs are known.
+    if (state->next_offset() != m_applied_offset) {
+        m_partitions.set_state(*state, now);
+    }
     std::map<std::string, lane_setup> setups;
     for (const auto& [id, entry] : state->vms()) {
         auto& setup = setups[entry.m_vm.m_pool];
