--- /dev/null
+++ b/include/peridotrudder/jobs/job.hpp
@@ -0,0 +1,200 @@
+#pragma once
+
+/// @file
+/// A job under way: the state of each task, and the form in which it is kept.
+
+#include "peridotrudder/jobs/job_spec.hpp"
+#include "peridotrudder/jobs/queue_config.hpp"
+
+#include <cstdint>
+#include <gsl/span>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace peridotrudder {
+
+/// Names a task within its job.
+struct task_ref {
+    /// Number of the occurrence; zero for a job that runs once.
+    std::uint32_t m_occurrence{0};
+    std::uint32_t m_step{0};
+    std::uint32_t m_index{0};
+};
+
+inline bool operator<(const task_ref& left, const task_ref& right)
+{
+    return std::tie(left.m_occurrence, left.m_step, left.m_index) <
+           std::tie(right.m_occurrence, right.m_step, right.m_index);
+}
+
+inline bool operator==(const task_ref& left, const task_ref& right)
+{
+    return !(left < right) && !(right < left);
+}
+
+/// One life of a worker: a worker that starts anew under its id is another life.
+struct worker_life {
+    std::string m_worker;
+    /// Unix milliseconds of the life's start, as the worker tells it; zero where it is not known.
+    std::int64_t m_born_ms{0};
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("worker", self.m_worker);
+        archive.field("born_ms", self.m_born_ms);
+    }
+};
+
+inline bool operator==(const worker_life& left, const worker_life& right)
+{
+    return left.m_worker == right.m_worker && left.m_born_ms == right.m_born_ms;
+}
+
+enum class task_phase {
+    /// Has no run: waits for its turn or for room.
+    waiting,
+    /// Has a run that is ordered or under way.
+    placed,
+    done,
+    /// Ended as failed as often as its queue allows.
+    failed,
+};
+
+struct task {
+    task_phase m_phase{task_phase::waiting};
+    /// Number of the newest run; runs are numbered from one.
+    std::uint32_t m_run{0};
+    std::uint32_t m_failures{0};
+    /// Where the run is, while the task is placed.
+    worker_life m_where;
+    /// State to resume from; empty for none.
+    std::string m_checkpoint;
+};
+
+/// How a run ended.
+enum class run_end {
+    done,
+    /// Through its own fault or the worker's.
+    failed,
+    /// On an order.
+    stopped,
+    /// The lease ran out.
+    lapsed,
+    /// Another member of the gang ended.
+    broken,
+    /// The other members of the gang did not come in time.
+    alone,
+};
+
+template <>
+struct enum_names<run_end> {
+    static constexpr std::array<std::string_view, 6> values{"done",   "failed", "stopped",
+                                                            "lapsed", "broken", "alone"};
+};
+
+enum class job_phase { active, completed, failed, cancelled };
+
+template <>
+struct enum_names<job_phase> {
+    static constexpr std::array<std::string_view, 4> values{"active", "completed", "failed",
+                                                            "cancelled"};
+};
+
+/// What a job's record holds besides its state; never changes.
+struct job_header {
+    std::string m_id;
+    /// The queue as it was when the job came: what holds for the job if the queue is removed.
+    queue_config m_queue;
+    /// Unix milliseconds at which the job was accepted.
+    std::int64_t m_accepted_ms{0};
+    job_spec m_spec;
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("id", self.m_id);
+        archive.field("queue", self.m_queue);
+        archive.field("accepted_ms", self.m_accepted_ms);
+        archive.field("spec", self.m_spec);
+    }
+};
+
+/// A job and its tasks. Every change goes through a member function that keeps the counts right.
+///
+/// Purity: knows no clock and no worker; whoever calls decides. Not thread-safe.
+///
+///     auto it = job::create(header);
+///     it.place({0, 0, 3}, life);
+///     it.end({0, 0, 3}, 1, run_end::done, "", attempts);
+class job {
+public:
+    static job create(job_header header);
+
+    const job_header& header() const { return m_header; }
+    const job_spec& spec() const { return m_header.m_spec; }
+    job_phase phase() const { return m_phase; }
+    /// Unix milliseconds at which the job ended; zero while it is active.
+    std::int64_t ended_ms() const { return m_ended_ms; }
+    /// Returns whether a run of the job was ever ordered.
+    bool begun() const { return m_begun; }
+
+    std::uint32_t occurrences() const { return static_cast<std::uint32_t>(m_tasks.size()); }
+    /// Returns the Unix milliseconds at which an occurrence is due.
+    std::int64_t due_ms(std::uint32_t occurrence) const;
+    /// Returns whether the task exists.
+    bool has(const task_ref& ref) const;
+    const task& at(const task_ref& ref) const;
+    gsl::span<const task> tasks(std::uint32_t occurrence, std::uint32_t step) const;
+    /// Returns whether all steps that the step depends on are done.
+    bool unblocked(std::uint32_t occurrence, std::uint32_t step) const;
+    /// Returns how many tasks of the step have no run and are not finished.
+    std::uint32_t waiting(std::uint32_t occurrence, std::uint32_t step) const;
+    std::uint32_t placed_tasks() const { return m_placed; }
+
+    /// Gives the task a new run at `where` and returns its number.
+    std::uint32_t place(const task_ref& ref, const worker_life& where);
+
+    /// Gives all tasks of a gang's step a run of the same number, at `where` by index.
+    std::uint32_t place_gang(std::uint32_t occurrence, std::uint32_t step,
+                             gsl::span<const worker_life> where);
+
+    /// Takes back a run that surely never ran, or that surely is over without a known end.
+    void void_run(const task_ref& ref);
+
+    /// Notes the end of a run. An end of another run than the newest changes nothing, except that a
+    /// success always counts. Returns whether anything changed.
+    bool end(const task_ref& ref, std::uint32_t run, run_end how, const std::string& checkpoint,
+             std::uint32_t attempts, std::int64_t now_ms);
+
+    /// Cancels an active job. Returns whether it was active.
+    bool cancel(std::int64_t now_ms);
+
+    /// Returns the state of the tasks as CBOR, without the header.
+    std::vector<std::uint8_t> encode_state() const;
+
+    /// Returns the job with the state that `encode_state` made.
+    static tl::expected<job, decode_error> restore(job_header header,
+                                                   gsl::span<const std::uint8_t> state);
+
+private:
+    task& find(const task_ref& ref);
+    void finish_task(const task_ref& ref, task& each, std::int64_t now_ms);
+    void fail_task(const task_ref& ref, std::uint32_t attempts, std::int64_t now_ms);
+    void finish(job_phase phase, std::int64_t now_ms);
+    void recount();
+
+    job_header m_header;
+    job_phase m_phase{job_phase::active};
+    std::int64_t m_ended_ms{0};
+    bool m_begun{false};
+    /// By occurrence, then step.
+    std::vector<std::vector<std::vector<task>>> m_tasks;
+    /// Tasks of each step that are not done, by occurrence.
+    std::vector<std::vector<std::uint32_t>> m_open;
+    std::uint64_t m_open_total{0};
+    std::uint32_t m_placed{0};
+};
+
+} // namespace peridotrudder
--- /dev/null
+++ b/include/peridotrudder/jobs/job_spec.hpp
@@ -0,0 +1,156 @@
+#pragma once
+
+/// @file
+/// What a caller asks for: a job of steps, each of many equal tasks.
+
+#include "peridotrudder/base/clock.hpp"
+#include "peridotrudder/base/codec.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace peridotrudder {
+
+/// Processor, memory and accelerators, of a VM or wanted by a task.
+struct resources {
+    /// Thousandths of a core.
+    std::int64_t m_cpu_millis{0};
+    std::int64_t m_memory_mb{0};
+    std::int64_t m_accelerators{0};
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("cpu_millis", self.m_cpu_millis);
+        archive.field("memory_mb", self.m_memory_mb);
+        archive.field("accelerators", self.m_accelerators);
+    }
+};
+
+resources operator+(const resources& left, const resources& right);
+resources operator-(const resources& left, const resources& right);
+
+/// Returns whether `wanted` fits into `room` in every dimension.
+bool fits(const resources& wanted, const resources& room);
+
+/// One step: `m_count` equal tasks that may run once the steps it depends on are done.
+struct step_spec {
+    std::uint32_t m_count{1};
+    resources m_each;
+    /// Rough run time of one task.
+    milliseconds m_estimate{0};
+    /// Indexes of earlier steps.
+    std::vector<std::uint32_t> m_depends_on;
+    /// A task writes checkpoints that a later run can resume from.
+    bool m_checkpointing{false};
+    /// All tasks run at the same time, as one unit that succeeds or fails whole.
+    bool m_gang{false};
+    /// The tasks run faster when they share a rack.
+    bool m_same_rack{false};
+    /// Several runs of one task may be under way at once; the first success counts.
+    bool m_speculative{false};
+    /// The tasks run until the job is cancelled and are restarted however they end.
+    bool m_long_running{false};
+    /// The tasks take only processor time that others leave over: none is reserved for them.
+    bool m_fills{false};
+    std::string m_required_label;
+    /// Rack that holds the input; tasks are slower elsewhere.
+    std::string m_data_rack;
+    /// What the tasks execute; tasks of one image behave alike.
+    std::string m_image;
+    /// Most tasks of the step on one worker at a time; zero for no limit.
+    std::uint32_t m_max_per_worker{0};
+    /// Bound of the tail latency of what a long-running task serves; zero for none.
+    milliseconds m_latency_target{0};
+    /// Long-running tasks that the system may keep away at a time; zero where nothing is promised.
+    std::uint32_t m_may_miss{0};
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("count", self.m_count);
+        archive.field("each", self.m_each);
+        archive.field("estimate_ms", self.m_estimate);
+        archive.field("depends_on", self.m_depends_on);
+        archive.field("checkpointing", self.m_checkpointing);
+        archive.field("gang", self.m_gang);
+        archive.field("same_rack", self.m_same_rack);
+        archive.field("speculative", self.m_speculative);
+        archive.field("long_running", self.m_long_running);
+        archive.field("fills", self.m_fills);
+        archive.field("required_label", self.m_required_label);
+        archive.field("data_rack", self.m_data_rack);
+        archive.field("image", self.m_image);
+        archive.field("max_per_worker", self.m_max_per_worker);
+        archive.field("latency_target_ms", self.m_latency_target);
+        archive.field("may_miss", self.m_may_miss);
+    }
+};
+
+/// Runs the steps several times, at fixed wall-clock times.
+struct recurrence {
+    std::uint32_t m_times{1};
+    /// Unix milliseconds of the first occurrence.
+    std::int64_t m_first_ms{0};
+    std::int64_t m_interval_ms{0};
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("times", self.m_times);
+        archive.field("first_ms", self.m_first_ms);
+        archive.field("interval_ms", self.m_interval_ms);
+    }
+};
+
+struct job_spec {
+    /// Handed to every task as it is.
+    std::string m_payload;
+    std::vector<step_spec> m_steps;
+    std::optional<recurrence> m_recurrence;
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("payload", self.m_payload);
+        archive.field("steps", self.m_steps);
+        archive.field("recurrence", self.m_recurrence);
+    }
+};
+
+/// Why a job cannot be taken whatever the load.
+enum class spec_fault {
+    none,
+    no_steps,
+    no_tasks,
+    too_many_tasks,
+    negative_resources,
+    depends_on_later_step,
+    bad_recurrence,
+    payload_too_long,
+};
+
+template <>
+struct enum_names<spec_fault> {
+    static constexpr std::array<std::string_view, 8> values{
+        "none",           "no_steps",           "no_tasks",
+        "too_many_tasks", "negative_resources", "depends_on_later_step",
+        "bad_recurrence", "payload_too_long"};
+};
+
+/// Returns the first fault of `spec`, or `none`. A step may depend on earlier steps only, so that
+/// steps cannot wait for one another in a circle.
+spec_fault check_spec(const job_spec& spec);
+
+/// Returns the run time of the longest chain of dependent steps, by their estimates.
+milliseconds longest_chain(const job_spec& spec);
+
+/// Returns the estimated work of one occurrence, in thousandths of a core times milliseconds.
+std::int64_t estimated_work(const job_spec& spec);
+
+/// Returns whether a step of the job runs until the job is cancelled.
+bool is_long_running(const job_spec& spec);
+
+} // namespace peridotrudder
--- a/include/peridotrudder/links/http.hpp
+++ b/include/peridotrudder/links/http.hpp
@@ -37,6 +37,8 @@
     /// Length to declare in place of the body's; the connection is closed after the body. Lets a
     /// stand-in truncate its answer.
     std::optional<std::size_t> m_declared_length;
+    /// Whether the server closes the connection after the response.
+    bool m_close_connection{false};
 };
 
 /// Returns a response with a JSON body.
--- a/include/peridotrudder/links/http_client.hpp
+++ b/include/peridotrudder/links/http_client.hpp
@@ -5,6 +5,7 @@
 
 #include "peridotrudder/links/http.hpp"
 
+#include <asio/io_context.hpp>
 #include <tl/expected.hpp>
 
 #include <functional>
@@ -51,11 +52,17 @@
 /// Takes the result; runs on the client's thread and must not block.
 using http_callback = std::function<void(http_result)>;
 
-/// Makes many calls at once on a thread of its own. Thread-safe.
+/// Makes many calls at once, on a thread of its own and thread-safe, or on a loop that one thread
+/// runs and from which alone it is called.
 class http_client {
 public:
     static std::unique_ptr<http_client> create();
 
+    /// Returns a client that runs on `loop`, which must outlive it. Calls beyond the given number of
+    /// connections to one host wait for one; zero is no limit.
+    static std::unique_ptr<http_client> create_on(asio::io_context& loop,
+                                                  long connections_per_host = 0);
+
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
     http_client(http_client&&) = delete;
@@ -65,8 +72,19 @@
 
     void send(http_call call, http_callback callback);
 
+    /// How a client runs.
+    class implementation {
+    public:
+        implementation() = default;
+        implementation(const implementation&) = delete;
+        implementation& operator=(const implementation&) = delete;
+        implementation(implementation&&) = delete;
+        implementation& operator=(implementation&&) = delete;
+        virtual ~implementation() = default;
+        virtual void send(http_call call, http_callback callback) = 0;
+    };
+
 private:
-    class implementation;
     explicit http_client(std::unique_ptr<implementation> inside);
     std::unique_ptr<implementation> m_inside;
 };
--- a/include/peridotrudder/links/http_server.hpp
+++ b/include/peridotrudder/links/http_server.hpp
@@ -5,6 +5,7 @@
 
 #include "peridotrudder/links/http.hpp"
 
+#include <asio/io_context.hpp>
 #include <tl/expected.hpp>
 
 #include <cstddef>
@@ -40,7 +41,7 @@
     std::string m_reason;
 };
 
-/// Serves HTTP/1.1 on own threads from its creation until its destruction.
+/// Serves HTTP/1.1 from its creation until its destruction, on own threads or on a given loop.
 ///
 ///     auto server = http_server::create(options, [](http_request request, http_responder respond)
 ///     {
@@ -51,6 +52,10 @@
     static tl::expected<std::unique_ptr<http_server>, listen_error>
     create(const http_server_options& options, http_handler handler);
 
+    /// Returns a server that runs on `loop`, which one thread runs and which must outlive it.
+    static tl::expected<std::unique_ptr<http_server>, listen_error>
+    create_on(asio::io_context& loop, const http_server_options& options, http_handler handler);
+
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
     http_server(http_server&&) = delete;
@@ -58,8 +63,9 @@
     /// Closes all connections and joins the threads.
     ~http_server();
 
-private:
     class implementation;
+
+private:
     explicit http_server(std::unique_ptr<implementation> inside);
     std::unique_ptr<implementation> m_inside;
 };
--- a/include/peridotrudder/links/peer_mesh.hpp
+++ b/include/peridotrudder/links/peer_mesh.hpp
@@ -5,12 +5,13 @@
 
 #include "peridotrudder/base/clock.hpp"
 #include "peridotrudder/links/http_server.hpp"
-#include "peridotrudder/links/peer_messages.hpp"
 
+#include <asio/io_context.hpp>
 #include <tl/expected.hpp>
 
 #include <cstdint>
 #include <functional>
+#include <gsl/span>
 #include <memory>
 #include <string>
 #include <vector>
@@ -34,8 +35,13 @@
     std::uint16_t m_port{0};
 };
 
-/// Takes a peer's message; runs on the mesh's thread and must not block.
-using peer_handler = std::function<void(const std::string& from, peer_message message)>;
+/// Takes a peer's frame; runs on the mesh's loop and must not block. Returns whether it was
+/// understood.
+using peer_handler =
+    std::function<bool(const std::string& from, gsl::span<const std::uint8_t> frame)>;
+
+/// Takes the opening or the end of the link to a peer; runs on the mesh's loop.
+using link_handler = std::function<void(const std::string& peer, bool open)>;
 
 /// Bytes and messages that the mesh has moved.
 struct peer_traffic {
@@ -46,16 +52,22 @@
     std::uint64_t m_rejected_messages{0};
 };
 
-/// Keeps one link to each peer and sends messages over it, in order, at most once each.
+/// Keeps one link to each peer and sends frames over it, in order, at most once each.
 ///
 /// Each pair of entries has two connections: every entry sends on the one that it opened and
 /// receives on the one that it accepted. A message is lost when its link breaks; the protocols
-/// above repeat what they need. Thread-safe; runs on a thread of its own.
+/// above repeat what they need. A process that is not the incarnation a link was meant for turns it
+/// down. Thread-safe; runs on a thread of its own, or on the loop that it is given.
 class peer_mesh {
 public:
     static tl::expected<std::unique_ptr<peer_mesh>, listen_error>
     create(const peer_mesh_options& options, peer_handler handler);
 
+    /// Returns a mesh that runs on `loop`, which must outlive it.
+    static tl::expected<std::unique_ptr<peer_mesh>, listen_error>
+    create_on(asio::io_context& loop, const peer_mesh_options& options, peer_handler handler,
+              link_handler on_link);
+
     peer_mesh(const peer_mesh&) = delete;
     peer_mesh& operator=(const peer_mesh&) = delete;
     peer_mesh(peer_mesh&&) = delete;
@@ -65,8 +77,8 @@
     /// Sets the peers to keep links to; links to others are closed.
     void set_peers(const std::vector<peer_endpoint>& peers);
 
-    /// Sends a message if the link is up. Returns whether it was handed to the link.
-    bool send(const std::string& to, const peer_message& message);
+    /// Sends a frame if the link is up. Returns whether it was handed to the link.
+    bool send(const std::string& to, std::vector<std::uint8_t> frame);
 
     peer_traffic traffic() const;
 
@@ -75,6 +87,9 @@
 
 private:
     class implementation;
+    static tl::expected<std::unique_ptr<peer_mesh>, listen_error>
+    open(asio::io_context* loop, const peer_mesh_options& options, peer_handler handler,
+         link_handler on_link);
     explicit peer_mesh(std::unique_ptr<implementation> inside);
     std::unique_ptr<implementation> m_inside;
 };
--- a/include/peridotrudder/machines/worker_health.hpp
+++ b/include/peridotrudder/machines/worker_health.hpp
@@ -19,6 +19,9 @@
 /// thread-safe.
 class worker_health {
 public:
+    /// Returns a watch that ejects after so many failures in a row.
+    static worker_health create(std::uint32_t failures_to_eject);
+
     void succeeded(std::string_view vm);
 
     /// Takes a failure; `pool_size` is the number of workers that the cap is counted from.
@@ -37,6 +40,7 @@
         time_point m_ejected_until;
     };
 
+    std::uint32_t m_failures_to_eject{5};
     std::map<std::string, record, std::less<>> m_records;
 };
 
--- /dev/null
+++ b/include/peridotrudder/machines/worker_orders.hpp
@@ -0,0 +1,148 @@
+#pragma once
+
+/// @file
+/// What the owner of a pool says to its workers, and what they answer.
+
+#include "peridotrudder/jobs/job.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace peridotrudder {
+
+/// Names a task among all jobs.
+struct run_key {
+    std::string m_job;
+    task_ref m_task;
+};
+
+inline bool operator<(const run_key& left, const run_key& right)
+{
+    return std::tie(left.m_job, left.m_task) < std::tie(right.m_job, right.m_task);
+}
+
+inline bool operator==(const run_key& left, const run_key& right)
+{
+    return left.m_job == right.m_job && left.m_task == right.m_task;
+}
+
+/// What a worker says of itself.
+struct worker_report {
+    worker_life m_life;
+    std::string m_pool;
+    std::string m_address;
+    std::uint16_t m_port{0};
+    std::string m_zone;
+    std::string m_rack;
+    std::vector<std::string> m_labels;
+    resources m_capacity;
+    bool m_draining{false};
+};
+
+/// Starts a run. Idempotent: a repeated order finds the run there.
+struct start_order {
+    run_key m_key;
+    std::uint32_t m_run{0};
+    std::string m_payload;
+    std::string m_checkpoint;
+    /// Permission of the pool's policy service; empty where none is needed.
+    std::string m_ticket;
+    /// On the worker's clock: the order is void later, and all runs there have a lease until then.
+    std::int64_t m_deadline_ms{0};
+    std::uint64_t m_fence{0};
+};
+
+struct stop_order {
+    run_key m_key;
+    std::uint32_t m_run{0};
+    std::uint64_t m_fence{0};
+};
+
+/// Lets a run work at a share of its speed.
+struct pace_order {
+    run_key m_key;
+    std::uint32_t m_run{0};
+    std::uint32_t m_percent{100};
+    std::uint64_t m_fence{0};
+};
+
+/// Renews the lease of all runs of a worker, and asks for them.
+struct hold_order {
+    std::uint64_t m_fence{0};
+    /// Ends up to this number are recorded: the worker may forget them.
+    std::uint64_t m_last_end{0};
+    /// On the worker's clock; absent to look without renewing.
+    std::optional<std::int64_t> m_deadline_ms;
+    /// How long the worker may wait for an end before it answers.
+    milliseconds m_wait{0};
+};
+
+/// What became of an order.
+enum class order_result {
+    accepted,
+    /// The worker has seen a higher fencing token.
+    fenced,
+    /// The run, or a later one of the task, has ended there.
+    obsolete,
+    /// The deadline has passed.
+    too_late,
+    no_room,
+    bad_ticket,
+    /// The worker does not understand the order.
+    invalid,
+    /// The worker did nothing, as it is not well.
+    unhealthy,
+    /// The worker is not the life that the order was meant for.
+    other_life,
+    /// No answer: the order may have been carried out, or may be later.
+    unanswered,
+    /// Surely not sent.
+    not_sent,
+};
+
+template <>
+struct enum_names<order_result> {
+    static constexpr std::array<std::string_view, 11> values{
+        "accepted",  "fenced",     "obsolete",   "too_late", "no_room", "bad_ticket", "invalid",
+        "unhealthy", "other_life", "unanswered", "not_sent"};
+};
+
+struct order_answer {
+    order_result m_result{order_result::unanswered};
+    /// The worker's clock, where it was told.
+    std::optional<std::int64_t> m_clock_ms;
+};
+
+struct running_entry {
+    run_key m_key;
+    std::uint32_t m_run{0};
+    std::string m_checkpoint;
+    /// Progress, or for a long-running task how far it is at work; 100 is all.
+    std::uint32_t m_percent{0};
+    /// Tail latency in milliseconds of a task that has a latency target, otherwise thousandths of a
+    /// core in use.
+    std::int64_t m_load{0};
+};
+
+struct ended_entry {
+    /// Counts the ends of the worker's life, from one.
+    std::uint64_t m_number{0};
+    run_key m_key;
+    std::uint32_t m_run{0};
+    run_end m_how{run_end::failed};
+    std::string m_checkpoint;
+};
+
+struct hold_answer {
+    order_result m_result{order_result::unanswered};
+    std::int64_t m_clock_ms{0};
+    /// Absent where the worker did not tell.
+    std::optional<std::int64_t> m_born_ms;
+    std::vector<running_entry> m_running;
+    std::vector<ended_entry> m_ended;
+};
+
+} // namespace peridotrudder
--- /dev/null
+++ b/include/peridotrudder/node/fleet_wire.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+/// @file
+/// What the product needs of the platform around jobs: decoders of its records, and orders to
+/// workers. The adapter sets the hooks.
+
+#include "peridotrudder/machines/worker_orders.hpp"
+#include "peridotrudder/planning/vm_control.hpp"
+#include "peridotrudder/scheduling/pool_config.hpp"
+
+#include <gsl/span>
+#include <tl/expected.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace peridotrudder {
+
+/// Orders to workers. Answers come later, on the caller's loop.
+struct worker_port {
+    template <typename Answer>
+    using callback = std::function<void(Answer)>;
+
+    std::function<void(const worker_report&, const start_order&, callback<order_answer>)> m_start;
+    std::function<void(const worker_report&, const stop_order&, callback<order_answer>)> m_stop;
+    std::function<void(const worker_report&, const pace_order&, callback<order_answer>)> m_pace;
+    std::function<void(const worker_report&, const hold_order&, callback<hold_answer>)> m_hold;
+};
+
+/// Names and forms of the records that others write.
+struct fleet_wire {
+    using bytes = gsl::span<const std::uint8_t>;
+
+    /// Topic and key of the operators' configuration, and the prefix of the keys of waves.
+    std::string m_operator_topic;
+    std::string m_config_key;
+    std::string m_wave_prefix;
+    /// Topic in which workers list themselves, by id.
+    std::string m_worker_topic;
+    /// Topic for what operators read, and the prefix of the keys of waves there.
+    std::string m_status_topic;
+    std::function<tl::expected<fleet_config, decode_error>(bytes)> m_config;
+    std::function<tl::expected<worker_report, decode_error>(const std::string& id, bytes)> m_worker;
+    std::function<tl::expected<declared_wave, decode_error>(bytes)> m_wave;
+    std::function<std::vector<std::uint8_t>(bool completed)> m_wave_state;
+};
+
+} // namespace peridotrudder
--- /dev/null
+++ b/include/peridotrudder/node/node_process.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+/// @file
+/// One process of the scheduler: takes callers' calls, and owns the fleet when it is its turn.
+
+#include "peridotrudder/node/fleet_wire.hpp"
+#include "peridotrudder/node/node_settings.hpp"
+#include "peridotrudder/ownership/log_port.hpp"
+#include "peridotrudder/scheduling/job_call.hpp"
+
+#include "peridotrudder/links/http_client.hpp"
+#include "peridotrudder/links/http_server.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace peridotrudder {
+
+/// The platform around the process: set by the adapter.
+struct node_platform {
+    std::function<log_port(http_client& client, const node_settings& settings)> m_log;
+    std::function<worker_port(http_client& client)> m_workers;
+    std::function<vm_port(http_client& client, const node_settings& settings)> m_vms;
+    fleet_wire m_wire;
+    /// Returns the call that a caller's request makes, or the response that refuses it.
+    std::function<tl::expected<job_call, http_response>(const http_request& request)> m_read_call;
+    std::function<milliseconds(const http_request& request)> m_time_left;
+    std::function<http_response(const call_answer& answer)> m_write_answer;
+};
+
+enum class node_end {
+    /// Stopped on request, with nothing in flight.
+    stopped,
+    /// The time to stop ran out with calls in flight.
+    incomplete,
+};
+
+class node_process {
+public:
+    static tl::expected<std::unique_ptr<node_process>, listen_error>
+    create(const node_settings& settings, node_platform platform);
+
+    node_process(const node_process&) = delete;
+    node_process& operator=(const node_process&) = delete;
+    node_process(node_process&&) = delete;
+    node_process& operator=(node_process&&) = delete;
+    ~node_process();
+
+    /// Serves until SIGTERM or SIGINT.
+    node_end run();
+
+private:
+    class implementation;
+    explicit node_process(std::unique_ptr<implementation> inside);
+    std::unique_ptr<implementation> m_inside;
+};
+
+} // namespace peridotrudder
--- /dev/null
+++ b/include/peridotrudder/node/node_settings.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+/// @file
+/// Settings of a scheduler node.
+
+#include "peridotrudder/base/clock.hpp"
+#include "peridotrudder/settings/ini_reader.hpp"
+
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace peridotrudder {
+
+/// Where something listens.
+struct endpoint {
+    std::string m_address;
+    std::uint16_t m_port{0};
+};
+
+struct node_settings {
+    std::string m_name;
+    std::string m_zone;
+    endpoint m_callers;
+    endpoint m_ready;
+    endpoint m_peers;
+    endpoint m_metrics;
+    std::string m_cluster_token;
+    /// "ADDRESS:PORT" of the platform's log, VM control and placement policy service; the last may
+    /// be empty.
+    std::string m_log;
+    std::string m_vm_control;
+    std::string m_policy;
+    /// Longest lease that a worker grants.
+    milliseconds m_longest_lease{6'000};
+    /// Time from SIGTERM to SIGKILL.
+    milliseconds m_grace{6'000};
+    /// Time for which an ended job can be asked for.
+    milliseconds m_retention{120'000};
+    /// Time in which no two nodes may order the same VM in turn.
+    milliseconds m_vm_lease{3'000};
+    milliseconds m_move_time{1'500};
+    milliseconds m_maintenance_time{2'000};
+};
+
+/// Returns the settings in an INI file, or every fault in it. Unknown sections and keys are faults,
+/// so that a misspelt key does not pass for its default.
+tl::expected<node_settings, std::vector<settings_error>>
+load_node_settings(const std::string& path);
+
+/// Returns the settings in INI text; `name` stands for the file in errors.
+tl::expected<node_settings, std::vector<settings_error>>
+parse_node_settings(const std::string& name, std::string_view text);
+
+} // namespace peridotrudder
--- /dev/null
+++ b/include/peridotrudder/ownership/topic_follower.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+/// @file
+/// Follows a keyed topic of the log: all that is there first, then every change.
+
+#include "peridotrudder/base/loop_port.hpp"
+#include "peridotrudder/ownership/log_port.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace peridotrudder {
+
+struct follower_options {
+    std::string m_topic;
+    /// How long a read may wait for a record. Short enough that an answer lost on the way is made
+    /// good in time.
+    milliseconds m_wait{900};
+    /// Pause between reads, where many records are written.
+    milliseconds m_pause{0};
+    milliseconds m_retry_pause{150};
+};
+
+/// What a follower reports.
+struct follower_events {
+    /// Everything that the topic holds: at first, and when changes were missed.
+    std::function<void(const std::vector<kept_record>&)> m_snapshot;
+    /// Changes, in order.
+    std::function<void(const std::vector<kept_record>&)> m_changes;
+    /// A read failed.
+    std::function<void(log_result)> m_failed;
+    /// Where the topic ends, after each answer that told it.
+    std::function<void(std::uint64_t end)> m_end;
+};
+
+/// Reads until it is destroyed. Not thread-safe; calls back on the loop.
+class topic_follower {
+public:
+    static std::unique_ptr<topic_follower> create(follower_options options, log_port port,
+                                                  loop_port loop, follower_events events);
+
+    void start();
+    /// Returns when the newest answer came.
+    time_point answered_at() const { return m_answered_at; }
+
+private:
+    topic_follower(follower_options options, log_port port, loop_port loop, follower_events events);
+
+    void read_all();
+    void read_on();
+    void take_all(const newest_answer& answer);
+    void take_changes(const read_answer& answer);
+    void again(milliseconds pause, void (topic_follower::*step)());
+
+    follower_options m_options;
+    log_port m_port;
+    loop_port m_loop;
+    follower_events m_events;
+    std::uint64_t m_next{0};
+    time_point m_answered_at;
+    /// Outlives the follower in the answers that are under way.
+    std::shared_ptr<topic_follower*> m_self;
+};
+
+} // namespace peridotrudder
--- /dev/null
+++ b/include/peridotrudder/scheduling/placement.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+/// @file
+/// Chooses the worker for a task.
+
+#include "peridotrudder/jobs/job_spec.hpp"
+#include "peridotrudder/machines/worker_session.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace peridotrudder {
+
+/// A worker that the scheduler may use, and what it thinks of it.
+struct candidate {
+    worker_session* m_session{nullptr};
+    /// Its VM is being emptied: only if there is no other, and not at all for long-running tasks.
+    bool m_leaving{false};
+    /// Recently failed or stalled: used last.
+    bool m_doubted{false};
+    /// Processor time that filling tasks there would take, in thousandths of a core.
+    std::int64_t m_filling{0};
+    std::uint32_t m_long_running{0};
+};
+
+/// What a task needs beside its step's specification.
+struct task_need {
+    const step_spec* m_step{nullptr};
+    std::string m_job;
+    std::uint32_t m_occurrence{0};
+    std::uint32_t m_step_index{0};
+    /// Worker where the task failed last; avoided. Empty for none.
+    std::string m_avoid;
+    /// A further failure fails the job: no doubted worker is used.
+    bool m_last_attempt{false};
+};
+
+/// Returns the room that the task takes on a worker. Filling tasks reserve no processor.
+resources reserved_for(const step_spec& step);
+
+/// Returns the best candidate, or null if none fits.
+///
+/// Answers a load whose queues take turns: tasks are packed on the fullest worker that has room, so
+/// that other VMs fall idle whole and can follow the demand. Long-running tasks gather on few VMs
+/// for the same reason; filling tasks go where the most processor time is left over.
+candidate* choose_worker(const task_need& need, std::vector<candidate>& candidates, time_point now);
+
+} // namespace peridotrudder
--- /dev/null
+++ b/include/peridotrudder/scheduling/pool_config.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+/// @file
+/// The operators' configuration, as far as jobs are concerned.
+
+#include "peridotrudder/jobs/queue_config.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace peridotrudder {
+
+/// A pool of VMs.
+struct pool_config {
+    std::string m_name;
+    /// The VMs of this pool are switched off.
+    bool m_spare{false};
+    /// The pool's workers reject by themselves what does not fit.
+    bool m_guards_capacity{false};
+};
+
+/// One version of the configuration.
+class fleet_config {
+public:
+    static fleet_config create(std::uint64_t version, std::vector<queue_config> queues,
+                               std::vector<pool_config> pools);
+
+    std::uint64_t version() const { return m_version; }
+    const std::vector<queue_config>& queues() const { return m_queues; }
+    const std::vector<pool_config>& pools() const { return m_pools; }
+    /// Returns the queue with the host and the longest prefix that the path begins with, or null.
+    const queue_config* match(std::string_view host, std::string_view path) const;
+    const queue_config* find_queue(std::string_view key) const;
+    const pool_config* find_pool(std::string_view name) const;
+
+private:
+    std::uint64_t m_version{0};
+    std::vector<queue_config> m_queues;
+    std::vector<pool_config> m_pools;
+};
+
+} // namespace peridotrudder
--- /dev/null
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+/// @file
+/// What an owner knows: its jobs, its workers and the configuration. Shared by the scheduler's
+/// modules, which change it each in its own respect.
+
+#include "peridotrudder/jobs/job_book.hpp"
+#include "peridotrudder/machines/worker_health.hpp"
+#include "peridotrudder/machines/worker_session.hpp"
+#include "peridotrudder/scheduling/job_call.hpp"
+#include "peridotrudder/scheduling/pool_config.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace peridotrudder {
+
+/// One line of the decision log.
+struct decision {
+    std::string_view m_event;
+    std::string m_job;
+    std::string m_worker;
+    std::string m_detail;
+};
+
+/// How the scheduler reaches the world. Every hook must be set; none may call back at once.
+struct scheduler_ports {
+    std::function<void(const worker_report&, const start_order&)> m_start;
+    std::function<void(const worker_report&, const stop_order&)> m_stop;
+    std::function<void(const worker_report&, const pace_order&)> m_pace;
+    std::function<void(const worker_report&, const hold_order&)> m_hold;
+    std::function<void(std::uint64_t token, const call_answer&)> m_answer;
+    std::function<void(const decision&)> m_log;
+    /// A worker has seen a higher fencing token: this owner has a successor.
+    std::function<void()> m_deposed;
+};
+
+/// An answer that must wait until what it tells is recorded.
+struct answer_effect {
+    std::uint64_t m_token{0};
+    call_answer m_answer;
+};
+
+/// A start that must wait until it is recorded, so that a successor knows of it.
+struct start_effect {
+    worker_life m_life;
+    run_key m_key;
+    std::uint32_t m_run{0};
+};
+
+/// Ends that a worker may forget once they are recorded.
+struct ends_effect {
+    worker_life m_life;
+    std::uint64_t m_number{0};
+};
+
+using write_effect = std::variant<answer_effect, start_effect, ends_effect>;
+
+/// Records to write at once, and what follows when they are written.
+struct write_batch {
+    std::vector<kept_record> m_records;
+    std::vector<write_effect> m_effects;
+    /// Jobs whose state is among the records.
+    std::set<std::string> m_jobs;
+};
+
+struct scheduler_options {
+    std::uint64_t m_fence{0};
+    lease_options m_lease;
+    /// Time for which an ended job can be asked for.
+    milliseconds m_retention{120'000};
+};
+
+struct scheduler_state {
+    scheduler_options m_options;
+    scheduler_ports m_ports;
+    job_book m_book;
+    fleet_config m_config;
+    std::map<std::string, worker_session, std::less<>> m_workers;
+    std::map<std::string, worker_health, std::less<>> m_health;
+    /// Workers whose VMs are being emptied.
+    std::set<std::string, std::less<>> m_leaving;
+    /// Jobs that may have tasks to start.
+    std::set<std::string> m_hungry;
+    /// Worker of a task's newest failure.
+    std::map<run_key, std::string> m_failed_on;
+    /// What follows once the next batch is written.
+    std::vector<write_effect> m_effects;
+    bool m_deposed{false};
+
+    worker_session* find_worker(std::string_view id);
+    /// Returns the worker if it is still in this life.
+    worker_session* find_life(const worker_life& life);
+    /// Returns the job's queue as it is configured now, or as it was when the job came.
+    const queue_config& queue_of(const job_header& header) const;
+    worker_health& health_of(const std::string& pool);
+    std::size_t pool_size(std::string_view pool) const;
+    void changed(const std::string& job_id);
+    void log(std::string_view event, const std::string& job, const std::string& worker,
+             std::string detail) const;
+};
+
+} // namespace peridotrudder
--- /dev/null
+++ b/include/peridotrudder/scheduling/task_placer.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+/// @file
+/// Gives waiting tasks room on workers.
+
+#include "peridotrudder/scheduling/run_control.hpp"
+#include "peridotrudder/scheduling/work_order.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace peridotrudder {
+
+/// One pass over all waiting work, pool by pool. Not thread-safe.
+class task_placer {
+public:
+    explicit task_placer(scheduler_state& state) : m_state{&state} {}
+
+    /// Places what has room. Starts are sent only after they are recorded.
+    void place_all(moment now);
+
+private:
+    struct waiting_job {
+        work_rank m_rank;
+        job* m_job{nullptr};
+        const queue_config* m_queue{nullptr};
+    };
+
+    std::map<std::string, std::vector<waiting_job>> collect(moment now);
+    std::vector<candidate> candidates_of(const std::string& pool, time_point now);
+    /// Returns whether all tasks that may start have been placed.
+    bool place_job(const waiting_job& waiting, std::vector<candidate>& candidates, moment now);
+    bool place_step(const waiting_job& waiting, std::uint32_t occurrence, std::uint32_t step,
+                    std::vector<candidate>& candidates, moment now);
+    bool place_gang(const waiting_job& waiting, std::uint32_t occurrence, std::uint32_t step,
+                    std::vector<candidate>& candidates, moment now);
+    task_need need_of(const waiting_job& waiting, const task_ref& ref) const;
+    void place_task(job& of, const task_ref& ref, candidate& where);
+
+    scheduler_state* m_state;
+};
+
+} // namespace peridotrudder
--- a/include/peridotrudder/telemetry/log.hpp
+++ b/include/peridotrudder/telemetry/log.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Logs as JSON lines on standard error; the only module that knows log4cxx.
+/// Logs as JSON lines on standard output; the only module that knows log4cxx.
 
 #include <initializer_list>
 #include <string>
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -5,6 +5,7 @@
 #include "peridotrudder/entry/caller_api.hpp"
 #include "peridotrudder/entry/operator_api.hpp"
 #include "peridotrudder/links/peer_mesh.hpp"
+#include "peridotrudder/links/peer_messages.hpp"
 #include "peridotrudder/links/vm_list_reader.hpp"
 #include "peridotrudder/membership/failure_detector.hpp"
 #include "peridotrudder/telemetry/log.hpp"
@@ -72,7 +73,7 @@
           m_upstreams{http_client::create()},
           m_router{make_router_options(settings, m_self),
                    {[this](const std::string& to, const peer_message& message) {
-                        return m_mesh->send(to, message);
+                        return m_mesh->send(to, encode_peer_message(message));
                     },
                     m_upstreams.get(), &m_metrics, &m_spans}},
           m_callers{m_router, m_metrics, m_spans},
@@ -143,8 +144,12 @@
         options.m_self = m_self;
         options.m_cluster_token = m_settings.m_cluster_token;
         auto mesh = peer_mesh::create(
-            options, [this](const std::string& from, const peer_message& message) {
-                std::visit([&](const auto& each) { receive(from, each); }, message);
+            options, [this](const std::string& from, gsl::span<const std::uint8_t> frame) {
+                const auto message = decode_peer_message(frame);
+                if (message) {
+                    std::visit([&](const auto& each) { receive(from, each); }, *message);
+                }
+                return message.has_value();
             });
         if (!mesh) {
             report_listen_error(mesh.error());
@@ -302,7 +307,7 @@
             m_detector.heard(from, message.m_suspects, now_point());
         }
         if (message.m_next_offset > m_log.state()->next_offset() && !m_log.is_connected()) {
-            m_mesh->send(from, tail_request{m_log.state()->next_offset()});
+            m_mesh->send(from, encode_peer_message(tail_request{m_log.state()->next_offset()}));
         }
         if (message.m_leaving_vms.empty()) {
             return;
@@ -325,7 +330,7 @@
         if (reply.m_records.empty() && m_log.state()->next_offset() > message.m_from) {
             reply.m_snapshot = m_log.state()->to_json();
         }
-        m_mesh->send(from, reply);
+        m_mesh->send(from, encode_peer_message(reply));
     }
 
     void receive(const std::string& /*from*/, const tail_reply& message)
@@ -404,7 +409,7 @@
         }
         for (const auto& each : state->current_view().m_members) {
             if (each.m_incarnation != m_self) {
-                m_mesh->send(each.m_incarnation, message);
+                m_mesh->send(each.m_incarnation, encode_peer_message(message));
             }
         }
     }
--- /dev/null
+++ b/src/jobs/job_book.cpp
@@ -0,0 +1,117 @@
+#include "peridotrudder/jobs/job_book.hpp"
+
+namespace peridotrudder {
+
+namespace {
+
+constexpr std::string_view header_prefix = "job/";
+constexpr std::string_view state_prefix = "run/";
+
+bool begins_with(std::string_view text, std::string_view prefix)
+{
+    return text.substr(0, prefix.size()) == prefix;
+}
+
+std::string key_of(std::string_view prefix, std::string_view id)
+{
+    return std::string{prefix}.append(id);
+}
+
+tl::expected<job, decode_error> read_job(const std::vector<std::uint8_t>& header,
+                                         const std::vector<std::uint8_t>* state)
+{
+    const auto json = parse_cbor(header);
+    if (!json) {
+        return tl::make_unexpected(json.error());
+    }
+    auto read = decode_packed<job_header>(*json);
+    if (!read) {
+        return tl::make_unexpected(read.error());
+    }
+    if (check_spec(read->m_spec) != spec_fault::none) {
+        return tl::make_unexpected(decode_error{decode_fault::out_of_range, "spec"});
+    }
+    return state == nullptr ? job::create(std::move(*read)) : job::restore(std::move(*read), *state);
+}
+
+} // namespace
+
+job_book job_book::restore(const std::vector<kept_record>& records, restore_report& report)
+{
+    std::map<std::string_view, const std::vector<std::uint8_t>*> states;
+    for (const auto& each : records) {
+        if (each.m_value && begins_with(each.m_key, state_prefix)) {
+            states[std::string_view{each.m_key}.substr(state_prefix.size())] = &*each.m_value;
+        }
+    }
+    job_book book;
+    for (const auto& each : records) {
+        if (!each.m_value || !begins_with(each.m_key, header_prefix)) {
+            continue;
+        }
+        const auto id = each.m_key.substr(header_prefix.size());
+        const auto state = states.find(id);
+        auto read = read_job(*each.m_value, state == states.end() ? nullptr : state->second);
+        if (!read || read->header().m_id != id) {
+            report.m_damaged.push_back(each.m_key);
+            continue;
+        }
+        book.m_jobs.emplace(id, std::move(*read));
+    }
+    report.m_jobs = book.m_jobs.size();
+    return book;
+}
+
+job& job_book::add(job_header header)
+{
+    const auto id = header.m_id;
+    m_without_header.insert(id);
+    m_dirty.insert(id);
+    return m_jobs.emplace(id, job::create(std::move(header))).first->second;
+}
+
+job* job_book::find(std::string_view id)
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+std::vector<kept_record> job_book::take_changes()
+{
+    std::vector<kept_record> records;
+    for (const auto& id : m_dirty) {
+        const auto* changed = find(id);
+        if (changed == nullptr) {
+            continue;
+        }
+        if (m_without_header.erase(id) != 0) {
+            records.push_back({key_of(header_prefix, id),
+                               nlohmann::json::to_cbor(encode_packed(changed->header())), 0});
+        }
+        records.push_back({key_of(state_prefix, id), changed->encode_state(), 0});
+    }
+    m_dirty.clear();
+    for (const auto& id : m_dropped) {
+        records.push_back({key_of(header_prefix, id), std::nullopt, 0});
+        records.push_back({key_of(state_prefix, id), std::nullopt, 0});
+    }
+    m_dropped.clear();
+    return records;
+}
+
+void job_book::expire(std::int64_t ended_before_ms)
+{
+    for (auto each = m_jobs.begin(); each != m_jobs.end();) {
+        const auto& old = each->second;
+        const bool over = old.phase() != job_phase::active && old.placed_tasks() == 0 &&
+                          old.ended_ms() < ended_before_ms && !dirty(each->first);
+        if (!over) {
+            ++each;
+            continue;
+        }
+        m_dropped.push_back(each->first);
+        each = m_jobs.erase(each);
+    }
+}
+
+} // namespace peridotrudder
--- /dev/null
+++ b/src/links/http_loop_client.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+/// @file
+/// The client that runs on a given loop.
+
+#include "peridotrudder/links/http_client.hpp"
+
+#include <asio/io_context.hpp>
+
+#include <memory>
+
+namespace peridotrudder::internal {
+
+/// Returns a client whose sockets and timers are watched by `loop`.
+std::unique_ptr<http_client::implementation> make_loop_client(asio::io_context& loop,
+                                                              long connections_per_host);
+
+} // namespace peridotrudder::internal
--- a/src/links/http_server.cpp
+++ b/src/links/http_server.cpp
@@ -8,9 +8,16 @@
 
 namespace {
 
+using library_handler = std::function<restinio::request_handling_status_t(
+    restinio::generic_request_handle_t<restinio::no_extra_data_factory_t::data_t>)>;
+
 struct server_traits : public restinio::default_traits_t {
-    using request_handler_t = std::function<restinio::request_handling_status_t(
-        restinio::generic_request_handle_t<restinio::no_extra_data_factory_t::data_t>)>;
+    using request_handler_t = library_handler;
+};
+
+/// For a server whose loop one thread runs.
+struct loop_traits : public restinio::default_single_thread_traits_t {
+    using request_handler_t = library_handler;
 };
 
 constexpr std::size_t max_url_bytes = 8'192;
@@ -61,6 +68,9 @@
     for (auto& each : response.m_headers) {
         builder.append_header(std::move(each.m_name), std::move(each.m_value));
     }
+    if (response.m_close_connection) {
+        builder.connection_close();
+    }
     builder.set_body(std::move(response.m_body));
     builder.done();
 }
@@ -73,10 +83,11 @@
     return restinio::request_accepted();
 }
 
-restinio::server_settings_t<server_traits> make_settings(const http_server_options& options,
-                                                         http_handler handler)
+template <typename Traits>
+restinio::server_settings_t<Traits> make_settings(const http_server_options& options,
+                                                  http_handler handler)
 {
-    restinio::server_settings_t<server_traits> settings;
+    restinio::server_settings_t<Traits> settings;
     settings.address(options.m_address)
         .port(options.m_port)
         .read_next_http_message_timelimit(options.m_read_timeout)
@@ -104,23 +115,72 @@
 
 class http_server::implementation {
 public:
+    implementation() = default;
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+    implementation(implementation&&) = delete;
+    implementation& operator=(implementation&&) = delete;
+    virtual ~implementation() = default;
+};
+
+namespace {
+
+/// Runs on threads of the library's.
+class threaded_server : public http_server::implementation {
+public:
+    threaded_server(const http_server_options& options, http_handler handler)
+        : m_running{restinio::run_async(restinio::own_io_context(),
+                                        make_settings<server_traits>(options, std::move(handler)),
+                                        options.m_threads)}
+    {
+    }
+
+private:
     using handle = decltype(restinio::run_async<server_traits>(
         restinio::own_io_context(), restinio::server_settings_t<server_traits>{}, 1));
+    handle m_running;
+};
 
-    explicit implementation(handle running) : m_running{std::move(running)} {}
+class loop_server : public http_server::implementation {
+public:
+    loop_server(asio::io_context& loop, const http_server_options& options, http_handler handler)
+        : m_server{restinio::external_io_context(loop),
+                   make_settings<loop_traits>(options, std::move(handler))}
+    {
+        m_server.open_sync();
+    }
+
+    loop_server(const loop_server&) = delete;
+    loop_server& operator=(const loop_server&) = delete;
+    loop_server(loop_server&&) = delete;
+    loop_server& operator=(loop_server&&) = delete;
+    ~loop_server() override { m_server.close_sync(); }
 
 private:
-    handle m_running;
+    restinio::http_server_t<loop_traits> m_server;
 };
 
+} // namespace
+
 tl::expected<std::unique_ptr<http_server>, listen_error>
 http_server::create(const http_server_options& options, http_handler handler)
 {
     try {
-        auto running =
-            restinio::run_async(restinio::own_io_context(),
-                                make_settings(options, std::move(handler)), options.m_threads);
-        auto inside = std::make_unique<implementation>(std::move(running));
+        auto inside = std::make_unique<threaded_server>(options, std::move(handler));
+        return std::unique_ptr<http_server>{new http_server{std::move(inside)}};
+    }
+    catch (const std::exception& exception) {
+        return tl::make_unexpected(
+            listen_error{options.m_address, options.m_port, exception.what()});
+    }
+}
+
+tl::expected<std::unique_ptr<http_server>, listen_error>
+http_server::create_on(asio::io_context& loop, const http_server_options& options,
+                       http_handler handler)
+{
+    try {
+        auto inside = std::make_unique<loop_server>(loop, options, std::move(handler));
         return std::unique_ptr<http_server>{new http_server{std::move(inside)}};
     }
     catch (const std::exception& exception) {
--- a/src/links/peer_mesh.cpp
+++ b/src/links/peer_mesh.cpp
@@ -29,6 +29,7 @@
 /// A link whose peer reads no more is given up once so much waits to be sent.
 constexpr std::size_t max_buffered_bytes = 33'554'432;
 constexpr const char* incarnation_header = "X-Peridot-Incarnation";
+constexpr const char* target_header = "X-Peridot-Target";
 
 /// A link that this process opened.
 struct outgoing_link {
@@ -42,9 +43,14 @@
 
 class peer_mesh::implementation {
 public:
-    implementation(peer_mesh_options options, peer_handler handler)
+    /// Runs on `loop`, or on a thread of its own if that is null.
+    implementation(asio::io_context* loop, peer_mesh_options options, peer_handler handler,
+                   link_handler on_link)
         : m_options{std::move(options)},
           m_handler{std::move(handler)},
+          m_on_link{std::move(on_link)},
+          m_own_context{loop == nullptr ? std::make_unique<asio::io_context>() : nullptr},
+          m_context{loop == nullptr ? *m_own_context : *loop},
           m_reconnect{m_context}
     {
         set_up_server();
@@ -60,7 +66,9 @@
 
     void stop()
     {
-        m_context.stop();
+        if (m_own_context) {
+            m_own_context->stop();
+        }
         if (m_thread.joinable()) {
             m_thread.join();
         }
@@ -73,7 +81,9 @@
         m_server.listen(endpoint);
         m_server.start_accept();
         schedule_reconnect();
-        m_thread = std::thread{[this] { m_context.run(); }};
+        if (m_own_context) {
+            m_thread = std::thread{[this] { m_context.run(); }};
+        }
     }
 
     void set_peers(const std::vector<peer_endpoint>& peers)
@@ -81,7 +91,7 @@
         asio::post(m_context, [this, peers] { replace_peers(peers); });
     }
 
-    bool send(const std::string& to, const peer_message& message)
+    bool send(const std::string& to, std::vector<std::uint8_t> frame)
     {
         connection_hdl connection;
         {
@@ -93,7 +103,11 @@
             connection = found->second.m_connection;
         }
         // The library's count of waiting bytes has no lock: only the mesh's thread touches a link.
-        asio::post(m_context, [this, connection, frame = encode_peer_message(message)] {
+        if (!m_own_context) {
+            write(connection, frame);
+            return true;
+        }
+        asio::post(m_context, [this, connection, frame = std::move(frame)] {
             write(connection, frame);
         });
         return true;
@@ -160,7 +174,8 @@
         const auto expected = fmt::format("Bearer {}", m_options.m_cluster_token);
         const auto& given = connection->get_request_header("Authorization");
         const bool named = !connection->get_request_header(incarnation_header).empty();
-        return named && equal_secrets(given, expected);
+        const bool meant = connection->get_request_header(target_header) == m_options.m_self;
+        return named && meant && equal_secrets(given, expected);
     }
 
     void receive(const connection_hdl& hdl, const std::string& payload)
@@ -169,13 +184,11 @@
         m_received_bytes += payload.size();
         // CBOR is bytes; the library hands them over as characters.
         const auto* data = reinterpret_cast<const std::uint8_t*>(payload.data());
-        auto message = decode_peer_message({data, payload.size()});
-        if (!message) {
+        const auto connection = m_server.get_con_from_hdl(hdl);
+        if (!m_handler(connection->get_request_header(incarnation_header),
+                       {data, payload.size()})) {
             ++m_rejected_messages;
-            return;
         }
-        const auto connection = m_server.get_con_from_hdl(hdl);
-        m_handler(connection->get_request_header(incarnation_header), std::move(*message));
     }
 
     void replace_peers(const std::vector<peer_endpoint>& peers)
@@ -245,6 +258,7 @@
         connection->append_header("Authorization",
                                   fmt::format("Bearer {}", m_options.m_cluster_token));
         connection->append_header(incarnation_header, m_options.m_self);
+        connection->append_header(target_header, peer.m_incarnation);
         const auto incarnation = peer.m_incarnation;
         connection->set_open_handler([this, incarnation](connection_hdl hdl) {
             send_without_delay(m_client.get_con_from_hdl(hdl));
@@ -259,28 +273,49 @@
 
     void mark_open(const std::string& incarnation, connection_hdl hdl)
     {
-        const std::lock_guard<std::mutex> lock{m_mutex};
-        const auto found = m_links.find(incarnation);
-        if (found != m_links.end()) {
+        {
+            const std::lock_guard<std::mutex> lock{m_mutex};
+            const auto found = m_links.find(incarnation);
+            if (found == m_links.end()) {
+                return;
+            }
             found->second.m_connection = std::move(hdl);
             found->second.m_open = true;
             found->second.m_connecting = false;
         }
+        tell(incarnation, true);
     }
 
     void mark_closed(const std::string& incarnation)
     {
-        const std::lock_guard<std::mutex> lock{m_mutex};
-        const auto found = m_links.find(incarnation);
-        if (found != m_links.end()) {
+        bool was_open = false;
+        {
+            const std::lock_guard<std::mutex> lock{m_mutex};
+            const auto found = m_links.find(incarnation);
+            if (found == m_links.end()) {
+                return;
+            }
+            was_open = found->second.m_open;
             found->second.m_open = false;
             found->second.m_connecting = false;
         }
+        if (was_open) {
+            tell(incarnation, false);
+        }
+    }
+
+    void tell(const std::string& incarnation, bool open)
+    {
+        if (m_on_link) {
+            m_on_link(incarnation, open);
+        }
     }
 
     peer_mesh_options m_options;
     peer_handler m_handler;
-    asio::io_context m_context;
+    link_handler m_on_link;
+    std::unique_ptr<asio::io_context> m_own_context;
+    asio::io_context& m_context;
     asio::steady_timer m_reconnect;
     ws_server m_server;
     ws_client m_client;
@@ -295,10 +330,12 @@
 };
 
 tl::expected<std::unique_ptr<peer_mesh>, listen_error>
-peer_mesh::create(const peer_mesh_options& options, peer_handler handler)
+peer_mesh::open(asio::io_context* loop, const peer_mesh_options& options, peer_handler handler,
+                link_handler on_link)
 {
     try {
-        auto inside = std::make_unique<implementation>(options, std::move(handler));
+        auto inside = std::make_unique<implementation>(loop, options, std::move(handler),
+                                                       std::move(on_link));
         inside->start();
         return std::unique_ptr<peer_mesh>{new peer_mesh{std::move(inside)}};
     }
@@ -308,6 +345,19 @@
     }
 }
 
+tl::expected<std::unique_ptr<peer_mesh>, listen_error>
+peer_mesh::create(const peer_mesh_options& options, peer_handler handler)
+{
+    return open(nullptr, options, std::move(handler), {});
+}
+
+tl::expected<std::unique_ptr<peer_mesh>, listen_error>
+peer_mesh::create_on(asio::io_context& loop, const peer_mesh_options& options,
+                     peer_handler handler, link_handler on_link)
+{
+    return open(&loop, options, std::move(handler), std::move(on_link));
+}
+
 peer_mesh::peer_mesh(std::unique_ptr<implementation> inside) : m_inside{std::move(inside)} {}
 
 peer_mesh::~peer_mesh() = default;
@@ -317,9 +367,9 @@
     m_inside->set_peers(peers);
 }
 
-bool peer_mesh::send(const std::string& to, const peer_message& message)
+bool peer_mesh::send(const std::string& to, std::vector<std::uint8_t> frame)
 {
-    return m_inside->send(to, message);
+    return m_inside->send(to, std::move(frame));
 }
 
 void peer_mesh::stop()
--- a/src/machines/worker_health.cpp
+++ b/src/machines/worker_health.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr std::uint32_t failures_to_eject = 5;
 constexpr milliseconds first_ejection{1'000};
 constexpr std::uint32_t max_doublings = 6;
 /// Workers in a hundred that may be ejected at once.
@@ -15,6 +14,13 @@
 
 } // namespace
 
+worker_health worker_health::create(std::uint32_t failures_to_eject)
+{
+    worker_health made;
+    made.m_failures_to_eject = failures_to_eject;
+    return made;
+}
+
 void worker_health::succeeded(std::string_view vm)
 {
     const auto found = m_records.find(vm);
@@ -28,7 +34,7 @@
     auto& watched = m_records[std::string{vm}];
     ++watched.m_failures_in_a_row;
     // A worker that comes back from an ejection has to succeed first: one failure ejects it again.
-    const bool due = watched.m_failures_in_a_row >= failures_to_eject || watched.m_ejections > 0;
+    const bool due = watched.m_failures_in_a_row >= m_failures_to_eject || watched.m_ejections > 0;
     const bool capped = (ejected(now) + 1) * percent > pool_size * max_ejected_percent;
     if (!due || capped || now < watched.m_ejected_until) {
         return;
--- /dev/null
+++ b/src/node/call_router.cpp
@@ -0,0 +1,106 @@
+#include "peridotrudder/node/call_router.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace peridotrudder {
+
+call_router call_router::create(router_options options, sender send)
+{
+    call_router made;
+    made.m_options = options;
+    made.m_send = std::move(send);
+    return made;
+}
+
+void call_router::take(job_call call, milliseconds time_left, call_responder respond,
+                       time_point now)
+{
+    const auto number = m_next_number++;
+    kept_call kept;
+    kept.m_call = std::move(call);
+    kept.m_respond = std::move(respond);
+    kept.m_deadline = now + std::max(time_left - m_options.m_answer_margin, milliseconds{0});
+    kept.m_patience = now + m_options.m_ownerless_patience;
+    const auto added = m_calls.emplace(number, std::move(kept)).first;
+    send(number, added->second);
+}
+
+void call_router::send(std::uint64_t number, kept_call& each)
+{
+    each.m_under_way = m_send(number, each.m_call);
+    each.m_unresolved += each.m_under_way ? 1 : 0;
+}
+
+void call_router::finish(std::uint64_t number, const call_answer& answer)
+{
+    const auto found = m_calls.find(number);
+    if (found == m_calls.end()) {
+        return;
+    }
+    const auto respond = std::move(found->second.m_respond);
+    m_calls.erase(found);
+    respond(answer);
+}
+
+void call_router::answered(std::uint64_t number, const call_answer& answer, time_point /*now*/)
+{
+    const auto found = m_calls.find(number);
+    if (found == m_calls.end()) {
+        return;
+    }
+    if (answer.m_status == call_status::not_owner) {
+        // It did nothing there; it goes to the owner as soon as one is known.
+        found->second.m_under_way = false;
+        --found->second.m_unresolved;
+        return;
+    }
+    finish(number, answer);
+}
+
+void call_router::owner_changed(time_point /*now*/)
+{
+    std::vector<std::uint64_t> numbers;
+    for (const auto& each : m_calls) {
+        numbers.push_back(each.first);
+    }
+    for (const auto number : numbers) {
+        const auto found = m_calls.find(number);
+        if (found != m_calls.end()) {
+            send(number, found->second);
+        }
+    }
+}
+
+void call_router::owner_lost(time_point now)
+{
+    for (auto& [number, each] : m_calls) {
+        each.m_under_way = false;
+        each.m_patience = std::max(each.m_patience, now + m_options.m_ownerless_patience);
+    }
+}
+
+void call_router::tick(time_point now)
+{
+    std::vector<std::pair<std::uint64_t, call_answer>> over;
+    for (auto& [number, each] : m_calls) {
+        if (!each.m_under_way) {
+            send(number, each);
+        }
+        const bool no_owner = each.m_unresolved == 0 && now >= each.m_patience;
+        if (now < each.m_deadline && !no_owner) {
+            continue;
+        }
+        call_answer answer;
+        // What was sent may have been recorded: only the owner could tell.
+        answer.m_status =
+            each.m_unresolved > 0 ? call_status::unknown_outcome : call_status::unavailable;
+        answer.m_retry_after = m_options.m_retry_after;
+        over.emplace_back(number, answer);
+    }
+    for (const auto& [number, answer] : over) {
+        finish(number, answer);
+    }
+}
+
+} // namespace peridotrudder
--- /dev/null
+++ b/src/node/fleet_owner.cpp
@@ -0,0 +1,390 @@
+#include "peridotrudder/node/fleet_owner.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+
+namespace peridotrudder {
+
+namespace {
+
+constexpr std::string_view journal_topic = "keyed.jobs";
+constexpr std::string_view journal_producer = "owner";
+constexpr std::string_view proof_key = "proof";
+/// Workers renew their entries all the time: reading at a steady pace bounds what that costs.
+constexpr milliseconds worker_read_pause{150};
+constexpr milliseconds load_retry{100};
+
+} // namespace
+
+std::unique_ptr<fleet_owner> fleet_owner::create(owner_options options, owner_ports ports)
+{
+    return std::unique_ptr<fleet_owner>{new fleet_owner{options, std::move(ports)}};
+}
+
+fleet_owner::fleet_owner(owner_options options, owner_ports ports)
+    : m_options{options},
+      m_ports{std::move(ports)},
+      m_self{std::make_shared<fleet_owner*>(this)}
+{
+    m_options.m_scheduler.m_fence = m_options.m_epoch;
+    m_options.m_scheduler.m_lease.m_predecessor_grace = m_options.m_hold_proof;
+}
+
+void fleet_owner::start()
+{
+    journal_options options;
+    options.m_topic = journal_topic;
+    options.m_producer = journal_producer;
+    options.m_epoch = m_options.m_epoch;
+    m_journal = journal_writer::create(options, m_ports.m_log,
+                                       {[this] { journal_written(); }, [this] { journal_fenced(); }});
+    m_journal->claim(m_ports.m_loop.m_now().m_at);
+    // Nobody else's writes matter for these, so they are read while the claim is under way.
+    follow_operators();
+    follow_workers();
+}
+
+void fleet_owner::journal_written()
+{
+    if (m_phase == owner_phase::claiming) {
+        m_phase = owner_phase::loading;
+        read_journal();
+        return;
+    }
+    if (m_writing) {
+        auto batch = std::move(*m_writing);
+        m_writing.reset();
+        m_scheduler->written(std::move(batch), m_ports.m_loop.m_now());
+    }
+    pump();
+}
+
+void fleet_owner::journal_fenced()
+{
+    end();
+}
+
+void fleet_owner::end()
+{
+    if (m_phase != owner_phase::ended) {
+        m_phase = owner_phase::ended;
+        m_ports.m_ended();
+    }
+}
+
+void fleet_owner::read_journal()
+{
+    const std::weak_ptr<fleet_owner*> self = m_self;
+    m_ports.m_log.m_newest(std::string{journal_topic}, [self](newest_answer answer) {
+        const auto alive = self.lock();
+        if (!alive) {
+            return;
+        }
+        auto& owner = **alive;
+        if (answer.m_result != log_result::ok) {
+            owner.m_ports.m_loop.m_after(load_retry, [self] {
+                if (const auto still = self.lock()) {
+                    (*still)->read_journal();
+                }
+            });
+            return;
+        }
+        owner.m_journal_records = std::move(answer.m_records);
+        owner.m_journal_read = true;
+        owner.serve_when_loaded();
+    });
+}
+
+void fleet_owner::follow_operators()
+{
+    follower_options options;
+    options.m_topic = m_ports.m_wire.m_operator_topic;
+    follower_events events;
+    events.m_snapshot = [this](const std::vector<kept_record>& records) {
+        m_operators_read = true;
+        if (m_scheduler == nullptr) {
+            m_operator_snapshot = records;
+            serve_when_loaded();
+            return;
+        }
+        take_operator_records(records);
+    };
+    events.m_changes = [this](const std::vector<kept_record>& records) {
+        if (m_scheduler == nullptr) {
+            m_operator_snapshot.insert(m_operator_snapshot.end(), records.begin(), records.end());
+            serve_when_loaded();
+            return;
+        }
+        take_operator_records(records);
+    };
+    events.m_failed = [](log_result /*result*/) {};
+    events.m_end = [](std::uint64_t /*end*/) {};
+    m_operators = topic_follower::create(options, m_ports.m_log, m_ports.m_loop, events);
+    m_operators->start();
+}
+
+void fleet_owner::follow_workers()
+{
+    follower_options options;
+    options.m_topic = m_ports.m_wire.m_worker_topic;
+    options.m_pause = worker_read_pause;
+    follower_events events;
+    events.m_snapshot = [this](const std::vector<kept_record>& records) {
+        m_workers_read = true;
+        if (m_scheduler == nullptr) {
+            m_worker_snapshot = records;
+            serve_when_loaded();
+            return;
+        }
+        take_worker_records(records, true);
+    };
+    events.m_changes = [this](const std::vector<kept_record>& records) {
+        if (m_scheduler == nullptr) {
+            m_worker_snapshot.insert(m_worker_snapshot.end(), records.begin(), records.end());
+            return;
+        }
+        take_worker_records(records, false);
+    };
+    events.m_failed = [](log_result /*result*/) {};
+    events.m_end = [](std::uint64_t /*end*/) {};
+    m_worker_list = topic_follower::create(options, m_ports.m_log, m_ports.m_loop, events);
+    m_worker_list->start();
+}
+
+void fleet_owner::serve_when_loaded()
+{
+    if (!m_journal_read || !m_operators_read || !m_workers_read || m_scheduler != nullptr) {
+        return;
+    }
+    const auto now = m_ports.m_loop.m_now();
+    restore_report report;
+    auto book = job_book::restore(m_journal_records, report);
+    m_ports.m_decided({"owner_loaded", "", "",
+                       fmt::format("{} jobs, {} damaged records", report.m_jobs,
+                                   report.m_damaged.size())});
+    m_scheduler = job_scheduler::create(m_options.m_scheduler, make_scheduler_ports(),
+                                        std::move(book), now);
+    m_planner = fleet_planner::create(m_options.m_planner, m_options.m_epoch, now.m_at);
+    m_planner->restore(m_journal_records);
+    m_journal_records.clear();
+    take_operator_records(m_operator_snapshot);
+    take_worker_records(m_worker_snapshot, true);
+    m_operator_snapshot.clear();
+    m_worker_snapshot.clear();
+    m_scheduler->begin(now);
+    m_phase = owner_phase::serving;
+    auto early = std::move(m_early_calls);
+    for (const auto& [token, call] : early) {
+        take_call(token, call);
+    }
+    pump();
+}
+
+void fleet_owner::take_operator_records(const std::vector<kept_record>& records)
+{
+    const auto now = m_ports.m_loop.m_now();
+    for (const auto& each : records) {
+        if (!each.m_value) {
+            continue;
+        }
+        if (each.m_key == m_ports.m_wire.m_config_key) {
+            auto config = m_ports.m_wire.m_config(*each.m_value);
+            if (!config) {
+                m_ports.m_decided({"config_unreadable", "", "", config.error().m_field});
+                continue;
+            }
+            if (m_configured && config->version() < m_scheduler->state().m_config.version()) {
+                continue;
+            }
+            m_ports.m_decided({"config_taken", "", "", std::to_string(config->version())});
+            m_configured = true;
+            m_scheduler->set_config(std::move(*config));
+            pump();
+            continue;
+        }
+        if (each.m_key.rfind(m_ports.m_wire.m_wave_prefix, 0) == 0) {
+            auto wave = m_ports.m_wire.m_wave(*each.m_value);
+            if (!wave) {
+                m_ports.m_decided({"wave_unreadable", "", "", wave.error().m_field});
+                continue;
+            }
+            m_planner->declare(std::move(*wave), each.m_key, now);
+        }
+    }
+}
+
+void fleet_owner::take_worker_records(const std::vector<kept_record>& records, bool snapshot)
+{
+    const auto now = m_ports.m_loop.m_now();
+    std::set<std::string> listed;
+    for (const auto& each : records) {
+        if (!each.m_value) {
+            m_scheduler->worker_unlisted(each.m_key, now);
+            listed.erase(each.m_key);
+            continue;
+        }
+        const auto report = m_ports.m_wire.m_worker(each.m_key, *each.m_value);
+        if (!report || m_scheduler->state().m_config.find_pool(report->m_pool) == nullptr) {
+            if (m_unusable_workers.insert(each.m_key).second) {
+                m_ports.m_decided({"worker_unusable", "", each.m_key,
+                                   report ? report->m_pool : report.error().m_field});
+            }
+            m_scheduler->worker_unlisted(each.m_key, now);
+            continue;
+        }
+        m_unusable_workers.erase(each.m_key);
+        listed.insert(each.m_key);
+        m_scheduler->worker_listed(*report, now);
+    }
+    if (snapshot) {
+        std::vector<std::string> missing;
+        for (const auto& [id, session] : m_scheduler->state().m_workers) {
+            if (listed.count(id) == 0) {
+                missing.push_back(id);
+            }
+        }
+        for (const auto& id : missing) {
+            m_scheduler->worker_unlisted(id, now);
+        }
+    }
+    pump();
+}
+
+void fleet_owner::take_call(std::uint64_t token, const job_call& call)
+{
+    if (m_phase == owner_phase::ended) {
+        m_ports.m_answer(token, {call_status::not_owner, {}, 0, milliseconds{0}});
+        return;
+    }
+    if (m_phase != owner_phase::serving) {
+        m_early_calls.emplace_back(token, call);
+        return;
+    }
+    if (!m_configured) {
+        m_ports.m_answer(token, {call_status::unavailable, {}, 0, milliseconds{1'000}});
+        return;
+    }
+    m_scheduler->take_call(token, call, m_ports.m_loop.m_now());
+    pump();
+}
+
+void fleet_owner::pump()
+{
+    while (m_phase == owner_phase::serving && !m_journal->busy() && m_scheduler->wants_write()) {
+        auto batch = m_scheduler->take_batch(m_ports.m_loop.m_now());
+        if (!batch.m_records.empty()) {
+            auto records = batch.m_records;
+            m_writing = std::move(batch);
+            m_journal->write(std::move(records), m_ports.m_loop.m_now().m_at);
+            return;
+        }
+        if (batch.m_effects.empty()) {
+            return;
+        }
+        m_scheduler->written(std::move(batch), m_ports.m_loop.m_now());
+    }
+}
+
+void fleet_owner::tick()
+{
+    const auto now = m_ports.m_loop.m_now();
+    m_journal->tick(now.m_at);
+    if (m_phase != owner_phase::serving) {
+        return;
+    }
+    m_scheduler->tick(now);
+    m_planner->tick(*m_scheduler, m_ports.m_vms, now);
+    pump();
+    if (m_phase == owner_phase::serving && !m_journal->busy() &&
+        now.m_at - m_journal->proven_at() > m_options.m_proof_interval) {
+        const auto text = std::to_string(now.m_unix_ms);
+        m_journal->write({{std::string{proof_key},
+                           std::vector<std::uint8_t>{text.begin(), text.end()}, 0}},
+                         now.m_at);
+    }
+}
+
+milliseconds fleet_owner::failing_for() const
+{
+    const auto since = m_journal->failing_since();
+    return since ? remaining(*since, m_ports.m_loop.m_now().m_at) : milliseconds{0};
+}
+
+bool fleet_owner::proven(milliseconds within) const
+{
+    return m_ports.m_loop.m_now().m_at - m_journal->proven_at() <= within;
+}
+
+scheduler_ports fleet_owner::make_scheduler_ports()
+{
+    scheduler_ports ports;
+    const std::weak_ptr<fleet_owner*> self = m_self;
+    ports.m_start = [this, self](const worker_report& to, const start_order& order) {
+        const auto life = to.m_life;
+        const auto key = order.m_key;
+        const auto run = order.m_run;
+        const auto answered = [self, life, key, run](const order_answer& answer) {
+            if (const auto alive = self.lock(); alive && (*alive)->m_scheduler) {
+                auto& owner = **alive;
+                owner.m_scheduler->start_answered(life, key, run, answer,
+                                                  owner.m_ports.m_loop.m_now());
+                owner.pump();
+            }
+        };
+        if (!proven(m_options.m_start_proof)) {
+            m_ports.m_loop.m_after(milliseconds{0}, [answered] {
+                answered({order_result::not_sent, std::nullopt});
+            });
+            return;
+        }
+        m_ports.m_workers.m_start(to, order, answered);
+    };
+    ports.m_stop = [this, self](const worker_report& to, const stop_order& order) {
+        const auto life = to.m_life;
+        const auto key = order.m_key;
+        const auto run = order.m_run;
+        m_ports.m_workers.m_stop(to, order, [self, life, key, run](const order_answer& answer) {
+            if (const auto alive = self.lock(); alive && (*alive)->m_scheduler) {
+                auto& owner = **alive;
+                owner.m_scheduler->stop_answered(life, key, run, answer,
+                                                 owner.m_ports.m_loop.m_now());
+                owner.pump();
+            }
+        });
+    };
+    ports.m_pace = [this](const worker_report& to, const pace_order& order) {
+        m_ports.m_workers.m_pace(to, order, [](const order_answer& /*answer*/) {});
+    };
+    ports.m_hold = [this, self](const worker_report& to, const hold_order& order) {
+        const auto life = to.m_life;
+        const auto sent_at = m_ports.m_loop.m_now().m_at;
+        auto sent = order;
+        if (!proven(m_options.m_hold_proof)) {
+            // Look, but do not renew what a successor may count as over.
+            sent.m_deadline_ms.reset();
+        }
+        m_ports.m_workers.m_hold(to, sent, [self, life, sent_at](const hold_answer& answer) {
+            if (const auto alive = self.lock(); alive && (*alive)->m_scheduler) {
+                auto& owner = **alive;
+                owner.m_scheduler->hold_answered(life, answer, sent_at,
+                                                 owner.m_ports.m_loop.m_now());
+                owner.pump();
+            }
+        });
+    };
+    ports.m_answer = m_ports.m_answer;
+    ports.m_log = m_ports.m_decided;
+    ports.m_deposed = [this, self] {
+        // Not at once: the caller is inside the scheduler.
+        m_ports.m_loop.m_after(milliseconds{0}, [self] {
+            if (const auto alive = self.lock()) {
+                (*alive)->end();
+            }
+        });
+    };
+    return ports;
+}
+
+} // namespace peridotrudder
--- /dev/null
+++ b/src/node/node_process.cpp
@@ -0,0 +1,423 @@
+#include "peridotrudder/node/node_process.hpp"
+
+#include "peridotrudder/base/hash.hpp"
+#include "peridotrudder/links/peer_mesh.hpp"
+#include "peridotrudder/node/call_router.hpp"
+#include "peridotrudder/node/fleet_owner.hpp"
+#include "peridotrudder/ownership/cluster_agent.hpp"
+#include "peridotrudder/telemetry/log.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <csignal>
+#include <ctime>
+#include <fmt/format.h>
+
+namespace peridotrudder {
+
+namespace {
+
+constexpr std::size_t incarnation_bytes = 6;
+constexpr milliseconds owner_tick{10};
+constexpr milliseconds entry_tick{25};
+/// Connections to one worker: one for the hold, the others for orders.
+constexpr long worker_connections = 4;
+/// Balancers need this long to notice that a node takes no more calls.
+constexpr milliseconds leave_time{2'300};
+/// Kept for the end of the process itself.
+constexpr milliseconds stop_reserve{700};
+/// The widest difference between the claims of two nodes.
+constexpr std::uint64_t stagger_ms = 60;
+constexpr std::uint32_t status_ok = 200;
+constexpr std::uint32_t status_unavailable = 503;
+
+/// Reads a clock that also counts while the VM is suspended: leases run on.
+moment read_clocks()
+{
+    timespec boot{};
+    clock_gettime(CLOCK_BOOTTIME, &boot);
+    timespec wall{};
+    clock_gettime(CLOCK_REALTIME, &wall);
+    const auto since_boot = std::chrono::seconds{boot.tv_sec} + std::chrono::nanoseconds{boot.tv_nsec};
+    const auto unix_time = std::chrono::seconds{wall.tv_sec} + std::chrono::nanoseconds{wall.tv_nsec};
+    return {time_point{std::chrono::duration_cast<time_point::duration>(since_boot)},
+            std::chrono::duration_cast<milliseconds>(unix_time).count()};
+}
+
+http_server_options listen_at(const endpoint& where)
+{
+    http_server_options options;
+    options.m_address = where.m_address;
+    options.m_port = where.m_port;
+    return options;
+}
+
+} // namespace
+
+class node_process::implementation {
+public:
+    implementation(const node_settings& settings, node_platform platform)
+        : m_settings{settings},
+          m_platform{std::move(platform)},
+          m_timer{m_loop},
+          m_signals{m_loop, SIGTERM, SIGINT, SIGHUP},
+          m_log_client{http_client::create_on(m_loop)},
+          m_worker_client{http_client::create_on(m_loop, worker_connections)},
+          m_vm_client{http_client::create_on(m_loop)},
+          m_log{m_platform.m_log(*m_log_client, settings)},
+          m_self{fmt::format("{}-{}", settings.m_name, random_hex(incarnation_bytes))},
+          m_router{call_router::create({}, [this](std::uint64_t number, const job_call& call) {
+              return send_call(number, call);
+          })}
+    {
+        m_loop_port.m_now = read_clocks;
+        m_loop_port.m_after = [this](milliseconds delay, std::function<void()> action) {
+            after(delay, std::move(action));
+        };
+        m_agent = cluster_agent::create(make_agent_options(), make_agent_ports());
+    }
+
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+    implementation(implementation&&) = delete;
+    implementation& operator=(implementation&&) = delete;
+    ~implementation() = default;
+
+    tl::expected<void, listen_error> listen()
+    {
+        auto mesh = open_mesh();
+        if (!mesh) {
+            return tl::make_unexpected(mesh.error());
+        }
+        m_mesh = std::move(*mesh);
+        auto ready = http_server::create_on(
+            m_loop, listen_at(m_settings.m_ready),
+            [this](const http_request& /*request*/, const http_responder& respond) {
+                respond(json_response(is_ready() ? status_ok : status_unavailable, "{}"));
+            });
+        if (!ready) {
+            return tl::make_unexpected(ready.error());
+        }
+        m_ready_server = std::move(*ready);
+        auto callers =
+            http_server::create_on(m_loop, listen_at(m_settings.m_callers),
+                                   [this](const http_request& request, http_responder respond) {
+                                       take_request(request, std::move(respond));
+                                   });
+        if (!callers) {
+            return tl::make_unexpected(callers.error());
+        }
+        m_caller_server = std::move(*callers);
+        return {};
+    }
+
+    node_end run()
+    {
+        log_event(log_level::info, "started", {{"node", m_settings.m_name}, {"incarnation", m_self}});
+        wait_for_signals();
+        m_agent->start();
+        tick();
+        m_loop.run();
+        log_event(log_level::info, "stopped",
+                  {{"calls_in_flight", std::to_string(m_router.waiting())}});
+        return m_router.waiting() == 0 ? node_end::stopped : node_end::incomplete;
+    }
+
+private:
+    void after(milliseconds delay, std::function<void()> action)
+    {
+        if (delay.count() == 0) {
+            asio::post(m_loop, std::move(action));
+            return;
+        }
+        auto timer = std::make_shared<asio::steady_timer>(m_loop, delay);
+        timer->async_wait([timer, action = std::move(action)](const asio::error_code& error) {
+            if (!error) {
+                action();
+            }
+        });
+    }
+
+    tl::expected<std::unique_ptr<peer_mesh>, listen_error> open_mesh()
+    {
+        peer_mesh_options options;
+        options.m_address = m_settings.m_peers.m_address;
+        options.m_port = m_settings.m_peers.m_port;
+        options.m_self = m_self;
+        options.m_cluster_token = m_settings.m_cluster_token;
+        return peer_mesh::create_on(
+            m_loop, options,
+            [this](const std::string& from, gsl::span<const std::uint8_t> frame) {
+                return receive(from, frame);
+            },
+            [this](const std::string& peer, bool open) {
+                m_agent->link_changed(peer, open);
+                if (open && peer == m_agent->reachable_owner()) {
+                    m_router.owner_changed(now());
+                }
+            });
+    }
+
+    static time_point now() { return read_clocks().m_at; }
+
+    agent_options make_agent_options() const
+    {
+        agent_options options;
+        options.m_self = {m_settings.m_name, m_self, m_settings.m_peers.m_address,
+                          m_settings.m_peers.m_port};
+        options.m_election.m_self = m_self;
+        options.m_election.m_stagger = milliseconds{placement_hash(m_self) % stagger_ms};
+        return options;
+    }
+
+    agent_ports make_agent_ports()
+    {
+        agent_ports ports;
+        ports.m_loop = m_loop_port;
+        ports.m_log = m_log;
+        ports.m_send = [this](const std::string& peer, const node_message& message) {
+            return m_mesh->send(peer, encode_node_message(message));
+        };
+        ports.m_set_peers = [this](const std::vector<node_record>& peers) {
+            std::vector<peer_endpoint> endpoints;
+            endpoints.reserve(peers.size());
+            for (const auto& each : peers) {
+                endpoints.push_back({each.m_incarnation, each.m_address, each.m_port});
+            }
+            m_mesh->set_peers(endpoints);
+        };
+        ports.m_won = [this](std::uint64_t epoch) { begin_ownership(epoch); };
+        ports.m_lost = [this] { end_ownership(); };
+        ports.m_owner_reachable = [this] { m_router.owner_changed(now()); };
+        ports.m_owner_unreachable = [this] { m_router.owner_lost(now()); };
+        ports.m_log_event = [](std::string_view event, std::string detail) {
+            log_event(log_level::info, event, {{"detail", std::move(detail)}});
+        };
+        return ports;
+    }
+
+    void begin_ownership(std::uint64_t epoch)
+    {
+        owner_options options;
+        options.m_epoch = epoch;
+        options.m_scheduler.m_retention = m_settings.m_retention;
+        options.m_scheduler.m_lease.m_longest = m_settings.m_longest_lease;
+        owner_ports ports;
+        ports.m_loop = m_loop_port;
+        ports.m_log = m_log;
+        ports.m_workers = m_platform.m_workers(*m_worker_client);
+        ports.m_vms = m_platform.m_vms(*m_vm_client, m_settings);
+        ports.m_wire = m_platform.m_wire;
+        ports.m_answer = [this](std::uint64_t token, const call_answer& answer) {
+            answer_call(token, answer);
+        };
+        ports.m_decided = [](const decision& made) {
+            log_event(log_level::info, made.m_event,
+                      {{"job", made.m_job}, {"worker", made.m_worker}, {"detail", made.m_detail}});
+        };
+        ports.m_ended = [this] { m_agent->resign(false); };
+        m_owner = fleet_owner::create(options, std::move(ports));
+        m_owner->start();
+        m_router.owner_changed(now());
+    }
+
+    void end_ownership()
+    {
+        m_agent->set_failing(milliseconds{0});
+        // The owner may be on the call stack: it is destroyed by the loop.
+        std::shared_ptr<fleet_owner> over{std::move(m_owner)};
+        after(milliseconds{0}, [over] {});
+        const auto tokens = std::move(m_tokens);
+        m_tokens.clear();
+        for (const auto& [token, origin] : tokens) {
+            reply(origin, {call_status::not_owner, {}, 0, milliseconds{0}});
+        }
+    }
+
+    /// Where a call came from: a peer and its number there; an empty peer is this process.
+    struct call_origin {
+        std::string m_peer;
+        std::uint64_t m_number{0};
+    };
+
+    bool send_call(std::uint64_t number, const job_call& call)
+    {
+        const auto owner = m_agent->reachable_owner();
+        if (owner.empty()) {
+            return false;
+        }
+        if (owner != m_self) {
+            return m_mesh->send(owner, encode_node_message(forwarded_job_call{number, call}));
+        }
+        return take_call({"", number}, call);
+    }
+
+    bool take_call(const call_origin& origin, const job_call& call)
+    {
+        if (!m_owner) {
+            return false;
+        }
+        const auto token = m_next_token++;
+        m_tokens[token] = origin;
+        m_owner->take_call(token, call);
+        return true;
+    }
+
+    void answer_call(std::uint64_t token, const call_answer& answer)
+    {
+        const auto found = m_tokens.find(token);
+        if (found != m_tokens.end()) {
+            const auto origin = found->second;
+            m_tokens.erase(found);
+            reply(origin, answer);
+        }
+    }
+
+    void reply(const call_origin& origin, const call_answer& answer)
+    {
+        if (!origin.m_peer.empty()) {
+            m_mesh->send(origin.m_peer,
+                         encode_node_message(forwarded_job_answer{origin.m_number, answer}));
+            return;
+        }
+        // Not at once: the router may be sending this very call.
+        after(milliseconds{0}, [this, number = origin.m_number, answer] {
+            m_router.answered(number, answer, now());
+        });
+    }
+
+    bool receive(const std::string& from, gsl::span<const std::uint8_t> frame)
+    {
+        const auto message = decode_node_message(frame);
+        if (!message) {
+            return false;
+        }
+        if (const auto* call = std::get_if<forwarded_job_call>(&*message)) {
+            if (!take_call({from, call->m_number}, call->m_call)) {
+                reply({from, call->m_number}, {call_status::not_owner, {}, 0, milliseconds{0}});
+            }
+            return true;
+        }
+        if (const auto* answer = std::get_if<forwarded_job_answer>(&*message)) {
+            m_router.answered(answer->m_number, answer->m_answer, now());
+            return true;
+        }
+        return m_agent->receive(from, *message);
+    }
+
+    void take_request(const http_request& request, http_responder respond)
+    {
+        auto call = m_platform.m_read_call(request);
+        if (!call) {
+            respond(std::move(call.error()));
+            return;
+        }
+        m_router.take(std::move(*call), m_platform.m_time_left(request),
+                      [this, respond = std::move(respond)](const call_answer& answer) {
+                          auto response = m_platform.m_write_answer(answer);
+                          response.m_close_connection = m_stopping_since.has_value();
+                          respond(std::move(response));
+                      },
+                      now());
+    }
+
+    bool is_ready() const
+    {
+        return !m_stopping_since && !m_agent->reachable_owner().empty() &&
+               (!m_owner || m_owner->phase() == owner_phase::serving);
+    }
+
+    void tick()
+    {
+        if (m_owner) {
+            m_owner->tick();
+        }
+        if (m_owner) {
+            m_agent->set_failing(m_owner->failing_for());
+        }
+        m_agent->tick();
+        m_router.tick(now());
+        if (m_stopping_since && may_exit()) {
+            m_loop.stop();
+            return;
+        }
+        m_timer.expires_after(m_owner ? owner_tick : entry_tick);
+        m_timer.async_wait([this](const asio::error_code& error) {
+            if (!error) {
+                tick();
+            }
+        });
+    }
+
+    bool may_exit() const
+    {
+        const auto stopping_for = remaining(*m_stopping_since, now());
+        return (stopping_for >= leave_time && m_router.waiting() == 0) ||
+               stopping_for >= m_settings.m_grace - stop_reserve;
+    }
+
+    void wait_for_signals()
+    {
+        m_signals.async_wait([this](const asio::error_code& error, int signal) {
+            if (error) {
+                return;
+            }
+            if (signal == SIGHUP) {
+                log_event(log_level::info, "reload_requested", {});
+            }
+            else if (!m_stopping_since) {
+                log_event(log_level::info, "stopping", {{"signal", std::to_string(signal)}});
+                m_stopping_since = now();
+                m_agent->stop_claiming();
+                m_agent->resign(true);
+            }
+            wait_for_signals();
+        });
+    }
+
+    node_settings m_settings;
+    node_platform m_platform;
+    asio::io_context m_loop{1};
+    asio::steady_timer m_timer;
+    asio::signal_set m_signals;
+    loop_port m_loop_port;
+    std::unique_ptr<http_client> m_log_client;
+    std::unique_ptr<http_client> m_worker_client;
+    std::unique_ptr<http_client> m_vm_client;
+    log_port m_log;
+    std::string m_self;
+    call_router m_router;
+    std::map<std::uint64_t, call_origin> m_tokens;
+    std::uint64_t m_next_token{1};
+    std::optional<time_point> m_stopping_since;
+    std::unique_ptr<cluster_agent> m_agent;
+    std::unique_ptr<fleet_owner> m_owner;
+    std::unique_ptr<peer_mesh> m_mesh;
+    std::unique_ptr<http_server> m_ready_server;
+    std::unique_ptr<http_server> m_caller_server;
+};
+
+tl::expected<std::unique_ptr<node_process>, listen_error>
+node_process::create(const node_settings& settings, node_platform platform)
+{
+    auto inside = std::make_unique<implementation>(settings, std::move(platform));
+    auto listening = inside->listen();
+    if (!listening) {
+        return tl::make_unexpected(listening.error());
+    }
+    return std::unique_ptr<node_process>{new node_process{std::move(inside)}};
+}
+
+node_process::node_process(std::unique_ptr<implementation> inside) : m_inside{std::move(inside)} {}
+
+node_process::~node_process() = default;
+
+node_end node_process::run()
+{
+    return m_inside->run();
+}
+
+} // namespace peridotrudder
--- /dev/null
+++ b/src/node/node_settings.cpp
@@ -0,0 +1,104 @@
+#include "peridotrudder/node/node_settings.hpp"
+
+#include <charconv>
+
+namespace peridotrudder {
+
+namespace {
+
+constexpr std::uint64_t max_port = 65'535;
+constexpr double ms_per_second = 1'000.0;
+constexpr double longest_s = 86'400.0;
+constexpr std::uint64_t longest_ms = 3'600'000;
+
+endpoint read_endpoint(ini_reader& reader, const std::string& section, const std::string& key)
+{
+    const auto text = reader.text(section, key);
+    const auto colon = text.rfind(':');
+    endpoint where;
+    std::uint64_t port = 0;
+    if (colon != std::string::npos) {
+        const char* end = text.data() + text.size();
+        const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+        port = parsed.ec == std::errc{} && parsed.ptr == end ? port : 0;
+    }
+    if (port == 0 || port > max_port) {
+        if (!text.empty()) {
+            reader.report(settings_fault::wrong_type, section, key, "ADDRESS:PORT");
+        }
+        return where;
+    }
+    where.m_address = text.substr(0, colon);
+    where.m_port = static_cast<std::uint16_t>(port);
+    return where;
+}
+
+/// Reads a time that the file gives in seconds, with or without a fraction.
+milliseconds read_seconds(ini_reader& reader, const std::string& section, const std::string& key)
+{
+    const auto text = reader.text(section, key);
+    char* end = nullptr;
+    const double seconds = std::strtod(text.c_str(), &end);
+    if (text.empty()) {
+        return milliseconds{0};
+    }
+    if (*end != '\0' || !(seconds >= 0.0) || seconds > longest_s) {
+        reader.report(settings_fault::wrong_type, section, key, "seconds, 0 to 86400");
+        return milliseconds{0};
+    }
+    return milliseconds{static_cast<std::int64_t>(seconds * ms_per_second)};
+}
+
+milliseconds read_ms(ini_reader& reader, const std::string& section, const std::string& key)
+{
+    return milliseconds{reader.number(section, key, 0, longest_ms)};
+}
+
+tl::expected<node_settings, std::vector<settings_error>> read_settings(ini_reader reader)
+{
+    node_settings settings;
+    settings.m_name = reader.text("node", "name");
+    settings.m_zone = reader.text("node", "zone");
+    settings.m_cluster_token = reader.text("node", "cluster_token");
+    settings.m_callers = read_endpoint(reader, "listen", "callers");
+    settings.m_ready = read_endpoint(reader, "listen", "ready");
+    settings.m_peers = read_endpoint(reader, "listen", "peers");
+    settings.m_metrics = read_endpoint(reader, "listen", "metrics");
+    settings.m_log = reader.text("platform", "log");
+    settings.m_vm_control = reader.text("platform", "vm_control");
+    settings.m_policy = reader.text_or("platform", "policy", "");
+    settings.m_longest_lease = read_ms(reader, "limits", "longest_lease_ms");
+    settings.m_grace = read_seconds(reader, "limits", "grace_s");
+    settings.m_retention = read_seconds(reader, "limits", "retention_s");
+    settings.m_vm_lease = read_ms(reader, "limits", "vm_lease_ms");
+    settings.m_move_time = read_seconds(reader, "limits", "move_s");
+    settings.m_maintenance_time = read_seconds(reader, "limits", "maintenance_s");
+    auto errors = reader.finish();
+    if (!errors.empty()) {
+        return tl::make_unexpected(std::move(errors));
+    }
+    return settings;
+}
+
+} // namespace
+
+tl::expected<node_settings, std::vector<settings_error>> load_node_settings(const std::string& path)
+{
+    auto reader = ini_reader::open(path);
+    if (!reader) {
+        return tl::make_unexpected(std::vector<settings_error>{reader.error()});
+    }
+    return read_settings(std::move(*reader));
+}
+
+tl::expected<node_settings, std::vector<settings_error>>
+parse_node_settings(const std::string& name, std::string_view text)
+{
+    auto reader = ini_reader::parse(name, text);
+    if (!reader) {
+        return tl::make_unexpected(std::vector<settings_error>{reader.error()});
+    }
+    return read_settings(std::move(*reader));
+}
+
+} // namespace peridotrudder
--- /dev/null
+++ b/src/ownership/cluster_agent.cpp
@@ -0,0 +1,452 @@
+#include "peridotrudder/ownership/cluster_agent.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace peridotrudder {
+
+namespace {
+
+constexpr std::string_view owner_key = "owner";
+constexpr std::string_view node_prefix = "node/";
+/// Appends to the cluster's topic; tried again by the next tick that wants them.
+constexpr milliseconds append_timeout{800};
+constexpr milliseconds follow_wait{1'500};
+constexpr milliseconds probe_interval{200};
+/// An owner writes more often than this.
+constexpr milliseconds journal_silence{1'200};
+constexpr milliseconds register_retry{200};
+
+std::vector<std::uint8_t> to_bytes(const nlohmann::json& json)
+{
+    return nlohmann::json::to_cbor(json);
+}
+
+template <typename T>
+tl::expected<T, decode_error> from_bytes(const std::vector<std::uint8_t>& bytes)
+{
+    return parse_cbor(bytes).and_then(
+        [](const nlohmann::json& json) { return decode_packed<T>(json); });
+}
+
+} // namespace
+
+std::unique_ptr<cluster_agent> cluster_agent::create(agent_options options, agent_ports ports)
+{
+    return std::unique_ptr<cluster_agent>{
+        new cluster_agent{std::move(options), std::move(ports)}};
+}
+
+cluster_agent::cluster_agent(agent_options options, agent_ports ports)
+    : m_options{std::move(options)},
+      m_ports{std::move(ports)},
+      m_election{owner_election::create(m_options.m_election, m_ports.m_loop.m_now().m_at)},
+      m_self{std::make_shared<cluster_agent*>(this)}
+{
+}
+
+void cluster_agent::start()
+{
+    register_self();
+    follower_options options;
+    options.m_topic = m_options.m_topic;
+    options.m_wait = follow_wait;
+    follower_events events;
+    events.m_snapshot = [this](const std::vector<kept_record>& records) {
+        m_know_topic = true;
+        take_records(records, true);
+    };
+    events.m_changes = [this](const std::vector<kept_record>& records) {
+        take_records(records, false);
+    };
+    events.m_failed = [this](log_result result) {
+        m_ports.m_log_event("cluster_unread", std::string{to_string(result)});
+    };
+    events.m_end = [this](std::uint64_t end) { m_topic_end = end; };
+    m_follower = topic_follower::create(options, m_ports.m_log, m_ports.m_loop, events);
+    m_follower->start();
+}
+
+void cluster_agent::register_self()
+{
+    append_request request;
+    request.m_topic = m_options.m_topic;
+    request.m_timeout = append_timeout;
+    request.m_records.push_back({std::string{node_prefix} + m_options.m_self.m_name,
+                                 to_bytes(encode_packed(m_options.m_self)), 0});
+    const std::weak_ptr<cluster_agent*> self = m_self;
+    m_ports.m_log.m_append(request, [self](const append_answer& answer) {
+        const auto alive = self.lock();
+        if (!alive || answer.m_result == log_result::ok) {
+            return;
+        }
+        (*alive)->m_ports.m_loop.m_after(register_retry, [self] {
+            if (const auto still = self.lock()) {
+                (*still)->register_self();
+            }
+        });
+    });
+}
+
+void cluster_agent::take_records(const std::vector<kept_record>& records, bool snapshot)
+{
+    if (snapshot) {
+        m_nodes.clear();
+    }
+    // Nodes first: whether a claim is worth anything depends on its owner's node.
+    for (const auto& each : records) {
+        if (each.m_key.rfind(node_prefix, 0) == 0) {
+            take_node_record(each);
+        }
+    }
+    for (const auto& each : records) {
+        if (each.m_key == owner_key && each.m_value) {
+            take_owner_record(each);
+        }
+    }
+    update_peers();
+    check_owner_node();
+    tick();
+}
+
+void cluster_agent::take_node_record(const kept_record& record)
+{
+    const auto name = record.m_key.substr(node_prefix.size());
+    if (!record.m_value) {
+        m_nodes.erase(name);
+        return;
+    }
+    const auto node = from_bytes<node_record>(*record.m_value);
+    if (!node) {
+        m_ports.m_log_event("node_record_unreadable", record.m_key);
+        return;
+    }
+    m_nodes[name] = *node;
+}
+
+void cluster_agent::take_owner_record(const kept_record& record)
+{
+    auto claim = from_bytes<ownership_claim>(*record.m_value);
+    if (!claim) {
+        m_ports.m_log_event("claim_unreadable", std::to_string(record.m_offset));
+        return;
+    }
+    claim->m_epoch = record.m_offset + 1;
+    learn(*claim);
+}
+
+void cluster_agent::learn(const ownership_claim& claim)
+{
+    const auto before = m_election.claim().m_epoch;
+    m_election.learn(claim, m_ports.m_loop.m_now().m_at);
+    if (m_election.claim().m_epoch != before) {
+        m_ports.m_log_event("owner_learnt",
+                            fmt::format("epoch {} {}{}", claim.m_epoch, claim.m_owner,
+                                        claim.m_released ? " released" : ""));
+    }
+    const bool mine = m_election.is_owner();
+    if (m_owned_epoch != 0 && (!mine || m_election.claim().m_epoch != m_owned_epoch)) {
+        m_owned_epoch = 0;
+        m_ports.m_lost();
+    }
+    if (mine && m_owned_epoch == 0) {
+        m_owned_epoch = m_election.claim().m_epoch;
+        m_ports.m_won(m_owned_epoch);
+    }
+    update_reachability();
+}
+
+void cluster_agent::update_peers()
+{
+    std::vector<node_record> peers;
+    for (const auto& [name, node] : m_nodes) {
+        if (node.m_incarnation != m_options.m_self.m_incarnation) {
+            peers.push_back(node);
+        }
+    }
+    m_election.set_members(peers.size() + 1);
+    m_ports.m_set_peers(peers);
+}
+
+void cluster_agent::check_owner_node()
+{
+    const auto& claim = m_election.claim();
+    const auto node = m_nodes.find(claim.m_node);
+    // A node that has registered another process since does not run the owner any more.
+    if (node != m_nodes.end() && node->second.m_incarnation != claim.m_owner) {
+        m_election.owner_gone(claim.m_epoch, m_ports.m_loop.m_now().m_at);
+        update_reachability();
+    }
+}
+
+void cluster_agent::tick()
+{
+    const auto now = m_ports.m_loop.m_now().m_at;
+    if (owns()) {
+        beat(now);
+        probe_for_resignation(now);
+        forget_lost_nodes(now);
+        return;
+    }
+    update_reachability();
+    if (!m_know_topic || !m_may_claim) {
+        return;
+    }
+    switch (m_election.tick(now)) {
+    case election_step::none:
+        return;
+    case election_step::ask_peers:
+        broadcast(owner_query{m_election.claim().m_epoch});
+        return;
+    case election_step::check_journal:
+        check_journal();
+        return;
+    case election_step::claim:
+        claim();
+        return;
+    }
+}
+
+void cluster_agent::update_reachability()
+{
+    const bool reachable = !reachable_owner().empty();
+    if (reachable == m_owner_reachable) {
+        return;
+    }
+    m_owner_reachable = reachable;
+    if (reachable) {
+        m_ports.m_owner_reachable();
+    }
+    else {
+        m_ports.m_owner_unreachable();
+    }
+}
+
+std::string cluster_agent::reachable_owner() const
+{
+    if (owns()) {
+        return m_options.m_self.m_incarnation;
+    }
+    const auto& owner = m_election.claim().m_owner;
+    const bool linked = m_open_links.count(owner) != 0;
+    return linked && m_election.hears_owner(m_ports.m_loop.m_now().m_at) ? owner : std::string{};
+}
+
+void cluster_agent::claim()
+{
+    m_ports.m_log_event("claiming", fmt::format("after epoch {}", m_election.claim().m_epoch));
+    append_claim(false);
+}
+
+void cluster_agent::append_claim(bool released)
+{
+    ownership_claim mine;
+    mine.m_owner = m_options.m_self.m_incarnation;
+    mine.m_node = m_options.m_self.m_name;
+    mine.m_released = released;
+    append_request request;
+    request.m_topic = m_options.m_topic;
+    request.m_timeout = append_timeout;
+    request.m_expected_end = m_topic_end;
+    request.m_records.push_back(
+        {std::string{owner_key}, to_bytes(encode_packed(mine)), 0});
+    const std::weak_ptr<cluster_agent*> self = m_self;
+    m_ports.m_log.m_append(request, [self, mine](const append_answer& answer) {
+        const auto alive = self.lock();
+        // Without an answer the follower tells whether the claim is there.
+        if (alive && answer.m_result == log_result::ok) {
+            auto won = mine;
+            won.m_epoch = answer.m_offset + 1;
+            (*alive)->learn(won);
+        }
+    });
+}
+
+void cluster_agent::check_journal()
+{
+    const auto epoch = m_election.claim().m_epoch;
+    read_request request;
+    request.m_topic = m_options.m_journal_topic;
+    request.m_max_kb = 1;
+    const std::weak_ptr<cluster_agent*> self = m_self;
+    const auto look = [self, epoch](std::uint64_t end) {
+        const auto alive = self.lock();
+        if (!alive) {
+            return;
+        }
+        read_request next;
+        next.m_topic = (*alive)->m_options.m_journal_topic;
+        next.m_from = end;
+        next.m_wait = journal_silence;
+        next.m_max_kb = 1;
+        (*alive)->m_ports.m_log.m_read(next, [self, epoch](const read_answer& answer) {
+            const auto still = self.lock();
+            if (still && answer.m_result == log_result::ok) {
+                (*still)->m_election.journal_view(epoch, !answer.m_records.empty(),
+                                                  (*still)->m_ports.m_loop.m_now().m_at);
+            }
+        });
+    };
+    // Only the end is of interest; whatever is at the beginning may be gone.
+    m_ports.m_log.m_newest(m_options.m_journal_topic, [look](const newest_answer& answer) {
+        if (answer.m_result == log_result::ok) {
+            look(answer.m_end);
+        }
+    });
+}
+
+void cluster_agent::broadcast(const node_message& message)
+{
+    for (const auto& peer : m_open_links) {
+        m_ports.m_send(peer, message);
+    }
+}
+
+void cluster_agent::beat(time_point now)
+{
+    if (now - m_beat_at >= m_options.m_beat_interval) {
+        m_beat_at = now;
+        broadcast(owner_beat{m_election.claim()});
+    }
+}
+
+void cluster_agent::probe_for_resignation(time_point now)
+{
+    if (m_failing_for >= m_options.m_resign_after && now - m_probe_at >= probe_interval) {
+        m_probe_at = now;
+        broadcast(log_probe{m_owned_epoch});
+    }
+}
+
+void cluster_agent::forget_lost_nodes(time_point now)
+{
+    for (const auto& [name, node] : m_nodes) {
+        const bool self = node.m_incarnation == m_options.m_self.m_incarnation;
+        if (self || m_open_links.count(node.m_incarnation) != 0) {
+            m_unreached_since.erase(name);
+            continue;
+        }
+        const auto since = m_unreached_since.emplace(name, now).first->second;
+        if (now - since < m_options.m_forget_after) {
+            continue;
+        }
+        m_unreached_since[name] = now;
+        append_request request;
+        request.m_topic = m_options.m_topic;
+        request.m_timeout = append_timeout;
+        // Under a condition, since the node may be registering anew.
+        request.m_expected_end = m_topic_end;
+        request.m_records.push_back({std::string{node_prefix} + name, std::nullopt, 0});
+        m_ports.m_log.m_append(request, [](const append_answer& /*answer*/) {});
+        return;
+    }
+}
+
+void cluster_agent::resign(bool planned)
+{
+    if (!owns()) {
+        return;
+    }
+    const auto epoch = m_owned_epoch;
+    m_owned_epoch = 0;
+    m_ports.m_log_event("resigned", fmt::format("epoch {}{}", epoch, planned ? " planned" : ""));
+    m_election.owner_gone(epoch, m_ports.m_loop.m_now().m_at);
+    broadcast(owner_resigned{epoch});
+    if (planned) {
+        append_claim(true);
+    }
+    m_ports.m_lost();
+    update_reachability();
+}
+
+void cluster_agent::link_changed(const std::string& peer, bool open)
+{
+    if (open) {
+        m_open_links.insert(peer);
+        if (owns()) {
+            m_ports.m_send(peer, owner_beat{m_election.claim()});
+        }
+    }
+    else {
+        m_open_links.erase(peer);
+        m_election.link_broken(peer, m_ports.m_loop.m_now().m_at);
+    }
+    tick();
+}
+
+bool cluster_agent::receive(const std::string& from, const node_message& message)
+{
+    return std::visit(
+        [this, &from](const auto& each) {
+            using type = std::decay_t<decltype(each)>;
+            if constexpr (std::is_same_v<type, forwarded_job_call> ||
+                          std::is_same_v<type, forwarded_job_answer>) {
+                return false;
+            }
+            else {
+                handle(from, each);
+                return true;
+            }
+        },
+        message);
+}
+
+void cluster_agent::handle(const std::string& from, const owner_beat& message)
+{
+    // A claim is believed from its owner only.
+    if (message.m_claim.m_owner != from) {
+        return;
+    }
+    learn(message.m_claim);
+    m_election.heard(message.m_claim.m_epoch, m_ports.m_loop.m_now().m_at);
+    update_reachability();
+}
+
+void cluster_agent::handle(const std::string& from, const owner_resigned& message)
+{
+    if (m_election.claim().m_owner == from) {
+        m_election.owner_gone(message.m_epoch, m_ports.m_loop.m_now().m_at);
+        tick();
+    }
+}
+
+void cluster_agent::handle(const std::string& from, const owner_query& message)
+{
+    const auto now = m_ports.m_loop.m_now().m_at;
+    const auto epoch = m_election.claim().m_epoch;
+    const bool hears = epoch >= message.m_epoch && (owns() || m_election.hears_owner(now));
+    m_ports.m_send(from, owner_view{message.m_epoch, hears});
+}
+
+void cluster_agent::handle(const std::string& from, const owner_view& message)
+{
+    m_election.peer_view(from, message.m_epoch, message.m_hears_owner);
+}
+
+void cluster_agent::handle(const std::string& from, const log_probe& message)
+{
+    read_request request;
+    request.m_topic = m_options.m_journal_topic;
+    request.m_max_kb = 1;
+    const std::weak_ptr<cluster_agent*> self = m_self;
+    m_ports.m_log.m_read(request, [self, from, number = message.m_number](
+                                      const read_answer& answer) {
+        const bool reached =
+            answer.m_result == log_result::ok || answer.m_result == log_result::trimmed;
+        const auto alive = self.lock();
+        if (alive && reached) {
+            (*alive)->m_ports.m_send(from, log_reached{number});
+        }
+    });
+}
+
+void cluster_agent::handle(const std::string& /*from*/, const log_reached& message)
+{
+    if (owns() && message.m_number == m_owned_epoch &&
+        m_failing_for >= m_options.m_resign_after) {
+        resign(false);
+    }
+}
+
+} // namespace peridotrudder
--- /dev/null
+++ b/src/ownership/owner_election.cpp
@@ -0,0 +1,144 @@
+#include "peridotrudder/ownership/owner_election.hpp"
+
+#include <algorithm>
+
+namespace peridotrudder {
+
+namespace {
+
+/// A claim takes a few calls of the log; it is tried again after this.
+constexpr milliseconds claim_interval{250};
+constexpr milliseconds check_interval{2'000};
+
+} // namespace
+
+owner_election owner_election::create(election_options options, time_point now)
+{
+    owner_election made;
+    made.m_options = std::move(options);
+    made.m_heard_at = now;
+    made.m_gone_at = now;
+    return made;
+}
+
+void owner_election::learn(const ownership_claim& claim, time_point now)
+{
+    const bool released = claim.m_epoch == m_claim.m_epoch && claim.m_released;
+    if (claim.m_epoch <= m_claim.m_epoch && !released) {
+        return;
+    }
+    m_claim = claim;
+    forget_doubt(now);
+    m_gone = claim.m_released;
+    m_gone_at = now;
+}
+
+void owner_election::forget_doubt(time_point now)
+{
+    m_heard_at = now;
+    m_link_broken = false;
+    m_asked_at.reset();
+    m_checked_at.reset();
+    m_silent_in_journal = false;
+    m_views.clear();
+}
+
+bool owner_election::is_owner() const
+{
+    return m_claim.m_epoch != 0 && !m_claim.m_released && !m_gone &&
+           m_claim.m_owner == m_options.m_self;
+}
+
+void owner_election::heard(std::uint64_t epoch, time_point now)
+{
+    if (epoch == m_claim.m_epoch && !m_gone) {
+        forget_doubt(now);
+    }
+}
+
+void owner_election::owner_gone(std::uint64_t epoch, time_point now)
+{
+    if (epoch == m_claim.m_epoch && !m_gone) {
+        m_gone = true;
+        m_gone_at = now;
+    }
+}
+
+void owner_election::link_broken(const std::string& incarnation, time_point /*now*/)
+{
+    if (incarnation == m_claim.m_owner) {
+        m_link_broken = true;
+    }
+}
+
+void owner_election::peer_view(const std::string& peer, std::uint64_t epoch, bool hears_owner)
+{
+    if (epoch == m_claim.m_epoch && m_asked_at) {
+        m_views[peer] = hears_owner;
+    }
+}
+
+void owner_election::journal_view(std::uint64_t epoch, bool owner_writes, time_point now)
+{
+    if (epoch == m_claim.m_epoch) {
+        m_silent_in_journal = !owner_writes;
+        m_checked_at = now;
+    }
+}
+
+bool owner_election::suspects(time_point now) const
+{
+    return m_link_broken || now - m_heard_at > m_options.m_suspect_after;
+}
+
+bool owner_election::hears_owner(time_point now) const
+{
+    return m_claim.m_epoch != 0 && !m_gone && !suspects(now);
+}
+
+election_step owner_election::tick(time_point now)
+{
+    if (is_owner() || now < m_claim_again_at) {
+        return election_step::none;
+    }
+    if (m_gone) {
+        if (now - m_gone_at < m_options.m_stagger) {
+            return election_step::none;
+        }
+        m_claim_again_at = now + claim_interval;
+        return election_step::claim;
+    }
+    if (!suspects(now)) {
+        return election_step::none;
+    }
+    return judge(now);
+}
+
+election_step owner_election::judge(time_point now)
+{
+    if (!m_asked_at || now - *m_asked_at > m_options.m_ask_again) {
+        m_asked_at = now;
+        m_views.clear();
+        return election_step::ask_peers;
+    }
+    if (now - *m_asked_at < m_options.m_ask_time) {
+        return election_step::none;
+    }
+    const auto hearing = static_cast<std::size_t>(
+        std::count_if(m_views.begin(), m_views.end(), [](const auto& each) { return each.second; }));
+    const auto lost = m_views.size() - hearing + 1;
+    const bool most_lost = lost * 2 > m_members;
+    if (most_lost || (m_silent_in_journal && hearing == 0)) {
+        m_claim_again_at = now + claim_interval;
+        m_asked_at.reset();
+        m_silent_in_journal = false;
+        return election_step::claim;
+    }
+    if (hearing == 0 && (!m_checked_at || now - *m_checked_at > check_interval)) {
+        m_checked_at = now;
+        return election_step::check_journal;
+    }
+    return election_step::none;
+}
+
+} // namespace peridotrudder
--- /dev/null
+++ b/src/scheduling/job_scheduler.cpp
@@ -0,0 +1,250 @@
+#include "peridotrudder/scheduling/job_scheduler.hpp"
+
+#include <algorithm>
+
+namespace peridotrudder {
+
+namespace {
+
+constexpr std::size_t id_length = 16;
+/// Pause between looks for jobs that can be forgotten.
+constexpr milliseconds expiry_interval{1'000};
+
+bool is_id(std::string_view text)
+{
+    return text.size() == id_length && std::all_of(text.begin(), text.end(), [](unsigned char each) {
+               return std::isxdigit(each) != 0;
+           });
+}
+
+call_answer status_only(call_status status)
+{
+    call_answer answer;
+    answer.m_status = status;
+    return answer;
+}
+
+} // namespace
+
+std::unique_ptr<job_scheduler> job_scheduler::create(scheduler_options options,
+                                                     scheduler_ports ports, job_book book,
+                                                     moment now)
+{
+    auto made = std::unique_ptr<job_scheduler>{
+        new job_scheduler{options, std::move(ports), std::move(book)}};
+    made->m_expired_at = now.m_at;
+    return made;
+}
+
+job_scheduler::job_scheduler(scheduler_options options, scheduler_ports ports, job_book book)
+    : m_runs{m_state},
+      m_placer{m_state}
+{
+    m_state.m_options = options;
+    m_state.m_ports = std::move(ports);
+    m_state.m_book = std::move(book);
+}
+
+void job_scheduler::set_config(fleet_config config)
+{
+    m_state.m_config = std::move(config);
+    // A queue may have moved to a pool with room.
+    for (const auto& [id, each] : m_state.m_book.jobs()) {
+        if (each.phase() == job_phase::active) {
+            m_state.m_hungry.insert(id);
+        }
+    }
+}
+
+void job_scheduler::worker_listed(const worker_report& report, moment now)
+{
+    auto* session = m_state.find_worker(report.m_life.m_worker);
+    if (session == nullptr) {
+        m_state.m_workers.emplace(report.m_life.m_worker,
+                                  worker_session::create(report, m_state.m_options.m_fence,
+                                                         m_state.m_options.m_lease, now.m_at));
+        return;
+    }
+    if (session->update(report, now.m_at)) {
+        m_runs.begin_new_life(*session, report.m_life.m_born_ms, now);
+    }
+}
+
+void job_scheduler::worker_unlisted(std::string_view id, moment now)
+{
+    auto* session = m_state.find_worker(id);
+    if (session != nullptr && session->listed()) {
+        m_state.log("worker_unlisted", "", std::string{id}, "");
+        session->set_listed(false, now.m_at);
+    }
+}
+
+void job_scheduler::begin(moment now)
+{
+    m_runs.adopt_recorded_runs(now);
+}
+
+void job_scheduler::set_leaving(std::set<std::string, std::less<>> workers)
+{
+    m_state.m_leaving = std::move(workers);
+}
+
+void job_scheduler::take_call(std::uint64_t token, const job_call& call, moment now)
+{
+    const auto* queue = m_state.m_config.match(call.m_host, call.m_path);
+    if (queue == nullptr) {
+        m_state.m_ports.m_answer(token, status_only(call_status::unknown_queue));
+        return;
+    }
+    const auto id = call.m_path.substr(queue->m_prefix.size());
+    if (call.m_kind == call_kind::query && id.empty()) {
+        auto answer = status_only(call_status::length);
+        answer.m_length = waiting_jobs(*queue, now.m_unix_ms);
+        m_state.m_ports.m_answer(token, answer);
+        return;
+    }
+    switch (call.m_kind) {
+    case call_kind::submit:
+        submit(token, *queue, id, call, now);
+        return;
+    case call_kind::cancel:
+        cancel(token, id, now);
+        return;
+    case call_kind::query:
+    case call_kind::queue_length:
+        query(token, id);
+        return;
+    }
+}
+
+void job_scheduler::submit(std::uint64_t token, const queue_config& queue, const std::string& id,
+                           const job_call& call, moment now)
+{
+    if (m_state.m_book.find(id) != nullptr) {
+        answer_when_written(token, status_only(call_status::done), id);
+        return;
+    }
+    const auto fault = call.m_spec ? check_spec(*call.m_spec) : spec_fault::no_steps;
+    if (!is_id(id) || fault != spec_fault::none) {
+        m_state.log("job_invalid", id, "", std::string{to_string(fault)});
+        m_state.m_ports.m_answer(token, status_only(call_status::invalid));
+        return;
+    }
+    m_state.m_book.add({id, queue, now.m_unix_ms, *call.m_spec});
+    m_state.m_hungry.insert(id);
+    m_state.log("job_accepted", id, "", queue.m_name);
+    answer_when_written(token, status_only(call_status::done), id);
+}
+
+void job_scheduler::cancel(std::uint64_t token, const std::string& id, moment now)
+{
+    auto* of = m_state.m_book.find(id);
+    if (of == nullptr) {
+        m_state.m_ports.m_answer(token, status_only(call_status::unknown_job));
+        return;
+    }
+    if (of->cancel(now.m_unix_ms)) {
+        m_state.m_book.touch(id);
+        m_state.log("job_cancelled", id, "", "");
+        m_runs.stop_job(*of, now.m_at);
+    }
+    answer_when_written(token, status_only(call_status::done), id);
+}
+
+void job_scheduler::query(std::uint64_t token, const std::string& id)
+{
+    const auto* of = m_state.m_book.find(id);
+    if (of == nullptr) {
+        m_state.m_ports.m_answer(token, status_only(call_status::unknown_job));
+        return;
+    }
+    auto answer = status_only(call_status::state);
+    answer.m_state = visible_state(*of);
+    answer_when_written(token, answer, id);
+}
+
+std::uint64_t job_scheduler::waiting_jobs(const queue_config& queue, std::int64_t now_ms) const
+{
+    const auto key = queue_key(queue);
+    std::uint64_t count = 0;
+    for (const auto& [id, each] : m_state.m_book.jobs()) {
+        const bool waits = each.phase() == job_phase::active && !each.begun() &&
+                           each.due_ms(0) <= now_ms;
+        count += waits && queue_key(each.header().m_queue) == key ? 1 : 0;
+    }
+    return count;
+}
+
+void job_scheduler::answer_when_written(std::uint64_t token, const call_answer& answer,
+                                        const std::string& id)
+{
+    if (m_state.m_book.dirty(id) || m_being_written.count(id) != 0) {
+        m_state.m_effects.emplace_back(answer_effect{token, answer});
+        return;
+    }
+    m_state.m_ports.m_answer(token, answer);
+}
+
+void job_scheduler::start_answered(const worker_life& life, const run_key& key, std::uint32_t run,
+                                   const order_answer& answer, moment now)
+{
+    m_runs.start_answered(life, key, run, answer, now);
+}
+
+void job_scheduler::stop_answered(const worker_life& life, const run_key& key, std::uint32_t run,
+                                  const order_answer& answer, moment now)
+{
+    m_runs.stop_answered(life, key, run, answer, now);
+}
+
+void job_scheduler::hold_answered(const worker_life& life, const hold_answer& answer,
+                                  time_point sent_at, moment now)
+{
+    m_runs.hold_answered(life, answer, sent_at, now);
+}
+
+void job_scheduler::tick(moment now)
+{
+    m_runs.tick(now);
+    if (now.m_at - m_expired_at >= expiry_interval) {
+        m_expired_at = now.m_at;
+        m_state.m_book.expire(now.m_unix_ms - m_state.m_options.m_retention.count());
+    }
+}
+
+bool job_scheduler::wants_write() const
+{
+    return m_state.m_book.has_changes() || !m_state.m_effects.empty() || !m_state.m_hungry.empty();
+}
+
+write_batch job_scheduler::take_batch(moment now)
+{
+    m_placer.place_all(now);
+    write_batch batch;
+    batch.m_jobs = m_state.m_book.dirty_ids();
+    batch.m_records = m_state.m_book.take_changes();
+    batch.m_effects.swap(m_state.m_effects);
+    m_being_written = batch.m_jobs;
+    return batch;
+}
+
+void job_scheduler::written(write_batch batch, moment now)
+{
+    m_being_written.clear();
+    for (const auto& each : batch.m_effects) {
+        if (const auto* answer = std::get_if<answer_effect>(&each)) {
+            m_state.m_ports.m_answer(answer->m_token, answer->m_answer);
+        }
+        else if (const auto* start = std::get_if<start_effect>(&each)) {
+            m_runs.send_start(*start, now);
+        }
+        else if (const auto* ends = std::get_if<ends_effect>(&each)) {
+            auto* session = m_state.find_life(ends->m_life);
+            if (session != nullptr) {
+                session->ends_recorded(ends->m_number);
+            }
+        }
+    }
+}
+
+} // namespace peridotrudder
--- /dev/null
+++ b/src/scheduling/run_control.cpp
@@ -0,0 +1,433 @@
+#include "peridotrudder/scheduling/run_control.hpp"
+
+#include <fmt/format.h>
+
+namespace peridotrudder {
+
+namespace {
+
+/// Pause before a stop without an answer is sent again.
+constexpr milliseconds stop_retry{300};
+/// Time for which a worker that turned an order down gets no other.
+constexpr milliseconds unhealthy_pause{500};
+constexpr milliseconds invalid_pause{1'000};
+/// A run whose progress stands still for so long is taken as stalled.
+constexpr milliseconds stall_time{1'200};
+/// Progress is told in whole hundredths: a long run moves rarely.
+constexpr int slow_steps = 4;
+constexpr int percent_steps = 100;
+constexpr std::uint32_t whole = 100;
+
+milliseconds patience(const worker_run& run)
+{
+    return std::max(stall_time, run.m_estimate * slow_steps / percent_steps + stall_time);
+}
+
+} // namespace
+
+void run_control::adopt_recorded_runs(moment now)
+{
+    for (const auto& [id, each] : m_state->m_book.jobs()) {
+        if (each.phase() == job_phase::active) {
+            m_state->m_hungry.insert(id);
+        }
+        if (each.placed_tasks() == 0) {
+            continue;
+        }
+        for (std::uint32_t occurrence = 0; occurrence < each.occurrences(); ++occurrence) {
+            for (std::uint32_t step = 0; step < each.spec().m_steps.size(); ++step) {
+                const auto tasks = each.tasks(occurrence, step);
+                for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                    if (tasks[index].m_phase == task_phase::placed) {
+                        adopt({id, {occurrence, step, index}}, each, now);
+                    }
+                }
+            }
+        }
+    }
+}
+
+void run_control::adopt(const run_key& key, const job& of, moment now)
+{
+    const auto& placed = of.at(key.m_task);
+    auto found = m_state->m_workers.find(placed.m_where.m_worker);
+    if (found == m_state->m_workers.end()) {
+        // The worker is not listed now. It may be back, or run on unseen until its lease is over.
+        worker_report unseen;
+        unseen.m_life = placed.m_where;
+        auto session = worker_session::create(unseen, m_state->m_options.m_fence,
+                                              m_state->m_options.m_lease, now.m_at);
+        session.set_listed(false, now.m_at);
+        found = m_state->m_workers.emplace(placed.m_where.m_worker, std::move(session)).first;
+    }
+    auto& session = found->second;
+    if (!(session.life() == placed.m_where)) {
+        m_state->log("run_lost", key.m_job, session.id(), "worker is in another life");
+        m_state->m_book.find(key.m_job)->void_run(key.m_task);
+        m_state->changed(key.m_job);
+        return;
+    }
+    const auto& step = of.spec().m_steps[key.m_task.m_step];
+    auto run = make_run(step, placed.m_run);
+    run.m_phase = run_phase::doubtful;
+    // Whatever the predecessor sent is refused once the worker knows this owner's fencing token.
+    run.m_stop_answered_at = now.m_at;
+    run.m_stopping = of.phase() != job_phase::active;
+    session.reserve(key, run);
+}
+
+void run_control::send_start(const start_effect& start, moment now)
+{
+    auto* session = m_state->find_life(start.m_life);
+    auto* run = session == nullptr ? nullptr : session->find(start.m_key);
+    auto* of = m_state->m_book.find(start.m_key.m_job);
+    if (run == nullptr || of == nullptr || run->m_run != start.m_run ||
+        run->m_phase != run_phase::recording) {
+        return;
+    }
+    const bool wanted = of->phase() == job_phase::active && !run->m_stopping;
+    if (!wanted || !session->takes_work(now.m_at)) {
+        lose_run(*session, start.m_key, "not sent");
+        return;
+    }
+    start_order order;
+    order.m_key = start.m_key;
+    order.m_run = start.m_run;
+    order.m_payload = of->spec().m_payload;
+    order.m_checkpoint = of->at(start.m_key.m_task).m_checkpoint;
+    order.m_fence = m_state->m_options.m_fence;
+    order.m_deadline_ms = session->start_deadline(now.m_at);
+    run->m_phase = run_phase::ordered;
+    m_state->m_ports.m_start(session->report(), order);
+}
+
+void run_control::start_answered(const worker_life& life, const run_key& key, std::uint32_t number,
+                                 const order_answer& answer, moment now)
+{
+    auto* session = m_state->find_life(life);
+    auto* run = session == nullptr ? nullptr : session->find(key);
+    if (run == nullptr || run->m_run != number) {
+        return;
+    }
+    session->order_answered(answer, now.m_at);
+    switch (answer.m_result) {
+    case order_result::accepted:
+        if (run->m_phase != run_phase::running) {
+            run->m_phase = run_phase::running;
+            run->m_confirmed_at = now.m_at;
+            run->m_progress_at = now.m_at;
+        }
+        return;
+    case order_result::fenced:
+        depose();
+        return;
+    case order_result::unanswered:
+        if (run->m_phase == run_phase::ordered) {
+            m_state->log("start_unanswered", key.m_job, life.m_worker, "");
+            run->m_phase = run_phase::doubtful;
+            stop_run(*session, key, now.m_at);
+        }
+        return;
+    case order_result::obsolete:
+        // It may have run and ended already: the next look tells.
+        run->m_phase = run_phase::doubtful;
+        run->m_stop_answered_at = now.m_at;
+        return;
+    case order_result::invalid:
+        session->hold_back_until(now.m_at + invalid_pause);
+        break;
+    case order_result::unhealthy:
+    case order_result::no_room:
+        session->hold_back_until(now.m_at + unhealthy_pause);
+        break;
+    case order_result::too_late:
+    case order_result::bad_ticket:
+    case order_result::other_life:
+    case order_result::not_sent:
+        break;
+    }
+    if (run->m_phase == run_phase::ordered) {
+        lose_run(*session, key, to_string(answer.m_result));
+    }
+}
+
+void run_control::stop_answered(const worker_life& life, const run_key& key, std::uint32_t number,
+                                const order_answer& answer, moment now)
+{
+    auto* session = m_state->find_life(life);
+    auto* run = session == nullptr ? nullptr : session->find(key);
+    if (run == nullptr || run->m_run != number) {
+        return;
+    }
+    session->order_answered(answer, now.m_at);
+    run->m_stop_under_way = false;
+    if (answer.m_result == order_result::fenced) {
+        depose();
+        return;
+    }
+    if (answer.m_result == order_result::accepted || answer.m_result == order_result::obsolete) {
+        run->m_stop_answered_at = now.m_at;
+    }
+}
+
+void run_control::hold_answered(const worker_life& life, const hold_answer& answer,
+                                time_point sent_at, moment now)
+{
+    auto* session = m_state->find_worker(life.m_worker);
+    if (session == nullptr) {
+        return;
+    }
+    if (answer.m_result == order_result::fenced) {
+        depose();
+        return;
+    }
+    const bool was_silent = session->silent();
+    const auto outcome = session->hold_answered(answer, sent_at, now.m_at);
+    if (session->silent() != was_silent) {
+        m_state->log(was_silent ? "worker_answers" : "worker_silent", "", session->id(),
+                     std::string{to_string(answer.m_result)});
+    }
+    if (answer.m_result == order_result::other_life && session->life() == life) {
+        lose_all(*session, "address belongs to another worker");
+        return;
+    }
+    if (outcome.m_reborn) {
+        begin_new_life(*session, *answer.m_born_ms, now);
+        return;
+    }
+    for (const auto& each : outcome.m_ended) {
+        note_end(*session, each, now);
+    }
+    for (const auto& each : outcome.m_gone) {
+        lose_run(*session, each, "not at the worker");
+    }
+    for (const auto& each : outcome.m_strangers) {
+        stop_stranger(*session, each, now.m_at);
+    }
+    if (!outcome.m_ended.empty()) {
+        m_state->m_effects.emplace_back(ends_effect{session->life(), session->newest_end()});
+    }
+    stop_stalled(*session, now.m_at);
+}
+
+void run_control::note_end(worker_session& session, const ended_entry& ended, moment now)
+{
+    const auto* run = session.find(ended.m_key);
+    if (run != nullptr && run->m_run == ended.m_run) {
+        session.release(ended.m_key);
+    }
+    auto* of = m_state->m_book.find(ended.m_key.m_job);
+    if (of == nullptr || !of->has(ended.m_key.m_task)) {
+        return;
+    }
+    const auto before = of->at(ended.m_key.m_task);
+    const bool was_active = of->phase() == job_phase::active;
+    const auto attempts = m_state->queue_of(of->header()).m_attempts;
+    const bool changed = of->end(ended.m_key.m_task, ended.m_run, ended.m_how, ended.m_checkpoint,
+                                 attempts, now.m_unix_ms);
+    blame(session, *of, ended.m_key, ended.m_how, now.m_at);
+    if (!changed) {
+        return;
+    }
+    m_state->changed(ended.m_key.m_job);
+    if (ended.m_how != run_end::done) {
+        m_state->log("run_ended", ended.m_key.m_job, session.id(),
+                     std::string{to_string(ended.m_how)});
+    }
+    const bool other_run = before.m_phase == task_phase::placed &&
+                           (before.m_run != ended.m_run || !(before.m_where == session.life()));
+    auto* elsewhere = other_run ? m_state->find_life(before.m_where) : nullptr;
+    if (elsewhere != nullptr && ended.m_how == run_end::done) {
+        stop_run(*elsewhere, ended.m_key, now.m_at);
+    }
+    if (was_active && of->phase() != job_phase::active) {
+        m_state->log("job_ended", ended.m_key.m_job, "", std::string{to_string(of->phase())});
+        stop_job(*of, now.m_at);
+    }
+}
+
+void run_control::blame(worker_session& session, const job& of, const run_key& key, run_end how,
+                        time_point now)
+{
+    auto& health = m_state->health_of(session.report().m_pool);
+    if (how == run_end::done) {
+        health.succeeded(session.id());
+        m_state->m_failed_on.erase(key);
+        return;
+    }
+    if (how != run_end::failed) {
+        return;
+    }
+    // A task that fails on one worker after the other is at fault itself.
+    const auto failed = m_state->m_failed_on.find(key);
+    const bool elsewhere_too = failed != m_state->m_failed_on.end() && failed->second != session.id();
+    if (!elsewhere_too && !of.spec().m_steps[key.m_task.m_step].m_long_running) {
+        health.failed(session.id(), m_state->pool_size(session.report().m_pool), now);
+    }
+    m_state->m_failed_on[key] = session.id();
+}
+
+void run_control::lose_run(worker_session& session, const run_key& key, std::string_view why)
+{
+    const auto* run = session.find(key);
+    if (run == nullptr) {
+        return;
+    }
+    const auto number = run->m_run;
+    session.release(key);
+    auto* of = m_state->m_book.find(key.m_job);
+    if (of == nullptr || !of->has(key.m_task)) {
+        return;
+    }
+    const auto& each = of->at(key.m_task);
+    if (each.m_phase == task_phase::placed && each.m_run == number) {
+        of->void_run(key.m_task);
+        m_state->changed(key.m_job);
+        m_state->log("run_lost", key.m_job, session.id(), std::string{why});
+    }
+}
+
+void run_control::lose_all(worker_session& session, std::string_view why)
+{
+    std::vector<run_key> keys;
+    for (const auto& each : session.runs()) {
+        keys.push_back(each.first);
+    }
+    for (const auto& each : keys) {
+        lose_run(session, each, why);
+    }
+}
+
+void run_control::begin_new_life(worker_session& session, std::int64_t born_ms, moment now)
+{
+    lose_all(session, "worker is in another life");
+    session.start_new_life(born_ms, now.m_at);
+}
+
+void run_control::stop_run(worker_session& session, const run_key& key, time_point now)
+{
+    auto* run = session.find(key);
+    if (run == nullptr) {
+        return;
+    }
+    run->m_stopping = true;
+    // What is not sent yet is dropped when its turn to be sent comes.
+    if (run->m_phase == run_phase::recording || run->m_stop_under_way || run->m_stop_answered_at) {
+        return;
+    }
+    run->m_stop_under_way = true;
+    run->m_stop_sent_at = now;
+    m_state->m_ports.m_stop(session.report(), {key, run->m_run, m_state->m_options.m_fence});
+}
+
+void run_control::stop_job(const job& of, time_point now)
+{
+    if (of.placed_tasks() == 0) {
+        return;
+    }
+    for (std::uint32_t occurrence = 0; occurrence < of.occurrences(); ++occurrence) {
+        for (std::uint32_t step = 0; step < of.spec().m_steps.size(); ++step) {
+            const auto tasks = of.tasks(occurrence, step);
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                auto* session = tasks[index].m_phase == task_phase::placed
+                                    ? m_state->find_life(tasks[index].m_where)
+                                    : nullptr;
+                if (session != nullptr) {
+                    stop_run(*session, {of.header().m_id, {occurrence, step, index}}, now);
+                }
+            }
+        }
+    }
+}
+
+void run_control::stop_stranger(worker_session& session, const running_entry& stranger,
+                                time_point now)
+{
+    m_state->log("stranger_stopped", stranger.m_key.m_job, session.id(),
+                 fmt::format("run {}", stranger.m_run));
+    const auto* of = m_state->m_book.find(stranger.m_key.m_job);
+    if (of != nullptr && of->has(stranger.m_key.m_task) && session.find(stranger.m_key) == nullptr) {
+        // It takes room until it has ended.
+        auto run = make_run(of->spec().m_steps[stranger.m_key.m_task.m_step], stranger.m_run);
+        run.m_phase = run_phase::running;
+        run.m_confirmed_at = now;
+        session.reserve(stranger.m_key, run);
+        stop_run(session, stranger.m_key, now);
+        return;
+    }
+    m_state->m_ports.m_stop(session.report(),
+                            {stranger.m_key, stranger.m_run, m_state->m_options.m_fence});
+}
+
+void run_control::stop_stalled(worker_session& session, time_point now)
+{
+    std::vector<run_key> stalled;
+    for (const auto& [key, run] : session.runs()) {
+        const bool watched = run.m_phase == run_phase::running && !run.m_stopping &&
+                             run.m_pace == whole && !(run.m_long_running && run.m_percent == whole);
+        if (watched && now - run.m_progress_at > patience(run)) {
+            stalled.push_back(key);
+        }
+    }
+    for (const auto& key : stalled) {
+        m_state->log("run_stalled", key.m_job, session.id(), "");
+        auto& health = m_state->health_of(session.report().m_pool);
+        health.failed(session.id(), m_state->pool_size(session.report().m_pool), now);
+        stop_run(session, key, now);
+    }
+}
+
+void run_control::tick(moment now)
+{
+    for (auto each = m_state->m_workers.begin(); each != m_state->m_workers.end();) {
+        auto& session = each->second;
+        const bool unreachable = session.silent() || !session.listed();
+        if (unreachable && !session.runs().empty() && now.m_at >= session.lease_over() &&
+            (session.silent() || session.report().m_port == 0)) {
+            lose_all(session, "lease over");
+        }
+        if (!session.listed() && session.runs().empty()) {
+            m_state->log("worker_forgotten", "", session.id(), "");
+            each = m_state->m_workers.erase(each);
+            continue;
+        }
+        std::vector<run_key> again;
+        for (const auto& [key, run] : session.runs()) {
+            if (run.m_stopping && !run.m_stop_under_way && !run.m_stop_answered_at &&
+                now.m_at - run.m_stop_sent_at > stop_retry) {
+                again.push_back(key);
+            }
+        }
+        for (const auto& key : again) {
+            stop_run(session, key, now.m_at);
+        }
+        if (session.report().m_port != 0) {
+            if (const auto hold = session.next_hold(now.m_at)) {
+                m_state->m_ports.m_hold(session.report(), *hold);
+            }
+        }
+        ++each;
+    }
+}
+
+void run_control::depose()
+{
+    if (!m_state->m_deposed) {
+        m_state->m_deposed = true;
+        m_state->m_ports.m_deposed();
+    }
+}
+
+worker_run make_run(const step_spec& step, std::uint32_t number)
+{
+    worker_run run;
+    run.m_run = number;
+    run.m_reserved = reserved_for(step);
+    run.m_long_running = step.m_long_running;
+    run.m_fills = step.m_fills;
+    run.m_latency_target = step.m_latency_target;
+    run.m_estimate = step.m_estimate;
+    return run;
+}
+
+} // namespace peridotrudder
--- /dev/null
+++ b/src/scheduling/scheduler_state.cpp
@@ -0,0 +1,61 @@
+#include "peridotrudder/scheduling/scheduler_state.hpp"
+
+#include <algorithm>
+
+namespace peridotrudder {
+
+namespace {
+
+/// Fewer than for forwarded calls: a worker that fails all it starts draws work fast.
+constexpr std::uint32_t failed_runs_to_eject = 2;
+
+} // namespace
+
+worker_session* scheduler_state::find_worker(std::string_view id)
+{
+    const auto found = m_workers.find(id);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+worker_session* scheduler_state::find_life(const worker_life& life)
+{
+    auto* session = find_worker(life.m_worker);
+    return session != nullptr && session->life() == life ? session : nullptr;
+}
+
+const queue_config& scheduler_state::queue_of(const job_header& header) const
+{
+    const auto* configured = m_config.find_queue(queue_key(header.m_queue));
+    return configured != nullptr ? *configured : header.m_queue;
+}
+
+worker_health& scheduler_state::health_of(const std::string& pool)
+{
+    const auto found = m_health.find(pool);
+    if (found != m_health.end()) {
+        return found->second;
+    }
+    return m_health.emplace(pool, worker_health::create(failed_runs_to_eject)).first->second;
+}
+
+std::size_t scheduler_state::pool_size(std::string_view pool) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_workers.begin(), m_workers.end(), [pool](const auto& each) {
+            return each.second.listed() && each.second.report().m_pool == pool;
+        }));
+}
+
+void scheduler_state::changed(const std::string& job_id)
+{
+    m_book.touch(job_id);
+    m_hungry.insert(job_id);
+}
+
+void scheduler_state::log(std::string_view event, const std::string& job, const std::string& worker,
+                          std::string detail) const
+{
+    m_ports.m_log({event, job, worker, std::move(detail)});
+}
+
+} // namespace peridotrudder
--- /dev/null
+++ b/src/scheduling/work_order.cpp
@@ -0,0 +1,74 @@
+#include "peridotrudder/scheduling/work_order.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace peridotrudder {
+
+namespace {
+
+/// An end up to this many objectives after the start is still worth something.
+constexpr double useful_objectives = 3.0;
+/// Declared run times are rough: a job is given up as late only where even this share would be.
+constexpr double optimistic_share = 0.6;
+
+} // namespace
+
+job_limits limits_of(const job_header& header, const queue_config& queue)
+{
+    const auto chain = static_cast<double>(longest_chain(header.m_spec).count());
+    const auto objective =
+        queue.m_stretch * chain + static_cast<double>(queue.m_target.count());
+    return {header.m_accepted_ms + static_cast<std::int64_t>(objective),
+            header.m_accepted_ms + static_cast<std::int64_t>(objective * useful_objectives)};
+}
+
+milliseconds remaining_chain(const job& of, std::uint32_t occurrence)
+{
+    milliseconds longest{0};
+    const auto& steps = of.spec().m_steps;
+    std::vector<milliseconds> finish(steps.size());
+    for (std::uint32_t index = 0; index < steps.size(); ++index) {
+        milliseconds start{0};
+        for (const auto each : steps[index].m_depends_on) {
+            start = std::max(start, finish[each]);
+        }
+        const auto tasks = of.tasks(occurrence, index);
+        const bool open = std::any_of(tasks.begin(), tasks.end(), [](const task& each) {
+            return each.m_phase != task_phase::done;
+        });
+        finish[index] = start + (open ? steps[index].m_estimate : milliseconds{0});
+        longest = std::max(longest, finish[index]);
+    }
+    return longest;
+}
+
+punctuality punctuality_of(const job& of, const job_limits& limits, std::int64_t now_ms)
+{
+    const auto left = static_cast<double>(remaining_chain(of, 0).count()) * optimistic_share;
+    const auto end_ms = now_ms + static_cast<std::int64_t>(left);
+    if (end_ms <= limits.m_objective_ms) {
+        return punctuality::in_time;
+    }
+    return end_ms <= limits.m_useful_ms ? punctuality::late : punctuality::useless;
+}
+
+work_rank rank_work(const job& of, const queue_config& queue, std::int64_t now_ms)
+{
+    work_rank rank;
+    rank.m_id = of.header().m_id;
+    rank.m_priority = queue.m_priority;
+    rank.m_ends = !is_long_running(of.spec());
+    if (of.spec().m_recurrence) {
+        rank.m_objective_ms = of.due_ms(0);
+        return rank;
+    }
+    const auto limits = limits_of(of.header(), queue);
+    rank.m_objective_ms = limits.m_objective_ms;
+    if (rank.m_ends) {
+        rank.m_punctuality = punctuality_of(of, limits, now_ms);
+    }
+    return rank;
+}
+
+} // namespace peridotrudder
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -33,7 +33,7 @@
 {
     const auto layout = std::make_shared<log4cxx::JSONLayout>();
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
+        layout, log4cxx::ConsoleAppender::getSystemOut());
     log4cxx::helpers::Pool pool;
     appender->activateOptions(pool);
     const auto root = log4cxx::Logger::getRootLogger();
