Move VMs after the demand and take them down for maintenance

Ruled out: recorded starts as the cause of late jobs; the first start waits for room, not for the log.

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -39,8 +39,11 @@
     bool m_stopping{false};
     bool m_stop_under_way{false};
     time_point m_stop_sent_at;
-    /// When the worker answered the stop: from then on the run cannot start any more.
-    std::optional<time_point> m_stop_answered_at;
+    /// The worker has answered the stop.
+    bool m_stop_answered{false};
+    /// Since when the run cannot start any more, if it has not: a stop was answered, or the order
+    /// had a fencing token that is out of date.
+    std::optional<time_point> m_barred_at;
     std::uint32_t m_percent{0};
     time_point m_progress_at;
     std::int64_t m_load{0};
@@ -101,6 +104,8 @@
     bool fenced() const { return m_fenced; }
     /// Returns whether the worker did not answer the newest orders.
     bool silent() const { return m_misses >= silent_misses; }
+    /// Returns since when the worker has not answered; nothing while it does.
+    std::optional<time_point> silent_since() const { return m_silent_since; }
     /// Returns whether new work may be ordered there at all.
     bool takes_work(time_point now) const;
     void hold_back_until(time_point until) { m_held_back_until = std::max(m_held_back_until, until); }
@@ -152,6 +157,7 @@
     bool m_fenced{false};
     time_point m_fenced_at;
     int m_misses{0};
+    std::optional<time_point> m_silent_since;
     time_point m_held_back_until;
     std::map<run_key, worker_run> m_runs;
     resources m_used;
--- a/include/peridotrudder/node/fleet_owner.hpp
+++ b/include/peridotrudder/node/fleet_owner.hpp
@@ -85,6 +85,8 @@
     void take_worker_records(const std::vector<kept_record>& records, bool snapshot);
     void pump();
     void end();
+    void tell_wave(const std::string& key, bool completed);
+    planner_ports make_planner_ports();
     scheduler_ports make_scheduler_ports();
     bool proven(milliseconds within) const;
 
--- /dev/null
+++ b/include/peridotrudder/planning/pool_demand.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+/// @file
+/// How many VMs each pool needs now.
+
+#include "peridotrudder/scheduling/scheduler_state.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace peridotrudder {
+
+/// What one pool has to do, in thousandths of a core.
+struct pool_load {
+    /// Reserved by long-running tasks, placed or not.
+    std::int64_t m_long_running{0};
+    /// VMs that the long-running tasks need, since only so many of a step may share a worker.
+    std::uint32_t m_spread{0};
+    /// Needed so that what is accepted ends within its objectives.
+    std::int64_t m_accepted{0};
+    /// Arriving, averaged over the last second or so.
+    std::int64_t m_arriving{0};
+    /// Waits for room now.
+    std::int64_t m_waiting{0};
+};
+
+/// Follows the demand of each pool.
+///
+/// Answers queues that take turns: each asks for several times its mean for some seconds and for
+/// almost nothing in between. Arrivals tell a turn's beginning first, accepted work its end. Pure;
+/// not thread-safe.
+class pool_demand {
+public:
+    /// Returns the load of each pool. To be called at short intervals.
+    std::map<std::string, pool_load> measure(const scheduler_state& state, moment now);
+
+private:
+    struct arrivals {
+        std::int64_t m_accepted_work{0};
+        double m_rate{0.0};
+    };
+
+    std::map<std::string, arrivals> m_arrivals;
+    time_point m_measured_at;
+};
+
+/// Returns how many VMs of `vm_cpu` thousandths of a core serve the load.
+std::uint32_t wanted_vms(const pool_load& load, std::int64_t vm_cpu);
+
+} // namespace peridotrudder
--- a/include/peridotrudder/scheduling/placement.hpp
+++ b/include/peridotrudder/scheduling/placement.hpp
@@ -15,8 +15,6 @@
 /// A worker that the scheduler may use, and what it thinks of it.
 struct candidate {
     worker_session* m_session{nullptr};
-    /// Its VM is being emptied: only if there is no other, and not at all for long-running tasks.
-    bool m_leaving{false};
     /// Recently failed or stalled: used last.
     bool m_doubted{false};
     /// Processor time that filling tasks there would take, in thousandths of a core.
--- a/include/peridotrudder/scheduling/run_control.hpp
+++ b/include/peridotrudder/scheduling/run_control.hpp
@@ -37,6 +37,8 @@
     /// Asks for the end of all runs of a job.
     void stop_job(const job& of, time_point now);
     /// Drops the runs of a worker whose life is over, and starts its new one.
+    /// Gives up all runs of a worker on which surely nothing runs any more.
+    void lose_all(worker_session& session, std::string_view why, moment now);
     void begin_new_life(worker_session& session, std::int64_t born_ms, moment now);
 
     /// Sends the holds and repeated stops that are due, and gives up on workers that are gone.
@@ -48,7 +50,6 @@
     void blame(worker_session& session, const job& of, const run_key& key, run_end how,
                time_point now);
     void lose_run(worker_session& session, const run_key& key, std::string_view why);
-    void lose_all(worker_session& session, std::string_view why);
     void stop_stranger(worker_session& session, const running_entry& stranger, time_point now);
     void stop_stalled(worker_session& session, time_point now);
     void depose();
--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -84,10 +84,13 @@
     fleet_config m_config;
     std::map<std::string, worker_session, std::less<>> m_workers;
     std::map<std::string, worker_health, std::less<>> m_health;
-    /// Workers whose VMs are being emptied.
+    /// Workers whose VMs are being emptied: they get no new work.
     std::set<std::string, std::less<>> m_leaving;
     /// Jobs that may have tasks to start.
     std::set<std::string> m_hungry;
+    /// Estimated work of all short jobs accepted so far, by pool, in thousandths of a core times
+    /// milliseconds.
+    std::map<std::string, std::int64_t> m_accepted_work;
     /// Worker of a task's newest failure.
     std::map<run_key, std::string> m_failed_on;
     /// What follows once the next batch is written.
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -165,6 +165,9 @@
     m_next_hold = now + m_options.m_hold_pause;
     if (answer.m_result != order_result::accepted) {
         ++m_misses;
+        if (silent() && !m_silent_since) {
+            m_silent_since = now;
+        }
         m_next_hold = now + std::min(retry_pause * m_misses, longest_retry_pause);
         return outcome;
     }
@@ -179,6 +182,7 @@
         m_report.m_life.m_born_ms = *answer.m_born_ms;
     }
     m_misses = 0;
+    m_silent_since.reset();
     m_told_end = std::max(m_told_end, m_end_in_hold);
     if (!m_fenced) {
         m_fenced = true;
@@ -230,7 +234,7 @@
         // Not there is certain only if nothing can bring it there after this look: its start was
         // confirmed before, or a stop was, or it was ordered with an earlier fencing token.
         const bool was_there = run.m_phase == run_phase::running && run.m_confirmed_at <= sent_at;
-        const bool barred = run.m_stop_answered_at && *run.m_stop_answered_at <= sent_at;
+        const bool barred = run.m_barred_at && *run.m_barred_at <= sent_at;
         if (was_there || barred) {
             outcome.m_gone.push_back(key);
         }
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -15,6 +15,7 @@
 /// Workers renew their entries all the time: reading at a steady pace bounds what that costs.
 constexpr milliseconds worker_read_pause{150};
 constexpr milliseconds load_retry{100};
+constexpr milliseconds status_retry{200};
 
 } // namespace
 
@@ -166,7 +167,7 @@
                                    report.m_damaged.size())});
     m_scheduler = job_scheduler::create(m_options.m_scheduler, make_scheduler_ports(),
                                         std::move(book), now);
-    m_planner = fleet_planner::create(m_options.m_planner, m_options.m_epoch, now.m_at);
+    m_planner = fleet_planner::create(m_options.m_planner, m_options.m_epoch, make_planner_ports());
     m_planner->restore(m_journal_records);
     m_journal_records.clear();
     take_operator_records(m_operator_snapshot);
@@ -272,8 +273,14 @@
 
 void fleet_owner::pump()
 {
-    while (m_phase == owner_phase::serving && !m_journal->busy() && m_scheduler->wants_write()) {
+    while (m_phase == owner_phase::serving && !m_journal->busy()) {
+        auto planned = m_planner->take_changes();
+        if (planned.empty() && !m_scheduler->wants_write()) {
+            return;
+        }
         auto batch = m_scheduler->take_batch(m_ports.m_loop.m_now());
+        batch.m_records.insert(batch.m_records.end(), std::make_move_iterator(planned.begin()),
+                               std::make_move_iterator(planned.end()));
         if (!batch.m_records.empty()) {
             auto records = batch.m_records;
             m_writing = std::move(batch);
@@ -295,7 +302,7 @@
         return;
     }
     m_scheduler->tick(now);
-    m_planner->tick(*m_scheduler, m_ports.m_vms, now);
+    m_planner->tick(*m_scheduler, now);
     pump();
     if (m_phase == owner_phase::serving && !m_journal->busy() &&
         now.m_at - m_journal->proven_at() > m_options.m_proof_interval) {
@@ -317,6 +324,37 @@
     return m_ports.m_loop.m_now().m_at - m_journal->proven_at() <= within;
 }
 
+void fleet_owner::tell_wave(const std::string& key, bool completed)
+{
+    append_request request;
+    request.m_topic = m_ports.m_wire.m_status_topic;
+    request.m_records.push_back({key, m_ports.m_wire.m_wave_state(completed), 0});
+    const std::weak_ptr<fleet_owner*> self = m_self;
+    m_ports.m_log.m_append(request, [self, key, completed](const append_answer& answer) {
+        const auto alive = self.lock();
+        if (!alive || answer.m_result == log_result::ok) {
+            return;
+        }
+        (*alive)->m_ports.m_loop.m_after(status_retry, [self, key, completed] {
+            if (const auto still = self.lock(); still && (*still)->m_phase == owner_phase::serving) {
+                (*still)->tell_wave(key, completed);
+            }
+        });
+    });
+}
+
+planner_ports fleet_owner::make_planner_ports()
+{
+    planner_ports ports;
+    ports.m_loop = m_ports.m_loop;
+    ports.m_vms = m_ports.m_vms;
+    ports.m_tell_wave = [this](const std::string& key, bool completed) {
+        tell_wave(key, completed);
+    };
+    ports.m_decided = m_ports.m_decided;
+    return ports;
+}
+
 scheduler_ports fleet_owner::make_scheduler_ports()
 {
     scheduler_ports ports;
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -205,6 +205,9 @@
         options.m_epoch = epoch;
         options.m_scheduler.m_retention = m_settings.m_retention;
         options.m_scheduler.m_lease.m_longest = m_settings.m_longest_lease;
+        options.m_planner.m_takeover_pause = m_settings.m_vm_lease;
+        options.m_planner.m_move_time = m_settings.m_move_time;
+        options.m_planner.m_maintenance_time = m_settings.m_maintenance_time;
         owner_ports ports;
         ports.m_loop = m_loop_port;
         ports.m_log = m_log;
--- /dev/null
+++ b/src/planning/pool_demand.cpp
@@ -0,0 +1,114 @@
+#include "peridotrudder/planning/pool_demand.hpp"
+
+#include "peridotrudder/scheduling/work_order.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridotrudder {
+
+namespace {
+
+/// Time constant of the average of arrivals.
+constexpr double arrival_memory_ms = 700.0;
+/// A job that is almost or already late does not count as needing endless room.
+constexpr std::int64_t least_time_left_ms = 400;
+/// Share of a VM that tasks of mixed sizes can fill.
+constexpr double fill_share = 0.85;
+
+void add_long_running(const job& of, pool_load& load)
+{
+    for (const auto& step : of.spec().m_steps) {
+        if (!step.m_long_running) {
+            continue;
+        }
+        const auto cpu = step.m_fills ? 0 : step.m_each.m_cpu_millis;
+        load.m_long_running += cpu * step.m_count;
+        const auto spread = step.m_max_per_worker == 0
+                                ? 1
+                                : (step.m_count + step.m_max_per_worker - 1) / step.m_max_per_worker;
+        load.m_spread = std::max(load.m_spread, spread);
+    }
+}
+
+/// Returns what is left of the occurrence's work, in thousandths of a core times milliseconds.
+std::int64_t remaining_work(const job& of, std::uint32_t occurrence, std::int64_t& waiting_cpu)
+{
+    std::int64_t work = 0;
+    for (std::uint32_t index = 0; index < of.spec().m_steps.size(); ++index) {
+        const auto& step = of.spec().m_steps[index];
+        const bool unblocked = of.unblocked(occurrence, index);
+        for (const auto& each : of.tasks(occurrence, index)) {
+            const auto whole = step.m_each.m_cpu_millis * step.m_estimate.count();
+            if (each.m_phase == task_phase::waiting) {
+                work += whole;
+                waiting_cpu += unblocked ? step.m_each.m_cpu_millis : 0;
+            }
+            else if (each.m_phase == task_phase::placed) {
+                // Under way for an unknown time: on average half is left.
+                work += whole / 2;
+            }
+        }
+    }
+    return work;
+}
+
+void add_job(const job& of, const queue_config& queue, std::int64_t now_ms, pool_load& load)
+{
+    if (is_long_running(of.spec())) {
+        add_long_running(of, load);
+        return;
+    }
+    for (std::uint32_t occurrence = 0; occurrence < of.occurrences(); ++occurrence) {
+        if (of.spec().m_recurrence && of.due_ms(occurrence) > now_ms) {
+            return;
+        }
+        const auto work = remaining_work(of, occurrence, load.m_waiting);
+        const auto left = limits_of(of.header(), queue).m_objective_ms - now_ms;
+        load.m_accepted += work / std::max(left, least_time_left_ms);
+    }
+}
+
+} // namespace
+
+std::map<std::string, pool_load> pool_demand::measure(const scheduler_state& state, moment now)
+{
+    std::map<std::string, pool_load> loads;
+    for (const auto& pool : state.m_config.pools()) {
+        loads[pool.m_name];
+    }
+    for (const auto& [id, each] : state.m_book.jobs()) {
+        if (each.phase() != job_phase::active) {
+            continue;
+        }
+        const auto& queue = state.queue_of(each.header());
+        const auto found = loads.find(queue.m_pool);
+        if (found != loads.end()) {
+            add_job(each, queue, now.m_unix_ms, found->second);
+        }
+    }
+    const auto passed = static_cast<double>(remaining(m_measured_at, now.m_at).count());
+    m_measured_at = now.m_at;
+    const double keep = std::exp(-passed / arrival_memory_ms);
+    for (auto& [pool, load] : loads) {
+        auto& seen = m_arrivals[pool];
+        const auto found = state.m_accepted_work.find(pool);
+        const auto total = found == state.m_accepted_work.end() ? 0 : found->second;
+        const auto fresh = static_cast<double>(total - seen.m_accepted_work);
+        seen.m_accepted_work = total;
+        seen.m_rate = seen.m_rate * keep + (passed > 0 ? fresh / passed : 0.0) * (1.0 - keep);
+        load.m_arriving = static_cast<std::int64_t>(seen.m_rate);
+    }
+    return loads;
+}
+
+std::uint32_t wanted_vms(const pool_load& load, std::int64_t vm_cpu)
+{
+    const auto short_work = std::max(load.m_accepted, load.m_arriving);
+    const auto cpu = static_cast<double>(load.m_long_running + short_work) / fill_share;
+    const auto by_cpu = static_cast<std::uint32_t>(
+        std::ceil(cpu / static_cast<double>(std::max<std::int64_t>(vm_cpu, 1))));
+    return std::max(by_cpu, load.m_spread);
+}
+
+} // namespace peridotrudder
--- /dev/null
+++ b/src/planning/wave_tracker.cpp
@@ -0,0 +1,78 @@
+#include "peridotrudder/planning/wave_tracker.hpp"
+
+namespace peridotrudder {
+
+namespace {
+
+constexpr std::string_view progress_prefix = "maintenance/";
+
+} // namespace
+
+void wave_tracker::declare(declared_wave wave, const std::string& key, std::int64_t now_ms)
+{
+    const auto number = wave.m_number;
+    if (m_waves.count(number) != 0) {
+        return;
+    }
+    wave_state state;
+    state.m_wave = std::move(wave);
+    state.m_key = key;
+    state.m_declared_ms = now_ms;
+    const auto restored = m_restored.find(key);
+    if (restored != m_restored.end()) {
+        // Whether they are up again is for the list of VMs to tell.
+        state.m_begun.insert(restored->second.begin(), restored->second.end());
+        state.m_away = state.m_begun;
+    }
+    m_waves.emplace(number, std::move(state));
+}
+
+void wave_tracker::restore(const std::vector<kept_record>& records)
+{
+    for (const auto& each : records) {
+        if (!each.m_value || each.m_key.rfind(progress_prefix, 0) != 0) {
+            continue;
+        }
+        const auto json = parse_cbor(*each.m_value);
+        const auto read = json ? decode_packed<progress>(*json)
+                               : tl::expected<progress, decode_error>{
+                                     tl::make_unexpected(json.error())};
+        if (read) {
+            m_restored[each.m_key.substr(progress_prefix.size())] = read->m_begun;
+        }
+    }
+}
+
+void wave_tracker::begun(wave_state& wave, const std::string& machine)
+{
+    wave.m_begun.insert(machine);
+    wave.m_away.insert(machine);
+    m_dirty.insert(wave.m_wave.m_number);
+}
+
+void wave_tracker::gone(wave_state& wave, const std::string& machine)
+{
+    wave.m_begun.insert(machine);
+    wave.m_away.erase(machine);
+    m_dirty.insert(wave.m_wave.m_number);
+}
+
+void wave_tracker::returned(wave_state& wave, const std::string& machine)
+{
+    wave.m_away.erase(machine);
+}
+
+std::vector<kept_record> wave_tracker::take_changes()
+{
+    std::vector<kept_record> records;
+    for (const auto number : m_dirty) {
+        const auto& wave = m_waves.at(number);
+        const progress kept{{wave.m_begun.begin(), wave.m_begun.end()}};
+        records.push_back({std::string{progress_prefix} + wave.m_key,
+                           nlohmann::json::to_cbor(encode_packed(kept)), 0});
+    }
+    m_dirty.clear();
+    return records;
+}
+
+} // namespace peridotrudder
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -79,6 +79,16 @@
     }
 }
 
+void job_scheduler::worker_down(std::string_view id, time_point seen_at, moment now)
+{
+    auto* session = m_state.find_worker(id);
+    const auto silent_since =
+        session == nullptr ? std::optional<time_point>{} : session->silent_since();
+    if (silent_since && *silent_since <= seen_at && !session->runs().empty()) {
+        m_runs.lose_all(*session, "its VM is down", now);
+    }
+}
+
 void job_scheduler::begin(moment now)
 {
     m_runs.adopt_recorded_runs(now);
@@ -132,6 +142,9 @@
     }
     m_state.m_book.add({id, queue, now.m_unix_ms, *call.m_spec});
     m_state.m_hungry.insert(id);
+    if (!is_long_running(*call.m_spec)) {
+        m_state.m_accepted_work[queue.m_pool] += estimated_work(*call.m_spec);
+    }
     m_state.log("job_accepted", id, "", queue.m_name);
     answer_when_written(token, status_only(call_status::done), id);
 }
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -36,7 +36,7 @@
     if (!session.takes_work(now) || !fits(reserved_for(step), session.room())) {
         return false;
     }
-    if ((each.m_leaving && step.m_long_running) || (each.m_doubted && need.m_last_attempt)) {
+    if (each.m_doubted && need.m_last_attempt) {
         return false;
     }
     if (!step.m_required_label.empty() && !has_label(session, step.m_required_label)) {
@@ -46,7 +46,7 @@
 }
 
 /// Lower is better, field by field.
-using rank = std::tuple<bool, bool, bool, bool, std::int64_t, std::int64_t>;
+using rank = std::tuple<bool, bool, bool, std::int64_t, std::int64_t>;
 
 rank rank_of(const task_need& need, const candidate& each)
 {
@@ -56,13 +56,13 @@
     const bool avoided = session.id() == need.m_avoid;
     const auto room = session.room().m_cpu_millis;
     if (step.m_fills) {
-        return {each.m_doubted, avoided, each.m_leaving, far, each.m_filling - room, room};
+        return {each.m_doubted, avoided, far, each.m_filling - room, room};
     }
     if (step.m_long_running) {
-        return {each.m_doubted, avoided, each.m_leaving, far,
+        return {each.m_doubted, avoided, far,
                 -std::int64_t{each.m_long_running}, room};
     }
-    return {each.m_doubted, avoided, each.m_leaving, far, room, 0};
+    return {each.m_doubted, avoided, far, room, 0};
 }
 
 } // namespace
--- a/src/scheduling/run_control.cpp
+++ b/src/scheduling/run_control.cpp
@@ -71,7 +71,7 @@
     auto run = make_run(step, placed.m_run);
     run.m_phase = run_phase::doubtful;
     // Whatever the predecessor sent is refused once the worker knows this owner's fencing token.
-    run.m_stop_answered_at = now.m_at;
+    run.m_barred_at = now.m_at;
     run.m_stopping = of.phase() != job_phase::active;
     session.reserve(key, run);
 }
@@ -131,7 +131,7 @@
     case order_result::obsolete:
         // It may have run and ended already: the next look tells.
         run->m_phase = run_phase::doubtful;
-        run->m_stop_answered_at = now.m_at;
+        run->m_barred_at = now.m_at;
         return;
     case order_result::invalid:
         session->hold_back_until(now.m_at + invalid_pause);
@@ -166,7 +166,8 @@
         return;
     }
     if (answer.m_result == order_result::accepted || answer.m_result == order_result::obsolete) {
-        run->m_stop_answered_at = now.m_at;
+        run->m_stop_answered = true;
+        run->m_barred_at = now.m_at;
     }
 }
 
@@ -188,7 +189,7 @@
                      std::string{to_string(answer.m_result)});
     }
     if (answer.m_result == order_result::other_life && session->life() == life) {
-        lose_all(*session, "address belongs to another worker");
+        lose_all(*session, "address belongs to another worker", now);
         return;
     }
     if (outcome.m_reborn) {
@@ -287,7 +288,7 @@
     }
 }
 
-void run_control::lose_all(worker_session& session, std::string_view why)
+void run_control::lose_all(worker_session& session, std::string_view why, moment /*now*/)
 {
     std::vector<run_key> keys;
     for (const auto& each : session.runs()) {
@@ -300,7 +301,7 @@
 
 void run_control::begin_new_life(worker_session& session, std::int64_t born_ms, moment now)
 {
-    lose_all(session, "worker is in another life");
+    lose_all(session, "worker is in another life", now);
     session.start_new_life(born_ms, now.m_at);
 }
 
@@ -312,7 +313,7 @@
     }
     run->m_stopping = true;
     // What is not sent yet is dropped when its turn to be sent comes.
-    if (run->m_phase == run_phase::recording || run->m_stop_under_way || run->m_stop_answered_at) {
+    if (run->m_phase == run_phase::recording || run->m_stop_under_way || run->m_stop_answered) {
         return;
     }
     run->m_stop_under_way = true;
@@ -384,7 +385,7 @@
         const bool unreachable = session.silent() || !session.listed();
         if (unreachable && !session.runs().empty() && now.m_at >= session.lease_over() &&
             (session.silent() || session.report().m_port == 0)) {
-            lose_all(session, "lease over");
+            lose_all(session, "lease over", now);
         }
         if (!session.listed() && session.runs().empty()) {
             m_state->log("worker_forgotten", "", session.id(), "");
@@ -393,7 +394,7 @@
         }
         std::vector<run_key> again;
         for (const auto& [key, run] : session.runs()) {
-            if (run.m_stopping && !run.m_stop_under_way && !run.m_stop_answered_at &&
+            if (run.m_stopping && !run.m_stop_under_way && !run.m_stop_answered &&
                 now.m_at - run.m_stop_sent_at > stop_retry) {
                 again.push_back(key);
             }
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -43,12 +43,12 @@
     std::vector<candidate> candidates;
     auto& health = m_state->health_of(pool);
     for (auto& [id, session] : m_state->m_workers) {
-        if (session.report().m_pool != pool || !session.takes_work(now)) {
+        const bool leaving = m_state->m_leaving.count(id) != 0;
+        if (session.report().m_pool != pool || leaving || !session.takes_work(now)) {
             continue;
         }
         candidate each;
         each.m_session = &session;
-        each.m_leaving = m_state->m_leaving.count(id) != 0;
         each.m_doubted = !health.usable(id, now);
         for (const auto& [key, run] : session.runs()) {
             each.m_long_running += run.m_long_running && !run.m_fills ? 1 : 0;
