Trust the VM list on crashed VMs; a planned release leaves no lease to wait out

Ruled out: stale births; the dark workers' VMs are listed as down 0.2 s after the crash. The owner now resigns after 250 ms of refused writes (500 ms before).

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -104,8 +104,10 @@
     bool fenced() const { return m_fenced; }
     /// Returns whether the worker did not answer the newest orders.
     bool silent() const { return m_misses >= silent_misses; }
-    /// Returns since when the worker has not answered; nothing while it does.
-    std::optional<time_point> silent_since() const { return m_silent_since; }
+    /// Returns when the newest hold that was answered had been sent.
+    time_point heard_at() const { return m_heard_at; }
+    /// Notes that the worker is surely not there: it gets no work until it answers again.
+    void set_down();
     /// Returns whether new work may be ordered there at all.
     bool takes_work(time_point now) const;
     void hold_back_until(time_point until) { m_held_back_until = std::max(m_held_back_until, until); }
@@ -157,7 +159,7 @@
     bool m_fenced{false};
     time_point m_fenced_at;
     int m_misses{0};
-    std::optional<time_point> m_silent_since;
+    time_point m_heard_at;
     time_point m_held_back_until;
     std::map<run_key, worker_run> m_runs;
     resources m_used;
--- a/include/peridotrudder/node/fleet_owner.hpp
+++ b/include/peridotrudder/node/fleet_owner.hpp
@@ -39,6 +39,8 @@
     std::uint64_t m_epoch{0};
     scheduler_options m_scheduler;
     planner_options m_planner;
+    /// The predecessor gave its ownership up, and renews no lease any more.
+    bool m_predecessor_left{false};
     /// Starts are sent only with a proof of ownership that is not older.
     milliseconds m_start_proof{2'000};
     /// So long an owner goes on renewing leases without proof. Successors wait it out.
--- a/include/peridotrudder/node/node_settings.hpp
+++ b/include/peridotrudder/node/node_settings.hpp
@@ -28,8 +28,8 @@
     endpoint m_peers;
     endpoint m_metrics;
     std::string m_cluster_token;
-    /// "ADDRESS:PORT" of the platform's log, VM control and placement policy service; the last may
-    /// be empty.
+    /// "ADDRESS:PORT" of the platform's log, VM control and placement policy service; the last two
+    /// may be empty.
     std::string m_log;
     std::string m_vm_control;
     std::string m_policy;
--- a/include/peridotrudder/ownership/cluster_agent.hpp
+++ b/include/peridotrudder/ownership/cluster_agent.hpp
@@ -44,7 +44,7 @@
     milliseconds m_beat_interval{200};
     election_options m_election;
     /// An owner whose writes fail for so long resigns if another node reaches the log.
-    milliseconds m_resign_after{500};
+    milliseconds m_resign_after{250};
     /// A node that could not be reached for so long is taken off the list.
     milliseconds m_forget_after{30'000};
 };
@@ -56,7 +56,7 @@
     std::function<bool(const std::string& peer, const node_message& message)> m_send;
     std::function<void(const std::vector<node_record>& peers)> m_set_peers;
     /// This node has become the owner.
-    std::function<void(std::uint64_t epoch)> m_won;
+    std::function<void(const ownership_claim& claim)> m_won;
     /// This node's ownership is over.
     std::function<void()> m_lost;
     /// Calls may be sent to the owner now.
--- a/include/peridotrudder/ownership/owner_election.hpp
+++ b/include/peridotrudder/ownership/owner_election.hpp
@@ -23,6 +23,8 @@
     std::string m_node;
     /// The owner has given it up.
     bool m_released{false};
+    /// The claim follows one that was released: its former owner gives no more orders.
+    bool m_after_release{false};
 
     template <typename Archive, typename Self>
     static void describe(Archive& archive, Self& self)
@@ -31,6 +33,7 @@
         archive.field("owner", self.m_owner);
         archive.field("node", self.m_node);
         archive.field("released", self.m_released);
+        archive.field("after_release", self.m_after_release);
     }
 };
 
--- a/include/peridotrudder/planning/fleet_planner.hpp
+++ b/include/peridotrudder/planning/fleet_planner.hpp
@@ -84,11 +84,13 @@
 
     void read_list(moment now);
     void take_list(const std::vector<listed_machine>& machines, time_point asked_at);
+    void note_change(const listed_machine& before, const listed_machine& after);
     void note_idle(const scheduler_state& state, time_point now);
     void note_lost_workers(job_scheduler& scheduler, moment now);
     void plan_waves(job_scheduler& scheduler, moment now);
     void plan_wave(wave_state& wave, job_scheduler& scheduler, moment now);
     void plan_pools(job_scheduler& scheduler, moment now);
+    void report(const scheduler_state& state, const std::map<std::string, pool_load>& loads);
     void move_to(const std::string& pool, std::uint32_t count, moment now);
     void release_idle(const std::string& pool, std::uint32_t count, moment now);
     void empty(planned_machine& machine, job_scheduler& scheduler, moment now);
@@ -105,8 +107,11 @@
     time_point m_created_at;
     time_point m_planned_at;
     time_point m_listed_at;
+    time_point m_reported_at;
     bool m_listing{false};
     bool m_list_known{false};
+    /// When the newest list was asked for.
+    time_point m_list_asked_at;
     std::map<std::string, planned_machine> m_machines;
     std::map<std::string, std::uint32_t> m_wanted;
     std::string m_spare_pool;
--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -41,8 +41,8 @@
     void set_config(fleet_config config);
     void worker_listed(const worker_report& report, moment now);
     void worker_unlisted(std::string_view id, moment now);
-    /// Notes that the VM of a worker was down at `seen_at`. Counts only if the worker had not
-    /// answered either by then.
+    /// Notes that the VM of a worker was down at `seen_at`: nothing runs there any more. A worker
+    /// that has answered since is another matter.
     void worker_down(std::string_view id, time_point seen_at, moment now);
     /// Takes over the runs that are recorded; to be called once, after the first list of workers.
     void begin(moment now);
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -66,6 +66,12 @@
     m_next_hold = std::min(m_next_hold, now);
 }
 
+void worker_session::set_down()
+{
+    m_misses = std::max(m_misses, silent_misses);
+    m_fenced = false;
+}
+
 bool worker_session::takes_work(time_point now) const
 {
     return m_listed && m_fenced && !m_report.m_draining && m_misses == 0 &&
@@ -165,9 +171,6 @@
     m_next_hold = now + m_options.m_hold_pause;
     if (answer.m_result != order_result::accepted) {
         ++m_misses;
-        if (silent() && !m_silent_since) {
-            m_silent_since = now;
-        }
         m_next_hold = now + std::min(retry_pause * m_misses, longest_retry_pause);
         return outcome;
     }
@@ -182,7 +185,7 @@
         m_report.m_life.m_born_ms = *answer.m_born_ms;
     }
     m_misses = 0;
-    m_silent_since.reset();
+    m_heard_at = std::max(m_heard_at, sent_at);
     m_told_end = std::max(m_told_end, m_end_in_hold);
     if (!m_fenced) {
         m_fenced = true;
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -30,7 +30,8 @@
       m_self{std::make_shared<fleet_owner*>(this)}
 {
     m_options.m_scheduler.m_fence = m_options.m_epoch;
-    m_options.m_scheduler.m_lease.m_predecessor_grace = m_options.m_hold_proof;
+    m_options.m_scheduler.m_lease.m_predecessor_grace =
+        m_options.m_predecessor_left ? milliseconds{0} : m_options.m_hold_proof;
 }
 
 void fleet_owner::start()
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -189,7 +189,7 @@
             }
             m_mesh->set_peers(endpoints);
         };
-        ports.m_won = [this](std::uint64_t epoch) { begin_ownership(epoch); };
+        ports.m_won = [this](const ownership_claim& claim) { begin_ownership(claim); };
         ports.m_lost = [this] { end_ownership(); };
         ports.m_owner_reachable = [this] { m_router.owner_changed(now()); };
         ports.m_owner_unreachable = [this] { m_router.owner_lost(now()); };
@@ -199,10 +199,11 @@
         return ports;
     }
 
-    void begin_ownership(std::uint64_t epoch)
+    void begin_ownership(const ownership_claim& claim)
     {
         owner_options options;
-        options.m_epoch = epoch;
+        options.m_epoch = claim.m_epoch;
+        options.m_predecessor_left = claim.m_after_release;
         options.m_scheduler.m_retention = m_settings.m_retention;
         options.m_scheduler.m_lease.m_longest = m_settings.m_longest_lease;
         options.m_planner.m_takeover_pause = m_settings.m_vm_lease;
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -65,7 +65,7 @@
     settings.m_peers = read_endpoint(reader, "listen", "peers");
     settings.m_metrics = read_endpoint(reader, "listen", "metrics");
     settings.m_log = reader.text("platform", "log");
-    settings.m_vm_control = reader.text("platform", "vm_control");
+    settings.m_vm_control = reader.text_or("platform", "vm_control", "");
     settings.m_policy = reader.text_or("platform", "policy", "");
     settings.m_longest_lease = read_ms(reader, "limits", "longest_lease_ms");
     settings.m_grace = read_seconds(reader, "limits", "grace_s");
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -13,7 +13,7 @@
 /// Appends to the cluster's topic; tried again by the next tick that wants them.
 constexpr milliseconds append_timeout{800};
 constexpr milliseconds follow_wait{1'500};
-constexpr milliseconds probe_interval{200};
+constexpr milliseconds probe_interval{100};
 /// An owner writes more often than this.
 constexpr milliseconds journal_silence{1'200};
 constexpr milliseconds register_retry{200};
@@ -152,7 +152,7 @@
     }
     if (mine && m_owned_epoch == 0) {
         m_owned_epoch = m_election.claim().m_epoch;
-        m_ports.m_won(m_owned_epoch);
+        m_ports.m_won(m_election.claim());
     }
     update_reachability();
 }
@@ -245,6 +245,7 @@
     mine.m_owner = m_options.m_self.m_incarnation;
     mine.m_node = m_options.m_self.m_name;
     mine.m_released = released;
+    mine.m_after_release = !released && m_election.claim().m_released;
     append_request request;
     request.m_topic = m_options.m_topic;
     request.m_timeout = append_timeout;
--- a/src/planning/fleet_planner.cpp
+++ b/src/planning/fleet_planner.cpp
@@ -16,6 +16,7 @@
 /// A VM that was moved and is not listed in its new pool after so long is taken as lost.
 constexpr milliseconds arrival_patience{6'000};
 constexpr std::uint32_t fully_at_work = 100;
+constexpr milliseconds report_interval{1'000};
 
 /// Returns how many tasks of the run's step are not fully at work.
 std::uint32_t missing_of_step(const scheduler_state& state, const job& of, const task_ref& ref)
@@ -115,6 +116,7 @@
     for (const auto& each : machines) {
         listed.insert(each.m_id);
         auto& machine = m_machines[each.m_id];
+        note_change(machine.m_listed, each);
         machine.m_listed = each;
         const bool arrived = each.m_state == machine_state::up && each.m_pool == machine.m_bound_for;
         const bool overdue = asked_at - machine.m_bound_at > arrival_patience;
@@ -140,6 +142,19 @@
         }
     }
     m_list_known = true;
+    m_list_asked_at = asked_at;
+}
+
+void fleet_planner::note_change(const listed_machine& before, const listed_machine& after)
+{
+    const bool same = before.m_state == after.m_state && before.m_worker == after.m_worker &&
+                      before.m_pool == after.m_pool;
+    if (before.m_id.empty() || same) {
+        return;
+    }
+    m_ports.m_decided({"vm_changed", "", after.m_worker,
+                       fmt::format("{} {} {}", after.m_id, to_string(after.m_state),
+                                   after.m_pool)});
 }
 
 void fleet_planner::note_idle(const scheduler_state& state, time_point now)
@@ -164,11 +179,22 @@
 
 void fleet_planner::note_lost_workers(job_scheduler& scheduler, moment now)
 {
+    // The list shows a crash long before the leases are over. A worker on no VM that is up has ended.
+    std::set<std::string> up;
     for (const auto& [id, machine] : m_machines) {
-        if (machine.m_listed.m_state == machine_state::down && !machine.m_listed.m_worker.empty()) {
-            scheduler.worker_down(machine.m_listed.m_worker, m_listed_at, now);
+        if (machine.m_listed.m_state != machine_state::down) {
+            up.insert(machine.m_listed.m_worker);
+        }
+    }
+    std::vector<std::string> ended;
+    for (const auto& [id, session] : scheduler.state().m_workers) {
+        if (up.count(id) == 0 && !session.runs().empty()) {
+            ended.push_back(id);
         }
     }
+    for (const auto& id : ended) {
+        scheduler.worker_down(id, m_list_asked_at, now);
+    }
 }
 
 bool fleet_planner::movable(const planned_machine& machine) const
@@ -314,6 +340,10 @@
             surplus[pool.m_name] = supply - wanted;
         }
     }
+    if (now.m_at - m_reported_at >= report_interval) {
+        m_reported_at = now.m_at;
+        report(state, loads);
+    }
     for (const auto& [pool, count] : missing) {
         move_to(pool, count, now);
     }
@@ -322,6 +352,28 @@
     }
 }
 
+void fleet_planner::report(const scheduler_state& state,
+                           const std::map<std::string, pool_load>& loads)
+{
+    std::string detail;
+    for (const auto& [pool, load] : loads) {
+        std::int64_t used = 0;
+        std::uint32_t busy = 0;
+        for (const auto& [id, session] : state.m_workers) {
+            if (session.report().m_pool == pool) {
+                used += session.used().m_cpu_millis;
+                busy += session.runs().empty() ? 0 : 1;
+            }
+        }
+        detail += fmt::format("{}: {} VMs, {} busy, {} wanted; cpu {} used, {} waiting, {} accepted, {} "
+                              "arriving, {} long-running; ",
+                              pool, supply_of(pool, state), busy, m_wanted[pool], used,
+                              load.m_waiting, load.m_accepted, load.m_arriving,
+                              load.m_long_running);
+    }
+    m_ports.m_decided({"pools", "", "", detail});
+}
+
 void fleet_planner::move_to(const std::string& pool, std::uint32_t count, moment now)
 {
     // From the spare pool first; then from pools that do not need theirs.
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -82,11 +82,11 @@
 void job_scheduler::worker_down(std::string_view id, time_point seen_at, moment now)
 {
     auto* session = m_state.find_worker(id);
-    const auto silent_since =
-        session == nullptr ? std::optional<time_point>{} : session->silent_since();
-    if (silent_since && *silent_since <= seen_at && !session->runs().empty()) {
-        m_runs.lose_all(*session, "its VM is down", now);
+    if (session == nullptr || session->heard_at() >= seen_at || session->runs().empty()) {
+        return;
     }
+    m_runs.lose_all(*session, "its VM is down", now);
+    session->set_down();
 }
 
 void job_scheduler::begin(moment now)
