Record VM orders before they are sent; let the youngest node claim first

Ruled out: time lost by the take-over itself (35 ms). Orders are now recorded first, so a successor leaves alone only the VMs that were ordered; ownership goes to the process that started last.

--- a/include/peridotrudder/ownership/cluster_agent.hpp
+++ b/include/peridotrudder/ownership/cluster_agent.hpp
@@ -24,6 +24,8 @@
     std::string m_incarnation;
     std::string m_address;
     std::uint16_t m_port{0};
+    /// Unix milliseconds of the process's start.
+    std::int64_t m_started_ms{0};
 
     template <typename Archive, typename Self>
     static void describe(Archive& archive, Self& self)
@@ -32,6 +34,7 @@
         archive.field("incarnation", self.m_incarnation);
         archive.field("address", self.m_address);
         archive.field("port", self.m_port);
+        archive.field("started_ms", self.m_started_ms);
     }
 };
 
@@ -107,6 +110,7 @@
     void probe_for_resignation(time_point now);
     void forget_lost_nodes(time_point now);
     void update_reachability();
+    milliseconds stagger() const;
 
     void handle(const std::string& from, const owner_beat& message);
     void handle(const std::string& from, const owner_resigned& message);
--- a/include/peridotrudder/ownership/owner_election.hpp
+++ b/include/peridotrudder/ownership/owner_election.hpp
@@ -77,6 +77,8 @@
     void heard(std::uint64_t epoch, time_point now);
     /// Notes that the owner's process is gone or has given up, as far as known for certain.
     void owner_gone(std::uint64_t epoch, time_point now);
+    /// Sets how long this node lets others claim first.
+    void set_stagger(milliseconds stagger) { m_options.m_stagger = stagger; }
     /// Notes that the connection to a process broke.
     void link_broken(const std::string& incarnation, time_point now);
     /// Sets how many nodes there are, this one included.
--- a/include/peridotrudder/planning/fleet_planner.hpp
+++ b/include/peridotrudder/planning/fleet_planner.hpp
@@ -25,9 +25,9 @@
     /// Pause between readings of the VM list, and while VMs are on their way.
     milliseconds m_list_interval{1'000};
     milliseconds m_busy_list_interval{300};
-    /// After a change of owner no VM is ordered for so long: two holders that order the same VM in
-    /// turn would undo each other's work.
-    milliseconds m_takeover_pause{3'000};
+    /// A VM that a predecessor has ordered is not ordered for so long: two holders that order the
+    /// same VM in turn would undo each other's work.
+    milliseconds m_vm_lease{3'000};
     /// A VM that its pool does not need is moved once it has been idle for so long.
     milliseconds m_idle_before_move{700};
     /// One is switched off once it has been idle for so long: moving it back costs about as much.
@@ -56,14 +56,25 @@
     static std::unique_ptr<fleet_planner> create(planner_options options, std::uint64_t fence,
                                                  planner_ports ports);
 
-    /// Takes the progress of waves that a predecessor recorded.
-    void restore(const std::vector<kept_record>& records) { m_waves.restore(records); }
+    /// Takes what a predecessor recorded: the progress of waves, and the VMs that it ordered.
+    void restore(const std::vector<kept_record>& records, moment now);
     void declare(declared_wave wave, const std::string& key, moment now);
     void tick(job_scheduler& scheduler, moment now);
-    /// Returns records to be written.
-    std::vector<kept_record> take_changes() { return m_waves.take_changes(); }
+    /// Returns records to be written; `written` is to be called when they are.
+    std::vector<kept_record> take_changes();
+    /// Sends the orders whose records are written.
+    void written();
 
 private:
+    enum class order_phase {
+        /// To be recorded, so that a successor leaves the VM alone for a time.
+        decided,
+        recording,
+        /// To be sent, at `m_order_at` or later.
+        due,
+        sent,
+    };
+
     /// A VM and what is under way with it.
     struct planned_machine {
         listed_machine m_listed;
@@ -71,7 +82,7 @@
         std::optional<time_point> m_idle_since;
         /// The order under way; it is repeated until it is answered.
         std::optional<vm_order> m_order;
-        bool m_order_sent{false};
+        order_phase m_order_phase{order_phase::decided};
         time_point m_order_at;
         /// The wave for which it is being emptied; zero for none.
         std::uint64_t m_leaving_for{0};
@@ -98,13 +109,12 @@
     void send_order(const std::string& machine_id);
     void answered(const std::string& machine_id, const vm_order& what, vm_result result);
     void mark_leaving(job_scheduler& scheduler);
-    bool movable(const planned_machine& machine) const;
+    bool movable(const planned_machine& machine, time_point now) const;
     std::uint32_t supply_of(const std::string& pool, const scheduler_state& state) const;
 
     planner_options m_options;
     std::uint64_t m_fence{0};
     planner_ports m_ports;
-    time_point m_created_at;
     time_point m_planned_at;
     time_point m_listed_at;
     time_point m_reported_at;
@@ -113,6 +123,8 @@
     /// When the newest list was asked for.
     time_point m_list_asked_at;
     std::map<std::string, planned_machine> m_machines;
+    /// VMs that a predecessor ordered, with the time from which they may be ordered again.
+    std::map<std::string, time_point> m_foreign_until;
     std::map<std::string, std::uint32_t> m_wanted;
     std::string m_spare_pool;
     wave_tracker m_waves;
--- a/include/peridotrudder/planning/pool_demand.hpp
+++ b/include/peridotrudder/planning/pool_demand.hpp
@@ -19,8 +19,10 @@
     std::uint32_t m_spread{0};
     /// Needed so that what is accepted ends within its objectives.
     std::int64_t m_accepted{0};
-    /// Arriving, averaged over the last second or so.
+    /// Arriving, averaged over about half the time that a job takes.
     std::int64_t m_arriving{0};
+    /// Expected to be needed when a VM that is ordered now has arrived.
+    std::int64_t m_forecast{0};
     /// Waits for room now.
     std::int64_t m_waiting{0};
 };
@@ -28,19 +30,29 @@
 /// Follows the demand of each pool.
 ///
 /// Answers queues that take turns: each asks for several times its mean for some seconds and for
-/// almost nothing in between. Arrivals tell a turn's beginning first, accepted work its end. Pure;
-/// not thread-safe.
+/// almost nothing in between. Arrivals tell a turn's beginning first, accepted work its end. What
+/// is under way fades with the time that jobs take, and arrivals take its place. Pure; not
+/// thread-safe.
 class pool_demand {
 public:
+    /// `lead` is the time from an order until a VM serves.
+    static pool_demand create(milliseconds lead);
+
     /// Returns the load of each pool. To be called at short intervals.
     std::map<std::string, pool_load> measure(const scheduler_state& state, moment now);
 
 private:
     struct arrivals {
-        std::int64_t m_accepted_work{0};
+        accepted_total m_seen;
         double m_rate{0.0};
+        /// How long a job takes, averaged by its work.
+        double m_duration_ms{800.0};
     };
 
+    void note_arrivals(const accepted_total& total, double passed_ms, arrivals& seen) const;
+
+    milliseconds m_lead{0};
+
     std::map<std::string, arrivals> m_arrivals;
     time_point m_measured_at;
 };
--- a/include/peridotrudder/planning/wave_tracker.hpp
+++ b/include/peridotrudder/planning/wave_tracker.hpp
@@ -53,17 +53,20 @@
 
 private:
     struct progress {
+        /// Unix milliseconds at which the wave was first seen.
+        std::int64_t m_declared_ms{0};
         std::vector<std::string> m_begun;
 
         template <typename Archive, typename Self>
         static void describe(Archive& archive, Self& self)
         {
+            archive.field("declared_ms", self.m_declared_ms);
             archive.field("begun", self.m_begun);
         }
     };
 
     std::map<std::uint64_t, wave_state> m_waves;
-    std::map<std::string, std::vector<std::string>> m_restored;
+    std::map<std::string, progress> m_restored;
     std::set<std::uint64_t> m_dirty;
 };
 
--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -77,6 +77,14 @@
     milliseconds m_retention{120'000};
 };
 
+/// Sums over accepted jobs, by their estimates.
+struct accepted_total {
+    /// Work, in thousandths of a core times milliseconds.
+    std::int64_t m_work{0};
+    /// The same, each job's times the milliseconds of its longest chain.
+    std::int64_t m_work_by_chain{0};
+};
+
 struct scheduler_state {
     scheduler_options m_options;
     scheduler_ports m_ports;
@@ -88,9 +96,8 @@
     std::set<std::string, std::less<>> m_leaving;
     /// Jobs that may have tasks to start.
     std::set<std::string> m_hungry;
-    /// Estimated work of all short jobs accepted so far, by pool, in thousandths of a core times
-    /// milliseconds.
-    std::map<std::string, std::int64_t> m_accepted_work;
+    /// All short jobs accepted so far, by pool.
+    std::map<std::string, accepted_total> m_accepted_work;
     /// Worker of a task's newest failure.
     std::map<run_key, std::string> m_failed_on;
     /// What follows once the next batch is written.
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -59,6 +59,7 @@
         auto batch = std::move(*m_writing);
         m_writing.reset();
         m_scheduler->written(std::move(batch), m_ports.m_loop.m_now());
+        m_planner->written();
     }
     pump();
 }
@@ -169,7 +170,7 @@
     m_scheduler = job_scheduler::create(m_options.m_scheduler, make_scheduler_ports(),
                                         std::move(book), now);
     m_planner = fleet_planner::create(m_options.m_planner, m_options.m_epoch, make_planner_ports());
-    m_planner->restore(m_journal_records);
+    m_planner->restore(m_journal_records, now);
     m_journal_records.clear();
     take_operator_records(m_operator_snapshot);
     take_worker_records(m_worker_snapshot, true);
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -29,8 +29,6 @@
 constexpr milliseconds leave_time{2'300};
 /// Kept for the end of the process itself.
 constexpr milliseconds stop_reserve{700};
-/// The widest difference between the claims of two nodes.
-constexpr std::uint64_t stagger_ms = 60;
 constexpr std::uint32_t status_ok = 200;
 constexpr std::uint32_t status_unavailable = 503;
 
@@ -167,9 +165,8 @@
     {
         agent_options options;
         options.m_self = {m_settings.m_name, m_self, m_settings.m_peers.m_address,
-                          m_settings.m_peers.m_port};
+                          m_settings.m_peers.m_port, read_clocks().m_unix_ms};
         options.m_election.m_self = m_self;
-        options.m_election.m_stagger = milliseconds{placement_hash(m_self) % stagger_ms};
         return options;
     }
 
@@ -206,7 +203,7 @@
         options.m_predecessor_left = claim.m_after_release;
         options.m_scheduler.m_retention = m_settings.m_retention;
         options.m_scheduler.m_lease.m_longest = m_settings.m_longest_lease;
-        options.m_planner.m_takeover_pause = m_settings.m_vm_lease;
+        options.m_planner.m_vm_lease = m_settings.m_vm_lease;
         options.m_planner.m_move_time = m_settings.m_move_time;
         options.m_planner.m_maintenance_time = m_settings.m_maintenance_time;
         owner_ports ports;
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -17,6 +17,10 @@
 /// An owner writes more often than this.
 constexpr milliseconds journal_silence{1'200};
 constexpr milliseconds register_retry{200};
+/// Between the claims of two nodes: about what a claim takes.
+constexpr milliseconds claim_spacing{12};
+constexpr milliseconds longest_stagger{150};
+constexpr milliseconds settling_time{1'000};
 
 std::vector<std::uint8_t> to_bytes(const nlohmann::json& json)
 {
@@ -193,6 +197,7 @@
     if (!m_know_topic || !m_may_claim) {
         return;
     }
+    m_election.set_stagger(stagger());
     switch (m_election.tick(now)) {
     case election_step::none:
         return;
@@ -208,6 +213,23 @@
     }
 }
 
+milliseconds cluster_agent::stagger() const
+{
+    // Youngest first: in a rolling restart the nodes that have been restarted will not be stopped
+    // again soon. A process that has just started comes last, as it may not know its peers yet.
+    const auto rank_of = [this](const node_record& node) {
+        const auto age_ms = m_ports.m_loop.m_now().m_unix_ms - node.m_started_ms;
+        return std::make_tuple(age_ms < settling_time.count(), -node.m_started_ms, node.m_name);
+    };
+    const auto own = rank_of(m_options.m_self);
+    milliseconds wait{0};
+    for (const auto& [name, node] : m_nodes) {
+        const bool linked = m_open_links.count(node.m_incarnation) != 0;
+        wait += linked && rank_of(node) < own ? claim_spacing : milliseconds{0};
+    }
+    return std::min(wait, longest_stagger);
+}
+
 void cluster_agent::update_reachability()
 {
     const bool reachable = !reachable_owner().empty();
--- a/src/planning/fleet_planner.cpp
+++ b/src/planning/fleet_planner.cpp
@@ -16,6 +16,11 @@
 /// A VM that was moved and is not listed in its new pool after so long is taken as lost.
 constexpr milliseconds arrival_patience{6'000};
 constexpr std::uint32_t fully_at_work = 100;
+/// From the end of a move until the VM's worker is listed and has answered.
+constexpr milliseconds arrival_slack{200};
+constexpr std::string_view vm_prefix = "vm/";
+/// Difference that the nodes' clocks may have.
+constexpr milliseconds clock_slack{300};
 constexpr milliseconds report_interval{1'000};
 
 /// Returns how many tasks of the run's step are not fully at work.
@@ -51,7 +56,7 @@
     : m_options{options},
       m_fence{fence},
       m_ports{std::move(ports)},
-      m_created_at{m_ports.m_loop.m_now().m_at},
+      m_demand{pool_demand::create(options.m_move_time + arrival_slack)},
       m_self{std::make_shared<fleet_planner*>(this)}
 {
 }
@@ -76,13 +81,55 @@
     }
     note_idle(scheduler.state(), now.m_at);
     note_lost_workers(scheduler, now);
-    if (now.m_at - m_created_at >= m_options.m_takeover_pause) {
-        plan_waves(scheduler, now);
-        plan_pools(scheduler, now);
-    }
+    plan_waves(scheduler, now);
+    plan_pools(scheduler, now);
     mark_leaving(scheduler);
     for (auto& [id, machine] : m_machines) {
-        if (machine.m_order && !machine.m_order_sent && now.m_at >= machine.m_order_at) {
+        if (machine.m_order && machine.m_order_phase == order_phase::due &&
+            now.m_at >= machine.m_order_at) {
+            send_order(id);
+        }
+    }
+}
+
+void fleet_planner::restore(const std::vector<kept_record>& records, moment now)
+{
+    m_waves.restore(records);
+    for (const auto& each : records) {
+        if (!each.m_value || each.m_key.rfind(vm_prefix, 0) != 0) {
+            continue;
+        }
+        const auto json = parse_cbor(*each.m_value);
+        if (!json || !json->is_number_integer()) {
+            m_ports.m_decided({"vm_record_unreadable", "", "", each.m_key});
+            continue;
+        }
+        const auto lease = m_options.m_vm_lease + clock_slack;
+        const auto left = milliseconds{json->get<std::int64_t>() - now.m_unix_ms} + lease;
+        // Clocks differ: no record keeps a VM for longer than the lease.
+        m_foreign_until[each.m_key.substr(vm_prefix.size())] =
+            now.m_at + std::clamp(left, milliseconds{0}, lease);
+    }
+}
+
+std::vector<kept_record> fleet_planner::take_changes()
+{
+    auto records = m_waves.take_changes();
+    const auto now = m_ports.m_loop.m_now();
+    for (auto& [id, machine] : m_machines) {
+        if (machine.m_order && machine.m_order_phase == order_phase::decided) {
+            machine.m_order_phase = order_phase::recording;
+            records.push_back({std::string{vm_prefix} + id,
+                               nlohmann::json::to_cbor(nlohmann::json(now.m_unix_ms)), 0});
+        }
+    }
+    return records;
+}
+
+void fleet_planner::written()
+{
+    for (auto& [id, machine] : m_machines) {
+        if (machine.m_order && machine.m_order_phase == order_phase::recording) {
             send_order(id);
         }
     }
@@ -197,10 +244,12 @@
     }
 }
 
-bool fleet_planner::movable(const planned_machine& machine) const
+bool fleet_planner::movable(const planned_machine& machine, time_point now) const
 {
+    const auto foreign = m_foreign_until.find(machine.m_listed.m_id);
     return machine.m_listed.m_state == machine_state::up && !machine.m_order &&
-           machine.m_bound_for.empty() && machine.m_leaving_for == 0;
+           machine.m_bound_for.empty() && machine.m_leaving_for == 0 &&
+           (foreign == m_foreign_until.end() || now >= foreign->second);
 }
 
 void fleet_planner::plan_waves(job_scheduler& scheduler, moment now)
@@ -235,7 +284,7 @@
             ++leaving;
             open.push_back(&machine);
         }
-        else if (movable(machine)) {
+        else if (movable(machine, now.m_at)) {
             open.push_back(&machine);
         }
     }
@@ -366,10 +415,10 @@
             }
         }
         detail += fmt::format("{}: {} VMs, {} busy, {} wanted; cpu {} used, {} waiting, {} accepted, {} "
-                              "arriving, {} long-running; ",
+                              "arriving, {} forecast, {} long-running; ",
                               pool, supply_of(pool, state), busy, m_wanted[pool], used,
                               load.m_waiting, load.m_accepted, load.m_arriving,
-                              load.m_long_running);
+                              load.m_forecast, load.m_long_running);
     }
     m_ports.m_decided({"pools", "", "", detail});
 }
@@ -380,7 +429,7 @@
     std::vector<planned_machine*> sources;
     for (auto& [id, machine] : m_machines) {
         const auto& from = machine.m_listed.m_pool;
-        if (!movable(machine) || from == pool || !machine.m_idle_since) {
+        if (!movable(machine, now.m_at) || from == pool || !machine.m_idle_since) {
             continue;
         }
         const bool needed = from != m_spare_pool &&
@@ -418,7 +467,7 @@
         }
         const bool idle = machine.m_idle_since &&
                           now.m_at - *machine.m_idle_since >= m_options.m_idle_before_off;
-        if (machine.m_listed.m_pool == pool && movable(machine) && idle) {
+        if (machine.m_listed.m_pool == pool && movable(machine, now.m_at) && idle) {
             order(machine, {id, m_spare_pool, 0, m_fence}, now);
             --count;
         }
@@ -431,15 +480,15 @@
                        fmt::format("{} {}", what.m_machine,
                                    what.m_pool.empty() ? "maintenance" : what.m_pool)});
     machine.m_order = std::move(what);
-    machine.m_order_sent = false;
-    // Sent by the end of this tick, after its worker is marked as leaving.
+    // Recorded before it is sent, and its worker marked as leaving before either.
+    machine.m_order_phase = order_phase::decided;
     machine.m_order_at = now.m_at;
 }
 
 void fleet_planner::send_order(const std::string& machine_id)
 {
     auto& machine = m_machines.at(machine_id);
-    machine.m_order_sent = true;
+    machine.m_order_phase = order_phase::sent;
     const std::weak_ptr<fleet_planner*> self = m_self;
     const auto what = *machine.m_order;
     m_ports.m_vms.m_order(what, [self, machine_id, what](vm_result result) {
@@ -491,7 +540,7 @@
         return;
     case vm_result::refused:
     case vm_result::unanswered:
-        machine.m_order_sent = false;
+        machine.m_order_phase = order_phase::due;
         machine.m_order_at = now.m_at + order_retry;
         return;
     }
--- a/src/planning/pool_demand.cpp
+++ b/src/planning/pool_demand.cpp
@@ -9,8 +9,10 @@
 
 namespace {
 
-/// Time constant of the average of arrivals.
-constexpr double arrival_memory_ms = 700.0;
+/// Arrivals are averaged over at least this time.
+constexpr double least_memory_ms = 350.0;
+/// Weight of the jobs since the last measurement in the average of durations.
+constexpr double duration_weight = 0.05;
 /// A job that is almost or already late does not count as needing endless room.
 constexpr std::int64_t least_time_left_ms = 400;
 /// Share of a VM that tasks of mixed sizes can fill.
@@ -71,6 +73,13 @@
 
 } // namespace
 
+pool_demand pool_demand::create(milliseconds lead)
+{
+    pool_demand made;
+    made.m_lead = lead;
+    return made;
+}
+
 std::map<std::string, pool_load> pool_demand::measure(const scheduler_state& state, moment now)
 {
     std::map<std::string, pool_load> loads;
@@ -89,22 +98,39 @@
     }
     const auto passed = static_cast<double>(remaining(m_measured_at, now.m_at).count());
     m_measured_at = now.m_at;
-    const double keep = std::exp(-passed / arrival_memory_ms);
     for (auto& [pool, load] : loads) {
         auto& seen = m_arrivals[pool];
         const auto found = state.m_accepted_work.find(pool);
-        const auto total = found == state.m_accepted_work.end() ? 0 : found->second;
-        const auto fresh = static_cast<double>(total - seen.m_accepted_work);
-        seen.m_accepted_work = total;
-        seen.m_rate = seen.m_rate * keep + (passed > 0 ? fresh / passed : 0.0) * (1.0 - keep);
+        note_arrivals(found == state.m_accepted_work.end() ? accepted_total{} : found->second,
+                      passed, seen);
         load.m_arriving = static_cast<std::int64_t>(seen.m_rate);
+        const double left = std::exp(-static_cast<double>(m_lead.count()) / seen.m_duration_ms);
+        load.m_forecast = static_cast<std::int64_t>(
+            static_cast<double>(load.m_accepted) * left + seen.m_rate * (1.0 - left));
     }
     return loads;
 }
 
+void pool_demand::note_arrivals(const accepted_total& total, double passed_ms,
+                                arrivals& seen) const
+{
+    const auto work = static_cast<double>(total.m_work - seen.m_seen.m_work);
+    const auto weighted = static_cast<double>(total.m_work_by_chain - seen.m_seen.m_work_by_chain);
+    seen.m_seen = total;
+    if (work > 0.0) {
+        seen.m_duration_ms += (weighted / work - seen.m_duration_ms) * duration_weight;
+    }
+    if (passed_ms <= 0.0) {
+        return;
+    }
+    const double memory_ms = std::max(least_memory_ms, seen.m_duration_ms / 2.0);
+    const double keep = std::exp(-passed_ms / memory_ms);
+    seen.m_rate = seen.m_rate * keep + work / passed_ms * (1.0 - keep);
+}
+
 std::uint32_t wanted_vms(const pool_load& load, std::int64_t vm_cpu)
 {
-    const auto short_work = std::max(load.m_accepted, load.m_arriving);
+    const auto short_work = std::max(load.m_accepted, load.m_forecast);
     const auto cpu = static_cast<double>(load.m_long_running + short_work) / fill_share;
     const auto by_cpu = static_cast<std::uint32_t>(
         std::ceil(cpu / static_cast<double>(std::max<std::int64_t>(vm_cpu, 1))));
--- a/src/planning/wave_tracker.cpp
+++ b/src/planning/wave_tracker.cpp
@@ -21,8 +21,12 @@
     const auto restored = m_restored.find(key);
     if (restored != m_restored.end()) {
         // Whether they are up again is for the list of VMs to tell.
-        state.m_begun.insert(restored->second.begin(), restored->second.end());
+        state.m_begun.insert(restored->second.m_begun.begin(), restored->second.m_begun.end());
         state.m_away = state.m_begun;
+        state.m_declared_ms = restored->second.m_declared_ms;
+    }
+    else {
+        m_dirty.insert(number);
     }
     m_waves.emplace(number, std::move(state));
 }
@@ -38,7 +42,7 @@
                                : tl::expected<progress, decode_error>{
                                      tl::make_unexpected(json.error())};
         if (read) {
-            m_restored[each.m_key.substr(progress_prefix.size())] = read->m_begun;
+            m_restored[each.m_key.substr(progress_prefix.size())] = *read;
         }
     }
 }
@@ -67,7 +71,7 @@
     std::vector<kept_record> records;
     for (const auto number : m_dirty) {
         const auto& wave = m_waves.at(number);
-        const progress kept{{wave.m_begun.begin(), wave.m_begun.end()}};
+        const progress kept{wave.m_declared_ms, {wave.m_begun.begin(), wave.m_begun.end()}};
         records.push_back({std::string{progress_prefix} + wave.m_key,
                            nlohmann::json::to_cbor(encode_packed(kept)), 0});
     }
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -143,7 +143,10 @@
     m_state.m_book.add({id, queue, now.m_unix_ms, *call.m_spec});
     m_state.m_hungry.insert(id);
     if (!is_long_running(*call.m_spec)) {
-        m_state.m_accepted_work[queue.m_pool] += estimated_work(*call.m_spec);
+        auto& total = m_state.m_accepted_work[queue.m_pool];
+        const auto work = estimated_work(*call.m_spec);
+        total.m_work += work;
+        total.m_work_by_chain += work * longest_chain(*call.m_spec).count();
     }
     m_state.log("job_accepted", id, "", queue.m_name);
     answer_when_written(token, status_only(call_status::done), id);
