--- /dev/null
+++ b/test/jobs/job_spec_test.cpp
@@ -0,0 +1,87 @@
+#include "peridotrudder/jobs/job_spec.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace peridotrudder {
+
+namespace {
+
+job_spec two_steps()
+{
+    step_spec first;
+    first.m_count = 2;
+    first.m_each.m_cpu_millis = 1'000;
+    first.m_estimate = milliseconds{300};
+    step_spec second = first;
+    second.m_depends_on = {0};
+    second.m_estimate = milliseconds{500};
+    job_spec spec;
+    spec.m_steps = {first, second};
+    return spec;
+}
+
+std::string fault_of(const job_spec& spec)
+{
+    return std::string{to_string(check_spec(spec))};
+}
+
+} // namespace
+
+class job_spec_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(job_spec_test);
+    CPPUNIT_TEST(sound_specification_has_no_fault);
+    CPPUNIT_TEST(each_fault_is_told_by_its_name);
+    CPPUNIT_TEST(longest_chain_follows_dependencies);
+    CPPUNIT_TEST(work_counts_every_task);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void sound_specification_has_no_fault()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string{"none"}, fault_of(two_steps()));
+    }
+
+    void each_fault_is_told_by_its_name()
+    {
+        job_spec empty;
+        CPPUNIT_ASSERT_EQUAL(std::string{"no_steps"}, fault_of(empty));
+        auto spec = two_steps();
+        spec.m_steps[0].m_count = 0;
+        CPPUNIT_ASSERT_EQUAL(std::string{"no_tasks"}, fault_of(spec));
+        spec = two_steps();
+        spec.m_steps[0].m_depends_on = {1};
+        CPPUNIT_ASSERT_EQUAL(std::string{"depends_on_later_step"}, fault_of(spec));
+        spec = two_steps();
+        spec.m_steps[1].m_depends_on = {1};
+        CPPUNIT_ASSERT_EQUAL(std::string{"depends_on_later_step"}, fault_of(spec));
+        spec = two_steps();
+        spec.m_steps[0].m_each.m_cpu_millis = -1;
+        CPPUNIT_ASSERT_EQUAL(std::string{"negative_resources"}, fault_of(spec));
+        spec = two_steps();
+        spec.m_steps[0].m_count = 4'000'000'000U;
+        CPPUNIT_ASSERT_EQUAL(std::string{"too_many_tasks"}, fault_of(spec));
+        spec = two_steps();
+        spec.m_recurrence = recurrence{0, 0, 0};
+        CPPUNIT_ASSERT_EQUAL(std::string{"bad_recurrence"}, fault_of(spec));
+        spec = two_steps();
+        spec.m_payload = std::string(4'001, 'x');
+        CPPUNIT_ASSERT_EQUAL(std::string{"payload_too_long"}, fault_of(spec));
+    }
+
+    void longest_chain_follows_dependencies()
+    {
+        CPPUNIT_ASSERT_EQUAL(milliseconds{800}.count(), longest_chain(two_steps()).count());
+        auto parallel = two_steps();
+        parallel.m_steps[1].m_depends_on.clear();
+        CPPUNIT_ASSERT_EQUAL(milliseconds{500}.count(), longest_chain(parallel).count());
+    }
+
+    void work_counts_every_task()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1'600'000}, estimated_work(two_steps()));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(job_spec_test);
+
+} // namespace peridotrudder
--- /dev/null
+++ b/test/machines/worker_session_test.cpp
@@ -0,0 +1,265 @@
+#include "peridotrudder/machines/worker_session.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace peridotrudder {
+
+namespace {
+
+constexpr std::uint64_t fence = 7;
+const run_key key{"0123456789abcdef", {0, 0, 0}};
+const time_point start{milliseconds{1'000'000}};
+
+worker_report make_report(std::int64_t born_ms = 500)
+{
+    worker_report report;
+    report.m_life = {"i-1", born_ms};
+    report.m_pool = "pool";
+    report.m_address = "10.0.0.1";
+    report.m_port = 80;
+    report.m_capacity = {16'000, 32'000, 0};
+    return report;
+}
+
+worker_session make_session()
+{
+    return worker_session::create(make_report(), fence, {}, start);
+}
+
+hold_answer make_answer(std::int64_t clock_ms)
+{
+    hold_answer answer;
+    answer.m_result = order_result::accepted;
+    answer.m_clock_ms = clock_ms;
+    answer.m_born_ms = 500;
+    return answer;
+}
+
+hold_answer unanswered()
+{
+    return {};
+}
+
+worker_run make_run(run_phase phase)
+{
+    worker_run run;
+    run.m_run = 1;
+    run.m_reserved = {4'000, 1'000, 0};
+    run.m_phase = phase;
+    return run;
+}
+
+/// Confirms the fencing token at `at`.
+void confirm(worker_session& session, time_point at, std::int64_t clock_ms = 0)
+{
+    CPPUNIT_ASSERT(session.next_hold(at).has_value());
+    session.hold_answered(make_answer(clock_ms), at, at);
+}
+
+} // namespace
+
+class worker_session_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(worker_session_test);
+    CPPUNIT_TEST(worker_takes_no_work_before_it_knows_the_fencing_token);
+    CPPUNIT_TEST(draining_worker_takes_no_work);
+    CPPUNIT_TEST(room_is_taken_from_the_decision_until_the_release);
+    CPPUNIT_TEST(idle_worker_is_not_held);
+    CPPUNIT_TEST(end_is_told_once_and_acknowledged_only_when_recorded);
+    CPPUNIT_TEST(run_that_was_confirmed_before_a_look_and_is_not_listed_is_gone);
+    CPPUNIT_TEST(run_without_an_answer_is_not_gone_before_its_stop_is_answered);
+    CPPUNIT_TEST(adopted_run_is_gone_with_the_first_look_under_the_new_token);
+    CPPUNIT_TEST(unknown_run_is_a_stranger);
+    CPPUNIT_TEST(lease_of_a_slow_clock_is_waited_out);
+    CPPUNIT_TEST(silent_worker_is_looked_at_without_renewing);
+    CPPUNIT_TEST(worker_that_never_answered_is_waited_for_with_the_predecessors_grace);
+    CPPUNIT_TEST(another_birth_is_another_life);
+    CPPUNIT_TEST(report_of_an_earlier_life_changes_nothing);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void worker_takes_no_work_before_it_knows_the_fencing_token()
+    {
+        auto session = make_session();
+        CPPUNIT_ASSERT(!session.takes_work(start));
+        const auto hold = session.next_hold(start);
+        CPPUNIT_ASSERT(hold.has_value());
+        CPPUNIT_ASSERT_EQUAL(fence, hold->m_fence);
+        session.hold_answered(make_answer(0), start, start);
+        CPPUNIT_ASSERT(session.takes_work(start));
+    }
+
+    void draining_worker_takes_no_work()
+    {
+        auto session = make_session();
+        confirm(session, start);
+        auto report = make_report();
+        report.m_draining = true;
+        session.update(report, start);
+        CPPUNIT_ASSERT(!session.takes_work(start));
+    }
+
+    void room_is_taken_from_the_decision_until_the_release()
+    {
+        auto session = make_session();
+        session.reserve(key, make_run(run_phase::recording));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{12'000}, session.room().m_cpu_millis);
+        session.find(key)->m_stopping = true;
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{12'000}, session.room().m_cpu_millis);
+        session.release(key);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{16'000}, session.room().m_cpu_millis);
+    }
+
+    void idle_worker_is_not_held()
+    {
+        auto session = make_session();
+        confirm(session, start);
+        CPPUNIT_ASSERT(!session.next_hold(start + milliseconds{60'000}).has_value());
+    }
+
+    void end_is_told_once_and_acknowledged_only_when_recorded()
+    {
+        auto session = make_session();
+        confirm(session, start);
+        session.reserve(key, make_run(run_phase::running));
+        const auto later = start + milliseconds{100};
+        CPPUNIT_ASSERT(session.next_hold(later).has_value());
+        auto answer = make_answer(100);
+        answer.m_ended.push_back({1, key, 1, run_end::done, ""});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             session.hold_answered(answer, later, later).m_ended.size());
+        session.release(key);
+        CPPUNIT_ASSERT_MESSAGE("no hold may go out before the end is recorded",
+                               !session.next_hold(later + milliseconds{500}).has_value());
+        session.ends_recorded(1);
+        const auto hold = session.next_hold(later + milliseconds{500});
+        CPPUNIT_ASSERT(hold.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, hold->m_last_end);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                             session.hold_answered(answer, later, later).m_ended.size());
+    }
+
+    void run_that_was_confirmed_before_a_look_and_is_not_listed_is_gone()
+    {
+        auto session = make_session();
+        confirm(session, start);
+        auto run = make_run(run_phase::running);
+        run.m_confirmed_at = start + milliseconds{50};
+        session.reserve(key, run);
+        // The look was sent before the start was confirmed: it proves nothing.
+        CPPUNIT_ASSERT(session
+                           .hold_answered(make_answer(60), start + milliseconds{40},
+                                          start + milliseconds{60})
+                           .m_gone.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, session
+                                                 .hold_answered(make_answer(90),
+                                                                start + milliseconds{80},
+                                                                start + milliseconds{90})
+                                                 .m_gone.size());
+    }
+
+    void run_without_an_answer_is_not_gone_before_its_stop_is_answered()
+    {
+        auto session = make_session();
+        confirm(session, start);
+        session.reserve(key, make_run(run_phase::doubtful));
+        const auto later = start + milliseconds{5'000};
+        CPPUNIT_ASSERT(session.hold_answered(make_answer(5'000), later, later).m_gone.empty());
+        session.find(key)->m_barred_at = later;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             session.hold_answered(make_answer(5'001), later, later).m_gone.size());
+    }
+
+    void adopted_run_is_gone_with_the_first_look_under_the_new_token()
+    {
+        auto session = make_session();
+        auto run = make_run(run_phase::doubtful);
+        run.m_barred_at = start;
+        session.reserve(key, run);
+        CPPUNIT_ASSERT(session.next_hold(start).has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             session.hold_answered(make_answer(0), start, start).m_gone.size());
+    }
+
+    void unknown_run_is_a_stranger()
+    {
+        auto session = make_session();
+        CPPUNIT_ASSERT(session.next_hold(start).has_value());
+        auto answer = make_answer(0);
+        answer.m_running.push_back({key, 3, "", 10, 0});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             session.hold_answered(answer, start, start).m_strangers.size());
+    }
+
+    void lease_of_a_slow_clock_is_waited_out()
+    {
+        lease_options options;
+        auto session = worker_session::create(make_report(), fence, options, start);
+        confirm(session, start, 1'000);
+        session.reserve(key, make_run(run_phase::running));
+        const auto hold = session.next_hold(start + options.m_hold_pause);
+        CPPUNIT_ASSERT(hold && hold->m_deadline_ms);
+        // A clock that is 2 % slow reaches the deadline after this.
+        const auto lease_ms = static_cast<double>(*hold->m_deadline_ms - 1'000);
+        const auto slowest = milliseconds{static_cast<std::int64_t>(lease_ms / 0.98)};
+        CPPUNIT_ASSERT(session.lease_over() >= start + slowest);
+        CPPUNIT_ASSERT(lease_ms <= static_cast<double>(options.m_longest.count()));
+    }
+
+    void silent_worker_is_looked_at_without_renewing()
+    {
+        auto session = make_session();
+        confirm(session, start);
+        session.reserve(key, make_run(run_phase::running));
+        auto now = start + milliseconds{100};
+        CPPUNIT_ASSERT(session.next_hold(now)->m_deadline_ms.has_value());
+        const auto over = session.lease_over();
+        session.hold_answered(unanswered(), now, now);
+        for (int miss = 0; miss < 5; ++miss) {
+            now += milliseconds{600};
+            const auto look = session.next_hold(now);
+            CPPUNIT_ASSERT(look && !look->m_deadline_ms);
+            session.hold_answered(unanswered(), now, now);
+        }
+        CPPUNIT_ASSERT(session.silent());
+        CPPUNIT_ASSERT(over == session.lease_over());
+    }
+
+    void worker_that_never_answered_is_waited_for_with_the_predecessors_grace()
+    {
+        lease_options options;
+        const auto patient = worker_session::create(make_report(), fence, options, start);
+        CPPUNIT_ASSERT(patient.lease_over() >=
+                       start + options.m_predecessor_grace + options.m_longest);
+        options.m_predecessor_grace = milliseconds{0};
+        const auto after_release = worker_session::create(make_report(), fence, options, start);
+        CPPUNIT_ASSERT(after_release.lease_over() >= start + options.m_longest);
+        CPPUNIT_ASSERT(after_release.lease_over() < patient.lease_over());
+    }
+
+    void another_birth_is_another_life()
+    {
+        auto session = make_session();
+        confirm(session, start);
+        session.reserve(key, make_run(run_phase::running));
+        auto answer = make_answer(0);
+        answer.m_born_ms = 900;
+        CPPUNIT_ASSERT(session.hold_answered(answer, start, start).m_reborn);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, session.start_new_life(900, start).size());
+        CPPUNIT_ASSERT(!session.takes_work(start));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{16'000}, session.room().m_cpu_millis);
+    }
+
+    void report_of_an_earlier_life_changes_nothing()
+    {
+        auto session = make_session();
+        auto early = make_report(400);
+        early.m_pool = "other";
+        CPPUNIT_ASSERT(!session.update(early, start));
+        CPPUNIT_ASSERT_EQUAL(std::string{"pool"}, session.report().m_pool);
+        CPPUNIT_ASSERT(session.update(make_report(600), start));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(worker_session_test);
+
+} // namespace peridotrudder
