Wait out a predecessor's leases also once the worker's clock is known

Ruled out: the former owner's renewals (bounded by its proof of ownership; the test's world now bounds them too).

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -147,6 +147,7 @@
     std::int64_t clock_estimate(time_point now) const;
     bool wants_hold() const;
     void take_clock(std::int64_t clock_ms, time_point now);
+    milliseconds longest_lease() const;
     void note_deadline(std::int64_t deadline_ms);
     void compare_running(const hold_answer& answer, time_point sent_at, time_point now,
                          hold_outcome& outcome);
@@ -175,6 +176,8 @@
     std::int64_t m_clock_ms{0};
     time_point m_clock_at;
     std::int64_t m_latest_deadline_ms{0};
+    /// When every lease that a predecessor may have given is surely over.
+    time_point m_foreign_lease_over;
 };
 
 } // namespace peridotrudder
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -28,6 +28,7 @@
     made.m_options = options;
     made.m_created_at = now;
     made.m_next_hold = now;
+    made.m_foreign_lease_over = now + options.m_predecessor_grace + made.longest_lease();
     return made;
 }
 
@@ -190,6 +191,8 @@
     if (!m_fenced) {
         m_fenced = true;
         m_fenced_at = sent_at;
+        // From here on no predecessor can renew.
+        m_foreign_lease_over = std::min(m_foreign_lease_over, now + longest_lease());
     }
     take_clock(answer.m_clock_ms, now);
     for (const auto& each : answer.m_ended) {
@@ -261,15 +264,21 @@
     m_recorded_end = std::max(m_recorded_end, number);
 }
 
+milliseconds worker_session::longest_lease() const
+{
+    const auto longest = static_cast<double>(m_options.m_longest.count()) / slowest_clock;
+    return milliseconds{static_cast<std::int64_t>(longest)} + lapse_margin;
+}
+
 time_point worker_session::lease_over() const
 {
     if (!m_clock_known) {
-        const auto longest = m_options.m_longest.count() / slowest_clock;
-        return m_created_at + m_options.m_predecessor_grace +
-               milliseconds{static_cast<std::int64_t>(longest)} + lapse_margin;
+        return m_foreign_lease_over;
     }
     const auto left = static_cast<double>(m_latest_deadline_ms - m_clock_ms) / slowest_clock;
-    return m_clock_at + milliseconds{static_cast<std::int64_t>(std::max(left, 0.0))} + lapse_margin;
+    const auto own_over =
+        m_clock_at + milliseconds{static_cast<std::int64_t>(std::max(left, 0.0))} + lapse_margin;
+    return std::max(own_over, m_foreign_lease_over);
 }
 
 std::vector<run_key> worker_session::start_new_life(std::int64_t born_ms, time_point now)
--- a/test/machines/worker_session_test.cpp
+++ b/test/machines/worker_session_test.cpp
@@ -72,6 +72,7 @@
     CPPUNIT_TEST(lease_of_a_slow_clock_is_waited_out);
     CPPUNIT_TEST(silent_worker_is_looked_at_without_renewing);
     CPPUNIT_TEST(worker_that_never_answered_is_waited_for_with_the_predecessors_grace);
+    CPPUNIT_TEST(answer_to_another_order_does_not_end_a_predecessors_lease);
     CPPUNIT_TEST(another_birth_is_another_life);
     CPPUNIT_TEST(report_of_an_earlier_life_changes_nothing);
     CPPUNIT_TEST_SUITE_END();
@@ -236,6 +237,18 @@
         CPPUNIT_ASSERT(after_release.lease_over() < patient.lease_over());
     }
 
+    void answer_to_another_order_does_not_end_a_predecessors_lease()
+    {
+        lease_options options;
+        auto session = worker_session::create(make_report(), fence, options, start);
+        session.reserve(key, make_run(run_phase::doubtful));
+        session.order_answered({order_result::accepted, 1'000}, start);
+        CPPUNIT_ASSERT(session.lease_over() >=
+                       start + options.m_predecessor_grace + options.m_longest);
+        confirm(session, start, 1'000);
+        CPPUNIT_ASSERT(session.lease_over() >= start + options.m_longest);
+    }
+
     void another_birth_is_another_life()
     {
         auto session = make_session();
--- a/test/scheduling/fleet_world.hpp
+++ b/test/scheduling/fleet_world.hpp
@@ -28,6 +28,7 @@
 /// One run at a worker, as it really is.
 struct true_run {
     std::uint32_t m_run{0};
+    time_point m_began_at;
     time_point m_ends_at;
     std::int64_t m_cpu{0};
     bool m_stopping{false};
@@ -158,10 +159,16 @@
     std::size_t accepted() const { return m_accepted.size(); }
 
 private:
+    /// The grace that successors wait out.
+    const milliseconds hold_proof{lease_options{}.m_predecessor_grace};
+
     struct owner {
         std::uint64_t m_epoch{0};
         std::unique_ptr<job_scheduler> m_scheduler;
         std::optional<write_batch> m_writing;
+        /// When the newest write that succeeded was begun.
+        time_point m_writing_since;
+        time_point m_proven_at;
         bool m_over{false};
     };
 
@@ -253,6 +260,7 @@
         scheduler_options options;
         options.m_fence = fresh.m_epoch;
         m_journal_epoch = fresh.m_epoch;
+        fresh.m_proven_at = m_now;
         fresh.m_scheduler = job_scheduler::create(
             options, make_ports(fresh), job_book::restore(records, report), now());
         if (!report.m_damaged.empty()) {
@@ -279,6 +287,7 @@
             return;
         }
         each.m_writing = each.m_scheduler->take_batch(now());
+        each.m_writing_since = m_now;
         later(milliseconds{8}, [this, epoch = each.m_epoch] { write(epoch); });
     }
 
@@ -317,6 +326,9 @@
                 m_journal.erase(record.m_key);
             }
         }
+        if (!each->m_writing->m_records.empty()) {
+            each->m_proven_at = each->m_writing_since;
+        }
         auto batch = std::move(*each->m_writing);
         each->m_writing.reset();
         each->m_scheduler->written(std::move(batch), now());
@@ -347,7 +359,12 @@
                 });
         };
         ports.m_pace = [](const worker_report&, const pace_order&) {};
-        ports.m_hold = [this, epoch](const worker_report& to, const hold_order& order) {
+        ports.m_hold = [this, epoch](const worker_report& to, hold_order order) {
+            // As whoever drives a scheduler has to: no lease is renewed without a proof of ownership.
+            const auto* sender = find_owner(epoch);
+            if (sender == nullptr || m_now - sender->m_proven_at > hold_proof) {
+                order.m_deadline_ms.reset();
+            }
             send<hold_answer>(
                 to, [this, to, order] { return carry_out_hold(to, order); },
                 [this, epoch, to, sent_at = m_now](const hold_answer& answer) {
@@ -487,7 +504,10 @@
         answer.m_clock_ms = clock_of();
         answer.m_born_ms = worker.m_life.m_born_ms;
         for (const auto& [key, run] : worker.m_runs) {
-            answer.m_running.push_back({key, run.m_run, "", 50, 0});
+            const auto whole = std::max<std::int64_t>((run.m_ends_at - run.m_began_at).count(), 1);
+            const auto percent = (m_now - run.m_began_at).count() * 100 / whole;
+            answer.m_running.push_back(
+                {key, run.m_run, "", static_cast<std::uint32_t>(percent), 0});
         }
         answer.m_ended = ended;
         return answer;
@@ -533,7 +553,10 @@
         true_run run;
         run.m_run = order.m_run;
         run.m_cpu = spec->second.m_steps[order.m_key.m_task.m_step].m_each.m_cpu_millis;
-        run.m_ends_at = m_now + milliseconds{50 + m_random() % 700};
+        run.m_began_at = m_now;
+        // Long runs are still there when answers are given up and leases end.
+        run.m_ends_at = m_now + milliseconds{chance(30) ? 1'000 + m_random() % 5'000
+                                                         : 50 + m_random() % 700};
         worker.m_runs[order.m_key] = run;
     }
 
