--- a/include/peridotrudder/node/node_settings.hpp
+++ b/include/peridotrudder/node/node_settings.hpp
@@ -33,6 +33,8 @@
     std::string m_log;
     std::string m_vm_control;
     std::string m_policy;
+    /// Processor that the node has, in thousandths of a core.
+    std::uint32_t m_cpu_millis{1'000};
     /// Longest lease that a worker grants.
     milliseconds m_longest_lease{6'000};
     /// Time from SIGTERM to SIGKILL.
--- a/include/peridotrudder/ownership/cluster_agent.hpp
+++ b/include/peridotrudder/ownership/cluster_agent.hpp
@@ -26,6 +26,8 @@
     std::uint16_t m_port{0};
     /// Unix milliseconds of the process's start.
     std::int64_t m_started_ms{0};
+    /// Processor that the node has, in thousandths of a core.
+    std::uint32_t m_cpu_millis{0};
 
     template <typename Archive, typename Self>
     static void describe(Archive& archive, Self& self)
@@ -35,6 +37,7 @@
         archive.field("address", self.m_address);
         archive.field("port", self.m_port);
         archive.field("started_ms", self.m_started_ms);
+        archive.field("cpu_millis", self.m_cpu_millis);
     }
 };
 
@@ -48,6 +51,8 @@
     election_options m_election;
     /// An owner whose writes fail for so long resigns if another node reaches the log.
     milliseconds m_resign_after{250};
+    /// A node owns at least so long before it hands over to one with much more processor.
+    milliseconds m_yield_after{1'500};
     /// A node that could not be reached for so long is taken off the list.
     milliseconds m_forget_after{30'000};
 };
@@ -111,6 +116,7 @@
     void forget_lost_nodes(time_point now);
     void update_reachability();
     milliseconds stagger() const;
+    void yield_to_stronger(moment now);
 
     void handle(const std::string& from, const owner_beat& message);
     void handle(const std::string& from, const owner_resigned& message);
@@ -131,6 +137,7 @@
     bool m_registered{false};
     bool m_may_claim{true};
     std::uint64_t m_owned_epoch{0};
+    time_point m_owned_since;
     bool m_owner_reachable{false};
     milliseconds m_failing_for{0};
     time_point m_beat_at;
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr std::uint64_t max_port = 65'535;
-constexpr double ms_per_second = 1'000.0;
-constexpr double longest_s = 86'400.0;
+constexpr double thousandths = 1'000.0;
+constexpr double most_units = 86'400.0;
 constexpr std::uint64_t longest_ms = 3'600'000;
 
 endpoint read_endpoint(ini_reader& reader, const std::string& section, const std::string& key)
@@ -33,20 +33,26 @@
     return where;
 }
 
-/// Reads a time that the file gives in seconds, with or without a fraction.
-milliseconds read_seconds(ini_reader& reader, const std::string& section, const std::string& key)
+/// Reads a number with or without a fraction, and returns it in thousandths.
+std::int64_t read_thousandths(ini_reader& reader, const std::string& section,
+                              const std::string& key)
 {
     const auto text = reader.text(section, key);
     char* end = nullptr;
-    const double seconds = std::strtod(text.c_str(), &end);
+    const double value = std::strtod(text.c_str(), &end);
     if (text.empty()) {
-        return milliseconds{0};
+        return 0;
     }
-    if (*end != '\0' || !(seconds >= 0.0) || seconds > longest_s) {
-        reader.report(settings_fault::wrong_type, section, key, "seconds, 0 to 86400");
-        return milliseconds{0};
+    if (*end != '\0' || !(value >= 0.0) || value > most_units) {
+        reader.report(settings_fault::wrong_type, section, key, "0 to 86400, with or without a fraction");
+        return 0;
     }
-    return milliseconds{static_cast<std::int64_t>(seconds * ms_per_second)};
+    return static_cast<std::int64_t>(value * thousandths);
+}
+
+milliseconds read_seconds(ini_reader& reader, const std::string& section, const std::string& key)
+{
+    return milliseconds{read_thousandths(reader, section, key)};
 }
 
 milliseconds read_ms(ini_reader& reader, const std::string& section, const std::string& key)
@@ -67,6 +73,9 @@
     settings.m_log = reader.text("platform", "log");
     settings.m_vm_control = reader.text_or("platform", "vm_control", "");
     settings.m_policy = reader.text_or("platform", "policy", "");
+    // Given in cores, with or without a fraction.
+    settings.m_cpu_millis =
+        static_cast<std::uint32_t>(read_thousandths(reader, "limits", "cpu_cores"));
     settings.m_longest_lease = read_ms(reader, "limits", "longest_lease_ms");
     settings.m_grace = read_seconds(reader, "limits", "grace_s");
     settings.m_retention = read_seconds(reader, "limits", "retention_s");
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -156,6 +156,7 @@
     }
     if (mine && m_owned_epoch == 0) {
         m_owned_epoch = m_election.claim().m_epoch;
+        m_owned_since = m_ports.m_loop.m_now().m_at;
         m_ports.m_won(m_election.claim());
     }
     update_reachability();
@@ -191,6 +192,7 @@
         beat(now);
         probe_for_resignation(now);
         forget_lost_nodes(now);
+        yield_to_stronger(m_ports.m_loop.m_now());
         return;
     }
     update_reachability();
@@ -215,11 +217,13 @@
 
 milliseconds cluster_agent::stagger() const
 {
-    // Youngest first: in a rolling restart the nodes that have been restarted will not be stopped
+    // The nodes with the most processor first, since the owner's work is not shared. Among equals the
+    // youngest first: in a rolling restart the nodes that have been restarted will not be stopped
     // again soon. A process that has just started comes last, as it may not know its peers yet.
     const auto rank_of = [this](const node_record& node) {
         const auto age_ms = m_ports.m_loop.m_now().m_unix_ms - node.m_started_ms;
-        return std::make_tuple(age_ms < settling_time.count(), -node.m_started_ms, node.m_name);
+        return std::make_tuple(age_ms < settling_time.count(), -std::int64_t{node.m_cpu_millis},
+                               -node.m_started_ms, node.m_name);
     };
     const auto own = rank_of(m_options.m_self);
     milliseconds wait{0};
@@ -366,6 +370,23 @@
     }
 }
 
+void cluster_agent::yield_to_stronger(moment now)
+{
+    if (now.m_at - m_owned_since < m_options.m_yield_after || m_failing_for.count() > 0) {
+        return;
+    }
+    for (const auto& [name, node] : m_nodes) {
+        const bool settled = now.m_unix_ms - node.m_started_ms >= settling_time.count();
+        const bool linked = m_open_links.count(node.m_incarnation) != 0;
+        if (settled && linked &&
+            node.m_cpu_millis * 2 >= m_options.m_self.m_cpu_millis * 3) {
+            m_ports.m_log_event("yielding", node.m_name);
+            resign(true);
+            return;
+        }
+    }
+}
+
 void cluster_agent::resign(bool planned)
 {
     if (!owns()) {
