Order VMs for all that waits; make passes, handles and holds cheaper under load

Cause: on the grown sites work waited (400 to 900 cores) beside 100 idle VMs, since the fluid demand spreads waiting work over the time left.

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -28,6 +28,8 @@
 struct worker_run {
     std::uint32_t m_run{0};
     resources m_reserved;
+    /// What a filling task would take; zero for others.
+    std::int64_t m_filling_cpu{0};
     run_phase m_phase{run_phase::recording};
     bool m_long_running{false};
     bool m_fills{false};
@@ -114,6 +116,14 @@
     time_point fenced_at() const { return m_fenced_at; }
 
     const resources& used() const { return m_used; }
+    /// Returns how many runs of long-running tasks reserve room.
+    std::uint32_t long_running_runs() const { return m_long_running_runs; }
+    /// Returns the processor that filling tasks there would take, in thousandths of a core.
+    std::int64_t filling_cpu() const { return m_filling_cpu; }
+    /// Returns how many runs are to be stopped.
+    std::uint32_t stopping_runs() const { return m_stopping_runs; }
+    void set_stopping(worker_run& run);
+    void set_hold_pause(milliseconds pause) { m_options.m_hold_pause = pause; }
     resources room() const { return m_report.m_capacity - m_used; }
 
     /// Takes room for a run.
@@ -164,6 +174,9 @@
     time_point m_held_back_until;
     std::map<run_key, worker_run> m_runs;
     resources m_used;
+    std::uint32_t m_long_running_runs{0};
+    std::int64_t m_filling_cpu{0};
+    std::uint32_t m_stopping_runs{0};
 
     bool m_hold_under_way{false};
     time_point m_next_hold;
--- a/include/peridotrudder/node/fleet_owner.hpp
+++ b/include/peridotrudder/node/fleet_owner.hpp
@@ -47,6 +47,8 @@
     milliseconds m_hold_proof{5'000};
     /// A write at least this often keeps the proof fresh and shows others that the owner lives.
     milliseconds m_proof_interval{400};
+    /// How often `tick` is called. Later ticks show that the processor is short.
+    milliseconds m_tick_interval{10};
 };
 
 enum class owner_phase { claiming, loading, serving, ended };
@@ -91,6 +93,7 @@
     planner_ports make_planner_ports();
     scheduler_ports make_scheduler_ports();
     bool proven(milliseconds within) const;
+    void adapt_to_lag(time_point now);
 
     owner_options m_options;
     owner_ports m_ports;
@@ -109,6 +112,10 @@
     std::optional<write_batch> m_writing;
     std::vector<std::pair<std::uint64_t, job_call>> m_early_calls;
     bool m_configured{false};
+    time_point m_ticked_at;
+    /// How late ticks are, averaged, in milliseconds.
+    double m_lag_ms{0.0};
+    time_point m_adapted_at;
     /// Workers whose newest entry names no pool of the configuration, or cannot be read.
     std::set<std::string> m_unusable_workers;
     /// Outlives the owner in the answers that are under way.
--- a/include/peridotrudder/planning/pool_demand.hpp
+++ b/include/peridotrudder/planning/pool_demand.hpp
@@ -25,6 +25,8 @@
     std::int64_t m_forecast{0};
     /// Waits for room now.
     std::int64_t m_waiting{0};
+    /// Taken by short tasks that are placed.
+    std::int64_t m_placed{0};
 };
 
 /// Follows the demand of each pool.
--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -46,6 +46,8 @@
     void worker_down(std::string_view id, time_point seen_at, moment now);
     /// Takes over the runs that are recorded; to be called once, after the first list of workers.
     void begin(moment now);
+    /// Sets the pause between the holds of a worker: longer while the owner is short of processor.
+    void set_hold_pause(milliseconds pause);
     /// Sets the workers whose VMs are being emptied.
     void set_leaving(std::set<std::string, std::less<>> workers);
 
--- a/include/peridotrudder/scheduling/placement.hpp
+++ b/include/peridotrudder/scheduling/placement.hpp
@@ -17,9 +17,6 @@
     worker_session* m_session{nullptr};
     /// Recently failed or stalled: used last.
     bool m_doubted{false};
-    /// Processor time that filling tasks there would take, in thousandths of a core.
-    std::int64_t m_filling{0};
-    std::uint32_t m_long_running{0};
 };
 
 /// What a task needs beside its step's specification.
--- a/include/peridotrudder/scheduling/task_placer.hpp
+++ b/include/peridotrudder/scheduling/task_placer.hpp
@@ -38,7 +38,12 @@
     task_need need_of(const waiting_job& waiting, const task_ref& ref) const;
     void place_task(job& of, const task_ref& ref, candidate& where);
 
+    bool is_refused(const step_spec& step) const;
+    void note_refusal(const task_need& need);
+
     scheduler_state* m_state;
+    /// Sizes that found no room in the pool of this pass: nothing as large will either.
+    std::vector<resources> m_refused;
 };
 
 } // namespace peridotrudder
--- a/src/links/http_client.cpp
+++ b/src/links/http_client.cpp
@@ -75,7 +75,7 @@
             waiting.swap(m_waiting);
         }
         for (auto& each : waiting) {
-            auto started = std::make_unique<transfer>(std::move(each.m_call));
+            auto started = std::make_unique<transfer>(std::move(each.m_call), m_handles.take());
             CURL* handle = started->handle();
             m_running.emplace(handle, running_call{std::move(started), std::move(each.m_callback)});
             curl_multi_add_handle(m_multi.get(), handle);
@@ -95,7 +95,9 @@
             curl_multi_remove_handle(m_multi.get(), handle);
             auto node = m_running.extract(handle);
             auto& call = node.mapped();
-            call.m_callback(call.m_transfer->result(code));
+            auto result = call.m_transfer->result(code);
+            m_handles.give_back(call.m_transfer->release());
+            call.m_callback(std::move(result));
         }
     }
 
@@ -112,6 +114,7 @@
     }
 
     internal::multi_handle m_multi;
+    internal::handle_pool m_handles;
     std::atomic<bool> m_stopping{false};
     std::mutex m_mutex;
     std::deque<waiting_call> m_waiting;
@@ -145,7 +148,8 @@
 http_result fetch(const http_call& call)
 {
     internal::initialize_library();
-    transfer single{call};
+    internal::handle_pool handles;
+    transfer single{call, handles.take()};
     const CURLcode code = curl_easy_perform(single.handle());
     return single.result(code);
 }
--- a/src/links/http_loop_client.cpp
+++ b/src/links/http_loop_client.cpp
@@ -65,7 +65,7 @@
 
     void send(http_call call, http_callback callback) override
     {
-        auto started = std::make_unique<transfer>(std::move(call));
+        auto started = std::make_unique<transfer>(std::move(call), m_handles.take());
         CURL* handle = started->handle();
         m_running.emplace(handle, running_call{std::move(started), std::move(callback)});
         curl_multi_add_handle(m_multi.get(), handle);
@@ -187,13 +187,16 @@
             curl_multi_remove_handle(m_multi.get(), handle);
             auto node = m_running.extract(handle);
             auto& call = node.mapped();
-            call.m_callback(call.m_transfer->result(code));
+            auto result = call.m_transfer->result(code);
+            m_handles.give_back(call.m_transfer->release());
+            call.m_callback(std::move(result));
         }
     }
 
     asio::io_context& m_loop;
     asio::steady_timer m_timer;
     multi_handle m_multi;
+    handle_pool m_handles;
     std::map<curl_socket_t, std::shared_ptr<watched_socket>> m_sockets;
     std::map<CURL*, running_call> m_running;
     /// False once the client is gone, for handlers that the loop still holds.
--- a/src/links/http_transfer.hpp
+++ b/src/links/http_transfer.hpp
@@ -43,20 +43,51 @@
     }
 }
 
+/// Handles that are not in use: making one costs more than a call.
+class handle_pool {
+public:
+    easy_handle take()
+    {
+        if (m_idle.empty()) {
+            easy_handle made{curl_easy_init()};
+            if (!made) {
+                throw std::bad_alloc{};
+            }
+            return made;
+        }
+        auto handle = std::move(m_idle.back());
+        m_idle.pop_back();
+        return handle;
+    }
+
+    void give_back(easy_handle handle)
+    {
+        constexpr std::size_t most_idle = 64;
+        if (m_idle.size() < most_idle) {
+            curl_easy_reset(handle.get());
+            m_idle.push_back(std::move(handle));
+        }
+    }
+
+private:
+    std::vector<easy_handle> m_idle;
+};
+
 /// One call under way: libcurl's handle and everything that it points into.
 class transfer {
 public:
-    explicit transfer(http_call call) : m_call{std::move(call)}, m_easy{curl_easy_init()}
+    transfer(http_call call, easy_handle handle)
+        : m_call{std::move(call)},
+          m_easy{std::move(handle)}
     {
-        if (!m_easy) {
-            throw std::bad_alloc{};
-        }
         set_request();
         set_limits();
         set_receivers();
     }
 
     CURL* handle() const { return m_easy.get(); }
+    /// Gives the handle up; the transfer is over.
+    easy_handle release() { return std::move(m_easy); }
 
     http_result result(CURLcode code)
     {
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -84,17 +84,30 @@
     release(key);
     m_runs.emplace(key, run);
     m_used = m_used + run.m_reserved;
+    m_long_running_runs += run.m_long_running && !run.m_fills ? 1 : 0;
+    m_filling_cpu += run.m_filling_cpu;
+    m_stopping_runs += run.m_stopping ? 1 : 0;
 }
 
 void worker_session::release(const run_key& key)
 {
     const auto found = m_runs.find(key);
     if (found != m_runs.end()) {
-        m_used = m_used - found->second.m_reserved;
+        const auto& run = found->second;
+        m_used = m_used - run.m_reserved;
+        m_long_running_runs -= run.m_long_running && !run.m_fills ? 1 : 0;
+        m_filling_cpu -= run.m_filling_cpu;
+        m_stopping_runs -= run.m_stopping ? 1 : 0;
         m_runs.erase(found);
     }
 }
 
+void worker_session::set_stopping(worker_run& run)
+{
+    m_stopping_runs += run.m_stopping ? 0 : 1;
+    run.m_stopping = true;
+}
+
 std::int64_t worker_session::clock_estimate(time_point now) const
 {
     const auto passed = std::chrono::duration_cast<milliseconds>(now - m_clock_at).count();
@@ -143,11 +156,8 @@
         note_deadline(*order.m_deadline_ms);
     }
     const bool settled = m_fenced && m_misses == 0 && !m_runs.empty();
-    const bool stopping = std::any_of(m_runs.begin(), m_runs.end(), [](const auto& each) {
-        return each.second.m_stopping || each.second.m_phase == run_phase::doubtful;
-    });
     if (settled) {
-        order.m_wait = stopping ? m_options.m_hold_pause : m_options.m_hold_wait;
+        order.m_wait = m_stopping_runs > 0 ? m_options.m_hold_pause : m_options.m_hold_wait;
     }
     m_hold_under_way = true;
     m_end_in_hold = order.m_last_end;
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -15,6 +15,12 @@
 /// Workers renew their entries all the time: reading at a steady pace bounds what that costs.
 constexpr milliseconds worker_read_pause{150};
 constexpr milliseconds load_retry{100};
+constexpr double longest_lag_ms = 500.0;
+constexpr double lag_weight = 0.1;
+constexpr milliseconds adapt_interval{100};
+/// Ticks that are so late on average double the pause between holds.
+constexpr double lag_for_double_pause_ms = 10.0;
+constexpr milliseconds longest_hold_pause{250};
 constexpr milliseconds status_retry{200};
 
 } // namespace
@@ -303,6 +309,7 @@
     if (m_phase != owner_phase::serving) {
         return;
     }
+    adapt_to_lag(now.m_at);
     m_scheduler->tick(now);
     m_planner->tick(*m_scheduler, now);
     pump();
@@ -315,6 +322,23 @@
     }
 }
 
+void fleet_owner::adapt_to_lag(time_point now)
+{
+    const auto passed = remaining(m_ticked_at, now) - m_options.m_tick_interval;
+    m_ticked_at = now;
+    const auto late_ms = std::clamp(static_cast<double>(passed.count()), 0.0, longest_lag_ms);
+    m_lag_ms += (late_ms - m_lag_ms) * lag_weight;
+    if (now - m_adapted_at < adapt_interval) {
+        return;
+    }
+    m_adapted_at = now;
+    // Fewer looks tell of more ends each: they are what an owner that is short of processor can save.
+    const auto shortest = lease_options{}.m_hold_pause;
+    const auto pause = milliseconds{static_cast<std::int64_t>(
+        static_cast<double>(shortest.count()) * (1.0 + m_lag_ms / lag_for_double_pause_ms))};
+    m_scheduler->set_hold_pause(std::min(pause, longest_hold_pause));
+}
+
 milliseconds fleet_owner::failing_for() const
 {
     const auto since = m_journal->failing_since();
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -202,6 +202,7 @@
         owner_options options;
         options.m_epoch = claim.m_epoch;
         options.m_predecessor_left = claim.m_after_release;
+        options.m_tick_interval = owner_tick;
         options.m_scheduler.m_retention = m_settings.m_retention;
         options.m_scheduler.m_lease.m_longest = m_settings.m_longest_lease;
         options.m_planner.m_vm_lease = m_settings.m_vm_lease;
--- a/src/planning/pool_demand.cpp
+++ b/src/planning/pool_demand.cpp
@@ -33,8 +33,9 @@
     }
 }
 
-/// Returns what is left of the occurrence's work, in thousandths of a core times milliseconds.
-std::int64_t remaining_work(const job& of, std::uint32_t occurrence, std::int64_t& waiting_cpu)
+/// Returns what is left of the occurrence's work, in thousandths of a core times milliseconds, and
+/// adds what waits and what is placed to the load.
+std::int64_t remaining_work(const job& of, std::uint32_t occurrence, pool_load& load)
 {
     std::int64_t work = 0;
     for (std::uint32_t index = 0; index < of.spec().m_steps.size(); ++index) {
@@ -44,11 +45,12 @@
             const auto whole = step.m_each.m_cpu_millis * step.m_estimate.count();
             if (each.m_phase == task_phase::waiting) {
                 work += whole;
-                waiting_cpu += unblocked ? step.m_each.m_cpu_millis : 0;
+                load.m_waiting += unblocked ? step.m_each.m_cpu_millis : 0;
             }
             else if (each.m_phase == task_phase::placed) {
                 // Under way for an unknown time: on average half is left.
                 work += whole / 2;
+                load.m_placed += step.m_each.m_cpu_millis;
             }
         }
     }
@@ -65,7 +67,7 @@
         if (of.spec().m_recurrence && of.due_ms(occurrence) > now_ms) {
             return;
         }
-        const auto work = remaining_work(of, occurrence, load.m_waiting);
+        const auto work = remaining_work(of, occurrence, load);
         const auto left = limits_of(of.header(), queue).m_objective_ms - now_ms;
         load.m_accepted += work / std::max(left, least_time_left_ms);
     }
@@ -130,7 +132,9 @@
 
 std::uint32_t wanted_vms(const pool_load& load, std::int64_t vm_cpu)
 {
-    const auto short_work = std::max(load.m_accepted, load.m_forecast);
+    // What waits now is late already: it counts whole, not spread over the time that is left.
+    const auto short_work =
+        std::max({load.m_accepted, load.m_forecast, load.m_placed + load.m_waiting});
     const auto cpu = static_cast<double>(load.m_long_running + short_work) / fill_share;
     const auto by_cpu = static_cast<std::uint32_t>(
         std::ceil(cpu / static_cast<double>(std::max<std::int64_t>(vm_cpu, 1))));
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -94,6 +94,14 @@
     m_runs.adopt_recorded_runs(now);
 }
 
+void job_scheduler::set_hold_pause(milliseconds pause)
+{
+    m_state.m_options.m_lease.m_hold_pause = pause;
+    for (auto& [id, session] : m_state.m_workers) {
+        session.set_hold_pause(pause);
+    }
+}
+
 void job_scheduler::set_leaving(std::set<std::string, std::less<>> workers)
 {
     m_state.m_leaving = std::move(workers);
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -56,11 +56,11 @@
     const bool avoided = session.id() == need.m_avoid;
     const auto room = session.room().m_cpu_millis;
     if (step.m_fills) {
-        return {each.m_doubted, avoided, far, each.m_filling - room, room};
+        return {each.m_doubted, avoided, far, session.filling_cpu() - room, room};
     }
     if (step.m_long_running) {
         return {each.m_doubted, avoided, far,
-                -std::int64_t{each.m_long_running}, room};
+                -std::int64_t{session.long_running_runs()}, room};
     }
     return {each.m_doubted, avoided, far, room, 0};
 }
--- a/src/scheduling/run_control.cpp
+++ b/src/scheduling/run_control.cpp
@@ -311,7 +311,7 @@
     if (run == nullptr) {
         return;
     }
-    run->m_stopping = true;
+    session.set_stopping(*run);
     // What is not sent yet is dropped when its turn to be sent comes.
     if (run->m_phase == run_phase::recording || run->m_stop_under_way || run->m_stop_answered) {
         return;
@@ -380,6 +380,7 @@
 
 void run_control::tick(moment now)
 {
+    static const std::map<run_key, worker_run> no_runs;
     for (auto each = m_state->m_workers.begin(); each != m_state->m_workers.end();) {
         auto& session = each->second;
         const bool unreachable = session.silent() || !session.listed();
@@ -393,7 +394,7 @@
             continue;
         }
         std::vector<run_key> again;
-        for (const auto& [key, run] : session.runs()) {
+        for (const auto& [key, run] : session.stopping_runs() == 0 ? no_runs : session.runs()) {
             if (run.m_stopping && !run.m_stop_under_way && !run.m_stop_answered &&
                 now.m_at - run.m_stop_sent_at > stop_retry) {
                 again.push_back(key);
@@ -428,6 +429,7 @@
     run.m_fills = step.m_fills;
     run.m_latency_target = step.m_latency_target;
     run.m_estimate = step.m_estimate;
+    run.m_filling_cpu = step.m_fills ? step.m_each.m_cpu_millis : 0;
     return run;
 }
 
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -1,7 +1,6 @@
 #include "peridotrudder/scheduling/task_placer.hpp"
 
 #include <algorithm>
-#include <optional>
 
 namespace peridotrudder {
 
@@ -12,11 +11,6 @@
     return of.waiting(occurrence, step) != 0 && of.unblocked(occurrence, step);
 }
 
-bool at_least(const resources& value, const resources& other)
-{
-    return fits(other, value);
-}
-
 } // namespace
 
 std::map<std::string, std::vector<task_placer::waiting_job>> task_placer::collect(moment now)
@@ -50,9 +44,6 @@
         candidate each;
         each.m_session = &session;
         each.m_doubted = !health.usable(id, now);
-        for (const auto& [key, run] : session.runs()) {
-            each.m_long_running += run.m_long_running && !run.m_fills ? 1 : 0;
-        }
         candidates.push_back(each);
     }
     return candidates;
@@ -81,8 +72,6 @@
     const auto number = of.place(ref, life);
     const run_key key{of.header().m_id, ref};
     where.m_session->reserve(key, make_run(step, number));
-    where.m_long_running += step.m_long_running && !step.m_fills ? 1 : 0;
-    where.m_filling += step.m_fills ? step.m_each.m_cpu_millis : 0;
     m_state->m_book.touch(key.m_job);
     m_state->m_effects.emplace_back(start_effect{life, key, number});
 }
@@ -137,8 +126,13 @@
         if (of.at(ref).m_phase != task_phase::waiting) {
             continue;
         }
-        auto* where = choose_worker(need_of(waiting, ref), candidates, now.m_at);
+        const auto need = need_of(waiting, ref);
+        if (is_refused(*need.m_step)) {
+            return false;
+        }
+        auto* where = choose_worker(need, candidates, now.m_at);
         if (where == nullptr) {
+            note_refusal(need);
             return false;
         }
         place_task(of, ref, *where);
@@ -146,6 +140,24 @@
     return true;
 }
 
+bool task_placer::is_refused(const step_spec& step) const
+{
+    const auto wanted = reserved_for(step);
+    return std::any_of(m_refused.begin(), m_refused.end(),
+                       [&wanted](const resources& each) { return fits(each, wanted); });
+}
+
+void task_placer::note_refusal(const task_need& need)
+{
+    const auto& step = *need.m_step;
+    // Only what any task of that size would meet says something of others.
+    const bool plain = step.m_required_label.empty() && step.m_max_per_worker == 0 &&
+                       !need.m_last_attempt;
+    if (plain && !is_refused(step)) {
+        m_refused.push_back(reserved_for(step));
+    }
+}
+
 bool task_placer::place_job(const waiting_job& waiting, std::vector<candidate>& candidates,
                             moment now)
 {
@@ -168,21 +180,11 @@
 {
     for (auto& [pool, jobs] : collect(now)) {
         auto candidates = candidates_of(pool, now.m_at);
-        // Once a plain task finds no room, none that wants as much will.
-        std::optional<resources> refused;
+        m_refused.clear();
         for (auto& each : jobs) {
-            const auto& first = each.m_job->spec().m_steps.front();
-            const bool plain = each.m_job->spec().m_steps.size() == 1 &&
-                               first.m_required_label.empty() && first.m_max_per_worker == 0;
-            if (plain && refused && at_least(reserved_for(first), *refused)) {
-                continue;
-            }
             if (place_job(each, candidates, now)) {
                 m_state->m_hungry.erase(each.m_rank.m_id);
             }
-            else if (plain && !first.m_gang && !first.m_fills) {
-                refused = reserved_for(first);
-            }
         }
     }
     for (auto each = m_state->m_hungry.begin(); each != m_state->m_hungry.end();) {
