--- a/apps/scheduler_main.cpp
+++ b/apps/scheduler_main.cpp
@@ -11,8 +11,9 @@
 #include <cstdlib>
 #include <iostream>
 
-DEFINE_string(settings, "", "INI file of the node; by default the one that PERIDOTRUDDER_NODE_FILE "
-                            "names");
+DEFINE_string(settings, "",
+              "INI file of the node; by default the one that PERIDOTRUDDER_NODE_FILE "
+              "names");
 DEFINE_bool(check_settings, false, "Only check the settings");
 
 namespace {
@@ -49,9 +50,10 @@
     std::signal(SIGPIPE, SIG_IGN);
     const auto node = node_process::create(*settings, platform::make_platform());
     if (!node) {
-        log_event(log_level::error, "not_started", {{"address", node.error().m_address},
-                                                    {"port", std::to_string(node.error().m_port)},
-                                                    {"reason", node.error().m_reason}});
+        log_event(log_level::error, "not_started",
+                  {{"address", node.error().m_address},
+                   {"port", std::to_string(node.error().m_port)},
+                   {"reason", node.error().m_reason}});
         return exit_cannot_start;
     }
     return (*node)->run() == node_end::stopped ? exit_ok : exit_incomplete;
--- a/include/peridotrudder/links/http_client.hpp
+++ b/include/peridotrudder/links/http_client.hpp
@@ -58,8 +58,8 @@
 public:
     static std::unique_ptr<http_client> create();
 
-    /// Returns a client that runs on `loop`, which must outlive it. Calls beyond the given number of
-    /// connections to one host wait for one; zero is no limit.
+    /// Returns a client that runs on `loop`, which must outlive it. Calls beyond the given number
+    /// of connections to one host wait for one; zero is no limit.
     static std::unique_ptr<http_client> create_on(asio::io_context& loop,
                                                   long connections_per_host = 0);
 
--- a/include/peridotrudder/machines/worker_orders.hpp
+++ b/include/peridotrudder/machines/worker_orders.hpp
@@ -106,8 +106,8 @@
 template <>
 struct enum_names<order_result> {
     static constexpr std::array<std::string_view, 11> values{
-        "accepted",  "fenced",     "obsolete",   "too_late", "no_room", "bad_ticket", "invalid",
-        "unhealthy", "other_life", "unanswered", "not_sent"};
+        "accepted", "fenced",    "obsolete",   "too_late",   "no_room", "bad_ticket",
+        "invalid",  "unhealthy", "other_life", "unanswered", "not_sent"};
 };
 
 struct order_answer {
--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -112,7 +112,10 @@
     void set_down();
     /// Returns whether new work may be ordered there at all.
     bool takes_work(time_point now) const;
-    void hold_back_until(time_point until) { m_held_back_until = std::max(m_held_back_until, until); }
+    void hold_back_until(time_point until)
+    {
+        m_held_back_until = std::max(m_held_back_until, until);
+    }
     time_point fenced_at() const { return m_fenced_at; }
 
     const resources& used() const { return m_used; }
--- a/include/peridotrudder/ownership/cluster_agent.hpp
+++ b/include/peridotrudder/ownership/cluster_agent.hpp
@@ -73,8 +73,8 @@
     std::function<void(std::string_view event, std::string detail)> m_log_event;
 };
 
-/// Registers the node, follows claims and nodes in the log, takes part in elections, and beats while
-/// its node owns. Not thread-safe; runs on the loop.
+/// Registers the node, follows claims and nodes in the log, takes part in elections, and beats
+/// while its node owns. Not thread-safe; runs on the loop.
 class cluster_agent {
 public:
     static std::unique_ptr<cluster_agent> create(agent_options options, agent_ports ports);
@@ -134,7 +134,6 @@
     std::set<std::string> m_open_links;
     std::uint64_t m_topic_end{0};
     bool m_know_topic{false};
-    bool m_registered{false};
     bool m_may_claim{true};
     std::uint64_t m_owned_epoch{0};
     time_point m_owned_since;
--- a/include/peridotrudder/ownership/log_port.hpp
+++ b/include/peridotrudder/ownership/log_port.hpp
@@ -37,7 +37,7 @@
 template <>
 struct enum_names<log_result> {
     static constexpr std::array<std::string_view, 8> values{
-        "ok",      "nothing_done", "moved_on",   "fenced", "out_of_sequence",
+        "ok",      "nothing_done", "moved_on", "fenced", "out_of_sequence",
         "trimmed", "unanswered",   "invalid"};
 };
 
--- a/include/peridotrudder/ownership/owner_election.hpp
+++ b/include/peridotrudder/ownership/owner_election.hpp
@@ -61,9 +61,9 @@
 
 /// Follows the claims and the owner's heartbeats. Pure; not thread-safe.
 ///
-/// Safety does not rest on it: the log accepts one of several claims, and the epoch bars the others.
-/// It keeps ownership from changing without need: a node that alone has lost the owner does not
-/// claim, and an owner that most nodes have lost is replaced though it still reaches the log.
+/// Safety does not rest on it: the log accepts one of several claims, and the epoch bars the
+/// others. It keeps ownership from changing without need: a node that alone has lost the owner does
+/// not claim, and an owner that most nodes have lost is replaced though it still reaches the log.
 class owner_election {
 public:
     static owner_election create(election_options options, time_point now);
--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -23,7 +23,7 @@
 ///     if (scheduler.wants_write()) {
 ///         auto batch = scheduler.take_batch(now);
 ///         ... write batch.m_records ...
-///         scheduler.written(std::move(batch), now);
+///         scheduler.written(batch, now);
 ///     }
 ///
 /// Nothing is told to anybody before it is written. Not thread-safe.
@@ -65,7 +65,7 @@
     /// Returns whether there is anything to write, or to follow a write.
     bool wants_write() const;
     write_batch take_batch(moment now);
-    void written(write_batch batch, moment now);
+    void written(const write_batch& batch, moment now);
 
     /// What the scheduler knows, for planners and operators.
     const scheduler_state& state() const { return m_state; }
@@ -80,8 +80,7 @@
     void cancel(std::uint64_t token, const std::string& id, moment now);
     void query(std::uint64_t token, const std::string& id);
     std::uint64_t waiting_jobs(const queue_config& queue, std::int64_t now_ms) const;
-    void answer_when_written(std::uint64_t token, const call_answer& answer,
-                             const std::string& id);
+    void answer_when_written(std::uint64_t token, const call_answer& answer, const std::string& id);
 
     scheduler_state m_state;
     run_control m_runs;
--- a/include/peridotrudder/scheduling/work_order.hpp
+++ b/include/peridotrudder/scheduling/work_order.hpp
@@ -39,9 +39,9 @@
 
 /// Sorts waiting jobs of a pool; less is first.
 ///
-/// Answers a turn in which a queue asks for more than its pool holds: long-running work first, since
-/// it earns all the time; then by priority; then jobs that can still be in time, the most urgent
-/// first. A job that is late already does not delay one that is not.
+/// Answers a turn in which a queue asks for more than its pool holds: long-running work first,
+/// since it earns all the time; then by priority; then jobs that can still be in time, the most
+/// urgent first. A job that is late already does not delay one that is not.
 struct work_rank {
     bool m_ends{false};
     std::uint32_t m_priority{0};
--- a/include/peridotrudder/settings/ini_reader.hpp
+++ b/include/peridotrudder/settings/ini_reader.hpp
@@ -80,6 +80,9 @@
     /// Returns a text, or `otherwise` if the key is absent.
     std::string text_or(const std::string& section, const std::string& key, std::string otherwise);
 
+    /// Returns a text that may be empty or absent.
+    std::string optional_text(const std::string& section, const std::string& key);
+
     /// Returns a whole number from `least` to `most`.
     std::uint64_t number(const std::string& section, const std::string& key, std::uint64_t least,
                          std::uint64_t most);
--- /dev/null
+++ b/include/peridotrudder/telemetry/node_metrics.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+/// @file
+/// Metrics of a scheduler node, for Prometheus.
+
+#include "peridotrudder/base/clock.hpp"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace peridotrudder {
+
+/// Counts what a node does. Thread-safe.
+class node_metrics {
+public:
+    node_metrics();
+    node_metrics(const node_metrics&) = delete;
+    node_metrics& operator=(const node_metrics&) = delete;
+    node_metrics(node_metrics&&) = delete;
+    node_metrics& operator=(node_metrics&&) = delete;
+    ~node_metrics();
+
+    /// Counts an answer to a caller, with the time from the request.
+    void answered(std::string_view kind, std::string_view status, milliseconds latency);
+    /// Counts a decision, by the name of its log line.
+    void decided(std::string_view event);
+    /// Takes the time from a claim until its owner served.
+    void took_over(milliseconds time);
+    /// Sets a gauge, such as "owned_epoch" or "waiting_calls".
+    void set_gauge(const std::string& name, double value);
+
+    /// Returns all metrics in Prometheus' text format.
+    std::string expose() const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_inside;
+};
+
+} // namespace peridotrudder
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -19,9 +19,9 @@
 
 nlohmann::json to_array(const kept_task& kept)
 {
-    auto row = nlohmann::json::array({kept.m_ref.m_occurrence, kept.m_ref.m_step,
-                                      kept.m_ref.m_index, static_cast<unsigned>(kept.m_phase),
-                                      kept.m_run, kept.m_failures});
+    auto row =
+        nlohmann::json::array({kept.m_ref.m_occurrence, kept.m_ref.m_step, kept.m_ref.m_index,
+                               static_cast<unsigned>(kept.m_phase), kept.m_run, kept.m_failures});
     if (kept.m_life || !kept.m_checkpoint.empty()) {
         row.push_back(kept.m_life ? nlohmann::json(*kept.m_life) : nlohmann::json{});
     }
--- a/src/jobs/job_book.cpp
+++ b/src/jobs/job_book.cpp
@@ -31,7 +31,8 @@
     if (check_spec(read->m_spec) != spec_fault::none) {
         return tl::make_unexpected(decode_error{decode_fault::out_of_range, "spec"});
     }
-    return state == nullptr ? job::create(std::move(*read)) : job::restore(std::move(*read), *state);
+    return state == nullptr ? job::create(std::move(*read))
+                            : job::restore(std::move(*read), *state);
 }
 
 } // namespace
--- a/src/links/http_client.cpp
+++ b/src/links/http_client.cpp
@@ -130,10 +130,12 @@
     return std::unique_ptr<http_client>{new http_client{std::make_unique<threaded_client>()}};
 }
 
-std::unique_ptr<http_client> http_client::create_on(asio::io_context& loop, long connections_per_host)
+std::unique_ptr<http_client> http_client::create_on(asio::io_context& loop,
+                                                    long connections_per_host)
 {
     internal::initialize_library();
-    return std::unique_ptr<http_client>{new http_client{internal::make_loop_client(loop, connections_per_host)}};
+    return std::unique_ptr<http_client>{
+        new http_client{internal::make_loop_client(loop, connections_per_host)}};
 }
 
 http_client::http_client(std::unique_ptr<implementation> inside) : m_inside{std::move(inside)} {}
--- a/src/links/http_loop_client.cpp
+++ b/src/links/http_loop_client.cpp
@@ -106,11 +106,11 @@
             }
             return;
         }
-        auto watched = found != m_sockets.end()
-                           ? found->second
-                           : m_sockets
-                                 .emplace(socket, std::make_shared<watched_socket>(m_loop, socket))
-                                 .first->second;
+        auto watched =
+            found != m_sockets.end()
+                ? found->second
+                : m_sockets.emplace(socket, std::make_shared<watched_socket>(m_loop, socket))
+                      .first->second;
         watched->m_wanted = what;
         wait_for(watched, socket);
     }
--- a/src/links/peer_mesh.cpp
+++ b/src/links/peer_mesh.cpp
@@ -107,9 +107,8 @@
             write(connection, frame);
             return true;
         }
-        asio::post(m_context, [this, connection, frame = std::move(frame)] {
-            write(connection, frame);
-        });
+        asio::post(m_context,
+                   [this, connection, frame = std::move(frame)] { write(connection, frame); });
         return true;
     }
 
@@ -334,8 +333,8 @@
                 link_handler on_link)
 {
     try {
-        auto inside = std::make_unique<implementation>(loop, options, std::move(handler),
-                                                       std::move(on_link));
+        auto inside =
+            std::make_unique<implementation>(loop, options, std::move(handler), std::move(on_link));
         inside->start();
         return std::unique_ptr<peer_mesh>{new peer_mesh{std::move(inside)}};
     }
@@ -352,8 +351,8 @@
 }
 
 tl::expected<std::unique_ptr<peer_mesh>, listen_error>
-peer_mesh::create_on(asio::io_context& loop, const peer_mesh_options& options,
-                     peer_handler handler, link_handler on_link)
+peer_mesh::create_on(asio::io_context& loop, const peer_mesh_options& options, peer_handler handler,
+                     link_handler on_link)
 {
     return open(&loop, options, std::move(handler), std::move(on_link));
 }
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -47,8 +47,7 @@
     }
     const bool reborn = life().m_born_ms != 0 && report.m_life.m_born_ms != life().m_born_ms;
     const auto born_ms = life().m_born_ms;
-    const bool moved =
-        report.m_address != m_report.m_address || report.m_port != m_report.m_port;
+    const bool moved = report.m_address != m_report.m_address || report.m_port != m_report.m_port;
     m_report = report;
     if (reborn) {
         // The caller empties the session, and needs the old life until then.
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -46,8 +46,8 @@
     options.m_topic = journal_topic;
     options.m_producer = journal_producer;
     options.m_epoch = m_options.m_epoch;
-    m_journal = journal_writer::create(options, m_ports.m_log,
-                                       {[this] { journal_written(); }, [this] { journal_fenced(); }});
+    m_journal = journal_writer::create(
+        options, m_ports.m_log, {[this] { journal_written(); }, [this] { journal_fenced(); }});
     m_journal->claim(m_ports.m_loop.m_now().m_at);
     // Nobody else's writes matter for these, so they are read while the claim is under way.
     follow_operators();
@@ -62,9 +62,9 @@
         return;
     }
     if (m_writing) {
-        auto batch = std::move(*m_writing);
+        const auto batch = std::move(*m_writing);
         m_writing.reset();
-        m_scheduler->written(std::move(batch), m_ports.m_loop.m_now());
+        m_scheduler->written(batch, m_ports.m_loop.m_now());
         m_planner->written();
     }
     pump();
@@ -170,11 +170,11 @@
     const auto now = m_ports.m_loop.m_now();
     restore_report report;
     auto book = job_book::restore(m_journal_records, report);
-    m_ports.m_decided({"owner_loaded", "", "",
-                       fmt::format("{} jobs, {} damaged records", report.m_jobs,
-                                   report.m_damaged.size())});
-    m_scheduler = job_scheduler::create(m_options.m_scheduler, make_scheduler_ports(),
-                                        std::move(book), now);
+    m_ports.m_decided(
+        {"owner_loaded", "", "",
+         fmt::format("{} jobs, {} damaged records", report.m_jobs, report.m_damaged.size())});
+    m_scheduler =
+        job_scheduler::create(m_options.m_scheduler, make_scheduler_ports(), std::move(book), now);
     m_planner = fleet_planner::create(m_options.m_planner, m_options.m_epoch, make_planner_ports());
     m_planner->restore(m_journal_records, now);
     m_journal_records.clear();
@@ -298,7 +298,7 @@
         if (batch.m_effects.empty()) {
             return;
         }
-        m_scheduler->written(std::move(batch), m_ports.m_loop.m_now());
+        m_scheduler->written(batch, m_ports.m_loop.m_now());
     }
 }
 
@@ -316,9 +316,9 @@
     if (m_phase == owner_phase::serving && !m_journal->busy() &&
         now.m_at - m_journal->proven_at() > m_options.m_proof_interval) {
         const auto text = std::to_string(now.m_unix_ms);
-        m_journal->write({{std::string{proof_key},
-                           std::vector<std::uint8_t>{text.begin(), text.end()}, 0}},
-                         now.m_at);
+        m_journal->write(
+            {{std::string{proof_key}, std::vector<std::uint8_t>{text.begin(), text.end()}, 0}},
+            now.m_at);
     }
 }
 
@@ -332,7 +332,8 @@
         return;
     }
     m_adapted_at = now;
-    // Fewer looks tell of more ends each: they are what an owner that is short of processor can save.
+    // Fewer looks tell of more ends each: they are what an owner that is short of processor can
+    // save.
     const auto shortest = lease_options{}.m_hold_pause;
     const auto pause = milliseconds{static_cast<std::int64_t>(
         static_cast<double>(shortest.count()) * (1.0 + m_lag_ms / lag_for_double_pause_ms))};
@@ -362,7 +363,8 @@
             return;
         }
         (*alive)->m_ports.m_loop.m_after(status_retry, [self, key, completed] {
-            if (const auto still = self.lock(); still && (*still)->m_phase == owner_phase::serving) {
+            if (const auto still = self.lock();
+                still && (*still)->m_phase == owner_phase::serving) {
                 (*still)->tell_wave(key, completed);
             }
         });
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -6,6 +6,8 @@
 #include "peridotrudder/node/fleet_owner.hpp"
 #include "peridotrudder/ownership/cluster_agent.hpp"
 #include "peridotrudder/telemetry/log.hpp"
+#include "peridotrudder/telemetry/log_budget.hpp"
+#include "peridotrudder/telemetry/node_metrics.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
@@ -29,6 +31,8 @@
 constexpr milliseconds leave_time{2'300};
 /// Kept for the end of the process itself.
 constexpr milliseconds stop_reserve{700};
+/// A line costs about as much processor as an order to a worker.
+constexpr std::uint32_t log_lines_a_second = 120;
 constexpr std::uint32_t status_ok = 200;
 constexpr std::uint32_t status_unavailable = 503;
 
@@ -39,8 +43,10 @@
     clock_gettime(CLOCK_BOOTTIME, &boot);
     timespec wall{};
     clock_gettime(CLOCK_REALTIME, &wall);
-    const auto since_boot = std::chrono::seconds{boot.tv_sec} + std::chrono::nanoseconds{boot.tv_nsec};
-    const auto unix_time = std::chrono::seconds{wall.tv_sec} + std::chrono::nanoseconds{wall.tv_nsec};
+    const auto since_boot =
+        std::chrono::seconds{boot.tv_sec} + std::chrono::nanoseconds{boot.tv_nsec};
+    const auto unix_time =
+        std::chrono::seconds{wall.tv_sec} + std::chrono::nanoseconds{wall.tv_nsec};
     return {time_point{std::chrono::duration_cast<time_point::duration>(since_boot)},
             std::chrono::duration_cast<milliseconds>(unix_time).count()};
 }
@@ -109,12 +115,26 @@
             return tl::make_unexpected(callers.error());
         }
         m_caller_server = std::move(*callers);
+        auto metrics = http_server::create_on(
+            m_loop, listen_at(m_settings.m_metrics),
+            [this](const http_request& /*request*/, const http_responder& respond) {
+                http_response response;
+                response.m_headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+                set_gauges();
+                response.m_body = m_metrics.expose();
+                respond(std::move(response));
+            });
+        if (!metrics) {
+            return tl::make_unexpected(metrics.error());
+        }
+        m_metrics_server = std::move(*metrics);
         return {};
     }
 
     node_end run()
     {
-        log_event(log_level::info, "started", {{"node", m_settings.m_name}, {"incarnation", m_self}});
+        log_event(log_level::info, "started",
+                  {{"node", m_settings.m_name}, {"incarnation", m_self}});
         wait_for_signals();
         m_agent->start();
         tick();
@@ -164,8 +184,11 @@
     agent_options make_agent_options() const
     {
         agent_options options;
-        options.m_self = {m_settings.m_name, m_self, m_settings.m_peers.m_address,
-                          m_settings.m_peers.m_port, read_clocks().m_unix_ms,
+        options.m_self = {m_settings.m_name,
+                          m_self,
+                          m_settings.m_peers.m_address,
+                          m_settings.m_peers.m_port,
+                          read_clocks().m_unix_ms,
                           m_settings.m_cpu_millis};
         options.m_election.m_self = m_self;
         return options;
@@ -203,6 +226,7 @@
         options.m_epoch = claim.m_epoch;
         options.m_predecessor_left = claim.m_after_release;
         options.m_tick_interval = owner_tick;
+        m_won_at = now();
         options.m_scheduler.m_retention = m_settings.m_retention;
         options.m_scheduler.m_lease.m_longest = m_settings.m_longest_lease;
         options.m_planner.m_vm_lease = m_settings.m_vm_lease;
@@ -217,16 +241,53 @@
         ports.m_answer = [this](std::uint64_t token, const call_answer& answer) {
             answer_call(token, answer);
         };
-        ports.m_decided = [](const decision& made) {
-            log_event(log_level::info, made.m_event,
-                      {{"job", made.m_job}, {"worker", made.m_worker}, {"detail", made.m_detail}});
-        };
+        ports.m_decided = [this](const decision& made) { log_decision(made); };
         ports.m_ended = [this] { m_agent->resign(false); };
         m_owner = fleet_owner::create(options, std::move(ports));
         m_owner->start();
         m_router.owner_changed(now());
     }
 
+    /// Writes a decision's line, within a budget: what happens to every run can be a thousand lines
+    /// a second.
+    void log_decision(const decision& made)
+    {
+        m_metrics.decided(made.m_event);
+        if (made.m_event == "owner_loaded") {
+            m_metrics.took_over(remaining(m_won_at, now()));
+        }
+        if (!m_log_budget.allows(made.m_event, now())) {
+            return;
+        }
+        if (const auto left_out = m_log_budget.take_left_out(); left_out > 0) {
+            log_event(log_level::warning, "lines_left_out", {{"count", std::to_string(left_out)}});
+        }
+        log_event(log_level::info, made.m_event,
+                  {{"epoch", std::to_string(m_agent->epoch())},
+                   {"job", made.m_job},
+                   {"worker", made.m_worker},
+                   {"detail", made.m_detail}});
+    }
+
+    void set_gauges()
+    {
+        m_metrics.set_gauge("owned_epoch",
+                            m_agent->owns() ? static_cast<double>(m_agent->epoch()) : 0.0);
+        m_metrics.set_gauge("owner_reachable", m_agent->reachable_owner().empty() ? 0.0 : 1.0);
+        m_metrics.set_gauge("waiting_calls", static_cast<double>(m_router.waiting()));
+        m_metrics.set_gauge("lost_log_lines", static_cast<double>(lost_log_lines()));
+        const auto* scheduler = m_owner ? m_owner->scheduler() : nullptr;
+        if (scheduler != nullptr) {
+            const auto& state = scheduler->state();
+            m_metrics.set_gauge("jobs", static_cast<double>(state.m_book.jobs().size()));
+            m_metrics.set_gauge("hungry_jobs", static_cast<double>(state.m_hungry.size()));
+            m_metrics.set_gauge("workers", static_cast<double>(state.m_workers.size()));
+            m_metrics.set_gauge("config_version", static_cast<double>(state.m_config.version()));
+            m_metrics.set_gauge("journal_failing_ms",
+                                static_cast<double>(m_owner->failing_for().count()));
+        }
+    }
+
     void end_ownership()
     {
         m_agent->set_failing(milliseconds{0});
@@ -318,13 +379,39 @@
             respond(std::move(call.error()));
             return;
         }
-        m_router.take(std::move(*call), m_platform.m_time_left(request),
-                      [this, respond = std::move(respond)](const call_answer& answer) {
-                          auto response = m_platform.m_write_answer(answer);
-                          response.m_close_connection = m_stopping_since.has_value();
-                          respond(std::move(response));
-                      },
-                      now());
+        const auto kind = call->m_kind;
+        const auto path = call->m_path;
+        m_router.take(
+            std::move(*call), m_platform.m_time_left(request),
+            [this, kind, path, taken_at = now(),
+             respond = std::move(respond)](const call_answer& answer) {
+                note_answer(kind, path, taken_at, answer);
+                auto response = m_platform.m_write_answer(answer);
+                response.m_close_connection = m_stopping_since.has_value();
+                respond(std::move(response));
+            },
+            now());
+    }
+
+    /// Logs what was not served, with what the caller knows of it: the path holds the job's id.
+    void note_answer(call_kind kind, const std::string& path, time_point taken_at,
+                     const call_answer& answer)
+    {
+        const auto latency = remaining(taken_at, now());
+        m_metrics.answered(to_string(kind), to_string(answer.m_status), latency);
+        const bool served = answer.m_status == call_status::done ||
+                            answer.m_status == call_status::state ||
+                            answer.m_status == call_status::length;
+        if (served || !m_log_budget.allows(to_string(answer.m_status), now())) {
+            return;
+        }
+        log_event(log_level::info, "call_not_served",
+                  {{"path", path},
+                   {"kind", std::string{to_string(kind)}},
+                   {"status", std::string{to_string(answer.m_status)}},
+                   {"after_ms", std::to_string(latency.count())},
+                   {"epoch", std::to_string(m_agent->epoch())},
+                   {"owner", m_agent->reachable_owner()}});
     }
 
     bool is_ready() const
@@ -396,11 +483,15 @@
     std::map<std::uint64_t, call_origin> m_tokens;
     std::uint64_t m_next_token{1};
     std::optional<time_point> m_stopping_since;
+    node_metrics m_metrics;
+    log_budget m_log_budget{log_budget::create(log_lines_a_second)};
+    time_point m_won_at;
     std::unique_ptr<cluster_agent> m_agent;
     std::unique_ptr<fleet_owner> m_owner;
     std::unique_ptr<peer_mesh> m_mesh;
     std::unique_ptr<http_server> m_ready_server;
     std::unique_ptr<http_server> m_caller_server;
+    std::unique_ptr<http_server> m_metrics_server;
 };
 
 tl::expected<std::unique_ptr<node_process>, listen_error>
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -44,7 +44,8 @@
         return 0;
     }
     if (*end != '\0' || !(value >= 0.0) || value > most_units) {
-        reader.report(settings_fault::wrong_type, section, key, "0 to 86400, with or without a fraction");
+        reader.report(settings_fault::wrong_type, section, key,
+                      "0 to 86400, with or without a fraction");
         return 0;
     }
     return static_cast<std::int64_t>(value * thousandths);
@@ -71,8 +72,8 @@
     settings.m_peers = read_endpoint(reader, "listen", "peers");
     settings.m_metrics = read_endpoint(reader, "listen", "metrics");
     settings.m_log = reader.text("platform", "log");
-    settings.m_vm_control = reader.text_or("platform", "vm_control", "");
-    settings.m_policy = reader.text_or("platform", "policy", "");
+    settings.m_vm_control = reader.optional_text("platform", "vm_control");
+    settings.m_policy = reader.optional_text("platform", "policy");
     // Given in cores, with or without a fraction.
     settings.m_cpu_millis =
         static_cast<std::uint32_t>(read_thousandths(reader, "limits", "cpu_cores"));
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -38,8 +38,7 @@
 
 std::unique_ptr<cluster_agent> cluster_agent::create(agent_options options, agent_ports ports)
 {
-    return std::unique_ptr<cluster_agent>{
-        new cluster_agent{std::move(options), std::move(ports)}};
+    return std::unique_ptr<cluster_agent>{new cluster_agent{std::move(options), std::move(ports)}};
 }
 
 cluster_agent::cluster_agent(agent_options options, agent_ports ports)
@@ -217,9 +216,10 @@
 
 milliseconds cluster_agent::stagger() const
 {
-    // The nodes with the most processor first, since the owner's work is not shared. Among equals the
-    // youngest first: in a rolling restart the nodes that have been restarted will not be stopped
-    // again soon. A process that has just started comes last, as it may not know its peers yet.
+    // The nodes with the most processor first, since the owner's work is not shared. Among equals
+    // the youngest first: in a rolling restart the nodes that have been restarted will not be
+    // stopped again soon. A process that has just started comes last, as it may not know its peers
+    // yet.
     const auto rank_of = [this](const node_record& node) {
         const auto age_ms = m_ports.m_loop.m_now().m_unix_ms - node.m_started_ms;
         return std::make_tuple(age_ms < settling_time.count(), -std::int64_t{node.m_cpu_millis},
@@ -276,8 +276,7 @@
     request.m_topic = m_options.m_topic;
     request.m_timeout = append_timeout;
     request.m_expected_end = m_topic_end;
-    request.m_records.push_back(
-        {std::string{owner_key}, to_bytes(encode_packed(mine)), 0});
+    request.m_records.push_back({std::string{owner_key}, to_bytes(encode_packed(mine)), 0});
     const std::weak_ptr<cluster_agent*> self = m_self;
     m_ports.m_log.m_append(request, [self, mine](const append_answer& answer) {
         const auto alive = self.lock();
@@ -378,8 +377,7 @@
     for (const auto& [name, node] : m_nodes) {
         const bool settled = now.m_unix_ms - node.m_started_ms >= settling_time.count();
         const bool linked = m_open_links.count(node.m_incarnation) != 0;
-        if (settled && linked &&
-            node.m_cpu_millis * 2 >= m_options.m_self.m_cpu_millis * 3) {
+        if (settled && linked && node.m_cpu_millis * 2 >= m_options.m_self.m_cpu_millis * 3) {
             m_ports.m_log_event("yielding", node.m_name);
             resign(true);
             return;
@@ -474,21 +472,20 @@
     request.m_topic = m_options.m_journal_topic;
     request.m_max_kb = 1;
     const std::weak_ptr<cluster_agent*> self = m_self;
-    m_ports.m_log.m_read(request, [self, from, number = message.m_number](
-                                      const read_answer& answer) {
-        const bool reached =
-            answer.m_result == log_result::ok || answer.m_result == log_result::trimmed;
-        const auto alive = self.lock();
-        if (alive && reached) {
-            (*alive)->m_ports.m_send(from, log_reached{number});
-        }
-    });
+    m_ports.m_log.m_read(request,
+                         [self, from, number = message.m_number](const read_answer& answer) {
+                             const bool reached = answer.m_result == log_result::ok ||
+                                                  answer.m_result == log_result::trimmed;
+                             const auto alive = self.lock();
+                             if (alive && reached) {
+                                 (*alive)->m_ports.m_send(from, log_reached{number});
+                             }
+                         });
 }
 
 void cluster_agent::handle(const std::string& /*from*/, const log_reached& message)
 {
-    if (owns() && message.m_number == m_owned_epoch &&
-        m_failing_for >= m_options.m_resign_after) {
+    if (owns() && message.m_number == m_owned_epoch && m_failing_for >= m_options.m_resign_after) {
         resign(false);
     }
 }
--- a/src/ownership/owner_election.cpp
+++ b/src/ownership/owner_election.cpp
@@ -124,8 +124,8 @@
     if (now - *m_asked_at < m_options.m_ask_time) {
         return election_step::none;
     }
-    const auto hearing = static_cast<std::size_t>(
-        std::count_if(m_views.begin(), m_views.end(), [](const auto& each) { return each.second; }));
+    const auto hearing = static_cast<std::size_t>(std::count_if(
+        m_views.begin(), m_views.end(), [](const auto& each) { return each.second; }));
     const auto lost = m_views.size() - hearing + 1;
     const bool most_lost = lost * 2 > m_members;
     if (most_lost || (m_silent_in_journal && hearing == 0)) {
--- a/src/ownership/topic_follower.cpp
+++ b/src/ownership/topic_follower.cpp
@@ -5,8 +5,8 @@
 std::unique_ptr<topic_follower> topic_follower::create(follower_options options, log_port port,
                                                        loop_port loop, follower_events events)
 {
-    return std::unique_ptr<topic_follower>{new topic_follower{
-        std::move(options), std::move(port), std::move(loop), std::move(events)}};
+    return std::unique_ptr<topic_follower>{new topic_follower{std::move(options), std::move(port),
+                                                              std::move(loop), std::move(events)}};
 }
 
 topic_follower::topic_follower(follower_options options, log_port port, loop_port loop,
--- a/src/planning/fleet_planner.cpp
+++ b/src/planning/fleet_planner.cpp
@@ -32,8 +32,9 @@
         const auto& each = tasks[index];
         const auto worker = state.m_workers.find(each.m_where.m_worker);
         const run_key key{of.header().m_id, {ref.m_occurrence, ref.m_step, index}};
-        const auto run = worker == state.m_workers.end() ? std::map<run_key, worker_run>::const_iterator{}
-                                                         : worker->second.runs().find(key);
+        const auto run = worker == state.m_workers.end()
+                             ? std::map<run_key, worker_run>::const_iterator{}
+                             : worker->second.runs().find(key);
         const bool found = worker != state.m_workers.end() && run != worker->second.runs().end();
         const bool at_work = found && run->second.m_phase == run_phase::running &&
                              !run->second.m_stopping && run->second.m_percent >= fully_at_work &&
@@ -48,8 +49,7 @@
 std::unique_ptr<fleet_planner> fleet_planner::create(planner_options options, std::uint64_t fence,
                                                      planner_ports ports)
 {
-    return std::unique_ptr<fleet_planner>{
-        new fleet_planner{options, fence, std::move(ports)}};
+    return std::unique_ptr<fleet_planner>{new fleet_planner{options, fence, std::move(ports)}};
 }
 
 fleet_planner::fleet_planner(planner_options options, std::uint64_t fence, planner_ports ports)
@@ -63,9 +63,9 @@
 
 void fleet_planner::declare(declared_wave wave, const std::string& key, moment now)
 {
-    m_ports.m_decided({"wave_declared", "", "", fmt::format("{}, {} VMs, {} at once", wave.m_number,
-                                                            wave.m_machines.size(),
-                                                            wave.m_most_away)});
+    m_ports.m_decided({"wave_declared", "", "",
+                       fmt::format("{}, {} VMs, {} at once", wave.m_number, wave.m_machines.size(),
+                                   wave.m_most_away)});
     m_waves.declare(std::move(wave), key, now.m_unix_ms);
 }
 
@@ -165,7 +165,8 @@
         auto& machine = m_machines[each.m_id];
         note_change(machine.m_listed, each);
         machine.m_listed = each;
-        const bool arrived = each.m_state == machine_state::up && each.m_pool == machine.m_bound_for;
+        const bool arrived =
+            each.m_state == machine_state::up && each.m_pool == machine.m_bound_for;
         const bool overdue = asked_at - machine.m_bound_at > arrival_patience;
         if (!machine.m_bound_for.empty() && asked_at > machine.m_bound_at && (arrived || overdue)) {
             machine.m_bound_for.clear();
@@ -199,9 +200,9 @@
     if (before.m_id.empty() || same) {
         return;
     }
-    m_ports.m_decided({"vm_changed", "", after.m_worker,
-                       fmt::format("{} {} {}", after.m_id, to_string(after.m_state),
-                                   after.m_pool)});
+    m_ports.m_decided(
+        {"vm_changed", "", after.m_worker,
+         fmt::format("{} {} {}", after.m_id, to_string(after.m_state), after.m_pool)});
 }
 
 void fleet_planner::note_idle(const scheduler_state& state, time_point now)
@@ -226,7 +227,8 @@
 
 void fleet_planner::note_lost_workers(job_scheduler& scheduler, moment now)
 {
-    // The list shows a crash long before the leases are over. A worker on no VM that is up has ended.
+    // The list shows a crash long before the leases are over. A worker on no VM that is up has
+    // ended.
     std::set<std::string> up;
     for (const auto& [id, machine] : m_machines) {
         if (machine.m_listed.m_state != machine_state::down) {
@@ -297,10 +299,11 @@
         return runs_on(left) < runs_on(right);
     });
     const auto left_ms = wave.m_declared_ms + wave.m_wave.m_duration.count() - now.m_unix_ms;
-    const auto cycles = std::max<std::int64_t>((left_ms - wave_cycle.count()) / wave_cycle.count(), 1);
+    const auto cycles =
+        std::max<std::int64_t>((left_ms - wave_cycle.count()) / wave_cycle.count(), 1);
     // Spread over the time that is left, so that little capacity is away at once.
-    const auto wanted_leaving = static_cast<std::uint32_t>(
-        (static_cast<std::int64_t>(open.size()) + cycles - 1) / cycles);
+    const auto wanted_leaving =
+        static_cast<std::uint32_t>((static_cast<std::int64_t>(open.size()) + cycles - 1) / cycles);
     for (auto* machine : open) {
         if (runs_on(machine) == 0 && under_way < wave.m_wave.m_most_away) {
             ++under_way;
@@ -353,8 +356,8 @@
     std::uint32_t supply = 0;
     for (const auto& [id, machine] : m_machines) {
         if (!machine.m_bound_for.empty() || machine.m_order) {
-            const bool coming = machine.m_bound_for == pool ||
-                                (machine.m_order && machine.m_order->m_pool == pool);
+            const bool coming =
+                machine.m_bound_for == pool || (machine.m_order && machine.m_order->m_pool == pool);
             supply += coming ? 1 : 0;
             continue;
         }
@@ -414,11 +417,11 @@
                 busy += session.runs().empty() ? 0 : 1;
             }
         }
-        detail += fmt::format("{}: {} VMs, {} busy, {} wanted; cpu {} used, {} waiting, {} accepted, {} "
-                              "arriving, {} forecast, {} long-running; ",
-                              pool, supply_of(pool, state), busy, m_wanted[pool], used,
-                              load.m_waiting, load.m_accepted, load.m_arriving,
-                              load.m_forecast, load.m_long_running);
+        detail +=
+            fmt::format("{}: {} VMs, {} busy, {} wanted; cpu {} used, {} waiting, {} accepted, {} "
+                        "arriving, {} forecast, {} long-running; ",
+                        pool, supply_of(pool, state), busy, m_wanted[pool], used, load.m_waiting,
+                        load.m_accepted, load.m_arriving, load.m_forecast, load.m_long_running);
     }
     m_ports.m_decided({"pools", "", "", detail});
 }
@@ -432,8 +435,8 @@
         if (!movable(machine, now.m_at) || from == pool || !machine.m_idle_since) {
             continue;
         }
-        const bool needed = from != m_spare_pool &&
-                            now.m_at - *machine.m_idle_since < m_options.m_idle_before_move;
+        const bool needed =
+            from != m_spare_pool && now.m_at - *machine.m_idle_since < m_options.m_idle_before_move;
         if (!needed) {
             sources.push_back(&machine);
         }
@@ -465,8 +468,8 @@
         if (count == 0) {
             return;
         }
-        const bool idle = machine.m_idle_since &&
-                          now.m_at - *machine.m_idle_since >= m_options.m_idle_before_off;
+        const bool idle =
+            machine.m_idle_since && now.m_at - *machine.m_idle_since >= m_options.m_idle_before_off;
         if (machine.m_listed.m_pool == pool && movable(machine, now.m_at) && idle) {
             order(machine, {id, m_spare_pool, 0, m_fence}, now);
             --count;
@@ -476,9 +479,9 @@
 
 void fleet_planner::order(planned_machine& machine, vm_order what, moment now)
 {
-    m_ports.m_decided({"vm_ordered", "", machine.m_listed.m_worker,
-                       fmt::format("{} {}", what.m_machine,
-                                   what.m_pool.empty() ? "maintenance" : what.m_pool)});
+    m_ports.m_decided(
+        {"vm_ordered", "", machine.m_listed.m_worker,
+         fmt::format("{} {}", what.m_machine, what.m_pool.empty() ? "maintenance" : what.m_pool)});
     machine.m_order = std::move(what);
     // Recorded before it is sent, and its worker marked as leaving before either.
     machine.m_order_phase = order_phase::decided;
@@ -503,8 +506,8 @@
     const auto now = m_ports.m_loop.m_now();
     const auto found = m_machines.find(machine_id);
     if (result != vm_result::done) {
-        m_ports.m_decided({"vm_order_failed", "", "",
-                           fmt::format("{} {}", machine_id, to_string(result))});
+        m_ports.m_decided(
+            {"vm_order_failed", "", "", fmt::format("{} {}", machine_id, to_string(result))});
     }
     if (found == m_machines.end()) {
         return;
@@ -550,8 +553,8 @@
 {
     std::set<std::string, std::less<>> leaving;
     for (const auto& [id, machine] : m_machines) {
-        const bool away = machine.m_order || machine.m_leaving_for != 0 ||
-                          (!machine.m_bound_for.empty());
+        const bool away =
+            machine.m_order || machine.m_leaving_for != 0 || (!machine.m_bound_for.empty());
         if (away && !machine.m_listed.m_worker.empty()) {
             leaving.insert(machine.m_listed.m_worker);
         }
--- a/src/planning/pool_demand.cpp
+++ b/src/planning/pool_demand.cpp
@@ -26,9 +26,10 @@
         }
         const auto cpu = step.m_fills ? 0 : step.m_each.m_cpu_millis;
         load.m_long_running += cpu * step.m_count;
-        const auto spread = step.m_max_per_worker == 0
-                                ? 1
-                                : (step.m_count + step.m_max_per_worker - 1) / step.m_max_per_worker;
+        const auto spread =
+            step.m_max_per_worker == 0
+                ? 1
+                : (step.m_count + step.m_max_per_worker - 1) / step.m_max_per_worker;
         load.m_spread = std::max(load.m_spread, spread);
     }
 }
@@ -107,14 +108,13 @@
                       passed, seen);
         load.m_arriving = static_cast<std::int64_t>(seen.m_rate);
         const double left = std::exp(-static_cast<double>(m_lead.count()) / seen.m_duration_ms);
-        load.m_forecast = static_cast<std::int64_t>(
-            static_cast<double>(load.m_accepted) * left + seen.m_rate * (1.0 - left));
+        load.m_forecast = static_cast<std::int64_t>(static_cast<double>(load.m_accepted) * left +
+                                                    seen.m_rate * (1.0 - left));
     }
     return loads;
 }
 
-void pool_demand::note_arrivals(const accepted_total& total, double passed_ms,
-                                arrivals& seen) const
+void pool_demand::note_arrivals(const accepted_total& total, double passed_ms, arrivals& seen) const
 {
     const auto work = static_cast<double>(total.m_work - seen.m_seen.m_work);
     const auto weighted = static_cast<double>(total.m_work_by_chain - seen.m_seen.m_work_by_chain);
--- a/src/planning/wave_tracker.cpp
+++ b/src/planning/wave_tracker.cpp
@@ -38,9 +38,9 @@
             continue;
         }
         const auto json = parse_cbor(*each.m_value);
-        const auto read = json ? decode_packed<progress>(*json)
-                               : tl::expected<progress, decode_error>{
-                                     tl::make_unexpected(json.error())};
+        const auto read =
+            json ? decode_packed<progress>(*json)
+                 : tl::expected<progress, decode_error>{tl::make_unexpected(json.error())};
         if (read) {
             m_restored[each.m_key.substr(progress_prefix.size())] = *read;
         }
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -12,9 +12,9 @@
 
 bool is_id(std::string_view text)
 {
-    return text.size() == id_length && std::all_of(text.begin(), text.end(), [](unsigned char each) {
-               return std::isxdigit(each) != 0;
-           });
+    return text.size() == id_length &&
+           std::all_of(text.begin(), text.end(),
+                       [](unsigned char each) { return std::isxdigit(each) != 0; });
 }
 
 call_answer status_only(call_status status)
@@ -26,9 +26,8 @@
 
 } // namespace
 
-std::unique_ptr<job_scheduler> job_scheduler::create(scheduler_options options,
-                                                     scheduler_ports ports, job_book book,
-                                                     moment now)
+std::unique_ptr<job_scheduler>
+job_scheduler::create(scheduler_options options, scheduler_ports ports, job_book book, moment now)
 {
     auto made = std::unique_ptr<job_scheduler>{
         new job_scheduler{options, std::move(ports), std::move(book)}};
@@ -192,8 +191,8 @@
     const auto key = queue_key(queue);
     std::uint64_t count = 0;
     for (const auto& [id, each] : m_state.m_book.jobs()) {
-        const bool waits = each.phase() == job_phase::active && !each.begun() &&
-                           each.due_ms(0) <= now_ms;
+        const bool waits =
+            each.phase() == job_phase::active && !each.begun() && each.due_ms(0) <= now_ms;
         count += waits && queue_key(each.header().m_queue) == key ? 1 : 0;
     }
     return count;
@@ -252,7 +251,7 @@
     return batch;
 }
 
-void job_scheduler::written(write_batch batch, moment now)
+void job_scheduler::written(const write_batch& batch, moment now)
 {
     m_being_written.clear();
     for (const auto& each : batch.m_effects) {
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -59,8 +59,7 @@
         return {each.m_doubted, avoided, far, session.filling_cpu() - room, room};
     }
     if (step.m_long_running) {
-        return {each.m_doubted, avoided, far,
-                -std::int64_t{session.long_running_runs()}, room};
+        return {each.m_doubted, avoided, far, -std::int64_t{session.long_running_runs()}, room};
     }
     return {each.m_doubted, avoided, far, room, 0};
 }
--- a/src/scheduling/run_control.cpp
+++ b/src/scheduling/run_control.cpp
@@ -261,7 +261,8 @@
     }
     // A task that fails on one worker after the other is at fault itself.
     const auto failed = m_state->m_failed_on.find(key);
-    const bool elsewhere_too = failed != m_state->m_failed_on.end() && failed->second != session.id();
+    const bool elsewhere_too =
+        failed != m_state->m_failed_on.end() && failed->second != session.id();
     if (!elsewhere_too && !of.spec().m_steps[key.m_task.m_step].m_long_running) {
         health.failed(session.id(), m_state->pool_size(session.report().m_pool), now);
     }
@@ -347,7 +348,8 @@
     m_state->log("stranger_stopped", stranger.m_key.m_job, session.id(),
                  fmt::format("run {}", stranger.m_run));
     const auto* of = m_state->m_book.find(stranger.m_key.m_job);
-    if (of != nullptr && of->has(stranger.m_key.m_task) && session.find(stranger.m_key) == nullptr) {
+    if (of != nullptr && of->has(stranger.m_key.m_task) &&
+        session.find(stranger.m_key) == nullptr) {
         // It takes room until it has ended.
         auto run = make_run(of->spec().m_steps[stranger.m_key.m_task.m_step], stranger.m_run);
         run.m_phase = run_phase::running;
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -151,8 +151,8 @@
 {
     const auto& step = *need.m_step;
     // Only what any task of that size would meet says something of others.
-    const bool plain = step.m_required_label.empty() && step.m_max_per_worker == 0 &&
-                       !need.m_last_attempt;
+    const bool plain =
+        step.m_required_label.empty() && step.m_max_per_worker == 0 && !need.m_last_attempt;
     if (plain && !is_refused(step)) {
         m_refused.push_back(reserved_for(step));
     }
--- a/src/scheduling/work_order.cpp
+++ b/src/scheduling/work_order.cpp
@@ -17,8 +17,7 @@
 job_limits limits_of(const job_header& header, const queue_config& queue)
 {
     const auto chain = static_cast<double>(longest_chain(header.m_spec).count());
-    const auto objective =
-        queue.m_stretch * chain + static_cast<double>(queue.m_target.count());
+    const auto objective = queue.m_stretch * chain + static_cast<double>(queue.m_target.count());
     return {header.m_accepted_ms + static_cast<std::int64_t>(objective),
             header.m_accepted_ms + static_cast<std::int64_t>(objective * useful_objectives)};
 }
--- a/src/settings/ini_reader.cpp
+++ b/src/settings/ini_reader.cpp
@@ -167,6 +167,12 @@
     return has(section, key) ? text(section, key) : std::move(otherwise);
 }
 
+std::string ini_reader::optional_text(const std::string& section, const std::string& key)
+{
+    const auto* found = find(section, key);
+    return found == nullptr ? std::string{} : found->m_text;
+}
+
 std::uint64_t ini_reader::number(const std::string& section, const std::string& key,
                                  std::uint64_t least, std::uint64_t most)
 {
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -6,6 +6,10 @@
 #include <log4cxx/logger.h>
 #include <log4cxx/mdc.h>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <atomic>
 #include <deque>
 
 namespace peridotrudder {
@@ -27,8 +31,24 @@
     return log4cxx::Level::getInfo();
 }
 
+/// Lines that a full pipe has cost.
+std::atomic<std::uint64_t> lost_lines{0};
+
+/// Returns whether a line can be written without waiting for the reader: a pipe that polls as
+/// writable takes a line's length at once.
+bool output_takes_a_line()
+{
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    return poll(&output, 1, 0) != 0;
+}
+
 } // namespace
 
+std::uint64_t lost_log_lines()
+{
+    return lost_lines;
+}
+
 void start_logging(log_level least)
 {
     const auto layout = std::make_shared<log4cxx::JSONLayout>();
@@ -48,6 +68,10 @@
     if (!root->isEnabledFor(library_level)) {
         return;
     }
+    if (!output_takes_a_line()) {
+        ++lost_lines;
+        return;
+    }
     std::deque<log4cxx::MDC> context;
     for (const auto& each : fields) {
         context.emplace_back(each.m_name, each.m_value);
--- /dev/null
+++ b/src/telemetry/node_metrics.cpp
@@ -0,0 +1,85 @@
+#include "peridotrudder/telemetry/node_metrics.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace peridotrudder {
+
+namespace {
+
+/// In seconds.
+const prometheus::Histogram::BucketBoundaries latency_bounds{0.005, 0.01, 0.02, 0.05, 0.1, 0.2,
+                                                             0.5,   1.0,  1.7,  3.0,  6.0, 12.0};
+
+double to_seconds(milliseconds time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+class node_metrics::implementation {
+public:
+    prometheus::Registry m_registry;
+    prometheus::Family<prometheus::Counter>& m_answers =
+        prometheus::BuildCounter()
+            .Name("peridot_job_calls_total")
+            .Help("Answers to callers, by kind of call and status")
+            .Register(m_registry);
+    prometheus::Family<prometheus::Histogram>& m_latencies =
+        prometheus::BuildHistogram()
+            .Name("peridot_job_call_seconds")
+            .Help("Time from a caller's request to its answer, by kind of call")
+            .Register(m_registry);
+    prometheus::Family<prometheus::Counter>& m_decisions =
+        prometheus::BuildCounter()
+            .Name("peridot_decisions_total")
+            .Help("Decisions, by the name of their log line")
+            .Register(m_registry);
+    prometheus::Family<prometheus::Histogram>& m_take_overs =
+        prometheus::BuildHistogram()
+            .Name("peridot_take_over_seconds")
+            .Help("Time from a claim until its owner served")
+            .Register(m_registry);
+    prometheus::Family<prometheus::Gauge>& m_gauges = prometheus::BuildGauge()
+                                                          .Name("peridot_node")
+                                                          .Help("States of the node, by name")
+                                                          .Register(m_registry);
+};
+
+node_metrics::node_metrics() : m_inside{std::make_unique<implementation>()} {}
+
+node_metrics::~node_metrics() = default;
+
+void node_metrics::answered(std::string_view kind, std::string_view status, milliseconds latency)
+{
+    m_inside->m_answers.Add({{"kind", std::string{kind}}, {"status", std::string{status}}})
+        .Increment();
+    m_inside->m_latencies.Add({{"kind", std::string{kind}}}, latency_bounds)
+        .Observe(to_seconds(latency));
+}
+
+void node_metrics::decided(std::string_view event)
+{
+    m_inside->m_decisions.Add({{"event", std::string{event}}}).Increment();
+}
+
+void node_metrics::took_over(milliseconds time)
+{
+    m_inside->m_take_overs.Add({}, latency_bounds).Observe(to_seconds(time));
+}
+
+void node_metrics::set_gauge(const std::string& name, double value)
+{
+    m_inside->m_gauges.Add({{"name", name}}).Set(value);
+}
+
+std::string node_metrics::expose() const
+{
+    return prometheus::TextSerializer{}.Serialize(m_inside->m_registry.Collect());
+}
+
+} // namespace peridotrudder
--- a/test/machines/worker_session_test.cpp
+++ b/test/machines/worker_session_test.cpp
@@ -147,15 +147,15 @@
         run.m_confirmed_at = start + milliseconds{50};
         session.reserve(key, run);
         // The look was sent before the start was confirmed: it proves nothing.
-        CPPUNIT_ASSERT(session
-                           .hold_answered(make_answer(60), start + milliseconds{40},
-                                          start + milliseconds{60})
-                           .m_gone.empty());
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, session
-                                                 .hold_answered(make_answer(90),
-                                                                start + milliseconds{80},
-                                                                start + milliseconds{90})
-                                                 .m_gone.size());
+        CPPUNIT_ASSERT(
+            session
+                .hold_answered(make_answer(60), start + milliseconds{40}, start + milliseconds{60})
+                .m_gone.empty());
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{1},
+            session
+                .hold_answered(make_answer(90), start + milliseconds{80}, start + milliseconds{90})
+                .m_gone.size());
     }
 
     void run_without_an_answer_is_not_gone_before_its_stop_is_answered()
--- /dev/null
+++ b/test/node/node_settings_test.cpp
@@ -0,0 +1,83 @@
+#include "peridotrudder/node/node_settings.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace peridotrudder {
+
+namespace {
+
+const std::string sound = R"([node]
+name = node-1
+zone = north
+cluster_token = a-token
+[listen]
+callers = 10.0.0.1:8624
+ready = 10.0.0.1:8622
+peers = 10.0.0.1:7060
+metrics = 10.0.0.1:7075
+[platform]
+log = 10.0.1.1:8621
+vm_control = 10.0.1.2:8621
+policy =
+[limits]
+cpu_cores = 0.25
+longest_lease_ms = 6000
+grace_s = 6.0
+retention_s = 120
+vm_lease_ms = 3000
+move_s = 1.5
+maintenance_s = 2
+)";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to)
+{
+    const auto at = text.find(from);
+    CPPUNIT_ASSERT(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+std::string first_fault(const std::string& text)
+{
+    const auto read = parse_node_settings("node.ini", text);
+    return read ? "none" : std::string{to_string(read.error().front().m_fault)};
+}
+
+} // namespace
+
+class node_settings_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(node_settings_test);
+    CPPUNIT_TEST(sound_settings_are_read);
+    CPPUNIT_TEST(wrong_or_missing_keys_are_typed_faults);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void sound_settings_are_read()
+    {
+        const auto read = parse_node_settings("node.ini", sound);
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string{"node-1"}, read->m_name);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{7060}, read->m_peers.m_port);
+        CPPUNIT_ASSERT_EQUAL(250U, read->m_cpu_millis);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1'500}, std::int64_t{read->m_move_time.count()});
+        CPPUNIT_ASSERT(read->m_policy.empty());
+    }
+
+    void wrong_or_missing_keys_are_typed_faults()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string{"missing_key"},
+                             first_fault(replaced(sound, "name = node-1\n", "")));
+        CPPUNIT_ASSERT_EQUAL(std::string{"wrong_type"},
+                             first_fault(replaced(sound, "10.0.0.1:8624", "10.0.0.1")));
+        CPPUNIT_ASSERT_EQUAL(std::string{"wrong_type"},
+                             first_fault(replaced(sound, "move_s = 1.5", "move_s = soon")));
+        CPPUNIT_ASSERT_EQUAL(
+            std::string{"unknown_key"},
+            first_fault(replaced(sound, "zone = north", "zone = north\nspeed = 2")));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(node_settings_test);
+
+} // namespace peridotrudder
--- /dev/null
+++ b/test/ownership/node_messages_test.cpp
@@ -0,0 +1,77 @@
+#include "peridotrudder/ownership/node_messages.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace peridotrudder {
+
+namespace {
+
+forwarded_job_call make_call()
+{
+    forwarded_job_call call;
+    call.m_number = 12;
+    call.m_call.m_kind = call_kind::submit;
+    call.m_call.m_host = "host";
+    call.m_call.m_path = "/queue/0123456789abcdef";
+    call.m_call.m_spec = job_spec{"payload", {step_spec{}}, std::nullopt};
+    return call;
+}
+
+} // namespace
+
+class node_messages_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(node_messages_test);
+    CPPUNIT_TEST(call_survives_its_frame);
+    CPPUNIT_TEST(claim_survives_its_frame);
+    CPPUNIT_TEST(truncated_frame_is_refused);
+    CPPUNIT_TEST(changed_bytes_are_never_fatal);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void call_survives_its_frame()
+    {
+        const auto decoded = decode_node_message(encode_node_message(make_call()));
+        CPPUNIT_ASSERT(decoded.has_value());
+        const auto& call = std::get<forwarded_job_call>(*decoded);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, call.m_number);
+        CPPUNIT_ASSERT(call.m_call.m_kind == call_kind::submit);
+        CPPUNIT_ASSERT_EQUAL(std::string{"payload"}, call.m_call.m_spec->m_payload);
+    }
+
+    void claim_survives_its_frame()
+    {
+        ownership_claim claim;
+        claim.m_epoch = 4;
+        claim.m_owner = "node-1-ab";
+        claim.m_after_release = true;
+        const auto decoded = decode_node_message(encode_node_message(owner_beat{claim}));
+        CPPUNIT_ASSERT(decoded.has_value());
+        const auto& read = std::get<owner_beat>(*decoded).m_claim;
+        CPPUNIT_ASSERT_EQUAL(claim.m_epoch, read.m_epoch);
+        CPPUNIT_ASSERT_EQUAL(claim.m_owner, read.m_owner);
+        CPPUNIT_ASSERT(read.m_after_release && !read.m_released);
+    }
+
+    void truncated_frame_is_refused()
+    {
+        const auto frame = encode_node_message(make_call());
+        for (std::size_t length = 0; length < frame.size(); ++length) {
+            CPPUNIT_ASSERT(!decode_node_message({frame.data(), length}));
+        }
+    }
+
+    void changed_bytes_are_never_fatal()
+    {
+        rc::check("a damaged frame does no harm", [] {
+            auto frame = encode_node_message(make_call());
+            const auto index = *rc::gen::inRange<std::size_t>(0, frame.size());
+            frame[index] = *rc::gen::arbitrary<std::uint8_t>();
+            static_cast<void>(decode_node_message(frame));
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(node_messages_test);
+
+} // namespace peridotrudder
--- a/test/scheduling/fleet_world.hpp
+++ b/test/scheduling/fleet_world.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 /// @file
-/// A small world of workers, a journal and owners that come and go, with an oracle that watches what
-/// workers really run. For tests of the scheduler without sockets or clocks.
+/// A small world of workers, a journal and owners that come and go, with an oracle that watches
+/// what workers really run. For tests of the scheduler without sockets or clocks.
 
 #include "peridotrudder/scheduling/job_scheduler.hpp"
 
@@ -261,8 +261,8 @@
         options.m_fence = fresh.m_epoch;
         m_journal_epoch = fresh.m_epoch;
         fresh.m_proven_at = m_now;
-        fresh.m_scheduler = job_scheduler::create(
-            options, make_ports(fresh), job_book::restore(records, report), now());
+        fresh.m_scheduler = job_scheduler::create(options, make_ports(fresh),
+                                                  job_book::restore(records, report), now());
         if (!report.m_damaged.empty()) {
             fail("damaged record " + report.m_damaged.front());
         }
@@ -329,9 +329,9 @@
         if (!each->m_writing->m_records.empty()) {
             each->m_proven_at = each->m_writing_since;
         }
-        auto batch = std::move(*each->m_writing);
+        const auto batch = std::move(*each->m_writing);
         each->m_writing.reset();
-        each->m_scheduler->written(std::move(batch), now());
+        each->m_scheduler->written(batch, now());
     }
 
     scheduler_ports make_ports(owner& of)
@@ -360,7 +360,8 @@
         };
         ports.m_pace = [](const worker_report&, const pace_order&) {};
         ports.m_hold = [this, epoch](const worker_report& to, hold_order order) {
-            // As whoever drives a scheduler has to: no lease is renewed without a proof of ownership.
+            // As whoever drives a scheduler has to: no lease is renewed without a proof of
+            // ownership.
             const auto* sender = find_owner(epoch);
             if (sender == nullptr || m_now - sender->m_proven_at > hold_proof) {
                 order.m_deadline_ms.reset();
@@ -555,8 +556,8 @@
         run.m_cpu = spec->second.m_steps[order.m_key.m_task.m_step].m_each.m_cpu_millis;
         run.m_began_at = m_now;
         // Long runs are still there when answers are given up and leases end.
-        run.m_ends_at = m_now + milliseconds{chance(30) ? 1'000 + m_random() % 5'000
-                                                         : 50 + m_random() % 700};
+        run.m_ends_at =
+            m_now + milliseconds{chance(30) ? 1'000 + m_random() % 5'000 : 50 + m_random() % 700};
         worker.m_runs[order.m_key] = run;
     }
 
--- /dev/null
+++ b/test/telemetry/log_budget_test.cpp
@@ -0,0 +1,42 @@
+#include "peridotrudder/telemetry/log_budget.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace peridotrudder {
+
+class log_budget_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(log_budget_test);
+    CPPUNIT_TEST(lines_beyond_the_budget_are_left_out_and_counted);
+    CPPUNIT_TEST(first_line_of_a_kind_is_always_written);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void lines_beyond_the_budget_are_left_out_and_counted()
+    {
+        auto budget = log_budget::create(3);
+        int written = 0;
+        for (int line = 0; line < 10; ++line) {
+            written += budget.allows("run_ended", now) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(3, written);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, budget.take_left_out());
+        CPPUNIT_ASSERT(budget.allows("run_ended", now + milliseconds{1'000}));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, budget.take_left_out());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, budget.take_left_out());
+    }
+
+    void first_line_of_a_kind_is_always_written()
+    {
+        auto budget = log_budget::create(1);
+        CPPUNIT_ASSERT(budget.allows("run_ended", now));
+        CPPUNIT_ASSERT(!budget.allows("run_ended", now));
+        CPPUNIT_ASSERT(budget.allows("resigned", now));
+    }
+
+private:
+    const time_point now{milliseconds{1'000'000}};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(log_budget_test);
+
+} // namespace peridotrudder
