Never call a job not run that an ended owner may have recorded; outlast three lost answers

Ruled out: the refusal while the log takes no writes (it never touches the book). Test first: call_router_test call_of_an_owner_that_ended_is_never_said_not_to_have_run. With a tenth of the orders unanswered, three lost holds in a row let a 3.5 s lease lapse, since the second look no longer renewed. Test first: worker_session_test lease_outlasts_three_lost_answers.

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -57,9 +57,9 @@
 struct lease_options {
     /// Longest lease that a worker grants.
     milliseconds m_longest{6'000};
-    /// Lease that is asked for: long enough to outlast a change of owner, short enough that work
-    /// of a silent worker soon goes elsewhere.
-    milliseconds m_lease{3'500};
+    /// Lease that is asked for: long enough to outlast a change of owner and three lost answers,
+    /// short enough that work of a silent worker soon goes elsewhere.
+    milliseconds m_lease{4'500};
     /// A start that is carried out later than this is void.
     milliseconds m_start_window{1'500};
     /// How long a hold may wait for an end; also the interval of renewal.
--- a/include/peridotrudder/node/fleet_owner.hpp
+++ b/include/peridotrudder/node/fleet_owner.hpp
@@ -47,6 +47,8 @@
     milliseconds m_hold_proof{5'000};
     /// A write at least this often keeps the proof fresh and shows others that the owner lives.
     milliseconds m_proof_interval{400};
+    /// Once writes have failed for so long, new jobs are refused instead of waiting for the log.
+    milliseconds m_refuse_after{350};
     /// How often `tick` is called. Later ticks show that the processor is short.
     milliseconds m_tick_interval{10};
 };
--- a/include/peridotrudder/scheduling/job_call.hpp
+++ b/include/peridotrudder/scheduling/job_call.hpp
@@ -54,15 +54,17 @@
     unavailable,
     /// The process asked does not own the pool; to be asked again of the owner.
     not_owner,
+    /// The owner ended before it answered; its successor knows whether the call was taken.
+    owner_ended,
     /// Whether it was taken is not known.
     unknown_outcome,
 };
 
 template <>
 struct enum_names<call_status> {
-    static constexpr std::array<std::string_view, 10> values{
-        "done",        "state",      "length",      "invalid",   "unknown_queue",
-        "unknown_job", "overloaded", "unavailable", "not_owner", "unknown_outcome"};
+    static constexpr std::array<std::string_view, 11> values{
+        "done",       "state",       "length",    "invalid",     "unknown_queue",  "unknown_job",
+        "overloaded", "unavailable", "not_owner", "owner_ended", "unknown_outcome"};
 };
 
 /// What a caller may see of a job.
--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -51,6 +51,8 @@
     /// Sets the workers whose VMs are being emptied.
     void set_leaving(std::set<std::string, std::less<>> workers);
 
+    /// Returns whether the call would add a job to the book.
+    bool is_new_job(const job_call& call);
     /// Takes a call; its answer comes through the port with the same token.
     void take_call(std::uint64_t token, const job_call& call, moment now);
 
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -150,7 +150,7 @@
     order.m_last_end = m_recorded_end;
     // A silent worker is only looked at: renewing would put off the moment from which its work is
     // surely over.
-    if (m_clock_known && m_misses == 0 && !m_runs.empty()) {
+    if (m_clock_known && !silent() && !m_runs.empty()) {
         order.m_deadline_ms = clock_estimate(now) + m_options.m_lease.count();
         note_deadline(*order.m_deadline_ms);
     }
--- a/src/node/call_router.cpp
+++ b/src/node/call_router.cpp
@@ -49,6 +49,10 @@
     if (found == m_calls.end()) {
         return;
     }
+    if (answer.m_status == call_status::owner_ended) {
+        found->second.m_under_way = false;
+        return;
+    }
     if (answer.m_status == call_status::not_owner) {
         // It did nothing there; it goes to the owner as soon as one is known.
         found->second.m_under_way = false;
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -15,6 +15,7 @@
 /// Workers renew their entries all the time: reading at a steady pace bounds what that costs.
 constexpr milliseconds worker_read_pause{150};
 constexpr milliseconds load_retry{100};
+constexpr milliseconds refused_retry_after{1'000};
 constexpr double longest_lag_ms = 500.0;
 constexpr double lag_weight = 0.1;
 constexpr milliseconds adapt_interval{100};
@@ -275,6 +276,12 @@
         m_ports.m_answer(token, {call_status::unavailable, {}, 0, milliseconds{1'000}});
         return;
     }
+    const bool cannot_record = failing_for() >= m_options.m_refuse_after;
+    if (cannot_record && m_scheduler->is_new_job(call)) {
+        m_ports.m_decided({"job_refused", call.m_path, "", "the log takes no writes"});
+        m_ports.m_answer(token, {call_status::unavailable, {}, 0, refused_retry_after});
+        return;
+    }
     m_scheduler->take_call(token, call, m_ports.m_loop.m_now());
     pump();
 }
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -297,7 +297,7 @@
         const auto tokens = std::move(m_tokens);
         m_tokens.clear();
         for (const auto& [token, origin] : tokens) {
-            reply(origin, {call_status::not_owner, {}, 0, milliseconds{0}});
+            reply(origin, {call_status::owner_ended, {}, 0, milliseconds{0}});
         }
     }
 
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -106,6 +106,15 @@
     m_state.m_leaving = std::move(workers);
 }
 
+bool job_scheduler::is_new_job(const job_call& call)
+{
+    const auto* queue = m_state.m_config.match(call.m_host, call.m_path);
+    if (queue == nullptr || call.m_kind != call_kind::submit) {
+        return false;
+    }
+    return m_state.m_book.find(call.m_path.substr(queue->m_prefix.size())) == nullptr;
+}
+
 void job_scheduler::take_call(std::uint64_t token, const job_call& call, moment now)
 {
     const auto* queue = m_state.m_config.match(call.m_host, call.m_path);
--- a/test/machines/worker_session_test.cpp
+++ b/test/machines/worker_session_test.cpp
@@ -71,6 +71,7 @@
     CPPUNIT_TEST(unknown_run_is_a_stranger);
     CPPUNIT_TEST(lease_of_a_slow_clock_is_waited_out);
     CPPUNIT_TEST(silent_worker_is_looked_at_without_renewing);
+    CPPUNIT_TEST(lease_outlasts_three_lost_answers);
     CPPUNIT_TEST(worker_that_never_answered_is_waited_for_with_the_predecessors_grace);
     CPPUNIT_TEST(answer_to_another_order_does_not_end_a_predecessors_lease);
     CPPUNIT_TEST(another_birth_is_another_life);
@@ -212,9 +213,14 @@
         confirm(session, start);
         session.reserve(key, make_run(run_phase::running));
         auto now = start + milliseconds{100};
-        CPPUNIT_ASSERT(session.next_hold(now)->m_deadline_ms.has_value());
+        // One lost answer says little: the next look renews as well, or three lost in a row would
+        // let the lease of a sound worker run out.
+        for (int miss = 0; miss < 2; ++miss) {
+            CPPUNIT_ASSERT(session.next_hold(now)->m_deadline_ms.has_value());
+            session.hold_answered(unanswered(), now, now);
+            now += milliseconds{600};
+        }
         const auto over = session.lease_over();
-        session.hold_answered(unanswered(), now, now);
         for (int miss = 0; miss < 5; ++miss) {
             now += milliseconds{600};
             const auto look = session.next_hold(now);
@@ -225,6 +231,34 @@
         CPPUNIT_ASSERT(over == session.lease_over());
     }
 
+    void lease_outlasts_three_lost_answers()
+    {
+        lease_options options;
+        auto session = make_session();
+        confirm(session, start);
+        session.reserve(key, make_run(run_phase::running));
+        auto now = start + milliseconds{100};
+        auto lease_end = 0LL;
+        // An answer that is lost is given up after the wait and half a second more.
+        const milliseconds given_up = options.m_hold_wait + milliseconds{500};
+        for (int lost = 0; lost < 3; ++lost) {
+            while (!session.hold_due() || *session.hold_due() > now) {
+                now += milliseconds{10};
+            }
+            const auto hold = session.next_hold(now);
+            // The worker may have missed the order itself: only the first renewal counts.
+            if (lost == 0) {
+                lease_end = *hold->m_deadline_ms;
+            }
+            now += hold->m_wait + given_up - options.m_hold_wait;
+            session.hold_answered(unanswered(), now, now);
+        }
+        while (!session.hold_due() || *session.hold_due() > now) {
+            now += milliseconds{10};
+        }
+        CPPUNIT_ASSERT((now - start).count() / 1'000'000 < lease_end);
+    }
+
     void worker_that_never_answered_is_waited_for_with_the_predecessors_grace()
     {
         lease_options options;
--- a/test/node/call_router_test.cpp
+++ b/test/node/call_router_test.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(call_that_was_sent_is_never_said_not_to_have_run);
     CPPUNIT_TEST(call_that_a_non_owner_turned_down_waits_for_the_owner);
     CPPUNIT_TEST(call_that_only_non_owners_saw_may_be_refused);
+    CPPUNIT_TEST(call_of_an_owner_that_ended_is_never_said_not_to_have_run);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -108,6 +109,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, it.m_sent.size());
     }
 
+    void call_of_an_owner_that_ended_is_never_said_not_to_have_run()
+    {
+        fixture it;
+        it.take();
+        it.m_owner_there = false;
+        // Its last write may have gone through.
+        it.m_router.answered(it.m_sent.front(), answer_of(call_status::owner_ended), start);
+        it.m_router.tick(start + milliseconds{1'300});
+        CPPUNIT_ASSERT_EQUAL(std::string{"none yet"}, it.status());
+        it.m_router.tick(start + time_left);
+        CPPUNIT_ASSERT_EQUAL(std::string{"unknown_outcome"}, it.status());
+    }
+
     void call_that_only_non_owners_saw_may_be_refused()
     {
         fixture it;
--- /dev/null
+++ b/test/planning/fleet_planner_test.cpp
@@ -0,0 +1,238 @@
+#include "peridotrudder/planning/fleet_planner.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <deque>
+
+namespace peridotrudder {
+
+namespace {
+
+constexpr std::uint64_t fence = 4;
+
+/// A fleet of eight VMs in a pool and two in the spare pool, whose control the test answers.
+struct fixture {
+    moment m_now;
+    std::vector<listed_machine> m_machines;
+    std::vector<vm_order> m_orders;
+    std::deque<std::function<void(vm_result)>> m_answers;
+    std::vector<std::pair<std::string, bool>> m_told;
+    std::unique_ptr<job_scheduler> m_scheduler;
+    std::unique_ptr<fleet_planner> m_planner;
+
+    fixture() : fixture{{}, {time_point{milliseconds{1'000'000}}, 1'000'000}} {}
+
+    /// Starts at `now` with what a predecessor recorded.
+    fixture(const std::vector<kept_record>& records, moment now) : m_now{now}
+    {
+        for (int index = 0; index < 10; ++index) {
+            listed_machine machine;
+            machine.m_id = "m-" + std::to_string(index);
+            machine.m_pool = index < 8 ? "pool" : "spare";
+            machine.m_state = machine_state::up;
+            machine.m_worker = "i-" + std::to_string(index);
+            m_machines.push_back(machine);
+        }
+        scheduler_ports ports;
+        ports.m_start = [](const worker_report&, const start_order&) {};
+        ports.m_stop = [](const worker_report&, const stop_order&) {};
+        ports.m_pace = [](const worker_report&, const pace_order&) {};
+        ports.m_hold = [](const worker_report&, const hold_order&) {};
+        ports.m_answer = [](std::uint64_t, const call_answer&) {};
+        ports.m_log = [](const decision&) {};
+        ports.m_deposed = [] {};
+        m_scheduler = job_scheduler::create({}, ports, {}, m_now);
+        m_scheduler->set_config(
+            fleet_config::create(1, {}, {{"pool", false, false}, {"spare", true, false}}));
+        planner_ports hooks;
+        hooks.m_loop.m_now = [this] { return m_now; };
+        hooks.m_loop.m_after = [](milliseconds, const std::function<void()>&) {};
+        hooks.m_vms.m_list = [this](const std::function<void(machine_list)>& callback) {
+            callback(m_machines);
+        };
+        hooks.m_vms.m_order = [this](const vm_order& order,
+                                     std::function<void(vm_result)> callback) {
+            m_orders.push_back(order);
+            m_answers.push_back(std::move(callback));
+        };
+        hooks.m_tell_wave = [this](const std::string& key, bool completed) {
+            m_told.emplace_back(key, completed);
+        };
+        hooks.m_decided = [](const decision&) {};
+        m_planner = fleet_planner::create({}, fence, hooks);
+        m_planner->restore(records, m_now);
+    }
+
+    std::vector<kept_record> pass(milliseconds time)
+    {
+        std::vector<kept_record> all;
+        for (milliseconds passed{0}; passed < time; passed += milliseconds{100}) {
+            m_now.m_at += milliseconds{100};
+            m_now.m_unix_ms += 100;
+            m_planner->tick(*m_scheduler, m_now);
+            for (auto& each : m_planner->take_changes()) {
+                all.push_back(std::move(each));
+            }
+            m_planner->written();
+        }
+        return all;
+    }
+
+    /// Answers all orders, as a platform that carries them out at once.
+    void carry_out()
+    {
+        const auto orders = m_orders;
+        for (std::size_t index = orders.size() - m_answers.size(); index < orders.size(); ++index) {
+            for (auto& machine : m_machines) {
+                if (machine.m_id == orders[index].m_machine && !orders[index].m_pool.empty()) {
+                    machine.m_pool = orders[index].m_pool;
+                }
+            }
+        }
+        auto answers = std::move(m_answers);
+        m_answers.clear();
+        for (auto& each : answers) {
+            each(vm_result::done);
+        }
+    }
+
+    std::size_t maintained() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_orders.begin(), m_orders.end(),
+                          [](const vm_order& each) { return each.m_pool.empty(); }));
+    }
+};
+
+declared_wave wave_of(std::uint32_t most_away)
+{
+    return {1, {"m-0", "m-1", "m-2", "m-3", "m-8"}, milliseconds{25'000}, most_away};
+}
+
+} // namespace
+
+class fleet_planner_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(fleet_planner_test);
+    CPPUNIT_TEST(idle_vms_are_switched_off_but_for_one);
+    CPPUNIT_TEST(order_is_recorded_before_it_is_sent);
+    CPPUNIT_TEST(vm_that_a_predecessor_ordered_is_left_alone_for_the_lease);
+    CPPUNIT_TEST(unanswered_order_is_repeated_and_its_vm_kept);
+    CPPUNIT_TEST(wave_never_has_more_away_than_allowed);
+    CPPUNIT_TEST(wave_is_completed_only_when_all_have_begun);
+    CPPUNIT_TEST(successor_knows_what_a_wave_has_done);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void idle_vms_are_switched_off_but_for_one()
+    {
+        fixture it;
+        it.pass(milliseconds{3'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{7}, it.m_orders.size());
+        for (const auto& each : it.m_orders) {
+            CPPUNIT_ASSERT_EQUAL(std::string{"spare"}, each.m_pool);
+            CPPUNIT_ASSERT_EQUAL(fence, each.m_fence);
+        }
+    }
+
+    void order_is_recorded_before_it_is_sent()
+    {
+        fixture it;
+        const auto records = it.pass(milliseconds{3'000});
+        std::set<std::string> recorded;
+        for (const auto& each : records) {
+            recorded.insert(each.m_key);
+        }
+        for (const auto& each : it.m_orders) {
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, recorded.count("vm/" + each.m_machine));
+        }
+    }
+
+    void vm_that_a_predecessor_ordered_is_left_alone_for_the_lease()
+    {
+        fixture before;
+        const auto records = before.pass(milliseconds{2'000});
+        CPPUNIT_ASSERT(!records.empty());
+        fixture after{records, before.m_now};
+        after.pass(milliseconds{2'500});
+        for (const auto& each : after.m_orders) {
+            CPPUNIT_ASSERT_MESSAGE(each.m_machine + " was ordered by two holders in turn",
+                                   std::none_of(before.m_orders.begin(), before.m_orders.end(),
+                                                [&each](const vm_order& other) {
+                                                    return other.m_machine == each.m_machine;
+                                                }));
+        }
+    }
+
+    void unanswered_order_is_repeated_and_its_vm_kept()
+    {
+        fixture it;
+        it.pass(milliseconds{2'000});
+        const auto first = it.m_orders.front();
+        it.m_answers.front()(vm_result::unanswered);
+        it.pass(milliseconds{600});
+        CPPUNIT_ASSERT(
+            std::count_if(it.m_orders.begin(), it.m_orders.end(), [&first](const vm_order& each) {
+                return each.m_machine == first.m_machine && each.m_pool == first.m_pool;
+            }) >= 2);
+        CPPUNIT_ASSERT(it.m_scheduler->state().m_leaving.count("i-0") != 0);
+    }
+
+    void wave_never_has_more_away_than_allowed()
+    {
+        fixture it;
+        it.m_planner->declare(wave_of(2), "wave/1", it.m_now);
+        it.pass(milliseconds{1'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, it.maintained());
+        // Without answers nobody knows whether they are down.
+        it.pass(milliseconds{2'000});
+        std::set<std::string> machines;
+        for (const auto& each : it.m_orders) {
+            if (each.m_pool.empty()) {
+                machines.insert(each.m_machine);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, machines.size());
+    }
+
+    void wave_is_completed_only_when_all_have_begun()
+    {
+        fixture it;
+        it.m_planner->declare(wave_of(2), "wave/1", it.m_now);
+        for (int round = 0; round < 30; ++round) {
+            it.pass(milliseconds{500});
+            const bool completed = !it.m_told.empty() && it.m_told.back().second;
+            std::set<std::string> begun;
+            for (std::size_t index = 0; index + it.m_answers.size() < it.m_orders.size(); ++index) {
+                if (it.m_orders[index].m_pool.empty()) {
+                    begun.insert(it.m_orders[index].m_machine);
+                }
+            }
+            CPPUNIT_ASSERT(!completed || begun.size() == 5);
+            it.carry_out();
+        }
+        CPPUNIT_ASSERT(it.m_told.front() == std::make_pair(std::string{"wave/1"}, false));
+        CPPUNIT_ASSERT(it.m_told.back() == std::make_pair(std::string{"wave/1"}, true));
+    }
+
+    void successor_knows_what_a_wave_has_done()
+    {
+        fixture before;
+        before.m_planner->declare(wave_of(5), "wave/1", before.m_now);
+        auto records = before.pass(milliseconds{1'000});
+        before.carry_out();
+        for (auto& each : before.pass(milliseconds{200})) {
+            records.push_back(std::move(each));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, before.maintained());
+        fixture after{records, before.m_now};
+        after.m_planner->declare(wave_of(5), "wave/1", after.m_now);
+        after.pass(milliseconds{6'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, after.maintained());
+        CPPUNIT_ASSERT(after.m_told.back().second);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(fleet_planner_test);
+
+} // namespace peridotrudder
