--- a/include/peridotrudder/jobs/job_book.hpp
+++ b/include/peridotrudder/jobs/job_book.hpp
@@ -54,8 +54,8 @@
     /// Returns the records to write, and takes the changes as written.
     std::vector<kept_record> take_changes();
 
-    /// Drops jobs that ended before `ended_before_ms` (Unix milliseconds).
-    void expire(std::int64_t ended_before_ms);
+    /// Drops jobs that ended before `ended_before_ms` (Unix milliseconds), and returns their ids.
+    std::vector<std::string> expire(std::int64_t ended_before_ms);
 
 private:
     std::map<std::string, job, std::less<>> m_jobs;
--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -88,7 +88,9 @@
     run_control m_runs;
     task_placer m_placer;
     /// Jobs whose state is being written.
-    std::set<std::string> m_being_written;
+    std::map<std::string, job_state> m_being_written;
+    /// What callers may be told: the state of each job as it is recorded.
+    std::map<std::string, job_state, std::less<>> m_recorded;
     time_point m_expired_at;
 };
 
--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -66,8 +66,8 @@
 struct write_batch {
     std::vector<kept_record> m_records;
     std::vector<write_effect> m_effects;
-    /// Jobs whose state is among the records.
-    std::set<std::string> m_jobs;
+    /// Jobs whose state is among the records, and what callers may be told of them then.
+    std::map<std::string, job_state> m_jobs;
 };
 
 struct scheduler_options {
--- a/src/jobs/job_book.cpp
+++ b/src/jobs/job_book.cpp
@@ -100,8 +100,9 @@
     return records;
 }
 
-void job_book::expire(std::int64_t ended_before_ms)
+std::vector<std::string> job_book::expire(std::int64_t ended_before_ms)
 {
+    std::vector<std::string> expired;
     for (auto each = m_jobs.begin(); each != m_jobs.end();) {
         const auto& old = each->second;
         const bool over = old.phase() != job_phase::active && old.placed_tasks() == 0 &&
@@ -111,8 +112,10 @@
             continue;
         }
         m_dropped.push_back(each->first);
+        expired.push_back(each->first);
         each = m_jobs.erase(each);
     }
+    return expired;
 }
 
 } // namespace peridotrudder
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -42,6 +42,9 @@
     m_state.m_options = options;
     m_state.m_ports = std::move(ports);
     m_state.m_book = std::move(book);
+    for (const auto& [id, each] : m_state.m_book.jobs()) {
+        m_recorded.emplace(id, visible_state(each));
+    }
 }
 
 void job_scheduler::set_config(fleet_config config)
@@ -191,6 +194,13 @@
         return;
     }
     auto answer = status_only(call_status::state);
+    const auto recorded = m_recorded.find(id);
+    if (recorded != m_recorded.end()) {
+        // Newer states may still be lost with this owner: they are told once they are recorded.
+        answer.m_state = recorded->second;
+        m_state.m_ports.m_answer(token, answer);
+        return;
+    }
     answer.m_state = visible_state(*of);
     answer_when_written(token, answer, id);
 }
@@ -240,7 +250,10 @@
     m_runs.tick(now);
     if (now.m_at - m_expired_at >= expiry_interval) {
         m_expired_at = now.m_at;
-        m_state.m_book.expire(now.m_unix_ms - m_state.m_options.m_retention.count());
+        for (const auto& id :
+             m_state.m_book.expire(now.m_unix_ms - m_state.m_options.m_retention.count())) {
+            m_recorded.erase(id);
+        }
     }
 }
 
@@ -253,7 +266,12 @@
 {
     m_placer.place_all(now);
     write_batch batch;
-    batch.m_jobs = m_state.m_book.dirty_ids();
+    for (const auto& id : m_state.m_book.dirty_ids()) {
+        const auto* of = m_state.m_book.find(id);
+        if (of != nullptr) {
+            batch.m_jobs.emplace(id, visible_state(*of));
+        }
+    }
     batch.m_records = m_state.m_book.take_changes();
     batch.m_effects.swap(m_state.m_effects);
     m_being_written = batch.m_jobs;
@@ -263,6 +281,9 @@
 void job_scheduler::written(const write_batch& batch, moment now)
 {
     m_being_written.clear();
+    for (const auto& [id, state] : batch.m_jobs) {
+        m_recorded[id] = state;
+    }
     for (const auto& each : batch.m_effects) {
         if (const auto* answer = std::get_if<answer_effect>(&each)) {
             m_state.m_ports.m_answer(answer->m_token, answer->m_answer);
--- a/test/scheduling/fleet_world.hpp
+++ b/test/scheduling/fleet_world.hpp
@@ -100,6 +100,18 @@
         pump(*m_owner);
     }
 
+    /// Asks for a job's state; returns "none yet" if there is no answer at once.
+    std::string ask(std::uint32_t number)
+    {
+        char id[17];
+        std::snprintf(id, sizeof id, "%016x", number);
+        m_calls[++m_token] = {id, call_kind::query};
+        m_told = "none yet";
+        m_owner->m_scheduler->take_call(
+            m_token, {call_kind::query, "host", "/queue/" + std::string{id}, std::nullopt}, now());
+        return m_told;
+    }
+
     /// Ends a worker's life; it starts anew under its id.
     void crash(std::uint32_t index)
     {
@@ -389,6 +401,9 @@
     void take_answer(std::uint64_t token, const call_answer& answer)
     {
         const auto& call = m_calls[token];
+        if (answer.m_status == call_status::state) {
+            m_told = to_string(answer.m_state);
+        }
         if (answer.m_status != call_status::done) {
             return;
         }
@@ -620,6 +635,7 @@
     std::set<run_key> m_done;
     std::set<run_key> m_noted_done;
     std::string m_fault;
+    std::string m_told;
     std::size_t m_starts{0};
 };
 
--- a/test/scheduling/job_scheduler_test.cpp
+++ b/test/scheduling/job_scheduler_test.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(former_owner_that_lives_on_does_no_harm);
     CPPUNIT_TEST(orders_that_are_carried_out_late_double_nothing);
     CPPUNIT_TEST(work_of_a_lost_worker_goes_elsewhere);
+    CPPUNIT_TEST(question_is_answered_by_what_is_recorded);
     CPPUNIT_TEST(no_history_breaks_a_promise);
     CPPUNIT_TEST_SUITE_END();
 
@@ -143,6 +144,23 @@
         assert_sound(world);
     }
 
+    void question_is_answered_by_what_is_recorded()
+    {
+        fleet_world world{7};
+        world.change_owner(false);
+        world.submit(1, 0);
+        CPPUNIT_ASSERT_EQUAL(std::string{"none yet"}, world.ask(1));
+        world.pass(milliseconds{100});
+        CPPUNIT_ASSERT_EQUAL(std::string{"running"}, world.ask(1));
+        world.set_journal_up(false);
+        world.pass(milliseconds{8'000});
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("the job has ended, but that is not recorded",
+                                     std::string{"running"}, world.ask(1));
+        world.set_journal_up(true);
+        world.pass(milliseconds{500});
+        CPPUNIT_ASSERT_EQUAL(std::string{"completed"}, world.ask(1));
+    }
+
     void no_history_breaks_a_promise()
     {
         rc::check("capacity, order, at most once and progress hold in any history", [] {
