Give the VM list and the orders to VMs a module of their own

fleet_planner had 565 lines with two jobs: what to order, and how an order is recorded, sent, repeated and ended. The second is vm_fleet now. No behaviour changed; the planner's tests are the same.

--- a/include/peridotrudder/planning/fleet_planner.hpp
+++ b/include/peridotrudder/planning/fleet_planner.hpp
@@ -3,9 +3,8 @@
 /// @file
 /// Moves VMs between pools and takes them down for maintenance.
 
-#include "peridotrudder/base/loop_port.hpp"
 #include "peridotrudder/planning/pool_demand.hpp"
-#include "peridotrudder/planning/vm_control.hpp"
+#include "peridotrudder/planning/vm_fleet.hpp"
 #include "peridotrudder/planning/wave_tracker.hpp"
 #include "peridotrudder/scheduling/job_scheduler.hpp"
 
@@ -20,14 +19,9 @@
 namespace peridotrudder {
 
 struct planner_options {
+    vm_fleet_options m_fleet;
     /// Pause between plans.
     milliseconds m_plan_interval{100};
-    /// Pause between readings of the VM list, and while VMs are on their way.
-    milliseconds m_list_interval{1'000};
-    milliseconds m_busy_list_interval{300};
-    /// A VM that a predecessor has ordered is not ordered for so long: two holders that order the
-    /// same VM in turn would undo each other's work.
-    milliseconds m_vm_lease{3'000};
     /// A VM that its pool does not need is moved once it has been idle for so long.
     milliseconds m_idle_before_move{700};
     /// One is switched off once it has been idle for so long: moving it back costs about as much.
@@ -63,39 +57,14 @@
     /// Returns records to be written; `written` is to be called when they are.
     std::vector<kept_record> take_changes();
     /// Sends the orders whose records are written.
-    void written();
+    void written() { m_fleet->written(); }
 
 private:
-    enum class order_phase {
-        /// To be recorded, so that a successor leaves the VM alone for a time.
-        decided,
-        recording,
-        /// To be sent, at `m_order_at` or later.
-        due,
-        sent,
-    };
-
-    /// A VM and what is under way with it.
-    struct planned_machine {
-        listed_machine m_listed;
-        /// Since when nothing runs on it.
-        std::optional<time_point> m_idle_since;
-        /// The order under way; it is repeated until it is answered.
-        std::optional<vm_order> m_order;
-        order_phase m_order_phase{order_phase::decided};
-        time_point m_order_at;
-        /// The wave for which it is being emptied; zero for none.
-        std::uint64_t m_leaving_for{0};
-        /// Pool that it has been moved to, until the list shows it there.
-        std::string m_bound_for;
-        time_point m_bound_at;
-    };
-
     fleet_planner(planner_options options, std::uint64_t fence, planner_ports ports);
 
-    void read_list(moment now);
-    void take_list(const std::vector<listed_machine>& machines, time_point asked_at);
-    void note_change(const listed_machine& before, const listed_machine& after);
+    vm_fleet_hooks make_fleet_hooks();
+    void note_returned(time_point asked_at);
+    void note_ended(const vm_order& order, vm_result result);
     void note_idle(const scheduler_state& state, time_point now);
     void note_lost_workers(job_scheduler& scheduler, moment now);
     void plan_waves(job_scheduler& scheduler, moment now);
@@ -105,32 +74,18 @@
     void move_to(const std::string& pool, std::uint32_t count, moment now);
     void release_idle(const std::string& pool, std::uint32_t count, moment now);
     void empty(planned_machine& machine, job_scheduler& scheduler, moment now);
-    void order(planned_machine& machine, vm_order what, moment now);
-    void send_order(const std::string& machine_id);
-    void answered(const std::string& machine_id, const vm_order& what, vm_result result);
     void mark_leaving(job_scheduler& scheduler);
-    bool movable(const planned_machine& machine, time_point now) const;
     std::uint32_t supply_of(const std::string& pool, const scheduler_state& state) const;
 
     planner_options m_options;
-    std::uint64_t m_fence{0};
     planner_ports m_ports;
+    std::unique_ptr<vm_fleet> m_fleet;
     time_point m_planned_at;
-    time_point m_listed_at;
     time_point m_reported_at;
-    bool m_listing{false};
-    bool m_list_known{false};
-    /// When the newest list was asked for.
-    time_point m_list_asked_at;
-    std::map<std::string, planned_machine> m_machines;
-    /// VMs that a predecessor ordered, with the time from which they may be ordered again.
-    std::map<std::string, time_point> m_foreign_until;
     std::map<std::string, std::uint32_t> m_wanted;
     std::string m_spare_pool;
     wave_tracker m_waves;
     pool_demand m_demand;
-    /// Outlives the planner in the answers that are under way.
-    std::shared_ptr<fleet_planner*> m_self;
 };
 
 } // namespace peridotrudder
