--- /dev/null
+++ b/include/peridotrudder/node/decision_log.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+/// @file
+/// The decision log of a node, with its metrics.
+
+#include "peridotrudder/scheduling/job_call.hpp"
+#include "peridotrudder/scheduling/scheduler_state.hpp"
+#include "peridotrudder/telemetry/log_budget.hpp"
+#include "peridotrudder/telemetry/node_metrics.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace peridotrudder {
+
+/// Counts decisions and answers, and logs them within a budget of lines: what happens to every run
+/// can be a thousand lines a second. Not thread-safe.
+class decision_log {
+public:
+    decision_log();
+
+    /// Notes a decision of the owner of an epoch.
+    void decided(const decision& made, std::uint64_t epoch, time_point now);
+
+    /// Notes an answer to a caller; what was not served is logged. The path ends with the job's id.
+    struct answered_call {
+        call_kind m_kind{call_kind::query};
+        std::string m_path;
+        time_point m_taken_at;
+        std::uint64_t m_epoch{0};
+        /// Owner that the entry hears; empty if none.
+        std::string m_owner;
+    };
+    void answered(const answered_call& call, const call_answer& answer, time_point now);
+
+    node_metrics& metrics() { return m_metrics; }
+
+private:
+    node_metrics m_metrics;
+    log_budget m_budget;
+};
+
+} // namespace peridotrudder
--- /dev/null
+++ b/src/node/decision_log.cpp
@@ -0,0 +1,54 @@
+#include "peridotrudder/node/decision_log.hpp"
+
+#include "peridotrudder/telemetry/log.hpp"
+
+namespace peridotrudder {
+
+namespace {
+
+/// A line costs about as much processor as an order to a worker.
+constexpr std::uint32_t lines_a_second = 120;
+
+bool is_served(call_status status)
+{
+    return status == call_status::done || status == call_status::state ||
+           status == call_status::length;
+}
+
+} // namespace
+
+decision_log::decision_log() : m_budget{log_budget::create(lines_a_second)} {}
+
+void decision_log::decided(const decision& made, std::uint64_t epoch, time_point now)
+{
+    m_metrics.decided(made.m_event);
+    if (!m_budget.allows(made.m_event, now)) {
+        return;
+    }
+    if (const auto left_out = m_budget.take_left_out(); left_out > 0) {
+        log_event(log_level::warning, "lines_left_out", {{"count", std::to_string(left_out)}});
+    }
+    log_event(log_level::info, made.m_event,
+              {{"epoch", std::to_string(epoch)},
+               {"job", made.m_job},
+               {"worker", made.m_worker},
+               {"detail", made.m_detail}});
+}
+
+void decision_log::answered(const answered_call& call, const call_answer& answer, time_point now)
+{
+    const auto latency = remaining(call.m_taken_at, now);
+    m_metrics.answered(to_string(call.m_kind), to_string(answer.m_status), latency);
+    if (is_served(answer.m_status) || !m_budget.allows(to_string(answer.m_status), now)) {
+        return;
+    }
+    log_event(log_level::info, "call_not_served",
+              {{"path", call.m_path},
+               {"kind", std::string{to_string(call.m_kind)}},
+               {"status", std::string{to_string(answer.m_status)}},
+               {"after_ms", std::to_string(latency.count())},
+               {"epoch", std::to_string(call.m_epoch)},
+               {"owner", call.m_owner}});
+}
+
+} // namespace peridotrudder
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -3,11 +3,10 @@
 #include "peridotrudder/base/hash.hpp"
 #include "peridotrudder/links/peer_mesh.hpp"
 #include "peridotrudder/node/call_router.hpp"
+#include "peridotrudder/node/decision_log.hpp"
 #include "peridotrudder/node/fleet_owner.hpp"
 #include "peridotrudder/ownership/cluster_agent.hpp"
 #include "peridotrudder/telemetry/log.hpp"
-#include "peridotrudder/telemetry/log_budget.hpp"
-#include "peridotrudder/telemetry/node_metrics.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
@@ -31,8 +30,6 @@
 constexpr milliseconds leave_time{2'300};
 /// Kept for the end of the process itself.
 constexpr milliseconds stop_reserve{700};
-/// A line costs about as much processor as an order to a worker.
-constexpr std::uint32_t log_lines_a_second = 120;
 constexpr std::uint32_t status_ok = 200;
 constexpr std::uint32_t status_unavailable = 503;
 
@@ -121,7 +118,7 @@
                 http_response response;
                 response.m_headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
                 set_gauges();
-                response.m_body = m_metrics.expose();
+                response.m_body = m_decisions.metrics().expose();
                 respond(std::move(response));
             });
         if (!metrics) {
@@ -248,43 +245,31 @@
         m_router.owner_changed(now());
     }
 
-    /// Writes a decision's line, within a budget: what happens to every run can be a thousand lines
-    /// a second.
     void log_decision(const decision& made)
     {
-        m_metrics.decided(made.m_event);
         if (made.m_event == "owner_loaded") {
-            m_metrics.took_over(remaining(m_won_at, now()));
+            m_decisions.metrics().took_over(remaining(m_won_at, now()));
         }
-        if (!m_log_budget.allows(made.m_event, now())) {
-            return;
-        }
-        if (const auto left_out = m_log_budget.take_left_out(); left_out > 0) {
-            log_event(log_level::warning, "lines_left_out", {{"count", std::to_string(left_out)}});
-        }
-        log_event(log_level::info, made.m_event,
-                  {{"epoch", std::to_string(m_agent->epoch())},
-                   {"job", made.m_job},
-                   {"worker", made.m_worker},
-                   {"detail", made.m_detail}});
+        m_decisions.decided(made, m_agent->epoch(), now());
     }
 
     void set_gauges()
     {
-        m_metrics.set_gauge("owned_epoch",
-                            m_agent->owns() ? static_cast<double>(m_agent->epoch()) : 0.0);
-        m_metrics.set_gauge("owner_reachable", m_agent->reachable_owner().empty() ? 0.0 : 1.0);
-        m_metrics.set_gauge("waiting_calls", static_cast<double>(m_router.waiting()));
-        m_metrics.set_gauge("lost_log_lines", static_cast<double>(lost_log_lines()));
+        auto& metrics = m_decisions.metrics();
+        metrics.set_gauge("owned_epoch",
+                          m_agent->owns() ? static_cast<double>(m_agent->epoch()) : 0.0);
+        metrics.set_gauge("owner_reachable", m_agent->reachable_owner().empty() ? 0.0 : 1.0);
+        metrics.set_gauge("waiting_calls", static_cast<double>(m_router.waiting()));
+        metrics.set_gauge("lost_log_lines", static_cast<double>(lost_log_lines()));
         const auto* scheduler = m_owner ? m_owner->scheduler() : nullptr;
         if (scheduler != nullptr) {
             const auto& state = scheduler->state();
-            m_metrics.set_gauge("jobs", static_cast<double>(state.m_book.jobs().size()));
-            m_metrics.set_gauge("hungry_jobs", static_cast<double>(state.m_hungry.size()));
-            m_metrics.set_gauge("workers", static_cast<double>(state.m_workers.size()));
-            m_metrics.set_gauge("config_version", static_cast<double>(state.m_config.version()));
-            m_metrics.set_gauge("journal_failing_ms",
-                                static_cast<double>(m_owner->failing_for().count()));
+            metrics.set_gauge("jobs", static_cast<double>(state.m_book.jobs().size()));
+            metrics.set_gauge("hungry_jobs", static_cast<double>(state.m_hungry.size()));
+            metrics.set_gauge("workers", static_cast<double>(state.m_workers.size()));
+            metrics.set_gauge("config_version", static_cast<double>(state.m_config.version()));
+            metrics.set_gauge("journal_failing_ms",
+                              static_cast<double>(m_owner->failing_for().count()));
         }
     }
 
@@ -379,13 +364,13 @@
             respond(std::move(call.error()));
             return;
         }
-        const auto kind = call->m_kind;
-        const auto path = call->m_path;
+        decision_log::answered_call noted{call->m_kind, call->m_path, now(), 0, ""};
         m_router.take(
             std::move(*call), m_platform.m_time_left(request),
-            [this, kind, path, taken_at = now(),
-             respond = std::move(respond)](const call_answer& answer) {
-                note_answer(kind, path, taken_at, answer);
+            [this, noted, respond = std::move(respond)](const call_answer& answer) mutable {
+                noted.m_epoch = m_agent->epoch();
+                noted.m_owner = m_agent->reachable_owner();
+                m_decisions.answered(noted, answer, now());
                 auto response = m_platform.m_write_answer(answer);
                 response.m_close_connection = m_stopping_since.has_value();
                 respond(std::move(response));
@@ -393,27 +378,6 @@
             now());
     }
 
-    /// Logs what was not served, with what the caller knows of it: the path holds the job's id.
-    void note_answer(call_kind kind, const std::string& path, time_point taken_at,
-                     const call_answer& answer)
-    {
-        const auto latency = remaining(taken_at, now());
-        m_metrics.answered(to_string(kind), to_string(answer.m_status), latency);
-        const bool served = answer.m_status == call_status::done ||
-                            answer.m_status == call_status::state ||
-                            answer.m_status == call_status::length;
-        if (served || !m_log_budget.allows(to_string(answer.m_status), now())) {
-            return;
-        }
-        log_event(log_level::info, "call_not_served",
-                  {{"path", path},
-                   {"kind", std::string{to_string(kind)}},
-                   {"status", std::string{to_string(answer.m_status)}},
-                   {"after_ms", std::to_string(latency.count())},
-                   {"epoch", std::to_string(m_agent->epoch())},
-                   {"owner", m_agent->reachable_owner()}});
-    }
-
     bool is_ready() const
     {
         return !m_stopping_since && !m_agent->reachable_owner().empty() &&
@@ -483,8 +447,7 @@
     std::map<std::uint64_t, call_origin> m_tokens;
     std::uint64_t m_next_token{1};
     std::optional<time_point> m_stopping_since;
-    node_metrics m_metrics;
-    log_budget m_log_budget{log_budget::create(log_lines_a_second)};
+    decision_log m_decisions;
     time_point m_won_at;
     std::unique_ptr<cluster_agent> m_agent;
     std::unique_ptr<fleet_owner> m_owner;
--- a/src/planning/fleet_planner.cpp
+++ b/src/planning/fleet_planner.cpp
@@ -67,8 +67,8 @@
 void fleet_planner::declare(declared_wave wave, const std::string& key, moment now)
 {
     m_ports.m_decided({"wave_declared", "", "",
-                       fmt::format("{}, {} VMs, {} at once", wave.m_number,
-                                   wave.m_machines.size(), wave.m_most_away)});
+                       fmt::format("{}, {} VMs, {} at once", wave.m_number, wave.m_machines.size(),
+                                   wave.m_most_away)});
     m_waves.declare(std::move(wave), key, now.m_unix_ms);
 }
 
