Count maintenance that a predecessor ordered and could not record as away

The recorded order and the state in the VM list count now. Test first: maintenance_that_a_predecessor_could_not_record_counts_as_away.

--- a/include/peridotrudder/planning/vm_fleet.hpp
+++ b/include/peridotrudder/planning/vm_fleet.hpp
@@ -78,6 +78,8 @@
     const std::map<std::string, planned_machine>& machines() const { return m_machines; }
     /// Returns when the newest list was asked for; nothing before the first.
     std::optional<time_point> list_asked_at() const { return m_list_asked_at; }
+    /// Returns whether a predecessor's order may still be under way.
+    bool ordered_by_predecessor(const planned_machine& machine, time_point now) const;
     /// Returns whether the VM may be ordered now.
     bool movable(const planned_machine& machine, time_point now) const;
 
--- a/src/planning/fleet_planner.cpp
+++ b/src/planning/fleet_planner.cpp
@@ -206,8 +206,10 @@
             continue;
         }
         auto& machine = found->second;
-        if (machine.m_order) {
-            // An order without an answer may be carried out at any moment.
+        const bool down = machine.m_listed.m_state == machine_state::upkeep;
+        if (machine.m_order || down || m_fleet->ordered_by_predecessor(machine, now.m_at)) {
+            // An order without an answer may be carried out at any moment, and a predecessor's may
+            // have been without its record.
             ++under_way;
         }
         else if (machine.m_leaving_for == wave.m_wave.m_number) {
--- a/src/planning/vm_fleet.cpp
+++ b/src/planning/vm_fleet.cpp
@@ -51,12 +51,17 @@
     }
 }
 
+bool vm_fleet::ordered_by_predecessor(const planned_machine& machine, time_point now) const
+{
+    const auto until = m_foreign_until.find(machine.m_listed.m_id);
+    return until != m_foreign_until.end() && now < until->second;
+}
+
 bool vm_fleet::movable(const planned_machine& machine, time_point now) const
 {
-    const auto foreign = m_foreign_until.find(machine.m_listed.m_id);
     return machine.m_listed.m_state == machine_state::up && !machine.m_order &&
            machine.m_bound_for.empty() && machine.m_leaving_for == 0 &&
-           (foreign == m_foreign_until.end() || now >= foreign->second);
+           !ordered_by_predecessor(machine, now);
 }
 
 void vm_fleet::order_move(planned_machine& machine, const std::string& pool, time_point now)
--- a/test/planning/fleet_planner_test.cpp
+++ b/test/planning/fleet_planner_test.cpp
@@ -121,6 +121,7 @@
     CPPUNIT_TEST(wave_never_has_more_away_than_allowed);
     CPPUNIT_TEST(wave_is_completed_only_when_all_have_begun);
     CPPUNIT_TEST(successor_knows_what_a_wave_has_done);
+    CPPUNIT_TEST(maintenance_that_a_predecessor_could_not_record_counts_as_away);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -215,6 +216,30 @@
         CPPUNIT_ASSERT(it.m_told.back() == std::make_pair(std::string{"wave/1"}, true));
     }
 
+    void maintenance_that_a_predecessor_could_not_record_counts_as_away()
+    {
+        // The orders were recorded and carried out; that they were was not.
+        fixture before;
+        before.m_planner->declare(wave_of(2), "wave/1", before.m_now);
+        const auto records = before.pass(milliseconds{1'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, before.maintained());
+        fixture after{records, before.m_now};
+        after.m_planner->declare(wave_of(2), "wave/1", after.m_now);
+        after.pass(milliseconds{1'000});
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("they may go down at any moment", std::size_t{0},
+                                     after.maintained());
+        for (auto& machine : after.m_machines) {
+            for (const auto& order : before.m_orders) {
+                if (order.m_machine == machine.m_id) {
+                    machine.m_state = machine_state::upkeep;
+                }
+            }
+        }
+        after.pass(milliseconds{5'000});
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("the list shows them down", std::size_t{0},
+                                     after.maintained());
+    }
+
     void successor_knows_what_a_wave_has_done()
     {
         fixture before;
