Refuse jobs of queues that need tickets; drop what nothing used

A queue with a placement policy would have had each start rejected and tried again at once. Its jobs are refused with a reason until tickets are built. A kind of call that nobody made and an unread time are gone.

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -116,7 +116,6 @@
     {
         m_held_back_until = std::max(m_held_back_until, until);
     }
-    time_point fenced_at() const { return m_fenced_at; }
 
     const resources& used() const { return m_used; }
     /// Returns how many runs of long-running tasks reserve room.
@@ -171,7 +170,6 @@
     time_point m_created_at;
     bool m_listed{true};
     bool m_fenced{false};
-    time_point m_fenced_at;
     int m_misses{0};
     time_point m_heard_at;
     time_point m_held_back_until;
--- a/include/peridotrudder/scheduling/job_call.hpp
+++ b/include/peridotrudder/scheduling/job_call.hpp
@@ -11,12 +11,16 @@
 
 namespace peridotrudder {
 
-enum class call_kind { submit, query, cancel, queue_length };
+enum class call_kind {
+    submit,
+    /// Of a job's state, or with no id, of the queue's length.
+    query,
+    cancel,
+};
 
 template <>
 struct enum_names<call_kind> {
-    static constexpr std::array<std::string_view, 4> values{"submit", "query", "cancel",
-                                                            "queue_length"};
+    static constexpr std::array<std::string_view, 3> values{"submit", "query", "cancel"};
 };
 
 struct job_call {
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -199,7 +199,6 @@
     m_told_end = std::max(m_told_end, m_end_in_hold);
     if (!m_fenced) {
         m_fenced = true;
-        m_fenced_at = sent_at;
         // From here on no predecessor can renew.
         m_foreign_lease_over = std::min(m_foreign_lease_over, now + longest_lease());
     }
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -140,7 +140,6 @@
         cancel(token, id, now);
         return;
     case call_kind::query:
-    case call_kind::queue_length:
         query(token, id);
         return;
     }
@@ -159,6 +158,12 @@
         m_state.m_ports.m_answer(token, status_only(call_status::invalid));
         return;
     }
+    if (queue.m_policy) {
+        // Its workers start only what has a ticket of the placement policy, and none is asked for.
+        m_state.log("job_refused", id, "", "queue needs tickets of a placement policy");
+        m_state.m_ports.m_answer(token, status_only(call_status::unavailable));
+        return;
+    }
     m_state.m_book.add({id, queue, now.m_unix_ms, *call.m_spec});
     m_state.m_hungry.insert(id);
     if (!is_long_running(*call.m_spec)) {
