--- a/include/peridotrudder/node/fleet_owner.hpp
+++ b/include/peridotrudder/node/fleet_owner.hpp
@@ -93,6 +93,9 @@
     void end();
     void tell_wave(const std::string& key, bool completed);
     planner_ports make_planner_ports();
+    /// Hands an event to the scheduler, if its owner is still there, and writes what follows.
+    static void with_scheduler(const std::weak_ptr<fleet_owner*>& self,
+                               const std::function<void(job_scheduler&, moment)>& event);
     scheduler_ports make_scheduler_ports();
     bool proven(milliseconds within) const;
     void adapt_to_lag(time_point now);
--- a/include/peridotrudder/planning/fleet_planner.hpp
+++ b/include/peridotrudder/planning/fleet_planner.hpp
@@ -66,7 +66,7 @@
     void note_returned(time_point asked_at);
     void note_ended(const vm_order& order, vm_result result);
     void note_idle(const scheduler_state& state, time_point now);
-    void note_lost_workers(job_scheduler& scheduler, moment now);
+    void note_lost_workers(job_scheduler& scheduler);
     void plan_waves(job_scheduler& scheduler, moment now);
     void plan_wave(wave_state& wave, job_scheduler& scheduler, moment now);
     void plan_pools(job_scheduler& scheduler, moment now);
--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -43,7 +43,7 @@
     void worker_unlisted(std::string_view id, moment now);
     /// Notes that the VM of a worker was down at `seen_at`: nothing runs there any more. A worker
     /// that has answered since is another matter.
-    void worker_down(std::string_view id, time_point seen_at, moment now);
+    void worker_down(std::string_view id, time_point seen_at);
     /// Takes over the runs that are recorded; to be called once, after the first list of workers.
     void begin(moment now);
     /// Sets the pause between the holds of a worker: longer while the owner is short of processor.
--- a/include/peridotrudder/scheduling/run_control.hpp
+++ b/include/peridotrudder/scheduling/run_control.hpp
@@ -38,7 +38,7 @@
     void stop_job(const job& of, time_point now);
     /// Drops the runs of a worker whose life is over, and starts its new one.
     /// Gives up all runs of a worker on which surely nothing runs any more.
-    void lose_all(worker_session& session, std::string_view why, moment now);
+    void lose_all(worker_session& session, std::string_view why);
     void begin_new_life(worker_session& session, std::int64_t born_ms, moment now);
 
     /// Sends the holds and repeated stops that are due, and gives up on workers that are gone.
--- a/src/jobs/job_book.cpp
+++ b/src/jobs/job_book.cpp
@@ -1,5 +1,7 @@
 #include "peridotrudder/jobs/job_book.hpp"
 
+#include "peridotrudder/base/packed_cbor.hpp"
+
 namespace peridotrudder {
 
 namespace {
@@ -20,11 +22,7 @@
 tl::expected<job, decode_error> read_job(const std::vector<std::uint8_t>& header,
                                          const std::vector<std::uint8_t>* state)
 {
-    const auto json = parse_cbor(header);
-    if (!json) {
-        return tl::make_unexpected(json.error());
-    }
-    auto read = decode_packed<job_header>(*json);
+    auto read = from_packed_cbor<job_header>(header);
     if (!read) {
         return tl::make_unexpected(read.error());
     }
@@ -86,8 +84,7 @@
             continue;
         }
         if (m_without_header.erase(id) != 0) {
-            records.push_back({key_of(header_prefix, id),
-                               nlohmann::json::to_cbor(encode_packed(changed->header())), 0});
+            records.push_back({key_of(header_prefix, id), to_packed_cbor(changed->header()), 0});
         }
         records.push_back({key_of(state_prefix, id), changed->encode_state(), 0});
     }
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -297,7 +297,7 @@
         batch.m_records.insert(batch.m_records.end(), std::make_move_iterator(planned.begin()),
                                std::make_move_iterator(planned.end()));
         if (!batch.m_records.empty()) {
-            auto records = batch.m_records;
+            auto records = std::move(batch.m_records);
             m_writing = std::move(batch);
             m_journal->write(std::move(records), m_ports.m_loop.m_now().m_at);
             return;
@@ -390,6 +390,18 @@
     return ports;
 }
 
+void fleet_owner::with_scheduler(const std::weak_ptr<fleet_owner*>& self,
+                                 const std::function<void(job_scheduler&, moment)>& event)
+{
+    const auto alive = self.lock();
+    if (!alive || !(*alive)->m_scheduler) {
+        return;
+    }
+    auto& owner = **alive;
+    event(*owner.m_scheduler, owner.m_ports.m_loop.m_now());
+    owner.pump();
+}
+
 scheduler_ports fleet_owner::make_scheduler_ports()
 {
     scheduler_ports ports;
@@ -399,12 +411,9 @@
         const auto key = order.m_key;
         const auto run = order.m_run;
         const auto answered = [self, life, key, run](const order_answer& answer) {
-            if (const auto alive = self.lock(); alive && (*alive)->m_scheduler) {
-                auto& owner = **alive;
-                owner.m_scheduler->start_answered(life, key, run, answer,
-                                                  owner.m_ports.m_loop.m_now());
-                owner.pump();
-            }
+            with_scheduler(self, [&](job_scheduler& scheduler, moment now) {
+                scheduler.start_answered(life, key, run, answer, now);
+            });
         };
         if (!proven(m_options.m_start_proof)) {
             m_ports.m_loop.m_after(milliseconds{0}, [answered] {
@@ -419,12 +428,9 @@
         const auto key = order.m_key;
         const auto run = order.m_run;
         m_ports.m_workers.m_stop(to, order, [self, life, key, run](const order_answer& answer) {
-            if (const auto alive = self.lock(); alive && (*alive)->m_scheduler) {
-                auto& owner = **alive;
-                owner.m_scheduler->stop_answered(life, key, run, answer,
-                                                 owner.m_ports.m_loop.m_now());
-                owner.pump();
-            }
+            with_scheduler(self, [&](job_scheduler& scheduler, moment now) {
+                scheduler.stop_answered(life, key, run, answer, now);
+            });
         });
     };
     ports.m_pace = [this](const worker_report& to, const pace_order& order) {
@@ -439,12 +445,9 @@
             sent.m_deadline_ms.reset();
         }
         m_ports.m_workers.m_hold(to, sent, [self, life, sent_at](const hold_answer& answer) {
-            if (const auto alive = self.lock(); alive && (*alive)->m_scheduler) {
-                auto& owner = **alive;
-                owner.m_scheduler->hold_answered(life, answer, sent_at,
-                                                 owner.m_ports.m_loop.m_now());
-                owner.pump();
-            }
+            with_scheduler(self, [&](job_scheduler& scheduler, moment now) {
+                scheduler.hold_answered(life, answer, sent_at, now);
+            });
         });
     };
     ports.m_answer = m_ports.m_answer;
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -1,5 +1,7 @@
 #include "peridotrudder/ownership/cluster_agent.hpp"
 
+#include "peridotrudder/base/packed_cbor.hpp"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -22,18 +24,6 @@
 constexpr milliseconds longest_stagger{150};
 constexpr milliseconds settling_time{1'000};
 
-std::vector<std::uint8_t> to_bytes(const nlohmann::json& json)
-{
-    return nlohmann::json::to_cbor(json);
-}
-
-template <typename T>
-tl::expected<T, decode_error> from_bytes(const std::vector<std::uint8_t>& bytes)
-{
-    return parse_cbor(bytes).and_then(
-        [](const nlohmann::json& json) { return decode_packed<T>(json); });
-}
-
 } // namespace
 
 std::unique_ptr<cluster_agent> cluster_agent::create(agent_options options, agent_ports ports)
@@ -76,8 +66,8 @@
     append_request request;
     request.m_topic = m_options.m_topic;
     request.m_timeout = append_timeout;
-    request.m_records.push_back({std::string{node_prefix} + m_options.m_self.m_name,
-                                 to_bytes(encode_packed(m_options.m_self)), 0});
+    request.m_records.push_back(
+        {std::string{node_prefix} + m_options.m_self.m_name, to_packed_cbor(m_options.m_self), 0});
     const std::weak_ptr<cluster_agent*> self = m_self;
     m_ports.m_log.m_append(request, [self](const append_answer& answer) {
         const auto alive = self.lock();
@@ -120,7 +110,7 @@
         m_nodes.erase(name);
         return;
     }
-    const auto node = from_bytes<node_record>(*record.m_value);
+    const auto node = from_packed_cbor<node_record>(*record.m_value);
     if (!node) {
         m_ports.m_log_event("node_record_unreadable", record.m_key);
         return;
@@ -130,7 +120,7 @@
 
 void cluster_agent::take_owner_record(const kept_record& record)
 {
-    auto claim = from_bytes<ownership_claim>(*record.m_value);
+    auto claim = from_packed_cbor<ownership_claim>(*record.m_value);
     if (!claim) {
         m_ports.m_log_event("claim_unreadable", std::to_string(record.m_offset));
         return;
@@ -276,7 +266,7 @@
     request.m_topic = m_options.m_topic;
     request.m_timeout = append_timeout;
     request.m_expected_end = m_topic_end;
-    request.m_records.push_back({std::string{owner_key}, to_bytes(encode_packed(mine)), 0});
+    request.m_records.push_back({std::string{owner_key}, to_packed_cbor(mine), 0});
     const std::weak_ptr<cluster_agent*> self = m_self;
     m_ports.m_log.m_append(request, [self, mine](const append_answer& answer) {
         const auto alive = self.lock();
--- a/src/planning/fleet_planner.cpp
+++ b/src/planning/fleet_planner.cpp
@@ -95,7 +95,7 @@
     m_planned_at = now.m_at;
     if (m_fleet->list_asked_at()) {
         note_idle(scheduler.state(), now.m_at);
-        note_lost_workers(scheduler, now);
+        note_lost_workers(scheduler);
         plan_waves(scheduler, now);
         plan_pools(scheduler, now);
         mark_leaving(scheduler);
@@ -161,7 +161,7 @@
     }
 }
 
-void fleet_planner::note_lost_workers(job_scheduler& scheduler, moment now)
+void fleet_planner::note_lost_workers(job_scheduler& scheduler)
 {
     // The list shows a crash long before the leases are over. A worker on no VM that is up has
     // ended.
@@ -178,7 +178,7 @@
         }
     }
     for (const auto& id : ended) {
-        scheduler.worker_down(id, *m_fleet->list_asked_at(), now);
+        scheduler.worker_down(id, *m_fleet->list_asked_at());
     }
 }
 
--- a/src/planning/wave_tracker.cpp
+++ b/src/planning/wave_tracker.cpp
@@ -1,5 +1,7 @@
 #include "peridotrudder/planning/wave_tracker.hpp"
 
+#include "peridotrudder/base/packed_cbor.hpp"
+
 namespace peridotrudder {
 
 namespace {
@@ -37,10 +39,7 @@
         if (!each.m_value || each.m_key.rfind(progress_prefix, 0) != 0) {
             continue;
         }
-        const auto json = parse_cbor(*each.m_value);
-        const auto read =
-            json ? decode_packed<progress>(*json)
-                 : tl::expected<progress, decode_error>{tl::make_unexpected(json.error())};
+        const auto read = from_packed_cbor<progress>(*each.m_value);
         if (read) {
             m_restored[each.m_key.substr(progress_prefix.size())] = *read;
         }
@@ -72,8 +71,7 @@
     for (const auto number : m_dirty) {
         const auto& wave = m_waves.at(number);
         const progress kept{wave.m_declared_ms, {wave.m_begun.begin(), wave.m_begun.end()}};
-        records.push_back({std::string{progress_prefix} + wave.m_key,
-                           nlohmann::json::to_cbor(encode_packed(kept)), 0});
+        records.push_back({std::string{progress_prefix} + wave.m_key, to_packed_cbor(kept), 0});
     }
     m_dirty.clear();
     return records;
--- a/src/scheduling/run_control.cpp
+++ b/src/scheduling/run_control.cpp
@@ -23,6 +23,26 @@
     return std::max(stall_time, run.m_estimate * slow_steps / percent_steps + stall_time);
 }
 
+/// Returns the tasks that have a run.
+std::vector<task_ref> placed_tasks_of(const job& of)
+{
+    std::vector<task_ref> placed;
+    if (of.placed_tasks() == 0) {
+        return placed;
+    }
+    for (std::uint32_t occurrence = 0; occurrence < of.occurrences(); ++occurrence) {
+        for (std::uint32_t step = 0; step < of.spec().m_steps.size(); ++step) {
+            const auto tasks = of.tasks(occurrence, step);
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                if (tasks[index].m_phase == task_phase::placed) {
+                    placed.push_back({occurrence, step, index});
+                }
+            }
+        }
+    }
+    return placed;
+}
+
 } // namespace
 
 void run_control::adopt_recorded_runs(moment now)
@@ -31,18 +51,8 @@
         if (each.phase() == job_phase::active) {
             m_state->m_hungry.insert(id);
         }
-        if (each.placed_tasks() == 0) {
-            continue;
-        }
-        for (std::uint32_t occurrence = 0; occurrence < each.occurrences(); ++occurrence) {
-            for (std::uint32_t step = 0; step < each.spec().m_steps.size(); ++step) {
-                const auto tasks = each.tasks(occurrence, step);
-                for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-                    if (tasks[index].m_phase == task_phase::placed) {
-                        adopt({id, {occurrence, step, index}}, each, now);
-                    }
-                }
-            }
+        for (const auto& ref : placed_tasks_of(each)) {
+            adopt({id, ref}, each, now);
         }
     }
 }
@@ -189,7 +199,7 @@
                      std::string{to_string(answer.m_result)});
     }
     if (answer.m_result == order_result::other_life && session->life() == life) {
-        lose_all(*session, "address belongs to another worker", now);
+        lose_all(*session, "address belongs to another worker");
         return;
     }
     if (outcome.m_reborn) {
@@ -289,7 +299,7 @@
     }
 }
 
-void run_control::lose_all(worker_session& session, std::string_view why, moment /*now*/)
+void run_control::lose_all(worker_session& session, std::string_view why)
 {
     std::vector<run_key> keys;
     for (const auto& each : session.runs()) {
@@ -302,7 +312,7 @@
 
 void run_control::begin_new_life(worker_session& session, std::int64_t born_ms, moment now)
 {
-    lose_all(session, "worker is in another life", now);
+    lose_all(session, "worker is in another life");
     session.start_new_life(born_ms, now.m_at);
 }
 
@@ -324,20 +334,9 @@
 
 void run_control::stop_job(const job& of, time_point now)
 {
-    if (of.placed_tasks() == 0) {
-        return;
-    }
-    for (std::uint32_t occurrence = 0; occurrence < of.occurrences(); ++occurrence) {
-        for (std::uint32_t step = 0; step < of.spec().m_steps.size(); ++step) {
-            const auto tasks = of.tasks(occurrence, step);
-            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-                auto* session = tasks[index].m_phase == task_phase::placed
-                                    ? m_state->find_life(tasks[index].m_where)
-                                    : nullptr;
-                if (session != nullptr) {
-                    stop_run(*session, {of.header().m_id, {occurrence, step, index}}, now);
-                }
-            }
+    for (const auto& ref : placed_tasks_of(of)) {
+        if (auto* session = m_state->find_life(of.at(ref).m_where)) {
+            stop_run(*session, {of.header().m_id, ref}, now);
         }
     }
 }
@@ -388,7 +387,7 @@
         const bool unreachable = session.silent() || !session.listed();
         if (unreachable && !session.runs().empty() && now.m_at >= session.lease_over() &&
             (session.silent() || session.report().m_port == 0)) {
-            lose_all(session, "lease over", now);
+            lose_all(session, "lease over");
         }
         if (!session.listed() && session.runs().empty()) {
             m_state->log("worker_forgotten", "", session.id(), "");
