Let other nodes carry the orders of a large fleet

Ruled out: the scheduler's passes over waiting jobs, and the records' encoding (both in the benchmark's figure).

Change: from 250 workers a core on, the owner hands orders in gathered messages to four strong nodes, which speak to the workers. Decisions, records, leases and fencing stay with the owner. What a lost relay may have sent counts as unanswered, like any other lost order.

Sites of 49 workers keep the direct way.

--- /dev/null
+++ b/bench/scheduler_bench.cpp
@@ -0,0 +1,227 @@
+/// @file
+/// Measures what an owner's decisions cost for each start, without sockets: a pool under steady
+/// load, with workers that answer at once and runs of the length that was declared.
+
+#include "peridotrudder/scheduling/job_scheduler.hpp"
+
+#include <benchmark/benchmark.h>
+#include <fmt/format.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace peridotrudder;
+
+constexpr milliseconds tick_interval{10};
+constexpr milliseconds run_time{540};
+constexpr milliseconds hold_wait{1'000};
+constexpr std::uint32_t tasks_per_step = 8;
+
+/// Workers that carry out what they are told, and answer within the same tick.
+class instant_fleet {
+public:
+    explicit instant_fleet(std::uint32_t workers)
+    {
+        scheduler_options options;
+        options.m_fence = 1;
+        restore_report report;
+        m_scheduler =
+            job_scheduler::create(options, make_ports(), job_book::restore({}, report), now());
+        queue_config queue;
+        queue.m_name = "queue";
+        queue.m_host = "host";
+        queue.m_prefix = "/queue/";
+        queue.m_pool = "pool";
+        queue.m_attempts = 3;
+        queue.m_stretch = 1.6;
+        queue.m_target = milliseconds{600};
+        m_scheduler->set_config(fleet_config::create(1, {queue}, {{"pool", false, false}}));
+        for (std::uint32_t index = 0; index < workers; ++index) {
+            worker_report worker;
+            worker.m_life = {fmt::format("i-{:08x}", index), 1};
+            worker.m_pool = "pool";
+            worker.m_address = "10.0.0.1";
+            worker.m_port = 80;
+            worker.m_capacity = {16'000, 32'768, 0};
+            m_scheduler->worker_listed(worker, now());
+        }
+        m_scheduler->begin(now());
+        advance(0);
+    }
+
+    /// Passes one tick in which `jobs` jobs of two steps come in.
+    void advance(std::uint32_t jobs)
+    {
+        m_now += tick_interval;
+        end_runs();
+        answer_holds();
+        for (std::uint32_t index = 0; index < jobs; ++index) {
+            submit();
+        }
+        m_scheduler->tick(now());
+        while (m_scheduler->wants_write()) {
+            const auto batch = m_scheduler->take_batch(now());
+            if (batch.m_records.empty() && batch.m_effects.empty()) {
+                break;
+            }
+            m_scheduler->written(batch, now());
+            answer_starts();
+        }
+    }
+
+    std::uint64_t starts() const { return m_starts; }
+    std::size_t hungry() const { return m_scheduler->state().m_hungry.size(); }
+
+private:
+    struct held_worker {
+        std::map<run_key, std::pair<std::uint32_t, time_point>> m_runs;
+        std::vector<ended_entry> m_ended;
+        std::uint64_t m_next_end{1};
+        /// The hold that waits for an end, and since when.
+        std::optional<hold_order> m_hold;
+        time_point m_asked_at;
+    };
+
+    struct sent_start {
+        worker_life m_life;
+        start_order m_order;
+    };
+
+    moment now() const
+    {
+        return {m_now, std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count()};
+    }
+
+    scheduler_ports make_ports()
+    {
+        scheduler_ports ports;
+        ports.m_start = [this](const worker_report& to, const start_order& order) {
+            m_sent.push_back({to.m_life, order});
+        };
+        ports.m_stop = [](const worker_report&, const stop_order&) {};
+        ports.m_pace = [](const worker_report&, const pace_order&) {};
+        ports.m_hold = [this](const worker_report& to, const hold_order& order) {
+            auto& worker = m_workers[to.m_life.m_worker];
+            worker.m_hold = order;
+            worker.m_asked_at = m_now;
+        };
+        ports.m_answer = [](std::uint64_t, const call_answer&) {};
+        ports.m_log = [](const decision&) {};
+        ports.m_deposed = [] {};
+        return ports;
+    }
+
+    void submit()
+    {
+        job_call call{call_kind::submit, "host", fmt::format("/queue/{:016x}", ++m_submitted),
+                      job_spec{}};
+        for (std::uint32_t index = 0; index < 2; ++index) {
+            step_spec step;
+            step.m_count = tasks_per_step;
+            step.m_each = {1'500, 2'200, 0};
+            step.m_estimate = run_time;
+            if (index > 0) {
+                step.m_depends_on = {index - 1};
+            }
+            call.m_spec->m_steps.push_back(step);
+        }
+        m_scheduler->take_call(m_submitted, call, now());
+    }
+
+    void answer_starts()
+    {
+        const auto sent = std::move(m_sent);
+        m_sent.clear();
+        for (const auto& each : sent) {
+            ++m_starts;
+            m_workers[each.m_life.m_worker].m_runs[each.m_order.m_key] = {each.m_order.m_run,
+                                                                          m_now + run_time};
+            m_scheduler->start_answered(each.m_life, each.m_order.m_key, each.m_order.m_run,
+                                        {order_result::accepted, now().m_unix_ms}, now());
+        }
+    }
+
+    void end_runs()
+    {
+        for (auto& [id, worker] : m_workers) {
+            for (auto each = worker.m_runs.begin(); each != worker.m_runs.end();) {
+                if (each->second.second > m_now) {
+                    ++each;
+                    continue;
+                }
+                worker.m_ended.push_back(
+                    {worker.m_next_end++, each->first, each->second.first, run_end::done, ""});
+                each = worker.m_runs.erase(each);
+            }
+        }
+    }
+
+    void answer_holds()
+    {
+        for (auto& [id, worker] : m_workers) {
+            if (!worker.m_hold) {
+                continue;
+            }
+            auto& ended = worker.m_ended;
+            while (!ended.empty() && ended.front().m_number <= worker.m_hold->m_last_end) {
+                ended.erase(ended.begin());
+            }
+            const bool waits = worker.m_hold->m_wait.count() > 0 && ended.empty() &&
+                               m_now - worker.m_asked_at < hold_wait;
+            if (waits) {
+                continue;
+            }
+            hold_answer answer;
+            answer.m_result = order_result::accepted;
+            answer.m_clock_ms = now().m_unix_ms;
+            answer.m_born_ms = 1;
+            for (const auto& [key, run] : worker.m_runs) {
+                answer.m_running.push_back({key, run.first, "", 50, 0});
+            }
+            answer.m_ended = ended;
+            worker.m_hold.reset();
+            m_scheduler->hold_answered({id, 1}, answer, worker.m_asked_at, now());
+        }
+    }
+
+    time_point m_now{milliseconds{1'000'000}};
+    std::unique_ptr<job_scheduler> m_scheduler;
+    std::map<std::string, held_worker> m_workers;
+    std::vector<sent_start> m_sent;
+    std::uint64_t m_submitted{0};
+    std::uint64_t m_starts{0};
+};
+
+/// Arguments: workers, jobs in every tick of 10 ms.
+void owner_under_load(benchmark::State& state)
+{
+    instant_fleet fleet{static_cast<std::uint32_t>(state.range(0))};
+    const auto jobs = static_cast<std::uint32_t>(state.range(1));
+    constexpr int settling_ticks = 150;
+    for (int tick = 0; tick < settling_ticks; ++tick) {
+        fleet.advance(jobs);
+    }
+    const auto before = fleet.starts();
+    for (auto each : state) {
+        static_cast<void>(each);
+        fleet.advance(jobs);
+    }
+    const auto starts = fleet.starts() - before;
+    state.SetItemsProcessed(static_cast<std::int64_t>(starts));
+    state.counters["hungry"] = static_cast<double>(fleet.hungry());
+    state.counters["starts_per_tick"] =
+        static_cast<double>(starts) / static_cast<double>(state.iterations());
+}
+
+} // namespace
+
+// Within the room of the pool, then at three times of it.
+BENCHMARK(owner_under_load)->Args({50, 0})->Args({50, 1})->Iterations(300);
+BENCHMARK(owner_under_load)->Args({250, 1})->Args({250, 3})->Iterations(200);
+
+BENCHMARK_MAIN();
--- a/include/peridotrudder/jobs/job.hpp
+++ b/include/peridotrudder/jobs/job.hpp
@@ -20,6 +20,14 @@
     std::uint32_t m_occurrence{0};
     std::uint32_t m_step{0};
     std::uint32_t m_index{0};
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("occurrence", self.m_occurrence);
+        archive.field("step", self.m_step);
+        archive.field("index", self.m_index);
+    }
 };
 
 inline bool operator<(const task_ref& left, const task_ref& right)
--- a/include/peridotrudder/machines/worker_orders.hpp
+++ b/include/peridotrudder/machines/worker_orders.hpp
@@ -17,6 +17,13 @@
 struct run_key {
     std::string m_job;
     task_ref m_task;
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("job", self.m_job);
+        archive.field("task", self.m_task);
+    }
 };
 
 inline bool operator<(const run_key& left, const run_key& right)
@@ -53,12 +60,32 @@
     /// On the worker's clock: the order is void later, and all runs there have a lease until then.
     std::int64_t m_deadline_ms{0};
     std::uint64_t m_fence{0};
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("key", self.m_key);
+        archive.field("run", self.m_run);
+        archive.field("payload", self.m_payload);
+        archive.field("checkpoint", self.m_checkpoint);
+        archive.field("ticket", self.m_ticket);
+        archive.field("deadline_ms", self.m_deadline_ms);
+        archive.field("fence", self.m_fence);
+    }
 };
 
 struct stop_order {
     run_key m_key;
     std::uint32_t m_run{0};
     std::uint64_t m_fence{0};
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("key", self.m_key);
+        archive.field("run", self.m_run);
+        archive.field("fence", self.m_fence);
+    }
 };
 
 /// Lets a run work at a share of its speed.
@@ -67,6 +94,15 @@
     std::uint32_t m_run{0};
     std::uint32_t m_percent{100};
     std::uint64_t m_fence{0};
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("key", self.m_key);
+        archive.field("run", self.m_run);
+        archive.field("percent", self.m_percent);
+        archive.field("fence", self.m_fence);
+    }
 };
 
 /// Renews the lease of all runs of a worker, and asks for them.
@@ -78,6 +114,15 @@
     std::optional<std::int64_t> m_deadline_ms;
     /// How long the worker may wait for an end before it answers.
     milliseconds m_wait{0};
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("fence", self.m_fence);
+        archive.field("last_end", self.m_last_end);
+        archive.field("deadline_ms", self.m_deadline_ms);
+        archive.field("wait_ms", self.m_wait);
+    }
 };
 
 /// What became of an order.
@@ -114,6 +159,13 @@
     order_result m_result{order_result::unanswered};
     /// The worker's clock, where it was told.
     std::optional<std::int64_t> m_clock_ms;
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("result", self.m_result);
+        archive.field("clock_ms", self.m_clock_ms);
+    }
 };
 
 struct running_entry {
@@ -125,6 +177,16 @@
     /// Tail latency in milliseconds of a task that has a latency target, otherwise thousandths of a
     /// core in use.
     std::int64_t m_load{0};
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("key", self.m_key);
+        archive.field("run", self.m_run);
+        archive.field("checkpoint", self.m_checkpoint);
+        archive.field("percent", self.m_percent);
+        archive.field("load", self.m_load);
+    }
 };
 
 struct ended_entry {
@@ -134,6 +196,16 @@
     std::uint32_t m_run{0};
     run_end m_how{run_end::failed};
     std::string m_checkpoint;
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("number", self.m_number);
+        archive.field("key", self.m_key);
+        archive.field("run", self.m_run);
+        archive.field("how", self.m_how);
+        archive.field("checkpoint", self.m_checkpoint);
+    }
 };
 
 struct hold_answer {
@@ -143,6 +215,16 @@
     std::optional<std::int64_t> m_born_ms;
     std::vector<running_entry> m_running;
     std::vector<ended_entry> m_ended;
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("result", self.m_result);
+        archive.field("clock_ms", self.m_clock_ms);
+        archive.field("born_ms", self.m_born_ms);
+        archive.field("running", self.m_running);
+        archive.field("ended", self.m_ended);
+    }
 };
 
 } // namespace peridotrudder
--- a/include/peridotrudder/ownership/cluster_agent.hpp
+++ b/include/peridotrudder/ownership/cluster_agent.hpp
@@ -96,6 +96,8 @@
     /// Returns the incarnation of the owner that this node hears; empty if none.
     std::string reachable_owner() const;
     std::uint64_t epoch() const { return m_election.claim().m_epoch; }
+    /// Returns the other nodes that this one has a link to.
+    std::vector<node_record> linked_nodes() const;
 
 private:
     cluster_agent(agent_options options, agent_ports ports);
--- a/include/peridotrudder/ownership/node_messages.hpp
+++ b/include/peridotrudder/ownership/node_messages.hpp
@@ -3,10 +3,13 @@
 /// @file
 /// Messages between the nodes of the scheduler, and their CBOR frames.
 
+#include "peridotrudder/machines/worker_orders.hpp"
 #include "peridotrudder/ownership/owner_election.hpp"
 #include "peridotrudder/scheduling/job_call.hpp"
 
+#include <cstdint>
 #include <gsl/span>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -112,8 +115,72 @@
     }
 };
 
-using node_message = std::variant<owner_beat, owner_resigned, owner_query, owner_view, log_probe,
-                                  log_reached, forwarded_job_call, forwarded_job_answer>;
+/// An order to a worker, to be sent by the receiver. Exactly one of the orders is set.
+struct relayed_order {
+    /// Chosen by the owner; its answer carries it too.
+    std::uint64_t m_number{0};
+    worker_life m_life;
+    std::string m_address;
+    std::uint16_t m_port{0};
+    std::optional<start_order> m_start;
+    std::optional<stop_order> m_stop;
+    std::optional<pace_order> m_pace;
+    std::optional<hold_order> m_hold;
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("number", self.m_number);
+        archive.field("life", self.m_life);
+        archive.field("address", self.m_address);
+        archive.field("port", self.m_port);
+        archive.field("start", self.m_start);
+        archive.field("stop", self.m_stop);
+        archive.field("pace", self.m_pace);
+        archive.field("hold", self.m_hold);
+    }
+};
+
+struct relayed_orders {
+    static constexpr std::string_view kind = "orders";
+    std::vector<relayed_order> m_orders;
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("orders", self.m_orders);
+    }
+};
+
+/// What became of a relayed order. Exactly one of the answers is set.
+struct relayed_answer {
+    std::uint64_t m_number{0};
+    std::optional<order_answer> m_order;
+    std::optional<hold_answer> m_hold;
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("number", self.m_number);
+        archive.field("order", self.m_order);
+        archive.field("hold", self.m_hold);
+    }
+};
+
+struct relayed_answers {
+    static constexpr std::string_view kind = "order_answers";
+    std::vector<relayed_answer> m_answers;
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("answers", self.m_answers);
+    }
+};
+
+using node_message =
+    std::variant<owner_beat, owner_resigned, owner_query, owner_view, log_probe, log_reached,
+                 forwarded_job_call, forwarded_job_answer, relayed_orders, relayed_answers>;
 
 /// Returns the message as CBOR.
 std::vector<std::uint8_t> encode_node_message(const node_message& message);
--- a/src/links/http_transfer.hpp
+++ b/src/links/http_transfer.hpp
@@ -17,7 +17,8 @@
 
 namespace peridotrudder::internal {
 
-constexpr long max_idle_connections = 512;
+/// Several for each worker of a large fleet: a new connection costs more than a call.
+constexpr long max_idle_connections = 2'048;
 
 struct easy_deleter {
     void operator()(CURL* handle) const { curl_easy_cleanup(handle); }
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -5,6 +5,7 @@
 #include "peridotrudder/node/call_router.hpp"
 #include "peridotrudder/node/decision_log.hpp"
 #include "peridotrudder/node/fleet_owner.hpp"
+#include "peridotrudder/node/order_relay.hpp"
 #include "peridotrudder/ownership/cluster_agent.hpp"
 #include "peridotrudder/telemetry/log.hpp"
 
@@ -24,6 +25,7 @@
 constexpr std::size_t incarnation_bytes = 6;
 constexpr milliseconds owner_tick{10};
 constexpr milliseconds entry_tick{25};
+constexpr milliseconds relay_choice_interval{100};
 /// Connections to one worker: one for the hold, the others for orders.
 constexpr long worker_connections = 4;
 /// Balancers need this long to notice that a node takes no more calls.
@@ -79,6 +81,7 @@
             after(delay, std::move(action));
         };
         m_agent = cluster_agent::create(make_agent_options(), make_agent_ports());
+        m_carrier = order_carrier::create({}, make_relay_ports());
     }
 
     implementation(const implementation&) = delete;
@@ -170,6 +173,9 @@
             },
             [this](const std::string& peer, bool open) {
                 m_agent->link_changed(peer, open);
+                if (m_relay && !open) {
+                    m_relay->link_lost(peer);
+                }
                 if (open && peer == m_agent->reachable_owner()) {
                     m_router.owner_changed(now());
                 }
@@ -217,8 +223,23 @@
         return ports;
     }
 
+    relay_ports make_relay_ports()
+    {
+        relay_ports ports;
+        ports.m_loop = m_loop_port;
+        ports.m_direct = m_platform.m_workers(*m_worker_client);
+        ports.m_send = [this](const std::string& peer, const node_message& message) {
+            return m_mesh->send(peer, encode_node_message(message));
+        };
+        ports.m_log_event = [](std::string_view event, std::string detail) {
+            log_event(log_level::info, event, {{"detail", std::move(detail)}});
+        };
+        return ports;
+    }
+
     void begin_ownership(const ownership_claim& claim)
     {
+        m_relay = order_relay::create({}, make_relay_ports());
         owner_options options;
         options.m_epoch = claim.m_epoch;
         options.m_predecessor_left = claim.m_after_release;
@@ -232,7 +253,7 @@
         owner_ports ports;
         ports.m_loop = m_loop_port;
         ports.m_log = m_log;
-        ports.m_workers = m_platform.m_workers(*m_worker_client);
+        ports.m_workers = m_relay->port();
         ports.m_vms = m_platform.m_vms(*m_vm_client, m_settings);
         ports.m_wire = m_platform.m_wire;
         ports.m_answer = [this](std::uint64_t token, const call_answer& answer) {
@@ -278,7 +299,8 @@
         m_agent->set_failing(milliseconds{0});
         // The owner may be on the call stack: it is destroyed by the loop.
         std::shared_ptr<fleet_owner> over{std::move(m_owner)};
-        after(milliseconds{0}, [over] {});
+        std::shared_ptr<order_relay> relay{std::move(m_relay)};
+        after(milliseconds{0}, [over, relay] {});
         const auto tokens = std::move(m_tokens);
         m_tokens.clear();
         for (const auto& [token, origin] : tokens) {
@@ -354,6 +376,16 @@
             m_router.answered(answer->m_number, answer->m_answer, now());
             return true;
         }
+        if (const auto* orders = std::get_if<relayed_orders>(&*message)) {
+            m_carrier->take_orders(from, *orders);
+            return true;
+        }
+        if (const auto* answers = std::get_if<relayed_answers>(&*message)) {
+            if (m_relay) {
+                m_relay->take_answers(from, *answers);
+            }
+            return true;
+        }
         return m_agent->receive(from, *message);
     }
 
@@ -387,6 +419,7 @@
     void tick()
     {
         if (m_owner) {
+            choose_relays();
             m_owner->tick();
         }
         if (m_owner) {
@@ -406,6 +439,17 @@
         });
     }
 
+    void choose_relays()
+    {
+        if (remaining(m_relays_chosen_at, now()) >= relay_choice_interval) {
+            m_relays_chosen_at = now();
+            const auto* scheduler = m_owner->scheduler();
+            m_relay->set_fleet(m_agent->linked_nodes(), m_settings.m_cpu_millis,
+                               scheduler == nullptr ? 0 : scheduler->state().m_workers.size());
+        }
+        m_relay->tick();
+    }
+
     bool may_exit() const
     {
         const auto stopping_for = remaining(*m_stopping_since, now());
@@ -450,6 +494,9 @@
     decision_log m_decisions;
     time_point m_won_at;
     std::unique_ptr<cluster_agent> m_agent;
+    std::unique_ptr<order_carrier> m_carrier;
+    std::unique_ptr<order_relay> m_relay;
+    time_point m_relays_chosen_at;
     std::unique_ptr<fleet_owner> m_owner;
     std::unique_ptr<peer_mesh> m_mesh;
     std::unique_ptr<http_server> m_ready_server;
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -249,6 +249,17 @@
     return linked && m_election.hears_owner(m_ports.m_loop.m_now().m_at) ? owner : std::string{};
 }
 
+std::vector<node_record> cluster_agent::linked_nodes() const
+{
+    std::vector<node_record> linked;
+    for (const auto& [name, node] : m_nodes) {
+        if (m_open_links.count(node.m_incarnation) != 0) {
+            linked.push_back(node);
+        }
+    }
+    return linked;
+}
+
 void cluster_agent::claim()
 {
     m_ports.m_log_event("claiming", fmt::format("after epoch {}", m_election.claim().m_epoch));
@@ -412,8 +423,11 @@
     return std::visit(
         [this, &from](const auto& each) {
             using type = std::decay_t<decltype(each)>;
-            if constexpr (std::is_same_v<type, forwarded_job_call> ||
-                          std::is_same_v<type, forwarded_job_answer>) {
+            constexpr bool for_others = std::is_same_v<type, forwarded_job_call> ||
+                                        std::is_same_v<type, forwarded_job_answer> ||
+                                        std::is_same_v<type, relayed_orders> ||
+                                        std::is_same_v<type, relayed_answers>;
+            if constexpr (for_others) {
                 return false;
             }
             else {
--- /dev/null
+++ b/test/node/order_relay_test.cpp
@@ -0,0 +1,339 @@
+#include "peridotrudder/node/order_relay.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+namespace peridotrudder {
+
+namespace {
+
+constexpr std::uint32_t own_cpu = 500;
+constexpr std::size_t large_fleet = 349;
+constexpr std::size_t small_fleet = 49;
+
+worker_report worker_named(const std::string& id)
+{
+    worker_report worker;
+    worker.m_life = {id, 17};
+    worker.m_address = "10.0.0.1";
+    worker.m_port = 8621;
+    return worker;
+}
+
+start_order start_of(std::uint32_t index)
+{
+    start_order order;
+    order.m_key = {"00000000000000aa", {0, 1, index}};
+    order.m_run = 3;
+    order.m_payload = "payload";
+    order.m_deadline_ms = 4'000;
+    order.m_fence = 9;
+    return order;
+}
+
+/// A loop, links and workers that the test turns by hand.
+struct relay_fixture {
+    moment m_now{time_point{milliseconds{1'000'000}}, 1'000'000};
+    std::multimap<time_point, std::function<void()>> m_due;
+    std::vector<std::pair<std::string, node_message>> m_sent;
+    std::set<std::string> m_broken_links;
+    std::vector<std::string> m_direct;
+    std::vector<std::string> m_events;
+    order_answer m_worker_answer{order_result::accepted, 77};
+
+    relay_ports ports()
+    {
+        relay_ports ports;
+        ports.m_loop.m_now = [this] { return m_now; };
+        ports.m_loop.m_after = [this](milliseconds delay, std::function<void()> action) {
+            m_due.emplace(m_now.m_at + delay, std::move(action));
+        };
+        const auto note = [this](std::string_view kind, const worker_report& to) {
+            m_direct.push_back(
+                fmt::format("{} {} {}:{}", kind, to.m_life.m_worker, to.m_address, to.m_port));
+        };
+        ports.m_direct.m_start = [this, note](const worker_report& to, const start_order&,
+                                              const worker_port::callback<order_answer>& done) {
+            note("start", to);
+            done(m_worker_answer);
+        };
+        ports.m_direct.m_stop = [this, note](const worker_report& to, const stop_order&,
+                                             const worker_port::callback<order_answer>& done) {
+            note("stop", to);
+            done(m_worker_answer);
+        };
+        ports.m_direct.m_pace = [this, note](const worker_report& to, const pace_order&,
+                                             const worker_port::callback<order_answer>& done) {
+            note("pace", to);
+            done(m_worker_answer);
+        };
+        ports.m_direct.m_hold = [note](const worker_report& to, const hold_order&,
+                                       const worker_port::callback<hold_answer>& done) {
+            note("hold", to);
+            hold_answer answer;
+            answer.m_result = order_result::accepted;
+            answer.m_clock_ms = 78;
+            done(answer);
+        };
+        ports.m_send = [this](const std::string& peer, const node_message& message) {
+            if (m_broken_links.count(peer) != 0) {
+                return false;
+            }
+            // Over the link and back, as the other node would read it.
+            const auto read = decode_node_message(encode_node_message(message));
+            CPPUNIT_ASSERT_MESSAGE("the message can be read", read.has_value());
+            m_sent.emplace_back(peer, *read);
+            return true;
+        };
+        ports.m_log_event = [this](std::string_view event, const std::string&) {
+            m_events.emplace_back(event);
+        };
+        return ports;
+    }
+
+    void pass(milliseconds time)
+    {
+        m_now.m_at += time;
+        m_now.m_unix_ms += time.count();
+        while (!m_due.empty() && m_due.begin()->first <= m_now.m_at) {
+            const auto action = std::move(m_due.begin()->second);
+            m_due.erase(m_due.begin());
+            action();
+        }
+    }
+
+    static std::vector<node_record> nodes(int strong, int weak)
+    {
+        std::vector<node_record> made;
+        for (int index = 0; index < strong + weak; ++index) {
+            node_record node;
+            node.m_name = fmt::format("node-{}", index);
+            node.m_incarnation = fmt::format("node-{}-i", index);
+            node.m_cpu_millis = index < strong ? own_cpu : 120;
+            made.push_back(node);
+        }
+        return made;
+    }
+};
+
+} // namespace
+
+class order_relay_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(order_relay_test);
+    CPPUNIT_TEST(speaks_to_workers_itself_while_the_fleet_is_small);
+    CPPUNIT_TEST(hands_the_orders_of_a_large_fleet_to_few_strong_nodes);
+    CPPUNIT_TEST(gathers_orders_and_returns_their_answers);
+    CPPUNIT_TEST(sends_all_orders_to_a_worker_through_one_relay);
+    CPPUNIT_TEST(takes_what_a_lost_relay_may_have_sent_as_unanswered);
+    CPPUNIT_TEST(gives_up_on_a_relay_that_says_nothing_and_rests_it);
+    CPPUNIT_TEST(waits_for_a_hold_as_long_as_the_worker_may);
+    CPPUNIT_TEST(ignores_answers_of_a_relay_that_was_given_up);
+    CPPUNIT_TEST(a_relay_sends_every_kind_of_order_and_returns_the_answers_together);
+    CPPUNIT_TEST_SUITE_END();
+
+    relay_fixture m_world;
+
+    std::unique_ptr<order_relay> make_relay(std::size_t workers)
+    {
+        auto made = order_relay::create({}, m_world.ports());
+        made->set_fleet(relay_fixture::nodes(6, 3), own_cpu, workers);
+        return made;
+    }
+
+    /// Answers every order of the messages that were sent to a peer so far.
+    void answer_all(order_relay& relay, const std::string& from, const order_answer& with)
+    {
+        const auto sent = m_world.m_sent;
+        for (const auto& [peer, message] : sent) {
+            const auto* orders = std::get_if<relayed_orders>(&message);
+            if (peer != from || orders == nullptr) {
+                continue;
+            }
+            relayed_answers answers;
+            for (const auto& each : orders->m_orders) {
+                answers.m_answers.push_back({each.m_number, with, std::nullopt});
+            }
+            relay.take_answers(from, answers);
+        }
+    }
+
+public:
+    void speaks_to_workers_itself_while_the_fleet_is_small()
+    {
+        const auto relay = make_relay(small_fleet);
+
+        relay->port().m_start(worker_named("w-1"), start_of(0), [](const order_answer&) {});
+        m_world.pass(milliseconds{50});
+
+        CPPUNIT_ASSERT(relay->relays().empty());
+        CPPUNIT_ASSERT_EQUAL(std::string{"start w-1 10.0.0.1:8621"}, m_world.m_direct.at(0));
+        CPPUNIT_ASSERT(m_world.m_sent.empty());
+    }
+
+    void hands_the_orders_of_a_large_fleet_to_few_strong_nodes()
+    {
+        const auto relay = make_relay(large_fleet);
+
+        CPPUNIT_ASSERT_EQUAL(relay_options{}.m_most_relays, relay->relays().size());
+        for (const auto& each : relay->relays()) {
+            CPPUNIT_ASSERT_MESSAGE(each + " is one of the strong nodes", each < "node-6");
+        }
+    }
+
+    void gathers_orders_and_returns_their_answers()
+    {
+        const auto relay = make_relay(large_fleet);
+        auto port = relay->port();
+        int accepted = 0;
+        for (std::uint32_t index = 0; index < 5; ++index) {
+            port.m_start(worker_named("w-1"), start_of(index), [&](const order_answer& answer) {
+                accepted += answer.m_result == order_result::accepted && answer.m_clock_ms == 5;
+            });
+        }
+        CPPUNIT_ASSERT(m_world.m_sent.empty());
+
+        m_world.pass(relay_options{}.m_gather_time);
+
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_world.m_sent.size());
+        const auto& orders = std::get<relayed_orders>(m_world.m_sent[0].second).m_orders;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, orders.size());
+        CPPUNIT_ASSERT(orders[4].m_start->m_key == start_of(4).m_key);
+        CPPUNIT_ASSERT_EQUAL(std::string{"payload"}, orders[4].m_start->m_payload);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{4'000}, orders[4].m_start->m_deadline_ms);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{17}, orders[4].m_life.m_born_ms);
+        answer_all(*relay, m_world.m_sent[0].first, {order_result::accepted, 5});
+        CPPUNIT_ASSERT_EQUAL(5, accepted);
+    }
+
+    void sends_all_orders_to_a_worker_through_one_relay()
+    {
+        const auto relay = make_relay(large_fleet);
+        auto port = relay->port();
+        std::set<std::string> used;
+        for (int worker = 0; worker < 40; ++worker) {
+            const auto to = worker_named(fmt::format("w-{}", worker));
+            m_world.m_sent.clear();
+            port.m_start(to, start_of(0), [](const order_answer&) {});
+            port.m_stop(to, {start_of(0).m_key, 3, 9}, [](const order_answer&) {});
+            port.m_hold(to, {}, [](const hold_answer&) {});
+            m_world.pass(milliseconds{5});
+
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_world.m_sent.size());
+            used.insert(m_world.m_sent[0].first);
+        }
+        CPPUNIT_ASSERT_EQUAL(relay->relays().size(), used.size());
+    }
+
+    void takes_what_a_lost_relay_may_have_sent_as_unanswered()
+    {
+        const auto relay = make_relay(large_fleet);
+        auto port = relay->port();
+        auto start = order_result::accepted;
+        auto hold = order_result::accepted;
+        port.m_start(worker_named("w-1"), start_of(0),
+                     [&](const order_answer& answer) { start = answer.m_result; });
+        port.m_hold(worker_named("w-1"), {},
+                    [&](const hold_answer& answer) { hold = answer.m_result; });
+        m_world.pass(milliseconds{5});
+        const auto lost = m_world.m_sent.at(0).first;
+
+        relay->link_lost(lost);
+
+        CPPUNIT_ASSERT(start == order_result::unanswered);
+        CPPUNIT_ASSERT(hold == order_result::unanswered);
+        CPPUNIT_ASSERT_EQUAL(std::string{"relay_lost"}, m_world.m_events.back());
+    }
+
+    void gives_up_on_a_relay_that_says_nothing_and_rests_it()
+    {
+        const auto relay = make_relay(large_fleet);
+        auto port = relay->port();
+        auto start = order_result::accepted;
+        port.m_start(worker_named("w-1"), start_of(0),
+                     [&](const order_answer& answer) { start = answer.m_result; });
+        m_world.pass(milliseconds{5});
+        const auto silent = m_world.m_sent.at(0).first;
+
+        m_world.pass(relay_options{}.m_answer_time);
+        relay->tick();
+
+        CPPUNIT_ASSERT(start == order_result::unanswered);
+        const auto is_relay = [&] {
+            relay->set_fleet(relay_fixture::nodes(6, 3), own_cpu, large_fleet);
+            const auto& now = relay->relays();
+            return std::find(now.begin(), now.end(), silent) != now.end();
+        };
+        CPPUNIT_ASSERT(!is_relay());
+        m_world.pass(relay_options{}.m_rest_time);
+        CPPUNIT_ASSERT(is_relay());
+    }
+
+    void waits_for_a_hold_as_long_as_the_worker_may()
+    {
+        const auto relay = make_relay(large_fleet);
+        hold_order order;
+        order.m_wait = milliseconds{1'000};
+        bool answered = false;
+        relay->port().m_hold(worker_named("w-1"), order,
+                             [&](const hold_answer&) { answered = true; });
+
+        m_world.pass(relay_options{}.m_answer_time + milliseconds{900});
+        relay->tick();
+        CPPUNIT_ASSERT(!answered);
+        m_world.pass(milliseconds{100});
+        relay->tick();
+        CPPUNIT_ASSERT(answered);
+    }
+
+    void ignores_answers_of_a_relay_that_was_given_up()
+    {
+        const auto relay = make_relay(large_fleet);
+        int answers = 0;
+        relay->port().m_start(worker_named("w-1"), start_of(0),
+                              [&](const order_answer&) { ++answers; });
+        m_world.pass(milliseconds{5});
+        const auto lost = m_world.m_sent.at(0).first;
+        relay->link_lost(lost);
+
+        answer_all(*relay, lost, {order_result::accepted, 5});
+
+        CPPUNIT_ASSERT_EQUAL(1, answers);
+    }
+
+    void a_relay_sends_every_kind_of_order_and_returns_the_answers_together()
+    {
+        const auto carrier = order_carrier::create({}, m_world.ports());
+        relayed_orders message;
+        for (std::uint64_t number = 1; number <= 4; ++number) {
+            relayed_order order;
+            order.m_number = number;
+            order.m_life = {"w-1", 17};
+            order.m_address = "10.0.0.2";
+            order.m_port = 90;
+            message.m_orders.push_back(order);
+        }
+        message.m_orders[0].m_start = start_of(0);
+        message.m_orders[1].m_stop = stop_order{};
+        message.m_orders[2].m_pace = pace_order{};
+        message.m_orders[3].m_hold = hold_order{};
+
+        carrier->take_orders("owner-i", message);
+        m_world.pass(relay_options{}.m_gather_time);
+
+        const std::vector<std::string> expected{"start w-1 10.0.0.2:90", "stop w-1 10.0.0.2:90",
+                                                "pace w-1 10.0.0.2:90", "hold w-1 10.0.0.2:90"};
+        CPPUNIT_ASSERT(expected == m_world.m_direct);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_world.m_sent.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"owner-i"}, m_world.m_sent[0].first);
+        const auto& answers = std::get<relayed_answers>(m_world.m_sent[0].second).m_answers;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, answers.size());
+        CPPUNIT_ASSERT(answers[0].m_order->m_clock_ms == std::int64_t{77});
+        CPPUNIT_ASSERT(!answers[0].m_hold);
+        CPPUNIT_ASSERT(answers[3].m_hold->m_result == order_result::accepted);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, answers[3].m_number);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(order_relay_test);
+
+} // namespace peridotrudder
