Play random faults against the real programs, around a stand-in of the platform

standin-fleet speaks the platform's published protocol: the log with conditions, epochs and long polls, VMs and their moves, workers with fencing, leases and lists of ends, and keeps a ledger of what really ran. soak/ starts it and the nodes as processes, puts a proxy on every link (to the log, between nodes, to workers), and strikes in overlapping series: kill, pause, stop, hang up, all at once, in a roll; links cut one way or both, slow or reset; the log down, slow, without answers, without history; orders lost or late; crashes; configuration. Callers keep their connections. An oracle checks while it runs: no task twice, none over a worker's capacity, none before its steps, none unasked, cancelled or refused; states true; everything accepted ends; no process ends by itself.

Nodes take an advertised address for peers, as behind a proxy.

--- a/include/peridotrudder/node/node_settings.hpp
+++ b/include/peridotrudder/node/node_settings.hpp
@@ -26,6 +26,8 @@
     endpoint m_callers;
     endpoint m_ready;
     endpoint m_peers;
+    /// Where other nodes reach it; differs from `m_peers` behind a proxy.
+    endpoint m_advertised_peers;
     endpoint m_metrics;
     std::string m_cluster_token;
     /// "ADDRESS:PORT" of the platform's log, VM control and placement policy service; the last two
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,160 @@
+"""Callers that hand jobs in, ask for their state and cancel some, over connections they keep."""
+
+import asyncio
+import json
+import time
+
+HOST = "soak.example"
+DEADLINE_S = 3.0
+TRIES = 4
+REFUSED = (429, 503)
+
+
+class Job:
+    """What one caller knows of its job."""
+
+    def __init__(self, job_id, prefix, body):
+        self.id = job_id
+        self.path = prefix + job_id
+        self.body = body
+        self.sent_at = time.time()
+        self.accepted_at = None
+        self.open_tries = 0
+        self.refused_tries = 0
+        self.unknown_tries = 0
+        self.cancel_sent_at = None
+        self.cancelled_at = None
+        self.states = []
+
+    @property
+    def lasts(self):
+        return any(step.get("long-running") for step in self.body["steps"])
+
+    @property
+    def surely_refused(self):
+        return self.refused_tries > 0 and self.unknown_tries + self.open_tries == 0 \
+            and self.accepted_at is None
+
+
+class Connection:
+    """A connection to one node, kept open until it breaks."""
+
+    def __init__(self, port):
+        self._port = port
+        self._reader = self._writer = None
+        self._lock = asyncio.Lock()
+
+    async def call(self, method, path, body=None):
+        """Returns status and body; status None if there was no whole answer in time."""
+        async with self._lock:
+            try:
+                return await asyncio.wait_for(self._call(method, path, body), DEADLINE_S)
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+                self.close()
+                return None, None
+
+    async def _call(self, method, path, body):
+        if self._writer is None:
+            self._reader, self._writer = await asyncio.open_connection("127.0.0.1", self._port)
+        content = json.dumps(body).encode() if body is not None else b""
+        head = (f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nContent-Type: application/json\r\n"
+                f"Deadline-Ms: {int(DEADLINE_S * 1000)}\r\nContent-Length: {len(content)}\r\n\r\n")
+        self._writer.write(head.encode() + content)
+        await self._writer.drain()
+        lines = (await self._reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        headers = dict(line.lower().split(": ", 1) for line in lines[1:] if ": " in line)
+        text = await self._reader.readexactly(int(headers["content-length"]))
+        if headers.get("connection") == "close":
+            self.close()
+        return int(lines[0].split()[1]), json.loads(text)
+
+    def close(self):
+        if self._writer is not None:
+            self._writer.transport.abort()
+        self._reader = self._writer = None
+
+
+class Callers:
+    """All callers of a run. `jobs` is what they know, for the checks."""
+
+    def __init__(self, rng, ports):
+        self._rng = rng
+        self._connections = [Connection(port) for port in ports]
+        self.jobs = {}
+
+    def draw_job(self, lasts):
+        job_id = f"{self._rng.getrandbits(64):016x}"
+        if lasts:
+            step = {"count": self._rng.randint(1, 3), "cpu": 500, "mem-mb": 64, "estimate-ms": 900,
+                    "long-running": True, "max-per-server": 1, "may-miss": 1}
+            return Job(job_id, "/stay/", {"spec": "{}", "steps": [step]})
+        prefix = self._rng.choice(["/quick/", "/deep/"])
+        run_ms = self._rng.choice([40, 150, 400, 900, 2500])
+        spec = {"ms": run_ms, "fails": 1 if self._rng.random() < 0.1 else 0}
+        steps = []
+        for index in range(self._rng.randint(1, 3)):
+            step = {"count": self._rng.randint(1, 6), "cpu": self._rng.choice([500, 2000, 6000]),
+                    "mem-mb": 128, "estimate-ms": run_ms}
+            if index > 0:
+                step["depends-on"] = [index - 1]
+            steps.append(step)
+        return Job(job_id, prefix, {"spec": json.dumps(spec), "steps": steps})
+
+    async def submit(self, lasts=False):
+        job = self.draw_job(lasts)
+        self.jobs[job.id] = job
+        for _ in range(TRIES):
+            job.open_tries += 1
+            status, _ = await self._rng.choice(self._connections).call("POST", job.path, job.body)
+            job.open_tries -= 1
+            if status == 200:
+                job.accepted_at = job.accepted_at or time.time()
+                return job
+            if status in REFUSED:
+                job.refused_tries += 1
+            else:
+                job.unknown_tries += 1
+            await asyncio.sleep(0.3 + self._rng.random())
+        return job
+
+    async def ask(self, job):
+        asked_at = time.time()
+        status, body = await self._rng.choice(self._connections).call("GET", job.path)
+        state = body["state"] if status == 200 else status
+        job.states.append((asked_at, time.time(), state))
+        return state
+
+    async def cancel(self, job):
+        job.cancel_sent_at = job.cancel_sent_at or time.time()
+        for _ in range(TRIES):
+            status, _ = await self._rng.choice(self._connections).call("DELETE", job.path)
+            if status in (200, 410):
+                job.cancelled_at = job.cancelled_at or time.time()
+                return
+            await asyncio.sleep(0.3)
+
+    async def live(self, until, jobs_per_s):
+        """Hands jobs in until the time is over; each caller follows its job."""
+        following = set()
+        while time.time() < until:
+            lasts = self._rng.random() < 0.05
+            task = asyncio.ensure_future(self._follow(lasts, until))
+            following.add(task)
+            task.add_done_callback(following.discard)
+            await asyncio.sleep(self._rng.expovariate(jobs_per_s))
+        await asyncio.gather(*following)
+
+    async def _follow(self, lasts, until):
+        job = await self.submit(lasts)
+        cancels = self._rng.random() < (0.5 if lasts else 0.08)
+        while time.time() < until:
+            await asyncio.sleep(0.2 + self._rng.random() * 1.5)
+            if cancels:
+                await self.cancel(job)
+                cancels = False
+            if await self.ask(job) in ("completed", "failed", "cancelled"):
+                return
+
+    def close(self):
+        for each in self._connections:
+            each.close()
--- /dev/null
+++ b/soak/oracle.py
@@ -0,0 +1,128 @@
+"""Checks the promises from what callers were told and what workers really ran."""
+
+import time
+
+WORKER_CPU = 16_000
+# A cancel is in force after this; orders that workers carry out late take up to 6 s more.
+CANCEL_S = 3.0
+LATE_ORDER_S = 6.5
+VISIBLE_S = 3.0
+ATTEMPTS = 4
+
+
+class Oracle:
+    """Takes the ledger in pieces while the run goes on, and keeps the first broken promises."""
+
+    def __init__(self, jobs):
+        self.jobs = jobs
+        self.events = 0
+        self.starts = 0
+        self.broken = []
+        self._running = {}
+        self._cpu = {}
+        self._done = set()
+        self._noted = {}
+        self._failures = {}
+
+    def fail(self, what):
+        if what not in self.broken:
+            self.broken.append(what)
+
+    def take(self, events):
+        for event in events:
+            self.events += 1
+            if event["what"] == "start":
+                self._take_start(event)
+            elif event["what"] == "noted":
+                self._noted.setdefault(event["task"], event["at_ms"])
+            else:
+                self._take_end(event)
+
+    def _take_start(self, event):
+        self.starts += 1
+        task, worker = event["task"], event["worker"]
+        job_id, _, step, _ = task.split(".")
+        job = self.jobs.get(job_id)
+        if job is None:
+            self.fail(f"UNASKED: {task} was never handed in")
+            return
+        if task in self._running:
+            self.fail(f"TWICE: {task} starts at {worker} while it runs at {self._running[task][0]}")
+        if task in self._noted and not job.lasts:
+            self.fail(f"TWICE: {task} starts after its success was noted")
+        self._check_order(job, task, int(step))
+        at = event["at_ms"] / 1000
+        if job.cancelled_at is not None and at > job.cancelled_at + CANCEL_S + LATE_ORDER_S:
+            self.fail(f"UNASKED: {task} starts {at - job.cancelled_at:.1f} s after its cancel")
+        cpu = job.body["steps"][int(step)]["cpu"]
+        self._running[task] = (worker, event["run"], cpu)
+        self._cpu[worker] = self._cpu.get(worker, 0) + cpu
+        if self._cpu[worker] > WORKER_CPU:
+            self.fail(f"LIMIT: {worker} runs {self._cpu[worker]} with {task}")
+
+    def _check_order(self, job, task, step):
+        for needed in job.body["steps"][step].get("depends-on", []):
+            for index in range(job.body["steps"][needed]["count"]):
+                if f"{job.id}.0.{needed}.{index}" not in self._done:
+                    self.fail(f"ORDER: {task} starts before step {needed} is done")
+
+    def _take_end(self, event):
+        task = event["task"]
+        held = self._running.get(task)
+        if held is not None and held[:2] == (event["worker"], event["run"]):
+            del self._running[task]
+            self._cpu[held[0]] -= held[2]
+        if event["what"] == "done":
+            self._done.add(task)
+        if event["what"] == "failed":
+            self._failures[task] = self._failures.get(task, 0) + 1
+
+    def tasks_of(self, job):
+        for step, spec in enumerate(job.body["steps"]):
+            for index in range(spec["count"]):
+                yield f"{job.id}.0.{step}.{index}"
+
+    def check_callers(self):
+        """Checks what callers were told against what has run so far."""
+        begun = {task.split(".")[0] for task in (*self._done, *self._running)}
+        for job in self.jobs.values():
+            if job.surely_refused and job.id in begun:
+                self.fail(f"REFUSED: {job.id} runs though every try was refused")
+            self._check_states(job)
+
+    def _check_states(self, job):
+        ended = None
+        for asked_at, answered_at, state in job.states:
+            if state == "completed" and not all(t in self._done for t in self.tasks_of(job)):
+                self.fail(f"MIXED: {job.id} is shown as completed, and is not")
+            if state == "failed" and max(
+                    (self._failures.get(t, 0) for t in self.tasks_of(job)), default=0) < ATTEMPTS:
+                self.fail(f"LOST: {job.id} is shown as failed without cause")
+            if state == "cancelled" and job.cancel_sent_at is None:
+                self.fail(f"LOST: {job.id} is shown as cancelled, and nobody did")
+            if state == 410 and job.accepted_at is not None and \
+                    asked_at > job.accepted_at + VISIBLE_S and job.cancel_sent_at is None:
+                self.fail(f"LOST: {job.id} is not known {asked_at - job.accepted_at:.1f} s after")
+            if ended is not None and state in ("queued", "running") and asked_at > ended[1]:
+                self.fail(f"MIXED: {job.id} goes back from {ended[0]} to {state}")
+            if state in ("completed", "failed", "cancelled"):
+                ended = (state, answered_at)
+
+    def unfinished(self):
+        """Returns the accepted jobs that are owed something yet."""
+        owed = []
+        for job in self.jobs.values():
+            if job.accepted_at is None or job.cancel_sent_at is not None:
+                continue
+            if job.lasts:
+                if not all(task in self._running for task in self.tasks_of(job)):
+                    owed.append(job)
+            elif not job.states or job.states[-1][2] not in ("completed", "failed"):
+                owed.append(job)
+        return owed
+
+    def still_running_cancelled(self):
+        now = time.time()
+        return [task for task in self._running
+                if (job := self.jobs[task.split(".")[0]]).cancelled_at is not None
+                and now - job.cancelled_at > CANCEL_S + LATE_ORDER_S]
--- /dev/null
+++ b/soak/system.py
@@ -0,0 +1,113 @@
+"""One whole system on this machine: nodes, the stand-in of the platform, and links between them."""
+
+import asyncio
+import signal
+
+from callers import Connection
+from processes import NODE_SETTINGS, Process
+from proxy import Link
+
+POOLS = ("quick", "deep")
+VMS_PER_POOL = 4
+RESTART_S = 0.3
+PORTS_PER_NODE = 10
+
+
+class System:
+    """Ports are drawn from `base_port` upwards, so that several systems fit side by side."""
+
+    def __init__(self, folder, build, base_port, node_count, cores):
+        self._folder = folder
+        self._base = base_port
+        self._version = 0
+        self._restarting = {}
+        vm_count = VMS_PER_POOL * (len(POOLS) + 1)
+        first_worker = base_port + 1
+        shift = vm_count
+        nodes_from = first_worker + 2 * vm_count
+        self.fleet = Process("fleet", [
+            f"{build}/standins/standin-fleet", f"--port={base_port}",
+            f"--vms_per_pool={VMS_PER_POOL}", f"--pools={','.join(POOLS)}",
+            f"--advertised_shift={shift}"], f"{folder}/fleet.log")
+        self.worker_links = [Link(first_worker + shift + vm, first_worker + vm)
+                             for vm in range(vm_count)]
+        self.nodes, self.log_links, self.peer_links, self.caller_ports = [], [], [], []
+        for number in range(node_count):
+            self._add_node(f"node-{number}", nodes_from + PORTS_PER_NODE * number, build, cores)
+
+    def _add_node(self, name, port, build, cores):
+        settings = f"{self._folder}/{name}.ini"
+        with open(settings, "w", encoding="utf-8") as file:
+            file.write(NODE_SETTINGS.format(
+                name=name, callers=port, ready=port + 1, peers=port + 2, advertised=port + 3,
+                metrics=port + 4, log=port + 5, vms=self._base, cores=cores))
+        self.peer_links.append(Link(port + 3, port + 2))
+        self.log_links.append(Link(port + 5, self._base))
+        self.caller_ports.append(port)
+        self.nodes.append(Process(name, [f"{build}/apps/peridot-scheduler", f"--settings={settings}"],
+                                  f"{self._folder}/{name}.log"))
+
+    @property
+    def links(self):
+        return self.log_links + self.peer_links + self.worker_links
+
+    async def start(self):
+        self.fleet.start()
+        for link in self.links:
+            await link.start()
+        self._switches = Connection(self._base)
+        while (await self._switches.call("GET", "/ledger?from=0"))[0] != 200:
+            await asyncio.sleep(0.1)
+        await self.configure()
+        for node in self.nodes:
+            node.start()
+
+    async def switch(self, path, body=None):
+        return await self._switches.call("POST", path, body if body is not None else {})
+
+    async def configure(self):
+        """Declares the next version, which changes a time-out only."""
+        self._version += 7
+        routes = [{"name": name, "host": "soak.example", "path-prefix": f"/{name}/",
+                   "kind": "unsafe", "timeout-ms": 3000 + self._version, "attempts": 4,
+                   "target-duration-ms": 600, "stretch": 1.6, "priority": 0,
+                   "service": "quick" if name == "stay" else name}
+                  for name in (*POOLS, "stay")]
+        services = [{"name": name, "spare": name == "spare"} for name in (*POOLS, "spare")]
+        await self.switch("/operator?key=config", {
+            "version": self._version, "routes": routes, "services": services, "limits": {}})
+
+    async def ledger(self, first):
+        status, events = await self._switches.call("GET", f"/ledger?from={first}")
+        return events if status == 200 else []
+
+    def restart_ended(self, now):
+        """Starts ended nodes again after a pause. Returns ends that nobody asked for."""
+        faults = []
+        for node in self.nodes:
+            if node.runs:
+                continue
+            if node.name not in self._restarting:
+                code = node.take_end()
+                if code is not None:
+                    faults.append(f"EXIT: {node.name} ended by itself with code {code}")
+                self._restarting[node.name] = now + RESTART_S
+            elif now >= self._restarting[node.name]:
+                del self._restarting[node.name]
+                node.start()
+        return faults
+
+    async def heal(self):
+        for link in self.links:
+            link.heal()
+        await self.switch("/faults")
+        for node in self.nodes:
+            if node.paused:
+                node.send(signal.SIGCONT)
+
+    async def stop(self):
+        for node in self.nodes:
+            node.end()
+        self.fleet.end()
+        for link in self.links:
+            await link.stop()
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -189,8 +189,8 @@
         agent_options options;
         options.m_self = {m_settings.m_name,
                           m_self,
-                          m_settings.m_peers.m_address,
-                          m_settings.m_peers.m_port,
+                          m_settings.m_advertised_peers.m_address,
+                          m_settings.m_advertised_peers.m_port,
                           read_clocks().m_unix_ms,
                           m_settings.m_cpu_millis};
         options.m_election.m_self = m_self;
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -70,6 +70,9 @@
     settings.m_callers = read_endpoint(reader, "listen", "callers");
     settings.m_ready = read_endpoint(reader, "listen", "ready");
     settings.m_peers = read_endpoint(reader, "listen", "peers");
+    settings.m_advertised_peers = reader.optional_text("listen", "advertised_peers").empty()
+                                      ? settings.m_peers
+                                      : read_endpoint(reader, "listen", "advertised_peers");
     settings.m_metrics = read_endpoint(reader, "listen", "metrics");
     settings.m_log = reader.text("platform", "log");
     settings.m_vm_control = reader.optional_text("platform", "vm_control");
--- /dev/null
+++ b/standins/fleet/fleet_main.cpp
@@ -0,0 +1,308 @@
+/// @file
+/// `standin-fleet`: stands in for the users' platform around `peridot-scheduler`: the log, the VMs
+/// and their workers, with fault switches, and a ledger of what workers really ran. Keeps
+/// everything in memory. Not for production.
+
+#include "standins/fleet/vm_pools.hpp"
+
+#include "peridotrudder/links/http_server.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <chrono>
+#include <csignal>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+DEFINE_string(address, "127.0.0.1", "IP number to listen on");
+DEFINE_uint32(port, 7200, "Port of the log, the VM list and the switches; workers follow it");
+DEFINE_uint32(advertised_shift, 0,
+              "Added to workers' ports where they list themselves, for a proxy");
+DEFINE_uint32(vms_per_pool, 4, "VMs in each pool at the start");
+DEFINE_string(pools, "quick,deep", "Pools, separated by commas");
+DEFINE_string(spare_pool, "spare", "Pool whose VMs are off");
+DEFINE_uint32(seed, 1, "Seed of the faults' choices");
+
+namespace {
+
+using namespace standins;
+using nlohmann::json;
+using peridotrudder::http_request;
+using peridotrudder::http_responder;
+using peridotrudder::http_response;
+using peridotrudder::json_response;
+using peridotrudder::milliseconds;
+
+constexpr milliseconds tick_interval{10};
+constexpr std::uint32_t ok = 200;
+constexpr std::uint32_t unavailable = 503;
+
+std::int64_t unix_ms()
+{
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+/// Faults that a test switches on with POST /faults; shares are hundredths.
+struct fleet_faults {
+    bool m_log_down{false};
+    /// Each call of the log takes so long.
+    std::int64_t m_log_delay_ms{0};
+    /// Appends are done and not answered.
+    std::uint32_t m_log_lost{0};
+    /// Orders to workers are done and not answered.
+    std::uint32_t m_orders_lost{0};
+    /// Orders to workers are not answered, and done seconds later.
+    std::uint32_t m_orders_late{0};
+};
+
+class fleet {
+public:
+    explicit fleet(asio::io_context& loop)
+        : m_loop{loop},
+          m_timer{loop},
+          m_random{FLAGS_seed},
+          m_pools{make_options(), m_log, [this](const worker_event& event) { note(event); }}
+    {
+        tick();
+    }
+
+    bool listen()
+    {
+        if (!serve(static_cast<std::uint16_t>(FLAGS_port),
+                   [this](const http_request& request, http_responder respond) {
+                       answer(request, std::move(respond));
+                   })) {
+            return false;
+        }
+        for (auto& [id, vm] : m_pools.vms()) {
+            const bool listens = serve(
+                vm.m_port, [this, id = id](const http_request& request, http_responder respond) {
+                    take_order(m_pools.vms().at(id), request, std::move(respond));
+                });
+            if (!listens) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+private:
+    static vm_pools_options make_options()
+    {
+        vm_pools_options options;
+        options.m_address = FLAGS_address;
+        options.m_first_port = static_cast<std::uint16_t>(FLAGS_port + 1);
+        options.m_advertised_shift = static_cast<std::uint16_t>(FLAGS_advertised_shift);
+        options.m_vms_per_pool = FLAGS_vms_per_pool;
+        options.m_spare_pool = FLAGS_spare_pool;
+        std::istringstream names{FLAGS_pools};
+        for (std::string name; std::getline(names, name, ',');) {
+            options.m_pools.push_back(name);
+        }
+        return options;
+    }
+
+    bool serve(std::uint16_t port, peridotrudder::http_handler handler)
+    {
+        peridotrudder::http_server_options options;
+        options.m_address = FLAGS_address;
+        options.m_port = port;
+        auto made = peridotrudder::http_server::create_on(m_loop, options, std::move(handler));
+        if (!made) {
+            std::cerr << "cannot listen on port " << port << ": " << made.error().m_reason << '\n';
+            return false;
+        }
+        m_servers.push_back(std::move(*made));
+        return true;
+    }
+
+    void tick()
+    {
+        const auto now = unix_ms();
+        m_log.expire_waits(now);
+        m_pools.tick(now);
+        m_timer.expires_after(tick_interval);
+        m_timer.async_wait([this](const asio::error_code& error) {
+            if (!error) {
+                tick();
+            }
+        });
+    }
+
+    void later(std::int64_t delay_ms, std::function<void()> action)
+    {
+        auto timer = std::make_shared<asio::steady_timer>(m_loop, milliseconds{delay_ms});
+        timer->async_wait([timer, action = std::move(action)](const asio::error_code& error) {
+            if (!error) {
+                action();
+            }
+        });
+    }
+
+    bool chance(std::uint32_t hundredths) { return m_random() % 100 < hundredths; }
+
+    void note(const worker_event& event)
+    {
+        m_ledger.push_back(json{
+            {"at_ms", event.m_at_ms},
+            {"what", event.m_what},
+            {"task", event.m_task},
+            {"run", event.m_run},
+            {"worker", event.m_worker},
+            {"born",
+             event.m_born_ms}}.dump());
+    }
+
+    void answer(const http_request& request, http_responder respond)
+    {
+        if (request.m_path.rfind("/-/log-", 0) == 0) {
+            answer_log(request, std::move(respond));
+        }
+        else if (request.m_path.rfind("/-/machine", 0) == 0) {
+            respond(m_pools.answer(request, unix_ms()));
+        }
+        else {
+            respond(answer_switch(request));
+        }
+    }
+
+    void answer_log(const http_request& request, http_responder respond)
+    {
+        if (m_faults.m_log_down) {
+            respond(json_response(unavailable, "{}"));
+            return;
+        }
+        const bool lost = request.m_path == "/-/log-append" && chance(m_faults.m_log_lost);
+        auto answered = lost ? [](const http_response&) {} : std::move(respond);
+        if (m_faults.m_log_delay_ms == 0) {
+            m_log.answer(request, unix_ms(), std::move(answered));
+            return;
+        }
+        later(m_faults.m_log_delay_ms, [this, request, answered = std::move(answered)]() mutable {
+            m_log.answer(request, unix_ms(), std::move(answered));
+        });
+    }
+
+    void take_order(stand_in_vm& vm, const http_request& request, http_responder respond)
+    {
+        constexpr std::uint32_t misdirected = 421;
+        if (!vm.m_worker) {
+            // As dark as a VM without power: no answer.
+            return;
+        }
+        const auto expected = peridotrudder::find_header(request.m_headers, "Expect-Instance");
+        if (expected != vm.m_worker->id()) {
+            respond(json_response(misdirected, "{}"));
+            return;
+        }
+        const bool late = chance(m_faults.m_orders_late);
+        const bool lost = late || chance(m_faults.m_orders_lost);
+        auto answered = lost ? [](const http_response&) {} : std::move(respond);
+        if (!late) {
+            vm.m_worker->answer(request, unix_ms(), std::move(answered));
+            return;
+        }
+        constexpr std::int64_t least_late_ms = 2'000;
+        constexpr std::int64_t spread_ms = 4'000;
+        const auto delay =
+            least_late_ms + static_cast<std::int64_t>(m_random() % std::uint64_t{spread_ms});
+        later(delay, [&vm, request, life = vm.m_worker->id()] {
+            if (vm.m_worker && vm.m_worker->id() == life) {
+                vm.m_worker->answer(request, unix_ms(), [](const http_response&) {});
+            }
+        });
+    }
+
+    /// Switches for tests: operators' records, faults, crashes, and the ledger.
+    http_response answer_switch(const http_request& request)
+    {
+        constexpr std::uint32_t not_found = 404;
+        const auto query = parse_query(request.m_query);
+        const auto value = [&query](const char* name) {
+            const auto found = query.find(name);
+            return found == query.end() ? std::string{} : found->second;
+        };
+        if (request.m_path == "/operator") {
+            m_log.put("keyed.op", value("key"), request.m_body);
+            return json_response(ok, "{}");
+        }
+        if (request.m_path == "/status") {
+            return json_response(ok, m_log.newest("keyed.status", value("key")));
+        }
+        if (request.m_path == "/faults") {
+            return set_faults(request.m_body);
+        }
+        if (request.m_path == "/forget") {
+            m_log.forget_history();
+            return json_response(ok, "{}");
+        }
+        if (request.m_path == "/crash") {
+            auto& vms = m_pools.vms();
+            auto vm = std::next(vms.begin(), static_cast<std::ptrdiff_t>(m_random() % vms.size()));
+            constexpr std::int64_t down_ms = 3'000;
+            m_pools.crash(vm->second, unix_ms(), down_ms);
+            return json_response(ok, json{{"vm", vm->first}}.dump());
+        }
+        if (request.m_path == "/ledger") {
+            return ledger(static_cast<std::size_t>(std::atoll(value("from").c_str())));
+        }
+        return json_response(not_found, "{}");
+    }
+
+    http_response set_faults(const std::string& body)
+    {
+        const auto wanted = json::parse(body, nullptr, false);
+        if (!wanted.is_object()) {
+            constexpr std::uint32_t bad_request = 400;
+            return json_response(bad_request, "{}");
+        }
+        m_faults.m_log_down = wanted.value("log_down", false);
+        m_faults.m_log_delay_ms = wanted.value("log_delay_ms", std::int64_t{0});
+        m_faults.m_log_lost = wanted.value("log_lost", 0U);
+        m_faults.m_orders_lost = wanted.value("orders_lost", 0U);
+        m_faults.m_orders_late = wanted.value("orders_late", 0U);
+        return json_response(ok, "{}");
+    }
+
+    http_response ledger(std::size_t from) const
+    {
+        std::string lines = "[";
+        for (auto index = from; index < m_ledger.size(); ++index) {
+            lines += (index == from ? "" : ",") + m_ledger[index];
+        }
+        return json_response(ok, lines + "]");
+    }
+
+    asio::io_context& m_loop;
+    asio::steady_timer m_timer;
+    std::mt19937_64 m_random;
+    log_store m_log;
+    fleet_faults m_faults;
+    std::vector<std::string> m_ledger;
+    vm_pools m_pools;
+    std::vector<std::unique_ptr<peridotrudder::http_server>> m_servers;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("Stands in for the platform around the scheduler, for tests.");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    asio::io_context loop{1};
+    fleet standing{loop};
+    if (!standing.listen()) {
+        return 1;
+    }
+    asio::signal_set signals{loop, SIGTERM, SIGINT};
+    signals.async_wait([&loop](const asio::error_code&, int) { loop.stop(); });
+    loop.run();
+    return 0;
+}
--- /dev/null
+++ b/standins/fleet/vm_pools.cpp
@@ -0,0 +1,164 @@
+#include "standins/fleet/vm_pools.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace standins {
+
+using nlohmann::json;
+using peridotrudder::http_request;
+using peridotrudder::http_response;
+using peridotrudder::json_response;
+
+namespace {
+
+constexpr std::uint32_t ok = 200;
+constexpr std::uint32_t bad_request = 400;
+constexpr std::uint32_t conflict = 409;
+constexpr std::int64_t move_ms = 1'500;
+constexpr std::int64_t upkeep_ms = 2'000;
+constexpr std::int64_t report_interval_ms = 1'500;
+constexpr std::uint32_t vms_per_rack = 4;
+constexpr const char* worker_topic = "keyed.servers";
+
+json capacity()
+{
+    constexpr int cpu_millis = 16'000;
+    constexpr int memory_mb = 32'768;
+    return {{"cpu", cpu_millis}, {"mem-mb", memory_mb}, {"gpu", 0}};
+}
+
+} // namespace
+
+vm_pools::vm_pools(vm_pools_options options, log_store& log, event_sink sink)
+    : m_options{std::move(options)},
+      m_log{log},
+      m_sink{std::move(sink)}
+{
+    auto pools = m_options.m_pools;
+    pools.push_back(m_options.m_spare_pool);
+    std::uint32_t number = 0;
+    for (const auto& pool : pools) {
+        for (std::uint32_t index = 0; index < m_options.m_vms_per_pool; ++index) {
+            stand_in_vm vm;
+            vm.m_id = fmt::format("m-{:04}", number);
+            vm.m_pool = pool;
+            vm.m_rack = fmt::format("r{}", number / vms_per_rack);
+            vm.m_address = m_options.m_address;
+            vm.m_port = static_cast<std::uint16_t>(m_options.m_first_port + number);
+            ++number;
+            m_vms.emplace(vm.m_id, std::move(vm));
+        }
+    }
+}
+
+http_response vm_pools::answer(const http_request& request, std::int64_t now_ms)
+{
+    if (request.m_path == "/-/machines") {
+        return json_response(ok, list());
+    }
+    const auto body = json::parse(request.m_body, nullptr, false);
+    const auto found =
+        body.is_object() ? m_vms.find(body.value("machine", std::string{})) : m_vms.end();
+    if (found == m_vms.end()) {
+        return json_response(bad_request, "{}");
+    }
+    auto& vm = found->second;
+    const bool moves = request.m_path == "/-/machine-move";
+    const auto pool = body.value("pool", std::string{});
+    if (moves && vm.m_pool == pool) {
+        return json_response(ok, "{}");
+    }
+    if (vm.m_state != "up") {
+        return json_response(conflict, R"({"reason":"busy"})");
+    }
+    if (moves) {
+        vm.m_pool = pool;
+        end_life(vm, "moving", now_ms, move_ms);
+    }
+    else {
+        end_life(vm, "upkeep", now_ms, upkeep_ms);
+    }
+    return json_response(ok, "{}");
+}
+
+std::string vm_pools::list() const
+{
+    auto machines = json::array();
+    for (const auto& [id, vm] : m_vms) {
+        machines.push_back({{"machine", id},
+                            {"pool", vm.m_pool},
+                            {"state", vm.m_state},
+                            {"zone", "one"},
+                            {"labels", {"a", vm.m_rack}},
+                            {"capacity", capacity()},
+                            {"id", vm.m_worker ? vm.m_worker->id() : std::string{}}});
+    }
+    return json{{"machines", std::move(machines)}, {"next-token", nullptr}}.dump();
+}
+
+void vm_pools::begin_life(stand_in_vm& vm, std::int64_t now_ms)
+{
+    vm.m_worker = std::make_unique<task_worker>(
+        task_worker::create(fmt::format("i-{:06}", ++m_lives), now_ms, m_sink));
+    vm.m_draining = false;
+    report(vm, now_ms);
+}
+
+void vm_pools::end_life(stand_in_vm& vm, const std::string& state, std::int64_t now_ms,
+                        std::int64_t away_ms)
+{
+    vm.m_state = state;
+    vm.m_back_at_ms = now_ms + away_ms;
+    if (vm.m_worker) {
+        vm.m_worker->end_life(now_ms);
+        m_log.put(worker_topic, vm.m_worker->id(), std::nullopt);
+        vm.m_worker.reset();
+    }
+}
+
+void vm_pools::crash(stand_in_vm& vm, std::int64_t now_ms, std::int64_t down_ms)
+{
+    end_life(vm, "down", now_ms, down_ms);
+}
+
+void vm_pools::report(stand_in_vm& vm, std::int64_t now_ms)
+{
+    vm.m_reported_at_ms = now_ms;
+    m_log.put(worker_topic, vm.m_worker->id(),
+              json{{"service", vm.m_pool},
+                   {"address",
+                    fmt::format("{}:{}", vm.m_address, vm.m_port + m_options.m_advertised_shift)},
+                   {"zone", "one"},
+                   {"version", "v1"},
+                   {"slots", 8},
+                   {"state", vm.m_draining ? "draining" : "ready"},
+                   {"cold-left-ms", 0},
+                   {"capacity", capacity()},
+                   {"labels", {"a", vm.m_rack}},
+                   {"born", vm.m_worker->born_ms()},
+                   {"sequence", ++vm.m_reports}}
+                  .dump());
+}
+
+void vm_pools::tick(std::int64_t now_ms)
+{
+    for (auto& [id, vm] : m_vms) {
+        if (vm.m_state != "up" && now_ms >= vm.m_back_at_ms) {
+            vm.m_state = "up";
+        }
+        if (vm.m_state == "up" && !vm.m_worker && vm.m_pool != m_options.m_spare_pool) {
+            begin_life(vm, now_ms);
+        }
+        if (!vm.m_worker) {
+            continue;
+        }
+        vm.m_worker->tick(now_ms);
+        if (now_ms - vm.m_reported_at_ms >= report_interval_ms) {
+            report(vm, now_ms);
+        }
+    }
+}
+
+} // namespace standins
--- /dev/null
+++ b/standins/fleet/vm_pools.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+/// @file
+/// The platform's VMs: their pools, moves and maintenance, and the workers that live on them.
+
+#include "standins/fleet/log_store.hpp"
+#include "standins/fleet/task_worker.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace standins {
+
+/// A VM, and the worker that lives on it now.
+struct stand_in_vm {
+    std::string m_id;
+    std::string m_pool;
+    std::string m_rack;
+    /// Where its workers listen.
+    std::string m_address;
+    std::uint16_t m_port{0};
+    /// "up", "moving", "upkeep" or "down".
+    std::string m_state{"up"};
+    /// When the VM is up again; zero while it is.
+    std::int64_t m_back_at_ms{0};
+    /// Absent while the VM is not up, and in the spare pool.
+    std::unique_ptr<task_worker> m_worker;
+    std::uint64_t m_reports{0};
+    std::int64_t m_reported_at_ms{0};
+    bool m_draining{false};
+};
+
+struct vm_pools_options {
+    std::string m_address{"127.0.0.1"};
+    /// Port of the first VM's worker; the others follow.
+    std::uint16_t m_first_port{0};
+    /// Added to a worker's port where it lists itself: a proxy's port.
+    std::uint16_t m_advertised_shift{0};
+    std::uint32_t m_vms_per_pool{4};
+    std::vector<std::string> m_pools;
+    /// Pool whose VMs are off.
+    std::string m_spare_pool;
+};
+
+/// Keeps the VMs, lists their workers in the log, and answers orders for VMs. Not thread-safe.
+class vm_pools {
+public:
+    vm_pools(vm_pools_options options, log_store& log, event_sink sink);
+
+    std::map<std::string, stand_in_vm>& vms() { return m_vms; }
+    /// Answers a call under `/-/machine`.
+    peridotrudder::http_response answer(const peridotrudder::http_request& request,
+                                        std::int64_t now_ms);
+    /// Brings VMs back, and lets workers run and report.
+    void tick(std::int64_t now_ms);
+    /// Ends the worker of a VM without notice; the VM is back after a time.
+    void crash(stand_in_vm& vm, std::int64_t now_ms, std::int64_t down_ms);
+
+private:
+    void begin_life(stand_in_vm& vm, std::int64_t now_ms);
+    void end_life(stand_in_vm& vm, const std::string& state, std::int64_t now_ms,
+                  std::int64_t away_ms);
+    void report(stand_in_vm& vm, std::int64_t now_ms);
+    std::string list() const;
+
+    vm_pools_options m_options;
+    log_store& m_log;
+    event_sink m_sink;
+    std::map<std::string, stand_in_vm> m_vms;
+    std::uint64_t m_lives{0};
+};
+
+} // namespace standins
--- a/test/node/node_settings_test.cpp
+++ b/test/node/node_settings_test.cpp
@@ -58,6 +58,11 @@
         const auto read = parse_node_settings("node.ini", sound);
         CPPUNIT_ASSERT(read.has_value());
         CPPUNIT_ASSERT_EQUAL(std::string{"node-1"}, read->m_name);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{7060}, read->m_advertised_peers.m_port);
+        const auto behind_proxy = parse_node_settings(
+            "node.ini",
+            replaced(sound, "metrics =", "advertised_peers = 10.0.0.9:7061\nmetrics ="));
+        CPPUNIT_ASSERT_EQUAL(std::string{"10.0.0.9"}, behind_proxy->m_advertised_peers.m_address);
         CPPUNIT_ASSERT_EQUAL(std::uint16_t{7060}, read->m_peers.m_port);
         CPPUNIT_ASSERT_EQUAL(250U, read->m_cpu_millis);
         CPPUNIT_ASSERT_EQUAL(std::int64_t{1'500}, std::int64_t{read->m_move_time.count()});
--- /dev/null
+++ b/test/standins/log_store_test.cpp
@@ -0,0 +1,152 @@
+#include "standins/fleet/log_store.hpp"
+
+#include "platform/log_service.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <vector>
+
+namespace standins {
+
+using peridotrudder::http_request;
+using peridotrudder::http_response;
+using peridotrudder::kept_record;
+
+class log_store_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(log_store_test);
+    CPPUNIT_TEST(appends_under_a_condition_only_where_the_topic_ends);
+    CPPUNIT_TEST(fences_former_producers_and_answers_repeats_alike);
+    CPPUNIT_TEST(a_read_returns_what_the_adapter_understands);
+    CPPUNIT_TEST(a_long_poll_waits_for_a_record_or_its_time);
+    CPPUNIT_TEST(newest_records_come_in_pages_and_without_dropped_keys);
+    CPPUNIT_TEST(forgotten_history_is_gone_but_newest_values_stay);
+    CPPUNIT_TEST_SUITE_END();
+
+    log_store m_log;
+
+    http_response call(const std::string& path, const std::string& query,
+                       const std::string& body = "")
+    {
+        http_request request;
+        request.m_path = path;
+        request.m_query = query;
+        request.m_body = body;
+        http_response answered;
+        answered.m_status = 0;
+        m_log.answer(request, 0,
+                     [&answered](const http_response& response) { answered = response; });
+        return answered;
+    }
+
+    static std::string body_of(const std::string& key, const std::string& value)
+    {
+        kept_record record{key, std::vector<std::uint8_t>{value.begin(), value.end()}, 0};
+        return peridotrudder::platform::frame_records({record});
+    }
+
+    static nlohmann::json json_of(const http_response& response)
+    {
+        return nlohmann::json::parse(response.m_body);
+    }
+
+public:
+    void appends_under_a_condition_only_where_the_topic_ends()
+    {
+        const auto first = call("/-/log-append", "topic=keyed.a&part=0&at=0", body_of("k", "1"));
+        const auto late = call("/-/log-append", "topic=keyed.a&part=0&at=0", body_of("k", "2"));
+
+        CPPUNIT_ASSERT_EQUAL(200U, first.m_status);
+        CPPUNIT_ASSERT_EQUAL(0, json_of(first)["offset"].get<int>());
+        CPPUNIT_ASSERT_EQUAL(412U, late.m_status);
+        CPPUNIT_ASSERT_EQUAL(1, json_of(late)["end"].get<int>());
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, m_log.newest("keyed.a", "k"));
+    }
+
+    void fences_former_producers_and_answers_repeats_alike()
+    {
+        const std::string as = "topic=keyed.a&part=0&producer=p&epoch=";
+        call("/-/log-append", as + "4&sequence=1", "");
+        const auto first = call("/-/log-append", as + "4&sequence=1", body_of("k", "1"));
+        const auto again = call("/-/log-append", as + "4&sequence=1", body_of("k", "1"));
+        const auto gap = call("/-/log-append", as + "4&sequence=3", body_of("k", "3"));
+        call("/-/log-append", as + "5&sequence=1", "");
+        const auto former = call("/-/log-append", as + "4&sequence=2", body_of("k", "2"));
+
+        CPPUNIT_ASSERT_EQUAL(first.m_body, again.m_body);
+        CPPUNIT_ASSERT_EQUAL(409U, gap.m_status);
+        CPPUNIT_ASSERT_EQUAL(2, json_of(gap)["sequence"].get<int>());
+        CPPUNIT_ASSERT_EQUAL(std::string{"fenced"}, json_of(former)["reason"].get<std::string>());
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, m_log.newest("keyed.a", "k"));
+    }
+
+    void a_read_returns_what_the_adapter_understands()
+    {
+        call("/-/log-append", "topic=keyed.a&part=0", body_of("k", "1") + body_of("l", ""));
+
+        const auto read = call("/-/log-read", "topic=keyed.a&part=0&from=0");
+        const auto parsed = peridotrudder::platform::parse_read_body(read.m_body);
+
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, parsed.m_end);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, parsed.m_records.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"k"}, parsed.m_records[0].m_key);
+        CPPUNIT_ASSERT(!parsed.m_records[1].m_value);
+    }
+
+    void a_long_poll_waits_for_a_record_or_its_time()
+    {
+        int answers = 0;
+        http_request request;
+        request.m_path = "/-/log-read";
+        request.m_query = "topic=keyed.a&part=0&from=0&wait-ms=1000";
+        const auto count = [&answers](const http_response&) { ++answers; };
+        m_log.answer(request, 0, count);
+        m_log.expire_waits(999);
+        CPPUNIT_ASSERT_EQUAL(0, answers);
+
+        m_log.put("keyed.a", "k", "1");
+        CPPUNIT_ASSERT_EQUAL(1, answers);
+
+        request.m_query = "topic=keyed.a&part=0&from=1&wait-ms=1000";
+        m_log.answer(request, 0, count);
+        m_log.expire_waits(1'000);
+        CPPUNIT_ASSERT_EQUAL(2, answers);
+    }
+
+    void newest_records_come_in_pages_and_without_dropped_keys()
+    {
+        constexpr int keys = 600;
+        for (int index = 0; index < keys; ++index) {
+            m_log.put("keyed.a", "key-" + std::to_string(1'000 + index), "v");
+        }
+        m_log.put("keyed.a", "key-1000", std::nullopt);
+
+        const auto first = json_of(call("/-/log-newest", "topic=keyed.a&part=0"));
+        const auto last = first["items"].back()["key"].get<std::string>();
+        const auto second =
+            json_of(call("/-/log-newest", "topic=keyed.a&part=0&depends-on=" + last));
+
+        CPPUNIT_ASSERT(first["has-more"].get<bool>());
+        CPPUNIT_ASSERT(!second["has-more"].get<bool>());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{keys - 1}, first["items"].size() + second["items"].size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"key-1001"}, first["items"][0]["key"].get<std::string>());
+        CPPUNIT_ASSERT_EQUAL(std::string{"dg=="}, first["items"][0]["value"].get<std::string>());
+    }
+
+    void forgotten_history_is_gone_but_newest_values_stay()
+    {
+        m_log.put("keyed.a", "k", "1");
+        m_log.forget_history();
+
+        const auto read = call("/-/log-read", "topic=keyed.a&part=0&from=0");
+
+        CPPUNIT_ASSERT_EQUAL(410U, read.m_status);
+        CPPUNIT_ASSERT_EQUAL(1, json_of(read)["first"].get<int>());
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, m_log.newest("keyed.a", "k"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(log_store_test);
+
+} // namespace standins
--- /dev/null
+++ b/test/standins/task_worker_test.cpp
@@ -0,0 +1,122 @@
+#include "standins/fleet/task_worker.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace standins {
+
+using nlohmann::json;
+using peridotrudder::http_request;
+using peridotrudder::http_response;
+
+class task_worker_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(task_worker_test);
+    CPPUNIT_TEST(runs_a_task_once_however_often_it_is_ordered);
+    CPPUNIT_TEST(does_nothing_for_a_lower_fencing_token);
+    CPPUNIT_TEST(turns_down_late_starts_and_runs_that_were_stopped);
+    CPPUNIT_TEST(ends_what_runs_when_the_lease_is_over);
+    CPPUNIT_TEST(a_hold_waits_for_an_end_and_forgets_what_is_noted);
+    CPPUNIT_TEST(fails_as_often_as_the_payload_says);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::vector<worker_event> m_events;
+    task_worker m_worker = task_worker::create(
+        "i-1", 0, [this](const worker_event& each) { m_events.push_back(each); });
+
+    json call(const std::string& path, const json& body, std::int64_t now_ms)
+    {
+        http_request request;
+        request.m_path = path;
+        request.m_body = body.dump();
+        json answered;
+        m_worker.answer(request, now_ms, [&answered](const http_response& response) {
+            answered = json::parse(response.m_body);
+            answered["status"] = response.m_status;
+        });
+        return answered;
+    }
+
+    json start(int run, std::int64_t now_ms, const std::string& payload = R"({"ms":300})",
+               std::int64_t deadline_ms = 4'000, int fence = 5)
+    {
+        return call("/-/run-start",
+                    {{"task", "job.0.0.0"},
+                     {"run", run},
+                     {"spec", payload},
+                     {"deadline-ms", deadline_ms},
+                     {"fence", fence}},
+                    now_ms);
+    }
+
+    std::string last_event() const { return m_events.empty() ? "none" : m_events.back().m_what; }
+
+public:
+    void runs_a_task_once_however_often_it_is_ordered()
+    {
+        CPPUNIT_ASSERT_EQUAL(200, start(1, 0)["status"].get<int>());
+        CPPUNIT_ASSERT_EQUAL(200, start(1, 10)["status"].get<int>());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_events.size());
+        m_worker.tick(300);
+        CPPUNIT_ASSERT_EQUAL(std::string{"done"}, last_event());
+        CPPUNIT_ASSERT_EQUAL(std::string{"old"}, start(1, 310)["reason"].get<std::string>());
+    }
+
+    void does_nothing_for_a_lower_fencing_token()
+    {
+        start(1, 0);
+        const auto former = start(2, 10, R"({"ms":300})", 4'000, 4);
+        CPPUNIT_ASSERT_EQUAL(std::string{"fence"}, former["reason"].get<std::string>());
+    }
+
+    void turns_down_late_starts_and_runs_that_were_stopped()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string{"late"}, start(1, 4'001)["reason"].get<std::string>());
+        call("/-/run-stop", {{"task", "job.0.0.0"}, {"run", 2}, {"fence", 5}}, 20);
+        CPPUNIT_ASSERT_EQUAL(std::string{"old"}, start(2, 30)["reason"].get<std::string>());
+        CPPUNIT_ASSERT_EQUAL(200, start(3, 40)["status"].get<int>());
+    }
+
+    void ends_what_runs_when_the_lease_is_over()
+    {
+        start(1, 0, "{}", 1'000);
+        call("/-/hold", {{"fence", 5}, {"last-seen", 0}, {"deadline-ms", 60'000}}, 500);
+
+        m_worker.tick(6'499);
+        CPPUNIT_ASSERT_EQUAL(std::string{"start"}, last_event());
+        m_worker.tick(6'500);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("no lease is longer than six seconds", std::string{"lapsed"},
+                                     last_event());
+    }
+
+    void a_hold_waits_for_an_end_and_forgets_what_is_noted()
+    {
+        start(1, 0);
+        http_request request;
+        request.m_path = "/-/hold";
+        request.m_body = R"({"fence":5,"last-seen":0,"wait-ms":1000})";
+        json answered;
+        m_worker.answer(request, 0, [&answered](const http_response& response) {
+            answered = json::parse(response.m_body);
+        });
+        CPPUNIT_ASSERT(answered.is_null());
+
+        m_worker.tick(300);
+        CPPUNIT_ASSERT_EQUAL(json::parse(R"([[1,"job.0.0.0",1,"done",""]])"), answered["ended"]);
+        const auto next = call("/-/hold", {{"fence", 5}, {"last-seen", 1}}, 310);
+        CPPUNIT_ASSERT(next["ended"].empty());
+        CPPUNIT_ASSERT_EQUAL(std::string{"noted"}, last_event());
+    }
+
+    void fails_as_often_as_the_payload_says()
+    {
+        start(1, 0, R"({"ms":100,"fails":1})");
+        m_worker.tick(100);
+        CPPUNIT_ASSERT_EQUAL(std::string{"failed"}, last_event());
+        start(2, 110, R"({"ms":100,"fails":1})");
+        m_worker.tick(210);
+        CPPUNIT_ASSERT_EQUAL(std::string{"done"}, last_event());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(task_worker_test);
+
+} // namespace standins
