Turn away at once what could only end too late

Cause: everything was taken, also jobs that waited until they were of no use, as after an outage of the log or with a rack lost at a turn's peak; their callers learnt that only by asking.

Change: a pure judgement (scheduling/admission) by the pool's backlog of useful work, what waits for room, and the processor of the pool's VMs and of those that can follow. 429 at once with the time at which the job would be taken. Nothing is turned away while room is free.

--- a/include/peridotrudder/jobs/job.hpp
+++ b/include/peridotrudder/jobs/job.hpp
@@ -160,6 +160,8 @@
     /// Returns how many tasks of the step have no run and are not finished.
     std::uint32_t waiting(std::uint32_t occurrence, std::uint32_t step) const;
     std::uint32_t placed_tasks() const { return m_placed; }
+    /// Returns how many tasks are not done.
+    std::uint64_t open_tasks() const { return m_open_total; }
 
     /// Gives the task a new run at `where` and returns its number.
     std::uint32_t place(const task_ref& ref, const worker_life& where);
--- a/include/peridotrudder/planning/fleet_planner.hpp
+++ b/include/peridotrudder/planning/fleet_planner.hpp
@@ -70,6 +70,10 @@
     void plan_waves(job_scheduler& scheduler, moment now);
     void plan_wave(wave_state& wave, job_scheduler& scheduler, moment now);
     void plan_pools(job_scheduler& scheduler, moment now);
+    /// Tells the scheduler what each pool has to do and what it can do, VMs that can follow
+    /// included.
+    void tell_outlooks(job_scheduler& scheduler, const std::map<std::string, pool_load>& loads,
+                       time_point now);
     void report(const scheduler_state& state, const std::map<std::string, pool_load>& loads);
     void move_to(const std::string& pool, std::uint32_t count, moment now);
     void release_idle(const std::string& pool, std::uint32_t count, moment now);
--- a/include/peridotrudder/planning/pool_demand.hpp
+++ b/include/peridotrudder/planning/pool_demand.hpp
@@ -27,6 +27,9 @@
     std::int64_t m_waiting{0};
     /// Taken by short tasks that are placed.
     std::int64_t m_placed{0};
+    /// Estimated work of tasks without a run, of jobs that can still end in time to be of use, in
+    /// thousandths of a core times milliseconds.
+    std::int64_t m_backlog{0};
 };
 
 /// Follows the demand of each pool.
--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -51,6 +51,9 @@
     /// Sets the workers whose VMs are being emptied.
     void set_leaving(std::set<std::string, std::less<>> workers);
 
+    /// Sets what is known of each pool's backlog and processor.
+    void set_outlooks(std::map<std::string, pool_outlook> outlooks);
+
     /// Returns whether the call would add a job to the book.
     bool is_new_job(const job_call& call);
     /// Takes a call; its answer comes through the port with the same token.
@@ -79,6 +82,9 @@
 
     void submit(std::uint64_t token, const queue_config& queue, const std::string& id,
                 const job_call& call, moment now);
+    /// Turns a job away that could only end too late. Returns whether it did.
+    bool turn_away(std::uint64_t token, const queue_config& queue, const std::string& id,
+                   const job_spec& spec);
     void cancel(std::uint64_t token, const std::string& id, moment now);
     void query(std::uint64_t token, const std::string& id);
     std::uint64_t waiting_jobs(const queue_config& queue, std::int64_t now_ms) const;
--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -7,6 +7,7 @@
 #include "peridotrudder/jobs/job_book.hpp"
 #include "peridotrudder/machines/worker_health.hpp"
 #include "peridotrudder/machines/worker_session.hpp"
+#include "peridotrudder/scheduling/admission.hpp"
 #include "peridotrudder/scheduling/job_call.hpp"
 #include "peridotrudder/scheduling/pool_config.hpp"
 
@@ -98,6 +99,8 @@
     std::set<std::string> m_hungry;
     /// All short jobs accepted so far, by pool.
     std::map<std::string, accepted_total> m_accepted_work;
+    /// By pool; absent where nothing was measured yet.
+    std::map<std::string, pool_outlook> m_outlooks;
     /// Worker of a task's newest failure.
     std::map<run_key, std::string> m_failed_on;
     /// What follows once the next batch is written.
--- a/include/peridotrudder/scheduling/work_order.hpp
+++ b/include/peridotrudder/scheduling/work_order.hpp
@@ -28,6 +28,9 @@
     std::int64_t m_useful_ms{0};
 };
 
+/// Returns for how long after a job's arrival its end is of use, by its longest chain.
+milliseconds useful_time(milliseconds chain, const queue_config& queue);
+
 /// Returns until when the job's end is in time, and of use at all.
 job_limits limits_of(const job_header& header, const queue_config& queue);
 
--- a/src/planning/fleet_planner.cpp
+++ b/src/planning/fleet_planner.cpp
@@ -305,6 +305,7 @@
 {
     const auto& state = scheduler.state();
     const auto loads = m_demand.measure(state, now);
+    tell_outlooks(scheduler, loads, now.m_at);
     std::map<std::string, std::uint32_t> missing;
     std::map<std::string, std::uint32_t> surplus;
     m_wanted.clear();
@@ -334,6 +335,29 @@
     }
 }
 
+void fleet_planner::tell_outlooks(job_scheduler& scheduler,
+                                  const std::map<std::string, pool_load>& loads, time_point now)
+{
+    const auto can_follow = std::count_if(m_fleet->machines().begin(), m_fleet->machines().end(),
+                                          [&](const auto& each) {
+                                              return each.second.m_listed.m_pool == m_spare_pool &&
+                                                     m_fleet->movable(each.second, now);
+                                          });
+    std::map<std::string, pool_outlook> outlooks;
+    for (const auto& [pool, load] : loads) {
+        const auto vms = supply_of(pool, scheduler.state()) + can_follow;
+        const auto accepted = scheduler.state().m_accepted_work.find(pool);
+        pool_outlook outlook;
+        outlook.m_backlog = load.m_backlog;
+        outlook.m_waiting_cpu = load.m_waiting;
+        outlook.m_cpu = vms * default_vm_cpu - load.m_long_running;
+        outlook.m_accepted_work =
+            accepted == scheduler.state().m_accepted_work.end() ? 0 : accepted->second.m_work;
+        outlooks.emplace(pool, outlook);
+    }
+    scheduler.set_outlooks(std::move(outlooks));
+}
+
 void fleet_planner::report(const scheduler_state& state,
                            const std::map<std::string, pool_load>& loads)
 {
--- a/src/planning/pool_demand.cpp
+++ b/src/planning/pool_demand.cpp
@@ -58,6 +58,17 @@
     return work;
 }
 
+/// Returns the estimated work of the occurrence's tasks that have no run.
+std::int64_t waiting_work(const job& of, std::uint32_t occurrence)
+{
+    std::int64_t work = 0;
+    for (std::uint32_t index = 0; index < of.spec().m_steps.size(); ++index) {
+        const auto& step = of.spec().m_steps[index];
+        work += of.waiting(occurrence, index) * step.m_each.m_cpu_millis * step.m_estimate.count();
+    }
+    return work;
+}
+
 void add_job(const job& of, const queue_config& queue, std::int64_t now_ms, pool_load& load)
 {
     if (is_long_running(of.spec())) {
@@ -68,8 +79,13 @@
         if (of.spec().m_recurrence && of.due_ms(occurrence) > now_ms) {
             return;
         }
+        const auto limits = limits_of(of.header(), queue);
         const auto work = remaining_work(of, occurrence, load);
-        const auto left = limits_of(of.header(), queue).m_objective_ms - now_ms;
+        const auto left = limits.m_objective_ms - now_ms;
+        if (of.placed_tasks() < of.open_tasks() &&
+            punctuality_of(of, limits, now_ms) != punctuality::useless) {
+            load.m_backlog += waiting_work(of, occurrence);
+        }
         load.m_accepted += work / std::max(left, least_time_left_ms);
     }
 }
--- /dev/null
+++ b/src/scheduling/admission.cpp
@@ -0,0 +1,26 @@
+#include "peridotrudder/scheduling/admission.hpp"
+
+#include "peridotrudder/scheduling/work_order.hpp"
+
+namespace peridotrudder {
+
+admission_verdict judge_admission(const job_spec& spec, const queue_config& queue,
+                                  const pool_outlook& outlook, std::int64_t accepted_work)
+{
+    admission_verdict verdict;
+    const bool has_room = outlook.m_waiting_cpu == 0 || outlook.m_cpu <= 0;
+    if (has_room || spec.m_recurrence || is_long_running(spec)) {
+        return verdict;
+    }
+    const auto ahead = outlook.m_backlog + accepted_work - outlook.m_accepted_work;
+    const milliseconds wait{ahead / outlook.m_cpu};
+    const auto chain = longest_chain(spec);
+    const auto useful = useful_time(chain, queue);
+    if (wait + chain > useful) {
+        verdict.m_admitted = false;
+        verdict.m_retry_after = wait + chain - useful;
+    }
+    return verdict;
+}
+
+} // namespace peridotrudder
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -1,12 +1,14 @@
 #include "peridotrudder/scheduling/job_scheduler.hpp"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace peridotrudder {
 
 namespace {
 
 constexpr std::size_t id_length = 16;
+constexpr std::int64_t millis_per_core = 1'000;
 /// Pause between looks for jobs that can be forgotten.
 constexpr milliseconds expiry_interval{1'000};
 
@@ -104,6 +106,11 @@
     }
 }
 
+void job_scheduler::set_outlooks(std::map<std::string, pool_outlook> outlooks)
+{
+    m_state.m_outlooks = std::move(outlooks);
+}
+
 void job_scheduler::set_leaving(std::set<std::string, std::less<>> workers)
 {
     m_state.m_leaving = std::move(workers);
@@ -164,6 +171,9 @@
         m_state.m_ports.m_answer(token, status_only(call_status::unavailable));
         return;
     }
+    if (turn_away(token, queue, id, *call.m_spec)) {
+        return;
+    }
     m_state.m_book.add({id, queue, now.m_unix_ms, *call.m_spec});
     m_state.m_hungry.insert(id);
     if (!is_long_running(*call.m_spec)) {
@@ -176,6 +186,28 @@
     answer_when_written(token, status_only(call_status::done), id);
 }
 
+bool job_scheduler::turn_away(std::uint64_t token, const queue_config& queue, const std::string& id,
+                              const job_spec& spec)
+{
+    const auto outlook = m_state.m_outlooks.find(queue.m_pool);
+    if (outlook == m_state.m_outlooks.end()) {
+        return false;
+    }
+    const auto verdict =
+        judge_admission(spec, queue, outlook->second, m_state.m_accepted_work[queue.m_pool].m_work);
+    if (verdict.m_admitted) {
+        return false;
+    }
+    m_state.log("job_refused", id, "",
+                fmt::format("could only end too late: backlog {} core ms, {} cores",
+                            outlook->second.m_backlog / millis_per_core,
+                            outlook->second.m_cpu / millis_per_core));
+    auto answer = status_only(call_status::overloaded);
+    answer.m_retry_after = verdict.m_retry_after;
+    m_state.m_ports.m_answer(token, answer);
+    return true;
+}
+
 void job_scheduler::cancel(std::uint64_t token, const std::string& id, moment now)
 {
     auto* of = m_state.m_book.find(id);
--- a/src/scheduling/work_order.cpp
+++ b/src/scheduling/work_order.cpp
@@ -14,12 +14,26 @@
 
 } // namespace
 
+namespace {
+
+double objective_ms(milliseconds chain, const queue_config& queue)
+{
+    return queue.m_stretch * static_cast<double>(chain.count()) +
+           static_cast<double>(queue.m_target.count());
+}
+
+} // namespace
+
+milliseconds useful_time(milliseconds chain, const queue_config& queue)
+{
+    return milliseconds{static_cast<std::int64_t>(objective_ms(chain, queue) * useful_objectives)};
+}
+
 job_limits limits_of(const job_header& header, const queue_config& queue)
 {
-    const auto chain = static_cast<double>(longest_chain(header.m_spec).count());
-    const auto objective = queue.m_stretch * chain + static_cast<double>(queue.m_target.count());
-    return {header.m_accepted_ms + static_cast<std::int64_t>(objective),
-            header.m_accepted_ms + static_cast<std::int64_t>(objective * useful_objectives)};
+    const auto chain = longest_chain(header.m_spec);
+    return {header.m_accepted_ms + static_cast<std::int64_t>(objective_ms(chain, queue)),
+            header.m_accepted_ms + useful_time(chain, queue).count()};
 }
 
 milliseconds remaining_chain(const job& of, std::uint32_t occurrence)
