Ask the placement policy for tickets; slow filling tasks that disturb others

Cause: jobs of queues whose workers want tickets were refused, and nothing kept filling tasks from pushing the tail latency of tasks beside them over its target.

Tickets: a pure book of what the policy's service granted, by step and worker life. It asks for workers that have room now, at most 30 a question, one question at a time, and never again for what was ruled out; a ticket is used only while it surely is valid. The small world of the property has such a policy in half of its histories; its workers count starts without a valid ticket. Pacing: down by halves, to nothing within the promised time, up by small steps; repeated while slowed, and told in any case after a change of owner. Holds of workers with filling tasks come twice as often, since only they show the tail.

--- a/bench/scheduler_bench.cpp
+++ b/bench/scheduler_bench.cpp
@@ -105,6 +105,7 @@
         };
         ports.m_stop = [](const worker_report&, const stop_order&) {};
         ports.m_pace = [](const worker_report&, const pace_order&) {};
+        ports.m_ask = [](const policy_question&) {};
         ports.m_hold = [this](const worker_report& to, const hold_order& order) {
             auto& worker = m_workers[to.m_life.m_worker];
             worker.m_hold = order;
--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -49,7 +49,10 @@
     std::uint32_t m_percent{0};
     time_point m_progress_at;
     std::int64_t m_load{0};
+    /// Speed that it was told, in hundredths; runs start at the whole.
     std::uint32_t m_pace{100};
+    /// False while a predecessor may have changed the speed.
+    bool m_pace_known{true};
     time_point m_paced_at;
 };
 
@@ -64,6 +67,8 @@
     milliseconds m_start_window{1'500};
     /// How long a hold may wait for an end; also the interval of renewal.
     milliseconds m_hold_wait{1'000};
+    /// The same where filling tasks run: whether they disturb others shows in the answers only.
+    milliseconds m_watch_wait{500};
     /// Pause between holds, so that several ends come with one answer.
     milliseconds m_hold_pause{40};
     /// Time that a predecessor may go on renewing without proof of its ownership.
--- a/include/peridotrudder/node/fleet_owner.hpp
+++ b/include/peridotrudder/node/fleet_owner.hpp
@@ -27,6 +27,7 @@
     log_port m_log;
     worker_port m_workers;
     vm_port m_vms;
+    policy_port m_policy;
     fleet_wire m_wire;
     /// Answers a call.
     std::function<void(std::uint64_t token, const call_answer&)> m_answer;
--- a/include/peridotrudder/node/fleet_wire.hpp
+++ b/include/peridotrudder/node/fleet_wire.hpp
@@ -7,6 +7,7 @@
 #include "peridotrudder/machines/worker_orders.hpp"
 #include "peridotrudder/planning/vm_control.hpp"
 #include "peridotrudder/scheduling/pool_config.hpp"
+#include "peridotrudder/scheduling/ticket_book.hpp"
 
 #include <gsl/span>
 #include <tl/expected.hpp>
@@ -28,6 +29,11 @@
     std::function<void(const worker_report&, const hold_order&, callback<hold_answer>)> m_hold;
 };
 
+/// The service of placement policies. Answers come later, on the caller's loop.
+struct policy_port {
+    std::function<void(const policy_question&, std::function<void(policy_answer)>)> m_ask;
+};
+
 /// Names and forms of the records that others write.
 struct fleet_wire {
     using bytes = gsl::span<const std::uint8_t>;
--- a/include/peridotrudder/node/node_process.hpp
+++ b/include/peridotrudder/node/node_process.hpp
@@ -21,6 +21,7 @@
     std::function<log_port(http_client& client, const node_settings& settings)> m_log;
     std::function<worker_port(http_client& client)> m_workers;
     std::function<vm_port(http_client& client, const node_settings& settings)> m_vms;
+    std::function<policy_port(http_client& client, const node_settings& settings)> m_policy;
     fleet_wire m_wire;
     /// Returns the call that a caller's request makes, or the response that refuses it.
     std::function<tl::expected<job_call, http_response>(const http_request& request)> m_read_call;
--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -65,6 +65,8 @@
                        const order_answer& answer, moment now);
     void hold_answered(const worker_life& life, const hold_answer& answer, time_point sent_at,
                        moment now);
+    /// Takes the answer to the question that was asked last.
+    void policy_answered(const policy_answer& answer, moment now);
     void tick(moment now);
 
     /// Returns whether there is anything to write, or to follow a write.
--- a/include/peridotrudder/scheduling/placement.hpp
+++ b/include/peridotrudder/scheduling/placement.hpp
@@ -5,6 +5,7 @@
 
 #include "peridotrudder/jobs/job_spec.hpp"
 #include "peridotrudder/machines/worker_session.hpp"
+#include "peridotrudder/scheduling/ticket_book.hpp"
 
 #include <cstdint>
 #include <string>
@@ -29,6 +30,10 @@
     std::string m_avoid;
     /// A further failure fails the job: no doubted worker is used.
     bool m_last_attempt{false};
+    /// Only workers with a ticket may be used; null where no policy restricts the step.
+    const ticket_book* m_tickets{nullptr};
+
+    step_key step() const { return {m_job, m_occurrence, m_step_index}; }
 };
 
 /// Returns the room that the task takes on a worker. Filling tasks reserve no processor.
@@ -41,4 +46,8 @@
 /// for the same reason; filling tasks go where the most processor time is left over.
 candidate* choose_worker(const task_need& need, std::vector<candidate>& candidates, time_point now);
 
+/// Returns the workers that have room for the task, whether or not there is a ticket for them.
+std::vector<worker_life>
+workers_with_room(const task_need& need, const std::vector<candidate>& candidates, time_point now);
+
 } // namespace peridotrudder
--- a/include/peridotrudder/scheduling/run_control.hpp
+++ b/include/peridotrudder/scheduling/run_control.hpp
@@ -52,6 +52,8 @@
     void lose_run(worker_session& session, const run_key& key, std::string_view why);
     void stop_stranger(worker_session& session, const running_entry& stranger, time_point now);
     void stop_stalled(worker_session& session, time_point now);
+    /// Slows filling runs that disturb others, and lets them work again.
+    void pace_filling(worker_session& session, time_point now);
     void depose();
 
     scheduler_state* m_state;
--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -10,6 +10,7 @@
 #include "peridotrudder/scheduling/admission.hpp"
 #include "peridotrudder/scheduling/job_call.hpp"
 #include "peridotrudder/scheduling/pool_config.hpp"
+#include "peridotrudder/scheduling/ticket_book.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -36,6 +37,7 @@
     std::function<void(const worker_report&, const stop_order&)> m_stop;
     std::function<void(const worker_report&, const pace_order&)> m_pace;
     std::function<void(const worker_report&, const hold_order&)> m_hold;
+    std::function<void(const policy_question&)> m_ask;
     std::function<void(std::uint64_t token, const call_answer&)> m_answer;
     std::function<void(const decision&)> m_log;
     /// A worker has seen a higher fencing token: this owner has a successor.
@@ -99,6 +101,8 @@
     std::set<std::string> m_hungry;
     /// All short jobs accepted so far, by pool.
     std::map<std::string, accepted_total> m_accepted_work;
+    /// For queues with a placement policy.
+    ticket_book m_tickets;
     /// By pool; absent where nothing was measured yet.
     std::map<std::string, pool_outlook> m_outlooks;
     /// Worker of a task's newest failure.
--- a/include/peridotrudder/scheduling/task_placer.hpp
+++ b/include/peridotrudder/scheduling/task_placer.hpp
@@ -38,6 +38,9 @@
     task_need need_of(const waiting_job& waiting, const task_ref& ref) const;
     void place_task(job& of, const task_ref& ref, candidate& where);
 
+    /// Asks for tickets where only they are missing.
+    void want_tickets(const waiting_job& waiting, const task_need& need,
+                      const std::vector<candidate>& candidates, time_point now);
     bool is_refused(const step_spec& step) const;
     void note_refusal(const task_need& need);
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -46,7 +46,7 @@
         """Resets all open connections."""
         for writer in list(self._writers):
             sock = writer.get_extra_info("socket")
-            if sock is not None:
+            if sock is not None and sock.fileno() != -1:
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOTHING)
             writer.transport.abort()
 
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -156,7 +156,8 @@
     }
     const bool settled = m_fenced && m_misses == 0 && !m_runs.empty();
     if (settled) {
-        order.m_wait = m_stopping_runs > 0 ? m_options.m_hold_pause : m_options.m_hold_wait;
+        const auto wait = m_filling_cpu > 0 ? m_options.m_watch_wait : m_options.m_hold_wait;
+        order.m_wait = m_stopping_runs > 0 ? m_options.m_hold_pause : wait;
     }
     m_hold_under_way = true;
     m_end_in_hold = order.m_last_end;
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -450,6 +450,13 @@
             });
         });
     };
+    ports.m_ask = [this, self](const policy_question& question) {
+        m_ports.m_policy.m_ask(question, [self](const policy_answer& answer) {
+            with_scheduler(self, [&](job_scheduler& scheduler, moment now) {
+                scheduler.policy_answered(answer, now);
+            });
+        });
+    };
     ports.m_answer = m_ports.m_answer;
     ports.m_log = m_ports.m_decided;
     ports.m_deposed = [this, self] {
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -255,6 +255,7 @@
         ports.m_log = m_log;
         ports.m_workers = m_relay->port();
         ports.m_vms = m_platform.m_vms(*m_vm_client, m_settings);
+        ports.m_policy = m_platform.m_policy(*m_vm_client, m_settings);
         ports.m_wire = m_platform.m_wire;
         ports.m_answer = [this](std::uint64_t token, const call_answer& answer) {
             answer_call(token, answer);
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -165,12 +165,6 @@
         m_state.m_ports.m_answer(token, status_only(call_status::invalid));
         return;
     }
-    if (queue.m_policy) {
-        // Its workers start only what has a ticket of the placement policy, and none is asked for.
-        m_state.log("job_refused", id, "", "queue needs tickets of a placement policy");
-        m_state.m_ports.m_answer(token, status_only(call_status::unavailable));
-        return;
-    }
     if (turn_away(token, queue, id, *call.m_spec)) {
         return;
     }
@@ -218,6 +212,7 @@
     if (of->cancel(now.m_unix_ms)) {
         m_state.m_book.touch(id);
         m_state.log("job_cancelled", id, "", "");
+        m_state.m_tickets.drop_job(id);
         m_runs.stop_job(*of, now.m_at);
     }
     answer_when_written(token, status_only(call_status::done), id);
@@ -282,6 +277,13 @@
     m_runs.hold_answered(life, answer, sent_at, now);
 }
 
+void job_scheduler::policy_answered(const policy_answer& answer, moment now)
+{
+    const auto id = m_state.m_tickets.answered(answer, now.m_at);
+    m_state.log(answer.m_answered ? "tickets_granted" : "policy_unanswered", id, "",
+                fmt::format("{} workers", answer.m_granted.size()));
+}
+
 void job_scheduler::tick(moment now)
 {
     m_runs.tick(now);
@@ -302,6 +304,9 @@
 write_batch job_scheduler::take_batch(moment now)
 {
     m_placer.place_all(now);
+    if (const auto question = m_state.m_tickets.next_question(now.m_at)) {
+        m_state.m_ports.m_ask(*question);
+    }
     write_batch batch;
     for (const auto& id : m_state.m_book.dirty_ids()) {
         const auto* of = m_state.m_book.find(id);
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -29,7 +29,7 @@
     return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-bool may_run(const task_need& need, const candidate& each, time_point now)
+bool has_room(const task_need& need, const candidate& each, time_point now)
 {
     const auto& session = *each.m_session;
     const auto& step = *need.m_step;
@@ -45,6 +45,14 @@
     return step.m_max_per_worker == 0 || tasks_of_step(session, need) < step.m_max_per_worker;
 }
 
+bool may_run(const task_need& need, const candidate& each, time_point now)
+{
+    const bool permitted =
+        need.m_tickets == nullptr ||
+        !need.m_tickets->ticket_for(need.step(), each.m_session->life(), now).empty();
+    return permitted && has_room(need, each, now);
+}
+
 /// Lower is better, field by field.
 using rank = std::tuple<bool, bool, bool, std::int64_t, std::int64_t>;
 
@@ -75,6 +83,18 @@
     return reserved;
 }
 
+std::vector<worker_life> workers_with_room(const task_need& need,
+                                           const std::vector<candidate>& candidates, time_point now)
+{
+    std::vector<worker_life> workers;
+    for (const auto& each : candidates) {
+        if (has_room(need, each, now)) {
+            workers.push_back(each.m_session->life());
+        }
+    }
+    return workers;
+}
+
 candidate* choose_worker(const task_need& need, std::vector<candidate>& candidates, time_point now)
 {
     candidate* best = nullptr;
--- a/src/scheduling/run_control.cpp
+++ b/src/scheduling/run_control.cpp
@@ -1,5 +1,7 @@
 #include "peridotrudder/scheduling/run_control.hpp"
 
+#include "peridotrudder/scheduling/pacing.hpp"
+
 #include <fmt/format.h>
 
 namespace peridotrudder {
@@ -23,6 +25,11 @@
     return std::max(stall_time, run.m_estimate * slow_steps / percent_steps + stall_time);
 }
 
+step_key step_of(const run_key& key)
+{
+    return {key.m_job, key.m_task.m_occurrence, key.m_task.m_step};
+}
+
 /// Returns the tasks that have a run.
 std::vector<task_ref> placed_tasks_of(const job& of)
 {
@@ -82,6 +89,7 @@
     run.m_phase = run_phase::doubtful;
     // Whatever the predecessor sent is refused once the worker knows this owner's fencing token.
     run.m_barred_at = now.m_at;
+    run.m_pace_known = false;
     run.m_stopping = of.phase() != job_phase::active;
     session.reserve(key, run);
 }
@@ -100,7 +108,15 @@
         lose_run(*session, start.m_key, "not sent");
         return;
     }
+    const auto step = step_of(start.m_key);
+    const bool restricted = m_state->queue_of(of->header()).m_policy.has_value();
+    const auto ticket = m_state->m_tickets.ticket_for(step, start.m_life, now.m_at);
+    if (restricted && ticket.empty()) {
+        lose_run(*session, start.m_key, "ticket is over");
+        return;
+    }
     start_order order;
+    order.m_ticket = restricted ? ticket : std::string{};
     order.m_key = start.m_key;
     order.m_run = start.m_run;
     order.m_payload = of->spec().m_payload;
@@ -150,8 +166,10 @@
     case order_result::no_room:
         session->hold_back_until(now.m_at + unhealthy_pause);
         break;
-    case order_result::too_late:
     case order_result::bad_ticket:
+        m_state->m_tickets.reject(step_of(key), life);
+        break;
+    case order_result::too_late:
     case order_result::other_life:
     case order_result::not_sent:
         break;
@@ -219,6 +237,7 @@
         m_state->m_effects.emplace_back(ends_effect{session->life(), session->newest_end()});
     }
     stop_stalled(*session, now.m_at);
+    pace_filling(*session, now.m_at);
 }
 
 void run_control::note_end(worker_session& session, const ended_entry& ended, moment now)
@@ -253,6 +272,7 @@
     }
     if (was_active && of->phase() != job_phase::active) {
         m_state->log("job_ended", ended.m_key.m_job, "", std::string{to_string(of->phase())});
+        m_state->m_tickets.drop_job(ended.m_key.m_job);
         stop_job(*of, now.m_at);
     }
 }
@@ -379,6 +399,23 @@
     }
 }
 
+void run_control::pace_filling(worker_session& session, time_point now)
+{
+    for (const auto& change : decide_paces(session, now)) {
+        auto* run = session.find(change.m_key);
+        if (run->m_pace != change.m_percent) {
+            m_state->log("run_paced", change.m_key.m_job, session.id(),
+                         fmt::format("{} of 100", change.m_percent));
+        }
+        run->m_pace = change.m_percent;
+        run->m_pace_known = true;
+        run->m_paced_at = now;
+        run->m_progress_at = now;
+        m_state->m_ports.m_pace(session.report(), {change.m_key, run->m_run, change.m_percent,
+                                                   m_state->m_options.m_fence});
+    }
+}
+
 void run_control::tick(moment now)
 {
     static const std::map<run_key, worker_run> no_runs;
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -62,6 +62,7 @@
     }
     need.m_last_attempt = !need.m_step->m_long_running &&
                           waiting.m_job->at(ref).m_failures + 1 >= waiting.m_queue->m_attempts;
+    need.m_tickets = waiting.m_queue->m_policy ? &m_state->m_tickets : nullptr;
     return need;
 }
 
@@ -88,8 +89,10 @@
     std::vector<candidate*> chosen;
     for (std::uint32_t index = 0; index < count; ++index) {
         const task_ref ref{occurrence, step, index};
-        auto* where = choose_worker(need_of(waiting, ref), candidates, now.m_at);
+        const auto need = need_of(waiting, ref);
+        auto* where = choose_worker(need, candidates, now.m_at);
         if (where == nullptr) {
+            want_tickets(waiting, need, candidates, now.m_at);
             for (std::uint32_t placed = 0; placed < chosen.size(); ++placed) {
                 chosen[placed]->m_session->release({of.header().m_id, {occurrence, step, placed}});
             }
@@ -132,6 +135,7 @@
         }
         auto* where = choose_worker(need, candidates, now.m_at);
         if (where == nullptr) {
+            want_tickets(waiting, need, candidates, now.m_at);
             note_refusal(need);
             return false;
         }
@@ -140,6 +144,15 @@
     return true;
 }
 
+void task_placer::want_tickets(const waiting_job& waiting, const task_need& need,
+                               const std::vector<candidate>& candidates, time_point now)
+{
+    if (need.m_tickets != nullptr) {
+        m_state->m_tickets.want(need.step(), *waiting.m_queue->m_policy,
+                                workers_with_room(need, candidates, now), now);
+    }
+}
+
 bool task_placer::is_refused(const step_spec& step) const
 {
     const auto wanted = reserved_for(step);
@@ -151,8 +164,8 @@
 {
     const auto& step = *need.m_step;
     // Only what any task of that size would meet says something of others.
-    const bool plain =
-        step.m_required_label.empty() && step.m_max_per_worker == 0 && !need.m_last_attempt;
+    const bool plain = step.m_required_label.empty() && step.m_max_per_worker == 0 &&
+                       !need.m_last_attempt && need.m_tickets == nullptr;
     if (plain && !is_refused(step)) {
         m_refused.push_back(reserved_for(step));
     }
--- a/test/scheduling/fleet_world.hpp
+++ b/test/scheduling/fleet_world.hpp
@@ -124,6 +124,8 @@
 
     void set_reachable(std::uint32_t index, bool reachable) { pick(index).m_reachable = reachable; }
     void set_journal_up(bool up) { m_journal_up = up; }
+    /// Lets a placement policy decide which workers may run a step; to be set before any owner.
+    void set_policy(bool restricted) { m_restricted = restricted; }
     void set_faults(order_faults faults) { m_faults = faults; }
 
     /// Lets time pass, and checks the world at every step.
@@ -168,6 +170,8 @@
     /// Returns the first broken promise; empty while all are kept.
     const std::string& fault() const { return m_fault; }
     std::size_t starts() const { return m_starts; }
+    /// Returns how many starts came without a valid ticket where one was needed.
+    std::size_t bad_tickets() const { return m_bad_tickets; }
     std::size_t accepted() const { return m_accepted.size(); }
 
 private:
@@ -232,7 +236,7 @@
 
     // Owners.
 
-    static fleet_config make_config()
+    fleet_config make_config() const
     {
         queue_config queue;
         queue.m_name = "queue";
@@ -241,6 +245,9 @@
         queue.m_pool = "pool";
         queue.m_attempts = 1'000;
         queue.m_target = milliseconds{600};
+        if (m_restricted) {
+            queue.m_policy = placement_policy{milliseconds{10}, milliseconds{2}, ticket_time};
+        }
         return fleet_config::create(1, {queue}, {{"pool", false, false}});
     }
 
@@ -371,6 +378,16 @@
                 });
         };
         ports.m_pace = [](const worker_report&, const pace_order&) {};
+        ports.m_ask = [this, epoch](const policy_question& question) {
+            const bool lost = chance(m_faults.m_lost + m_faults.m_answer_lost);
+            const milliseconds took{10 + 2 * question.m_workers.size()};
+            later(lost ? question.m_patience : took, [this, epoch, question, lost] {
+                if (auto* each = find_owner(epoch)) {
+                    each->m_scheduler->policy_answered(lost ? policy_answer{} : decide(question),
+                                                       now());
+                }
+            });
+        };
         ports.m_hold = [this, epoch](const worker_report& to, hold_order order) {
             // As whoever drives a scheduler has to: no lease is renewed without a proof of
             // ownership.
@@ -450,6 +467,43 @@
         return worker.m_life == to.m_life ? &worker : nullptr;
     }
 
+    /// The policy: the first worker may run every step, others by their names.
+    bool may_run(const step_key& step, const std::string& worker) const
+    {
+        const auto name = step.m_job + std::to_string(step.m_step) + worker;
+        return worker == m_workers.begin()->first || std::hash<std::string>{}(name) % 2 == 0;
+    }
+
+    static std::string ticket_name(const step_key& step, const worker_life& life)
+    {
+        return step.m_job + std::to_string(step.m_step) + life.m_worker +
+               std::to_string(life.m_born_ms);
+    }
+
+    policy_answer decide(const policy_question& question)
+    {
+        policy_answer answer;
+        answer.m_answered = true;
+        answer.m_valid = ticket_time;
+        for (const auto& each : question.m_workers) {
+            if (may_run(question.m_step, each.m_worker)) {
+                const auto ticket = ticket_name(question.m_step, m_workers[each.m_worker].m_life);
+                m_tickets[ticket] = m_now + ticket_time;
+                answer.m_granted.push_back({each.m_worker, ticket});
+            }
+        }
+        return answer;
+    }
+
+    bool is_permitted(const worker_life& life, const start_order& order) const
+    {
+        const step_key step{order.m_key.m_job, order.m_key.m_task.m_occurrence,
+                            order.m_key.m_task.m_step};
+        const auto found = m_tickets.find(order.m_ticket);
+        return !m_restricted || (order.m_ticket == ticket_name(step, life) &&
+                                 found != m_tickets.end() && m_now < found->second);
+    }
+
     order_answer carry_out_start(const worker_report& to, const start_order& order)
     {
         auto* worker = meant(to);
@@ -470,6 +524,10 @@
         if (clock_of() > order.m_deadline_ms) {
             return {order_result::too_late, clock_of()};
         }
+        if (!is_permitted(worker->m_life, order)) {
+            ++m_bad_tickets;
+            return {order_result::bad_ticket, clock_of()};
+        }
         extend(*worker, order.m_deadline_ms);
         begin(*worker, order);
         return {order_result::accepted, clock_of()};
@@ -637,6 +695,10 @@
     std::string m_fault;
     std::string m_told;
     std::size_t m_starts{0};
+    static constexpr milliseconds ticket_time{1'500};
+    bool m_restricted{false};
+    std::map<std::string, time_point> m_tickets;
+    std::size_t m_bad_tickets{0};
 };
 
 } // namespace peridotrudder
--- a/test/scheduling/job_scheduler_test.cpp
+++ b/test/scheduling/job_scheduler_test.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(orders_that_are_carried_out_late_double_nothing);
     CPPUNIT_TEST(work_of_a_lost_worker_goes_elsewhere);
     CPPUNIT_TEST(question_is_answered_by_what_is_recorded);
+    CPPUNIT_TEST(restricted_steps_start_with_valid_tickets_only);
     CPPUNIT_TEST(no_history_breaks_a_promise);
     CPPUNIT_TEST_SUITE_END();
 
@@ -161,10 +162,24 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"completed"}, world.ask(1));
     }
 
+    void restricted_steps_start_with_valid_tickets_only()
+    {
+        fleet_world world{9};
+        world.set_policy(true);
+        world.change_owner(false);
+        // More than the permitted workers hold at once, so that tickets end while tasks wait.
+        world.submit(40, 20);
+        CPPUNIT_ASSERT(world.settles(milliseconds{60'000}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{60}, world.starts());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.bad_tickets());
+        assert_sound(world);
+    }
+
     void no_history_breaks_a_promise()
     {
         rc::check("capacity, order, at most once and progress hold in any history", [] {
             fleet_world world{*rc::gen::arbitrary<std::uint64_t>()};
+            world.set_policy(*rc::gen::arbitrary<bool>());
             world.change_owner(false);
             const auto actions = *rc::gen::container<std::vector<std::pair<int, std::uint32_t>>>(
                 rc::gen::pair(rc::gen::inRange(0, 11), rc::gen::inRange(0U, 1'000U)));
--- /dev/null
+++ b/test/scheduling/ticket_book_test.cpp
@@ -0,0 +1,128 @@
+#include "peridotrudder/scheduling/ticket_book.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace peridotrudder {
+
+namespace {
+
+const step_key step{"00000000000000aa", 0, 1};
+const placement_policy policy{milliseconds{20}, milliseconds{3}, milliseconds{3'000}};
+const worker_life first{"i-1", 10};
+const worker_life second{"i-2", 20};
+
+time_point at(std::int64_t ms)
+{
+    return time_point{milliseconds{1'000'000 + ms}};
+}
+
+policy_answer granting(const std::string& worker)
+{
+    return {true, {{worker, "ticket-" + worker}}, milliseconds{3'000}};
+}
+
+} // namespace
+
+class ticket_book_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ticket_book_test);
+    CPPUNIT_TEST(asks_for_workers_with_room_and_keeps_their_tickets);
+    CPPUNIT_TEST(a_ticket_is_over_before_its_time_and_with_the_workers_life);
+    CPPUNIT_TEST(what_is_ruled_out_is_not_asked_again);
+    CPPUNIT_TEST(one_question_is_under_way_at_a_time);
+    CPPUNIT_TEST(an_unanswered_question_is_asked_again_after_a_pause);
+    CPPUNIT_TEST(a_rejected_ticket_is_asked_for_anew);
+    CPPUNIT_TEST(no_question_names_more_workers_than_are_worth_their_time);
+    CPPUNIT_TEST(an_answer_for_a_job_that_has_ended_changes_nothing);
+    CPPUNIT_TEST_SUITE_END();
+
+    ticket_book m_book;
+
+    std::optional<policy_question> ask(const std::vector<worker_life>& workers, std::int64_t ms)
+    {
+        m_book.want(step, policy, workers, at(ms));
+        return m_book.next_question(at(ms));
+    }
+
+public:
+    void asks_for_workers_with_room_and_keeps_their_tickets()
+    {
+        const auto question = ask({first, second}, 0);
+
+        CPPUNIT_ASSERT(question.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, question->m_workers.size());
+        CPPUNIT_ASSERT_MESSAGE("longer than the service takes",
+                               question->m_patience > milliseconds{26});
+        CPPUNIT_ASSERT_EQUAL(step.m_job, m_book.answered(granting("i-1"), at(30)));
+        CPPUNIT_ASSERT_EQUAL(std::string{"ticket-i-1"}, m_book.ticket_for(step, first, at(40)));
+        CPPUNIT_ASSERT_EQUAL(std::string{}, m_book.ticket_for(step, second, at(40)));
+        CPPUNIT_ASSERT_EQUAL(std::string{}, m_book.ticket_for({step.m_job, 0, 2}, first, at(40)));
+    }
+
+    void a_ticket_is_over_before_its_time_and_with_the_workers_life()
+    {
+        ask({first}, 0);
+        m_book.answered(granting("i-1"), at(0));
+
+        CPPUNIT_ASSERT_EQUAL(std::string{}, m_book.ticket_for(step, {"i-1", 11}, at(10)));
+        CPPUNIT_ASSERT(!m_book.ticket_for(step, first, at(2'700)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::string{}, m_book.ticket_for(step, first, at(2'900)));
+        CPPUNIT_ASSERT_MESSAGE("then it is asked for again", ask({first}, 2'900).has_value());
+    }
+
+    void what_is_ruled_out_is_not_asked_again()
+    {
+        ask({first, second}, 0);
+        m_book.answered(granting("i-1"), at(0));
+
+        CPPUNIT_ASSERT(!ask({first, second}, 10).has_value());
+        const auto later = ask({first, second}, 5'000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, later->m_workers.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"i-1"}, later->m_workers[0].m_worker);
+    }
+
+    void one_question_is_under_way_at_a_time()
+    {
+        CPPUNIT_ASSERT(ask({first}, 0).has_value());
+        CPPUNIT_ASSERT(!ask({second}, 5).has_value());
+        m_book.answered(granting("i-1"), at(30));
+        CPPUNIT_ASSERT(ask({second}, 35).has_value());
+    }
+
+    void an_unanswered_question_is_asked_again_after_a_pause()
+    {
+        ask({first}, 0);
+        m_book.answered({}, at(100));
+        CPPUNIT_ASSERT(!ask({first}, 110).has_value());
+        CPPUNIT_ASSERT(ask({first}, 500).has_value());
+    }
+
+    void a_rejected_ticket_is_asked_for_anew()
+    {
+        ask({first}, 0);
+        m_book.answered(granting("i-1"), at(0));
+        m_book.reject(step, first);
+        CPPUNIT_ASSERT_EQUAL(std::string{}, m_book.ticket_for(step, first, at(10)));
+        CPPUNIT_ASSERT(ask({first}, 10).has_value());
+    }
+
+    void no_question_names_more_workers_than_are_worth_their_time()
+    {
+        std::vector<worker_life> many;
+        for (int index = 0; index < 90; ++index) {
+            many.push_back({"i-" + std::to_string(index), 1});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{30}, ask(many, 0)->m_workers.size());
+    }
+
+    void an_answer_for_a_job_that_has_ended_changes_nothing()
+    {
+        ask({first}, 0);
+        m_book.drop_job(step.m_job);
+        m_book.answered(granting("i-1"), at(10));
+        CPPUNIT_ASSERT_EQUAL(std::string{}, m_book.ticket_for(step, first, at(20)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ticket_book_test);
+
+} // namespace peridotrudder
