--- a/include/peridotrudder/planning/wave_tracker.hpp
+++ b/include/peridotrudder/planning/wave_tracker.hpp
@@ -31,6 +31,10 @@
     bool completed() const { return m_begun.size() >= m_wave.m_machines.size(); }
 };
 
+/// Returns how many of a wave's `open` VMs are to be emptied now: spread over the time that is
+/// left, so that little capacity is away at once.
+std::uint32_t vms_to_empty(const wave_state& wave, std::size_t open, std::int64_t now_ms);
+
 /// Keeps the waves. Not thread-safe.
 class wave_tracker {
 public:
--- a/src/planning/fleet_planner.cpp
+++ b/src/planning/fleet_planner.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-/// Maintenance of a VM, with the time to empty it.
-constexpr milliseconds wave_cycle{4'000};
 /// Room of a VM whose size the list does not tell.
 constexpr std::int64_t default_vm_cpu = 16'000;
 constexpr std::uint32_t fully_at_work = 100;
@@ -228,12 +226,7 @@
     std::sort(open.begin(), open.end(), [&runs_on](const auto* left, const auto* right) {
         return runs_on(left) < runs_on(right);
     });
-    const auto left_ms = wave.m_declared_ms + wave.m_wave.m_duration.count() - now.m_unix_ms;
-    const auto cycles =
-        std::max<std::int64_t>((left_ms - wave_cycle.count()) / wave_cycle.count(), 1);
-    // Spread over the time that is left, so that little capacity is away at once.
-    const auto wanted_leaving =
-        static_cast<std::uint32_t>((static_cast<std::int64_t>(open.size()) + cycles - 1) / cycles);
+    const auto wanted_leaving = vms_to_empty(wave, open.size(), now.m_unix_ms);
     for (auto* machine : open) {
         if (runs_on(machine) == 0 && under_way < wave.m_wave.m_most_away) {
             ++under_way;
--- a/src/planning/wave_tracker.cpp
+++ b/src/planning/wave_tracker.cpp
@@ -7,9 +7,24 @@
 namespace {
 
 constexpr std::string_view progress_prefix = "maintenance/";
+/// Maintenance of a VM, with the time to empty it.
+constexpr milliseconds wave_cycle{4'000};
+/// Share of a wave's time by which all its VMs are to be under way: what is left is for VMs whose
+/// long-running tasks may only leave one after the other, and for outages.
+constexpr double planned_share = 0.7;
 
 } // namespace
 
+std::uint32_t vms_to_empty(const wave_state& wave, std::size_t open, std::int64_t now_ms)
+{
+    const auto planned_ms = static_cast<std::int64_t>(
+        static_cast<double>(wave.m_wave.m_duration.count()) * planned_share);
+    const auto left_ms = wave.m_declared_ms + planned_ms - now_ms;
+    const auto cycles =
+        std::max<std::int64_t>((left_ms - wave_cycle.count()) / wave_cycle.count(), 1);
+    return static_cast<std::uint32_t>((static_cast<std::int64_t>(open) + cycles - 1) / cycles);
+}
+
 void wave_tracker::declare(declared_wave wave, const std::string& key, std::int64_t now_ms)
 {
     const auto number = wave.m_number;
--- a/test/planning/fleet_planner_test.cpp
+++ b/test/planning/fleet_planner_test.cpp
@@ -121,6 +121,7 @@
     CPPUNIT_TEST(wave_never_has_more_away_than_allowed);
     CPPUNIT_TEST(wave_is_completed_only_when_all_have_begun);
     CPPUNIT_TEST(successor_knows_what_a_wave_has_done);
+    CPPUNIT_TEST(a_wave_is_spread_and_leaves_time_for_what_comes_between);
     CPPUNIT_TEST(maintenance_that_a_predecessor_could_not_record_counts_as_away);
     CPPUNIT_TEST_SUITE_END();
 
@@ -240,6 +241,25 @@
                                      after.maintained());
     }
 
+    void a_wave_is_spread_and_leaves_time_for_what_comes_between()
+    {
+        // 172 VMs in 25 s, each away for 4 s with the time to empty it; an outage of 4 s comes.
+        constexpr std::int64_t cycle_ms = 4'000;
+        constexpr std::int64_t outage_ms = 4'000;
+        wave_state wave;
+        wave.m_wave.m_duration = milliseconds{25'000};
+        std::size_t open = 172;
+        const auto first = vms_to_empty(wave, open, 0);
+        CPPUNIT_ASSERT_MESSAGE("little is away at once", first < open / 2);
+        std::int64_t now_ms = 0;
+        while (open > 0) {
+            open -= std::min<std::size_t>(open, vms_to_empty(wave, open, now_ms));
+            now_ms += cycle_ms;
+        }
+        CPPUNIT_ASSERT_MESSAGE("in time",
+                               now_ms + cycle_ms + outage_ms <= wave.m_wave.m_duration.count());
+    }
+
     void successor_knows_what_a_wave_has_done()
     {
         fixture before;
