Fuzz every decoder that faces a socket or a file

libFuzzer with the address sanitizer over jobs, configuration, worker entries, waves, VM lists, answers of workers, of the policy service and of the log, messages between nodes, settings, and the records of a job.

--- /dev/null
+++ b/fuzz/decoder_fuzzer.cpp
@@ -0,0 +1,87 @@
+/// @file
+/// Feeds bytes to every decoder that faces a socket or a file: the first byte chooses which.
+/// Whatever the bytes are, a decoder returns a value or a typed error.
+
+#include "peridotrudder/jobs/job_book.hpp"
+#include "peridotrudder/node/node_settings.hpp"
+#include "peridotrudder/ownership/node_messages.hpp"
+#include "platform/log_service.hpp"
+#include "platform/policy_service.hpp"
+#include "platform/wire_codec.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace {
+
+using namespace peridotrudder;
+
+constexpr std::uint32_t status_ok = 200;
+constexpr std::uint32_t status_conflict = 409;
+
+using decoder = void (*)(std::string_view text);
+
+gsl::span<const std::uint8_t> bytes_of(std::string_view text)
+{
+    return {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()};
+}
+
+/// Reads a job's two records, cut from the text at its first zero byte, and writes what it has
+/// read.
+void restore_job(std::string_view text)
+{
+    const auto cut = std::min(text.find('\0'), text.size());
+    const auto value = [](std::string_view part) {
+        return std::vector<std::uint8_t>{part.begin(), part.end()};
+    };
+    const std::string id = "5c0e7a21d94b36f8";
+    const std::vector<kept_record> records{
+        {"job/" + id, value(text.substr(0, cut)), 0},
+        {"run/" + id, value(text.substr(std::min(cut + 1, text.size()))), 1}};
+    restore_report report;
+    auto book = job_book::restore(records, report);
+    if (book.find(id) != nullptr) {
+        book.touch(id);
+        static_cast<void>(book.take_changes());
+    }
+}
+
+const std::array<decoder, 12> decoders{
+    [](std::string_view text) { static_cast<void>(platform::decode_job(text)); },
+    [](std::string_view text) { static_cast<void>(platform::decode_config(bytes_of(text))); },
+    [](std::string_view text) {
+        static_cast<void>(platform::decode_worker("i-1", bytes_of(text)));
+    },
+    [](std::string_view text) { static_cast<void>(platform::decode_wave(bytes_of(text))); },
+    [](std::string_view text) {
+        std::string next;
+        static_cast<void>(platform::decode_machines(text, next));
+    },
+    [](std::string_view text) { static_cast<void>(platform::decode_hold_answer(status_ok, text)); },
+    [](std::string_view text) {
+        static_cast<void>(platform::decode_order_answer(status_conflict, text));
+    },
+    [](std::string_view text) {
+        static_cast<void>(platform::decode_policy_answer(status_ok, text));
+    },
+    [](std::string_view text) { static_cast<void>(platform::parse_read_body(text)); },
+    [](std::string_view text) { static_cast<void>(decode_node_message(bytes_of(text))); },
+    [](std::string_view text) { static_cast<void>(parse_node_settings("node.ini", text)); },
+    restore_job,
+};
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    if (size == 0) {
+        return 0;
+    }
+    const std::string_view text{reinterpret_cast<const char*>(data + 1), size - 1};
+    decoders[data[0] % decoders.size()](text);
+    return 0;
+}
