Give the exchange of calls and the feeds of records modules of their own

The process held both ends of the way between entry and owner, and the owner followed its two topics by the same code twice. Behaviour unchanged; a token is noted before its call is handed to the owner, which may answer at once.

--- a/include/peridotrudder/node/fleet_owner.hpp
+++ b/include/peridotrudder/node/fleet_owner.hpp
@@ -5,8 +5,8 @@
 
 #include "peridotrudder/base/loop_port.hpp"
 #include "peridotrudder/node/fleet_wire.hpp"
+#include "peridotrudder/node/record_feed.hpp"
 #include "peridotrudder/ownership/journal_writer.hpp"
-#include "peridotrudder/ownership/topic_follower.hpp"
 #include "peridotrudder/planning/fleet_planner.hpp"
 #include "peridotrudder/scheduling/job_scheduler.hpp"
 
@@ -105,16 +105,12 @@
     owner_ports m_ports;
     owner_phase m_phase{owner_phase::claiming};
     std::unique_ptr<journal_writer> m_journal;
-    std::unique_ptr<topic_follower> m_operators;
-    std::unique_ptr<topic_follower> m_worker_list;
+    std::unique_ptr<record_feed> m_operators;
+    std::unique_ptr<record_feed> m_worker_list;
     std::unique_ptr<job_scheduler> m_scheduler;
     std::unique_ptr<fleet_planner> m_planner;
     std::vector<kept_record> m_journal_records;
     bool m_journal_read{false};
-    std::vector<kept_record> m_operator_snapshot;
-    bool m_operators_read{false};
-    std::vector<kept_record> m_worker_snapshot;
-    bool m_workers_read{false};
     std::optional<write_batch> m_writing;
     std::vector<std::pair<std::uint64_t, job_call>> m_early_calls;
     bool m_configured{false};
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -111,27 +111,12 @@
 {
     follower_options options;
     options.m_topic = m_ports.m_wire.m_operator_topic;
-    follower_events events;
-    events.m_snapshot = [this](const std::vector<kept_record>& records) {
-        m_operators_read = true;
-        if (m_scheduler == nullptr) {
-            m_operator_snapshot = records;
-            serve_when_loaded();
-            return;
-        }
-        take_operator_records(records);
-    };
-    events.m_changes = [this](const std::vector<kept_record>& records) {
-        if (m_scheduler == nullptr) {
-            m_operator_snapshot.insert(m_operator_snapshot.end(), records.begin(), records.end());
-            serve_when_loaded();
-            return;
-        }
-        take_operator_records(records);
-    };
-    events.m_failed = [](log_result /*result*/) {};
-    events.m_end = [](std::uint64_t /*end*/) {};
-    m_operators = topic_follower::create(options, m_ports.m_log, m_ports.m_loop, events);
+    m_operators = record_feed::create(
+        options, m_ports.m_log, m_ports.m_loop,
+        [this](const std::vector<kept_record>& records, bool /*snapshot*/) {
+            take_operator_records(records);
+        },
+        [this] { serve_when_loaded(); });
     m_operators->start();
 }
 
@@ -140,32 +125,20 @@
     follower_options options;
     options.m_topic = m_ports.m_wire.m_worker_topic;
     options.m_pause = worker_read_pause;
-    follower_events events;
-    events.m_snapshot = [this](const std::vector<kept_record>& records) {
-        m_workers_read = true;
-        if (m_scheduler == nullptr) {
-            m_worker_snapshot = records;
-            serve_when_loaded();
-            return;
-        }
-        take_worker_records(records, true);
-    };
-    events.m_changes = [this](const std::vector<kept_record>& records) {
-        if (m_scheduler == nullptr) {
-            m_worker_snapshot.insert(m_worker_snapshot.end(), records.begin(), records.end());
-            return;
-        }
-        take_worker_records(records, false);
-    };
-    events.m_failed = [](log_result /*result*/) {};
-    events.m_end = [](std::uint64_t /*end*/) {};
-    m_worker_list = topic_follower::create(options, m_ports.m_log, m_ports.m_loop, events);
+    m_worker_list = record_feed::create(
+        options, m_ports.m_log, m_ports.m_loop,
+        [this](const std::vector<kept_record>& records, bool snapshot) {
+            take_worker_records(records, snapshot);
+        },
+        [this] { serve_when_loaded(); });
     m_worker_list->start();
 }
 
 void fleet_owner::serve_when_loaded()
 {
-    if (!m_journal_read || !m_operators_read || !m_workers_read || m_scheduler != nullptr) {
+    const bool loaded = m_journal_read && m_operators->complete() && m_worker_list != nullptr &&
+                        m_worker_list->complete();
+    if (!loaded || m_scheduler != nullptr) {
         return;
     }
     const auto now = m_ports.m_loop.m_now();
@@ -179,10 +152,8 @@
     m_planner = fleet_planner::create(m_options.m_planner, m_options.m_epoch, make_planner_ports());
     m_planner->restore(m_journal_records, now);
     m_journal_records.clear();
-    take_operator_records(m_operator_snapshot);
-    take_worker_records(m_worker_snapshot, true);
-    m_operator_snapshot.clear();
-    m_worker_snapshot.clear();
+    m_operators->release();
+    m_worker_list->release();
     m_scheduler->begin(now);
     m_phase = owner_phase::serving;
     auto early = std::move(m_early_calls);
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -2,6 +2,7 @@
 
 #include "peridotrudder/base/hash.hpp"
 #include "peridotrudder/links/peer_mesh.hpp"
+#include "peridotrudder/node/call_exchange.hpp"
 #include "peridotrudder/node/call_router.hpp"
 #include "peridotrudder/node/decision_log.hpp"
 #include "peridotrudder/node/fleet_owner.hpp"
@@ -50,6 +51,11 @@
             std::chrono::duration_cast<milliseconds>(unix_time).count()};
 }
 
+void log_detail(std::string_view event, std::string detail)
+{
+    log_event(log_level::info, event, {{"detail", std::move(detail)}});
+}
+
 http_server_options listen_at(const endpoint& where)
 {
     http_server_options options;
@@ -72,9 +78,12 @@
           m_vm_client{http_client::create_on(m_loop)},
           m_log{m_platform.m_log(*m_log_client, settings)},
           m_self{fmt::format("{}-{}", settings.m_name, random_hex(incarnation_bytes))},
-          m_router{call_router::create({}, [this](std::uint64_t number, const job_call& call) {
-              return send_call(number, call);
-          })}
+          m_router{call_router::create({},
+                                       [this](std::uint64_t number, const job_call& call) {
+                                           return m_exchange.send(number, call,
+                                                                  m_agent->reachable_owner());
+                                       })},
+          m_exchange{call_exchange::create(m_self, make_exchange_ports())}
     {
         m_loop_port.m_now = read_clocks;
         m_loop_port.m_after = [this](milliseconds delay, std::function<void()> action) {
@@ -202,9 +211,7 @@
         agent_ports ports;
         ports.m_loop = m_loop_port;
         ports.m_log = m_log;
-        ports.m_send = [this](const std::string& peer, const node_message& message) {
-            return m_mesh->send(peer, encode_node_message(message));
-        };
+        ports.m_send = make_sender();
         ports.m_set_peers = [this](const std::vector<node_record>& peers) {
             std::vector<peer_endpoint> endpoints;
             endpoints.reserve(peers.size());
@@ -217,9 +224,7 @@
         ports.m_lost = [this] { end_ownership(); };
         ports.m_owner_reachable = [this] { m_router.owner_changed(now()); };
         ports.m_owner_unreachable = [this] { m_router.owner_lost(now()); };
-        ports.m_log_event = [](std::string_view event, std::string detail) {
-            log_event(log_level::info, event, {{"detail", std::move(detail)}});
-        };
+        ports.m_log_event = log_detail;
         return ports;
     }
 
@@ -228,15 +233,37 @@
         relay_ports ports;
         ports.m_loop = m_loop_port;
         ports.m_direct = m_platform.m_workers(*m_worker_client);
-        ports.m_send = [this](const std::string& peer, const node_message& message) {
-            return m_mesh->send(peer, encode_node_message(message));
+        ports.m_send = make_sender();
+        ports.m_log_event = log_detail;
+        return ports;
+    }
+
+    exchange_ports make_exchange_ports()
+    {
+        exchange_ports ports;
+        ports.m_send = make_sender();
+        ports.m_take = [this](std::uint64_t token, const job_call& call) {
+            if (!m_owner) {
+                return false;
+            }
+            m_owner->take_call(token, call);
+            return true;
         };
-        ports.m_log_event = [](std::string_view event, std::string detail) {
-            log_event(log_level::info, event, {{"detail", std::move(detail)}});
+        ports.m_deliver = [this](std::uint64_t number, const call_answer& answer) {
+            // Not at once: the router may be sending this very call.
+            after(milliseconds{0},
+                  [this, number, answer] { m_router.answered(number, answer, now()); });
         };
         return ports;
     }
 
+    std::function<bool(const std::string&, const node_message&)> make_sender()
+    {
+        return [this](const std::string& peer, const node_message& message) {
+            return m_mesh->send(peer, encode_node_message(message));
+        };
+    }
+
     void begin_ownership(const ownership_claim& claim)
     {
         m_relay = order_relay::create({}, make_relay_ports());
@@ -258,7 +285,7 @@
         ports.m_policy = m_platform.m_policy(*m_vm_client, m_settings);
         ports.m_wire = m_platform.m_wire;
         ports.m_answer = [this](std::uint64_t token, const call_answer& answer) {
-            answer_call(token, answer);
+            m_exchange.answer(token, answer);
         };
         ports.m_decided = [this](const decision& made) { log_decision(made); };
         ports.m_ended = [this] { m_agent->resign(false); };
@@ -302,63 +329,7 @@
         std::shared_ptr<fleet_owner> over{std::move(m_owner)};
         std::shared_ptr<order_relay> relay{std::move(m_relay)};
         after(milliseconds{0}, [over, relay] {});
-        const auto tokens = std::move(m_tokens);
-        m_tokens.clear();
-        for (const auto& [token, origin] : tokens) {
-            reply(origin, {call_status::owner_ended, {}, 0, milliseconds{0}});
-        }
-    }
-
-    /// Where a call came from: a peer and its number there; an empty peer is this process.
-    struct call_origin {
-        std::string m_peer;
-        std::uint64_t m_number{0};
-    };
-
-    bool send_call(std::uint64_t number, const job_call& call)
-    {
-        const auto owner = m_agent->reachable_owner();
-        if (owner.empty()) {
-            return false;
-        }
-        if (owner != m_self) {
-            return m_mesh->send(owner, encode_node_message(forwarded_job_call{number, call}));
-        }
-        return take_call({"", number}, call);
-    }
-
-    bool take_call(const call_origin& origin, const job_call& call)
-    {
-        if (!m_owner) {
-            return false;
-        }
-        const auto token = m_next_token++;
-        m_tokens[token] = origin;
-        m_owner->take_call(token, call);
-        return true;
-    }
-
-    void answer_call(std::uint64_t token, const call_answer& answer)
-    {
-        const auto found = m_tokens.find(token);
-        if (found != m_tokens.end()) {
-            const auto origin = found->second;
-            m_tokens.erase(found);
-            reply(origin, answer);
-        }
-    }
-
-    void reply(const call_origin& origin, const call_answer& answer)
-    {
-        if (!origin.m_peer.empty()) {
-            m_mesh->send(origin.m_peer,
-                         encode_node_message(forwarded_job_answer{origin.m_number, answer}));
-            return;
-        }
-        // Not at once: the router may be sending this very call.
-        after(milliseconds{0}, [this, number = origin.m_number, answer] {
-            m_router.answered(number, answer, now());
-        });
+        m_exchange.end_all();
     }
 
     bool receive(const std::string& from, gsl::span<const std::uint8_t> frame)
@@ -368,13 +339,11 @@
             return false;
         }
         if (const auto* call = std::get_if<forwarded_job_call>(&*message)) {
-            if (!take_call({from, call->m_number}, call->m_call)) {
-                reply({from, call->m_number}, {call_status::not_owner, {}, 0, milliseconds{0}});
-            }
+            m_exchange.take(from, *call);
             return true;
         }
         if (const auto* answer = std::get_if<forwarded_job_answer>(&*message)) {
-            m_router.answered(answer->m_number, answer->m_answer, now());
+            m_exchange.take(*answer);
             return true;
         }
         if (const auto* orders = std::get_if<relayed_orders>(&*message)) {
@@ -489,8 +458,7 @@
     log_port m_log;
     std::string m_self;
     call_router m_router;
-    std::map<std::uint64_t, call_origin> m_tokens;
-    std::uint64_t m_next_token{1};
+    call_exchange m_exchange;
     std::optional<time_point> m_stopping_since;
     decision_log m_decisions;
     time_point m_won_at;
--- /dev/null
+++ b/test/node/record_feed_test.cpp
@@ -0,0 +1,117 @@
+#include "peridotrudder/node/record_feed.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+
+namespace peridotrudder {
+
+class record_feed_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(record_feed_test);
+    CPPUNIT_TEST(keeps_what_comes_until_it_is_released);
+    CPPUNIT_TEST(hands_on_at_once_after_that);
+    CPPUNIT_TEST(a_second_snapshot_replaces_what_was_kept);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::function<void(newest_answer)> m_newest;
+    std::function<void(read_answer)> m_read;
+    std::deque<std::function<void()>> m_due;
+    std::vector<std::pair<std::string, bool>> m_taken;
+    int m_kept{0};
+    std::unique_ptr<record_feed> m_feed;
+
+    static kept_record record_of(const std::string& key)
+    {
+        return {key, std::vector<std::uint8_t>{1}, 0};
+    }
+
+    void run_due()
+    {
+        while (!m_due.empty()) {
+            const auto action = std::move(m_due.front());
+            m_due.pop_front();
+            action();
+        }
+    }
+
+    void answer_newest(const std::string& key)
+    {
+        newest_answer answer;
+        answer.m_result = log_result::ok;
+        answer.m_records = {record_of(key)};
+        m_newest(answer);
+        run_due();
+    }
+
+    void answer_read(log_result result, const std::string& key)
+    {
+        read_answer answer;
+        answer.m_result = result;
+        answer.m_records = {record_of(key)};
+        m_read(answer);
+        run_due();
+    }
+
+public:
+    void setUp() override
+    {
+        log_port log;
+        log.m_newest = [this](const std::string&, std::function<void(newest_answer)> callback) {
+            m_newest = std::move(callback);
+        };
+        log.m_read = [this](const read_request&, std::function<void(read_answer)> callback) {
+            m_read = std::move(callback);
+        };
+        loop_port loop;
+        loop.m_now = [] { return moment{}; };
+        loop.m_after = [this](milliseconds, std::function<void()> action) {
+            m_due.push_back(std::move(action));
+        };
+        m_feed = record_feed::create(
+            {}, log, loop,
+            [this](const std::vector<kept_record>& records, bool snapshot) {
+                std::string keys;
+                for (const auto& each : records) {
+                    keys += each.m_key;
+                }
+                m_taken.emplace_back(keys, snapshot);
+            },
+            [this] { ++m_kept; });
+        m_feed->start();
+    }
+
+    void keeps_what_comes_until_it_is_released()
+    {
+        CPPUNIT_ASSERT(!m_feed->complete());
+        answer_newest("a");
+        CPPUNIT_ASSERT(m_feed->complete());
+        answer_read(log_result::ok, "b");
+        CPPUNIT_ASSERT(m_taken.empty());
+        CPPUNIT_ASSERT_EQUAL(2, m_kept);
+
+        m_feed->release();
+
+        CPPUNIT_ASSERT(m_taken.at(0) == std::make_pair(std::string{"ab"}, true));
+    }
+
+    void hands_on_at_once_after_that()
+    {
+        answer_newest("a");
+        m_feed->release();
+        answer_read(log_result::ok, "b");
+        CPPUNIT_ASSERT(m_taken.at(1) == std::make_pair(std::string{"b"}, false));
+    }
+
+    void a_second_snapshot_replaces_what_was_kept()
+    {
+        answer_newest("a");
+        answer_read(log_result::trimmed, "");
+        answer_newest("c");
+        m_feed->release();
+        CPPUNIT_ASSERT(m_taken.at(0) == std::make_pair(std::string{"c"}, true));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(record_feed_test);
+
+} // namespace peridotrudder
