Time first starts, ends, appends and starts; log a job's beginning and its objective

From an id to its cause a reader saw when a job was accepted and when it ended, not how long it waited nor what it was due. Now job_begun and job_ended carry took_ms, the latter the objective; the same and appends and answered starts are histograms (peridot_duration_seconds). A gauge tells the relays.

--- a/include/peridotrudder/node/fleet_owner.hpp
+++ b/include/peridotrudder/node/fleet_owner.hpp
@@ -32,6 +32,8 @@
     /// Answers a call.
     std::function<void(std::uint64_t token, const call_answer&)> m_answer;
     std::function<void(const decision&)> m_decided;
+    /// Takes how long an exchange took, by its name.
+    std::function<void(std::string_view what, milliseconds time)> m_measured;
     /// The owner has a successor, or can go on no longer: to be destroyed.
     std::function<void()> m_ended;
 };
@@ -112,6 +114,7 @@
     std::vector<kept_record> m_journal_records;
     bool m_journal_read{false};
     std::optional<write_batch> m_writing;
+    time_point m_writing_since;
     std::vector<std::pair<std::uint64_t, job_call>> m_early_calls;
     bool m_configured{false};
     time_point m_ticked_at;
--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -29,6 +30,8 @@
     std::string m_job;
     std::string m_worker;
     std::string m_detail;
+    /// How long it took to come to this, such as from a job's arrival to its end.
+    std::optional<milliseconds> m_took{};
 };
 
 /// How the scheduler reaches the world. Every hook must be set; none may call back at once.
@@ -121,6 +124,8 @@
     void changed(const std::string& job_id);
     void log(std::string_view event, const std::string& job, const std::string& worker,
              std::string detail) const;
+    void log_timed(std::string_view event, const std::string& job, const std::string& worker,
+                   std::string detail, milliseconds took) const;
 };
 
 } // namespace peridotrudder
--- a/include/peridotrudder/scheduling/task_placer.hpp
+++ b/include/peridotrudder/scheduling/task_placer.hpp
@@ -36,7 +36,9 @@
     bool place_gang(const waiting_job& waiting, std::uint32_t occurrence, std::uint32_t step,
                     std::vector<candidate>& candidates, moment now);
     task_need need_of(const waiting_job& waiting, const task_ref& ref) const;
-    void place_task(job& of, const task_ref& ref, candidate& where);
+    void place_task(job& of, const task_ref& ref, candidate& where, moment now);
+    /// Logs the first placement of a job.
+    void note_begun(const job& of, const std::string& worker, moment now) const;
 
     /// Asks for tickets where only they are missing.
     void want_tickets(const waiting_job& waiting, const task_need& need,
--- a/include/peridotrudder/telemetry/node_metrics.hpp
+++ b/include/peridotrudder/telemetry/node_metrics.hpp
@@ -27,6 +27,8 @@
     void decided(std::string_view event);
     /// Takes the time from a claim until its owner served.
     void took_over(milliseconds time);
+    /// Takes how long something took, by the name of the decision or exchange that it ended with.
+    void measured(std::string_view what, milliseconds time);
     /// Sets a gauge, such as "owned_epoch" or "waiting_calls".
     void set_gauge(const std::string& name, double value);
 
--- a/src/node/decision_log.cpp
+++ b/src/node/decision_log.cpp
@@ -22,6 +22,9 @@
 void decision_log::decided(const decision& made, std::uint64_t epoch, time_point now)
 {
     m_metrics.decided(made.m_event);
+    if (made.m_took) {
+        m_metrics.measured(made.m_event, *made.m_took);
+    }
     if (!m_budget.allows(made.m_event, now)) {
         return;
     }
@@ -32,6 +35,7 @@
               {{"epoch", std::to_string(epoch)},
                {"job", made.m_job},
                {"worker", made.m_worker},
+               {"took_ms", made.m_took ? std::to_string(made.m_took->count()) : ""},
                {"detail", made.m_detail}});
 }
 
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -65,6 +65,7 @@
     if (m_writing) {
         const auto batch = std::move(*m_writing);
         m_writing.reset();
+        m_ports.m_measured("append", remaining(m_writing_since, m_ports.m_loop.m_now().m_at));
         m_scheduler->written(batch, m_ports.m_loop.m_now());
         m_planner->written();
     }
@@ -270,7 +271,8 @@
         if (!batch.m_records.empty()) {
             auto records = std::move(batch.m_records);
             m_writing = std::move(batch);
-            m_journal->write(std::move(records), m_ports.m_loop.m_now().m_at);
+            m_writing_since = m_ports.m_loop.m_now().m_at;
+            m_journal->write(std::move(records), m_writing_since);
             return;
         }
         if (batch.m_effects.empty()) {
@@ -381,8 +383,10 @@
         const auto life = to.m_life;
         const auto key = order.m_key;
         const auto run = order.m_run;
-        const auto answered = [self, life, key, run](const order_answer& answer) {
+        const auto sent_at = m_ports.m_loop.m_now().m_at;
+        const auto answered = [self, life, key, run, sent_at](const order_answer& answer) {
             with_scheduler(self, [&](job_scheduler& scheduler, moment now) {
+                (*self.lock())->m_ports.m_measured("start", remaining(sent_at, now.m_at));
                 scheduler.start_answered(life, key, run, answer, now);
             });
         };
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -288,6 +288,9 @@
             m_exchange.answer(token, answer);
         };
         ports.m_decided = [this](const decision& made) { log_decision(made); };
+        ports.m_measured = [this](std::string_view what, milliseconds time) {
+            m_decisions.metrics().measured(what, time);
+        };
         ports.m_ended = [this] { m_agent->resign(false); };
         m_owner = fleet_owner::create(options, std::move(ports));
         m_owner->start();
@@ -310,6 +313,7 @@
         metrics.set_gauge("owner_reachable", m_agent->reachable_owner().empty() ? 0.0 : 1.0);
         metrics.set_gauge("waiting_calls", static_cast<double>(m_router.waiting()));
         metrics.set_gauge("lost_log_lines", static_cast<double>(lost_log_lines()));
+        metrics.set_gauge("relays", m_relay ? static_cast<double>(m_relay->relays().size()) : 0.0);
         const auto* scheduler = m_owner ? m_owner->scheduler() : nullptr;
         if (scheduler != nullptr) {
             const auto& state = scheduler->state();
--- a/src/scheduling/run_control.cpp
+++ b/src/scheduling/run_control.cpp
@@ -1,6 +1,7 @@
 #include "peridotrudder/scheduling/run_control.hpp"
 
 #include "peridotrudder/scheduling/pacing.hpp"
+#include "peridotrudder/scheduling/work_order.hpp"
 
 #include <fmt/format.h>
 
@@ -271,7 +272,12 @@
         stop_run(*elsewhere, ended.m_key, now.m_at);
     }
     if (was_active && of->phase() != job_phase::active) {
-        m_state->log("job_ended", ended.m_key.m_job, "", std::string{to_string(of->phase())});
+        const auto accepted_ms = of->header().m_accepted_ms;
+        const auto objective_ms =
+            limits_of(of->header(), m_state->queue_of(of->header())).m_objective_ms - accepted_ms;
+        m_state->log_timed("job_ended", ended.m_key.m_job, "",
+                           fmt::format("{}, objective {} ms", to_string(of->phase()), objective_ms),
+                           milliseconds{now.m_unix_ms - accepted_ms});
         m_state->m_tickets.drop_job(ended.m_key.m_job);
         stop_job(*of, now.m_at);
     }
--- a/src/scheduling/scheduler_state.cpp
+++ b/src/scheduling/scheduler_state.cpp
@@ -55,7 +55,14 @@
 void scheduler_state::log(std::string_view event, const std::string& job, const std::string& worker,
                           std::string detail) const
 {
-    m_ports.m_log({event, job, worker, std::move(detail)});
+    m_ports.m_log({event, job, worker, std::move(detail), std::nullopt});
+}
+
+void scheduler_state::log_timed(std::string_view event, const std::string& job,
+                                const std::string& worker, std::string detail,
+                                milliseconds took) const
+{
+    m_ports.m_log({event, job, worker, std::move(detail), took});
 }
 
 } // namespace peridotrudder
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -66,10 +66,19 @@
     return need;
 }
 
-void task_placer::place_task(job& of, const task_ref& ref, candidate& where)
+void task_placer::note_begun(const job& of, const std::string& worker, moment now) const
+{
+    if (!of.begun()) {
+        m_state->log_timed("job_begun", of.header().m_id, worker, "",
+                           milliseconds{now.m_unix_ms - of.due_ms(0)});
+    }
+}
+
+void task_placer::place_task(job& of, const task_ref& ref, candidate& where, moment now)
 {
     const auto& step = of.spec().m_steps[ref.m_step];
     const auto life = where.m_session->life();
+    note_begun(of, life.m_worker, now);
     const auto number = of.place(ref, life);
     const run_key key{of.header().m_id, ref};
     where.m_session->reserve(key, make_run(step, number));
@@ -106,6 +115,7 @@
     for (const auto* each : chosen) {
         lives.push_back(each->m_session->life());
     }
+    note_begun(of, lives.front().m_worker, now);
     const auto number = of.place_gang(occurrence, step, lives);
     for (std::uint32_t index = 0; index < count; ++index) {
         const run_key key{of.header().m_id, {occurrence, step, index}};
@@ -139,7 +149,7 @@
             note_refusal(need);
             return false;
         }
-        place_task(of, ref, *where);
+        place_task(of, ref, *where, now);
     }
     return true;
 }
--- a/src/telemetry/node_metrics.cpp
+++ b/src/telemetry/node_metrics.cpp
@@ -6,6 +6,10 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <functional>
+#include <map>
+#include <string>
+
 namespace peridotrudder {
 
 namespace {
@@ -44,6 +48,13 @@
             .Name("peridot_take_over_seconds")
             .Help("Time from a claim until its owner served")
             .Register(m_registry);
+    prometheus::Family<prometheus::Histogram>& m_durations =
+        prometheus::BuildHistogram()
+            .Name("peridot_duration_seconds")
+            .Help("Time until a job began or ended, an append or a start was answered")
+            .Register(m_registry);
+    /// Found by name at each measurement, which comes with every start.
+    std::map<std::string, prometheus::Histogram*, std::less<>> m_duration_by_name;
     prometheus::Family<prometheus::Gauge>& m_gauges = prometheus::BuildGauge()
                                                           .Name("peridot_node")
                                                           .Help("States of the node, by name")
@@ -72,6 +83,17 @@
     m_inside->m_take_overs.Add({}, latency_bounds).Observe(to_seconds(time));
 }
 
+void node_metrics::measured(std::string_view what, milliseconds time)
+{
+    auto& known = m_inside->m_duration_by_name;
+    auto found = known.find(what);
+    if (found == known.end()) {
+        auto& made = m_inside->m_durations.Add({{"of", std::string{what}}}, latency_bounds);
+        found = known.emplace(what, &made).first;
+    }
+    found->second->Observe(to_seconds(time));
+}
+
 void node_metrics::set_gauge(const std::string& name, double value)
 {
     m_inside->m_gauges.Add({{"name", name}}).Set(value);
--- a/test/node/fleet_owner_test.cpp
+++ b/test/node/fleet_owner_test.cpp
@@ -65,6 +65,7 @@
             m_answers[token] = answer;
         };
         ports.m_decided = [](const decision&) {};
+        ports.m_measured = [](std::string_view, milliseconds) {};
         ports.m_ended = [this] { m_ended = true; };
         return fleet_owner::create(options, ports);
     }
--- a/test/scheduling/fleet_world.hpp
+++ b/test/scheduling/fleet_world.hpp
@@ -170,6 +170,8 @@
     /// Returns the first broken promise; empty while all are kept.
     const std::string& fault() const { return m_fault; }
     std::size_t starts() const { return m_starts; }
+    /// Returns the newest duration that was logged with each event.
+    const std::map<std::string, milliseconds>& timed() const { return m_timed; }
     /// Returns how many starts came without a valid ticket where one was needed.
     std::size_t bad_tickets() const { return m_bad_tickets; }
     std::size_t accepted() const { return m_accepted.size(); }
@@ -406,7 +408,11 @@
         ports.m_answer = [this](std::uint64_t token, const call_answer& answer) {
             take_answer(token, answer);
         };
-        ports.m_log = [](const decision&) {};
+        ports.m_log = [this](const decision& made) {
+            if (made.m_took) {
+                m_timed[std::string{made.m_event}] = *made.m_took;
+            }
+        };
         ports.m_deposed = [this, epoch] {
             if (auto* each = find_owner(epoch); each != nullptr && each != m_owner.get()) {
                 each->m_over = true;
@@ -699,6 +705,7 @@
     bool m_restricted{false};
     std::map<std::string, time_point> m_tickets;
     std::size_t m_bad_tickets{0};
+    std::map<std::string, milliseconds> m_timed;
 };
 
 } // namespace peridotrudder
--- a/test/scheduling/job_scheduler_test.cpp
+++ b/test/scheduling/job_scheduler_test.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(orders_that_are_carried_out_late_double_nothing);
     CPPUNIT_TEST(work_of_a_lost_worker_goes_elsewhere);
     CPPUNIT_TEST(question_is_answered_by_what_is_recorded);
+    CPPUNIT_TEST(a_jobs_first_start_and_its_end_are_logged_with_their_times);
     CPPUNIT_TEST(restricted_steps_start_with_valid_tickets_only);
     CPPUNIT_TEST(no_history_breaks_a_promise);
     CPPUNIT_TEST_SUITE_END();
@@ -162,6 +163,18 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"completed"}, world.ask(1));
     }
 
+    void a_jobs_first_start_and_its_end_are_logged_with_their_times()
+    {
+        fleet_world world{8};
+        world.change_owner(false);
+        world.pass(milliseconds{200});
+        world.submit(3, 1);
+        CPPUNIT_ASSERT(world.settles(milliseconds{20'000}));
+        CPPUNIT_ASSERT(world.timed().at("job_begun") < milliseconds{50});
+        CPPUNIT_ASSERT(world.timed().at("job_ended") >= milliseconds{100});
+        CPPUNIT_ASSERT(world.timed().at("job_ended") < milliseconds{20'000});
+    }
+
     void restricted_steps_start_with_valid_tickets_only()
     {
         fleet_world world{9};
