Average arrivals over a number of jobs, not over a fixed time; demo of jobs

The pools lines show the need believed a second late (29, 104, 221, 351 VMs in four seconds) while orders for VMs were all carried out: the average over half a second or more that a few jobs need was taken over hundreds.

Ruled out: refused orders for VMs (none), their rate (215 a second allowed).

--- a/include/peridotrudder/planning/pool_demand.hpp
+++ b/include/peridotrudder/planning/pool_demand.hpp
@@ -50,6 +50,8 @@
     struct arrivals {
         accepted_total m_seen;
         double m_rate{0.0};
+        /// Jobs a millisecond, averaged alike.
+        double m_job_rate{0.0};
         /// How long a job takes, averaged by its work.
         double m_duration_ms{800.0};
     };
--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -89,6 +89,7 @@
     std::int64_t m_work{0};
     /// The same, each job's times the milliseconds of its longest chain.
     std::int64_t m_work_by_chain{0};
+    std::int64_t m_jobs{0};
 };
 
 struct scheduler_state {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Builds everything, starts a whole system on this machine, runs a load and prints what became of
-# it. Exits non-zero if a promise broke.
+# it; then runs jobs. Exits non-zero if a promise broke.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -13,3 +13,5 @@
 echo
 "$build_dir/apps/peridot-load" --workload "$conf/workload.ini" --seed "${SEED:-1}" \
     --duration_s "${DURATION_S:-10}" --check
+
+scripts/demo-jobs.sh
--- a/src/planning/pool_demand.cpp
+++ b/src/planning/pool_demand.cpp
@@ -9,8 +9,11 @@
 
 namespace {
 
-/// Arrivals are averaged over at least this time.
-constexpr double least_memory_ms = 350.0;
+/// Arrivals are averaged over so many jobs: fewer tell little, more tell of a turn too late.
+constexpr double averaged_jobs = 12.0;
+constexpr double least_memory_ms = 120.0;
+/// Where few jobs come, half the time that they take is averaged over, and at least this.
+constexpr double least_long_memory_ms = 350.0;
 /// Weight of the jobs since the last measurement in the average of durations.
 constexpr double duration_weight = 0.05;
 /// A job that is almost or already late does not count as needing endless room.
@@ -134,6 +137,7 @@
 {
     const auto work = static_cast<double>(total.m_work - seen.m_seen.m_work);
     const auto weighted = static_cast<double>(total.m_work_by_chain - seen.m_seen.m_work_by_chain);
+    const auto jobs = static_cast<double>(total.m_jobs - seen.m_seen.m_jobs);
     seen.m_seen = total;
     if (work > 0.0) {
         seen.m_duration_ms += (weighted / work - seen.m_duration_ms) * duration_weight;
@@ -141,8 +145,12 @@
     if (passed_ms <= 0.0) {
         return;
     }
-    const double memory_ms = std::max(least_memory_ms, seen.m_duration_ms / 2.0);
-    const double keep = std::exp(-passed_ms / memory_ms);
+    const double newest_job_rate = jobs / passed_ms;
+    const double longest_ms = std::max(least_long_memory_ms, seen.m_duration_ms / 2.0);
+    const double jobs_ms =
+        averaged_jobs / std::max({newest_job_rate, seen.m_job_rate, averaged_jobs / longest_ms});
+    const double keep = std::exp(-passed_ms / std::max(jobs_ms, least_memory_ms));
+    seen.m_job_rate = seen.m_job_rate * keep + newest_job_rate * (1.0 - keep);
     seen.m_rate = seen.m_rate * keep + work / passed_ms * (1.0 - keep);
 }
 
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -174,6 +174,7 @@
         auto& total = m_state.m_accepted_work[queue.m_pool];
         const auto work = estimated_work(*call.m_spec);
         total.m_work += work;
+        ++total.m_jobs;
         total.m_work_by_chain += work * longest_chain(*call.m_spec).count();
     }
     m_state.log("job_accepted", id, "", queue.m_name);
--- a/test/planning/pool_demand_test.cpp
+++ b/test/planning/pool_demand_test.cpp
@@ -48,6 +48,7 @@
         if (!long_running) {
             auto& total = m_state.m_accepted_work["pool"];
             total.m_work += estimated_work(header.m_spec);
+            ++total.m_jobs;
             total.m_work_by_chain += estimated_work(header.m_spec) * 500;
         }
         return m_state.m_book.add(header);
@@ -66,6 +67,7 @@
     CPPUNIT_TEST(idle_pool_needs_nothing);
     CPPUNIT_TEST(long_running_tasks_need_as_many_vms_as_they_must_spread_over);
     CPPUNIT_TEST(all_that_waits_counts_whole);
+    CPPUNIT_TEST(the_more_jobs_come_the_sooner_a_turn_is_believed);
     CPPUNIT_TEST(turn_of_five_times_the_mean_is_followed_up_and_down);
     CPPUNIT_TEST_SUITE_END();
 
@@ -91,6 +93,27 @@
         CPPUNIT_ASSERT(it.wanted(0) >= 64'000 / vm_cpu);
     }
 
+    void the_more_jobs_come_the_sooner_a_turn_is_believed()
+    {
+        // 1,000 cores' worth of work a second, in many jobs and in few, for 300 ms from nothing.
+        const auto arriving_after = [](std::uint32_t tasks, int jobs_each_step) {
+            fixture it;
+            std::int64_t arriving = 0;
+            for (std::int64_t now = 0; now <= 300; now += 100) {
+                for (int each = 0; each < jobs_each_step; ++each) {
+                    it.add(tasks, false, now);
+                }
+                arriving = it.m_demand.measure(it.m_state, at(now)).at("pool").m_arriving;
+            }
+            return arriving;
+        };
+        constexpr std::int64_t true_cpu = 1'000'000;
+        CPPUNIT_ASSERT_MESSAGE("200 jobs a second: nine tenths are believed",
+                               arriving_after(10, 20) > true_cpu * 9 / 10);
+        CPPUNIT_ASSERT_MESSAGE("10 jobs a second: two thirds at most",
+                               arriving_after(200, 1) < true_cpu * 2 / 3);
+    }
+
     void turn_of_five_times_the_mean_is_followed_up_and_down()
     {
         fixture it;
