Show what the logs of all nodes say of one job

peridotctl explain job ID LOG... merges the nodes' logs by time: every line that names the id, changes of owner and configuration in between, and the pools while the job waited for its first start. The demo of jobs shows it for a job whose owner is killed.

--- a/apps/ctl_main.cpp
+++ b/apps/ctl_main.cpp
@@ -4,6 +4,7 @@
 #include "peridotrudder/entry/operator_api.hpp"
 #include "peridotrudder/links/http_client.hpp"
 #include "peridotrudder/settings/entry_settings.hpp"
+#include "peridotrudder/telemetry/log_timeline.hpp"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
@@ -11,6 +12,7 @@
 #include <algorithm>
 #include <fstream>
 #include <iostream>
+#include <sstream>
 #include <thread>
 
 DEFINE_string(url, "http://127.0.0.1:7001", "Operators' address of any entry");
@@ -48,6 +50,7 @@
     "  status                         show entries, pools and the planner's term\n"
     "  explain vm|customer|wave NAME  show an object with its history\n"
     "  explain request ID             show the hops of a request\n"
+    "  explain job|worker|vm ID LOG.. show what the logs of scheduler nodes say of it\n"
     "  settings check FILE            check the settings of an entry VM\n"
     "  contracts check FILE           check a file of contracts\n\n"
     "Exit codes: 0 done, 1 wrong usage, 2 bad settings or contracts, 3 entry unreachable,\n"
@@ -350,6 +353,33 @@
     return change("PUT", "/v1/waves/" + id, request);
 }
 
+/// Shows what the logs say of a job, a worker or a VM.
+int explain_by_logs(const std::string& id, gsl::span<const std::string> files)
+{
+    std::vector<log_source> sources;
+    for (const auto& each : files) {
+        std::ifstream file{each};
+        if (!file) {
+            std::cerr << "cannot read " << each << '\n';
+            return exit_usage;
+        }
+        std::ostringstream text;
+        text << file.rdbuf();
+        const auto name = each.substr(each.find_last_of('/') + 1);
+        sources.push_back({name.substr(0, name.rfind('.')), text.str()});
+    }
+    const auto entries = timeline_of(id, sources);
+    if (entries.empty()) {
+        std::cerr << "no line names " << id << '\n';
+        return exit_refused;
+    }
+    for (const auto& each : entries) {
+        std::cout << fmt::format("{}  {:<14} {:<18} {}\n", each.m_time, each.m_node, each.m_event,
+                                 each.m_fields);
+    }
+    return exit_ok;
+}
+
 int run_command(const std::vector<std::string>& words)
 {
     const auto is = [&](std::string_view noun, std::string_view verb, std::size_t count) {
@@ -379,6 +409,10 @@
     if (is("status", "", 1)) {
         return show_status();
     }
+    constexpr std::size_t first_log = 3;
+    if (words.size() > first_log && words[0] == "explain") {
+        return explain_by_logs(words[2], gsl::make_span(words).subspan(first_log));
+    }
     if (is("explain", "request", 3)) {
         return explain_request(words[2]);
     }
--- a/scripts/demo-jobs.sh
+++ b/scripts/demo-jobs.sh
@@ -72,6 +72,8 @@
 asked=$((${owner#node-} % 3 + 1))
 wait_until 15 has_state "$asked" 00000000000000a2 completed
 echo "asked at node-$asked:          $(job "$asked" GET 00000000000000a2)"
+echo "What the logs say of it:"
+"$build_dir/apps/peridotctl" explain job 00000000000000a2 "$run_dir"/node-*.log | cut -c1-150
 curl -s "http://127.0.0.1:$fleet/ledger" | python3 -c '
 import json, sys
 starts = [each["task"] for each in json.load(sys.stdin) if each["what"] == "start"]
