Move no long-running task while a predecessor's stops may be under way

Cause: a run that was told to stop is listed as at work until it has ended; a successor counted it as at work.

Ruled out: a run adopted before its worker answered (counts as missing), and a silent worker (same).

The test fails before. Lines of runs now name the task, and moves how many are missing.

--- a/include/peridotrudder/planning/fleet_planner.hpp
+++ b/include/peridotrudder/planning/fleet_planner.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -29,6 +30,9 @@
     /// Time that a VM needs to change its pool, and for its maintenance.
     milliseconds m_move_time{1'500};
     milliseconds m_maintenance_time{2'000};
+    /// Until a run that a predecessor told to stop has ended, it is listed as at work: so long
+    /// after a take-over no long-running task is moved. Longer than a stop takes, and its way.
+    milliseconds m_settle_time{1'000};
 };
 
 /// How the planner reaches the world.
@@ -85,6 +89,8 @@
     planner_ports m_ports;
     std::unique_ptr<vm_fleet> m_fleet;
     time_point m_planned_at;
+    /// When this owner planned first.
+    std::optional<time_point> m_began_at;
     time_point m_reported_at;
     std::map<std::string, std::uint32_t> m_wanted;
     std::string m_spare_pool;
--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -76,6 +76,9 @@
     std::map<std::string, job_state> m_jobs;
 };
 
+/// Returns the task's occurrence, step and index as text, such as "0.1.17".
+std::string to_text(const task_ref& task);
+
 struct scheduler_options {
     std::uint64_t m_fence{0};
     lease_options m_lease;
@@ -125,6 +128,9 @@
     void changed(const std::string& job_id);
     void log(std::string_view event, const std::string& job, const std::string& worker,
              std::string detail) const;
+    /// Logs what became of a run, with the task's occurrence, step and index.
+    void log_run(std::string_view event, const run_key& key, const std::string& worker,
+                 std::string_view detail) const;
     void log_timed(std::string_view event, const std::string& job, const std::string& worker,
                    std::string detail, milliseconds took) const;
 };
--- a/src/planning/fleet_planner.cpp
+++ b/src/planning/fleet_planner.cpp
@@ -91,6 +91,7 @@
         return;
     }
     m_planned_at = now.m_at;
+    m_began_at = m_began_at.value_or(now.m_at);
     if (m_fleet->list_asked_at()) {
         note_idle(scheduler.state(), now.m_at);
         note_lost_workers(scheduler);
@@ -247,7 +248,7 @@
 void fleet_planner::empty(planned_machine& machine, job_scheduler& scheduler, moment now)
 {
     auto* session = scheduler.mutable_state().find_worker(machine.m_listed.m_worker);
-    if (session == nullptr) {
+    if (session == nullptr || now.m_at - *m_began_at < m_options.m_settle_time) {
         return;
     }
     std::vector<run_key> movable_runs;
@@ -268,7 +269,9 @@
         const auto missing = missing_of_step(scheduler.state(), *of, key.m_task);
         // A task that is not at work itself is among the missing already.
         if (missing < may_miss + (at_work ? 0 : 1)) {
-            m_ports.m_decided({"task_moved_off", key.m_job, session->id(), machine.m_listed.m_id});
+            scheduler.state().log_run(
+                "task_moved_off", key, session->id(),
+                fmt::format("for {}, {} of {} missing", machine.m_listed.m_id, missing, may_miss));
             scheduler.runs().stop_run(*session, key, now.m_at);
         }
     }
--- a/src/scheduling/run_control.cpp
+++ b/src/scheduling/run_control.cpp
@@ -80,7 +80,7 @@
     }
     auto& session = found->second;
     if (!(session.life() == placed.m_where)) {
-        m_state->log("run_lost", key.m_job, session.id(), "worker is in another life");
+        m_state->log_run("run_lost", key, session.id(), "worker is in another life");
         m_state->m_book.find(key.m_job)->void_run(key.m_task);
         m_state->changed(key.m_job);
         return;
@@ -150,7 +150,7 @@
         return;
     case order_result::unanswered:
         if (run->m_phase == run_phase::ordered) {
-            m_state->log("start_unanswered", key.m_job, life.m_worker, "");
+            m_state->log_run("start_unanswered", key, life.m_worker, "");
             run->m_phase = run_phase::doubtful;
             stop_run(*session, key, now.m_at);
         }
@@ -262,8 +262,7 @@
     }
     m_state->changed(ended.m_key.m_job);
     if (ended.m_how != run_end::done) {
-        m_state->log("run_ended", ended.m_key.m_job, session.id(),
-                     std::string{to_string(ended.m_how)});
+        m_state->log_run("run_ended", ended.m_key, session.id(), to_string(ended.m_how));
     }
     const bool other_run = before.m_phase == task_phase::placed &&
                            (before.m_run != ended.m_run || !(before.m_where == session.life()));
@@ -321,7 +320,7 @@
     if (each.m_phase == task_phase::placed && each.m_run == number) {
         of->void_run(key.m_task);
         m_state->changed(key.m_job);
-        m_state->log("run_lost", key.m_job, session.id(), std::string{why});
+        m_state->log_run("run_lost", key, session.id(), why);
     }
 }
 
@@ -398,7 +397,7 @@
         }
     }
     for (const auto& key : stalled) {
-        m_state->log("run_stalled", key.m_job, session.id(), "");
+        m_state->log_run("run_stalled", key, session.id(), "");
         auto& health = m_state->health_of(session.report().m_pool);
         health.failed(session.id(), m_state->pool_size(session.report().m_pool), now);
         stop_run(session, key, now);
@@ -410,8 +409,8 @@
     for (const auto& change : decide_paces(session, now)) {
         auto* run = session.find(change.m_key);
         if (run->m_pace != change.m_percent) {
-            m_state->log("run_paced", change.m_key.m_job, session.id(),
-                         fmt::format("{} of 100", change.m_percent));
+            m_state->log_run("run_paced", change.m_key, session.id(),
+                             fmt::format("{} of 100", change.m_percent));
         }
         run->m_pace = change.m_percent;
         run->m_pace_known = true;
--- a/src/scheduling/scheduler_state.cpp
+++ b/src/scheduling/scheduler_state.cpp
@@ -1,9 +1,15 @@
 #include "peridotrudder/scheduling/scheduler_state.hpp"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace peridotrudder {
 
+std::string to_text(const task_ref& task)
+{
+    return fmt::format("{}.{}.{}", task.m_occurrence, task.m_step, task.m_index);
+}
+
 namespace {
 
 /// Fewer than for forwarded calls: a worker that fails all it starts draws work fast.
@@ -58,6 +64,12 @@
     m_ports.m_log({event, job, worker, std::move(detail), std::nullopt});
 }
 
+void scheduler_state::log_run(std::string_view event, const run_key& key, const std::string& worker,
+                              std::string_view detail) const
+{
+    log(event, key.m_job, worker, fmt::format("{} {}", to_text(key.m_task), detail));
+}
+
 void scheduler_state::log_timed(std::string_view event, const std::string& job,
                                 const std::string& worker, std::string detail,
                                 milliseconds took) const
--- a/test/planning/fleet_planner_test.cpp
+++ b/test/planning/fleet_planner_test.cpp
@@ -18,6 +18,7 @@
     std::vector<vm_order> m_orders;
     std::deque<std::function<void(vm_result)>> m_answers;
     std::vector<std::pair<std::string, bool>> m_told;
+    std::vector<stop_order> m_stops;
     std::unique_ptr<job_scheduler> m_scheduler;
     std::unique_ptr<fleet_planner> m_planner;
 
@@ -36,15 +37,21 @@
         }
         scheduler_ports ports;
         ports.m_start = [](const worker_report&, const start_order&) {};
-        ports.m_stop = [](const worker_report&, const stop_order&) {};
+        ports.m_stop = [this](const worker_report&, const stop_order& order) {
+            m_stops.push_back(order);
+        };
         ports.m_pace = [](const worker_report&, const pace_order&) {};
         ports.m_hold = [](const worker_report&, const hold_order&) {};
         ports.m_answer = [](std::uint64_t, const call_answer&) {};
         ports.m_log = [](const decision&) {};
         ports.m_deposed = [] {};
         m_scheduler = job_scheduler::create({}, ports, {}, m_now);
+        queue_config queue;
+        queue.m_host = "host";
+        queue.m_prefix = "/queue/";
+        queue.m_pool = "pool";
         m_scheduler->set_config(
-            fleet_config::create(1, {}, {{"pool", false, false}, {"spare", true, false}}));
+            fleet_config::create(1, {queue}, {{"pool", false, false}, {"spare", true, false}}));
         planner_ports hooks;
         hooks.m_loop.m_now = [this] { return m_now; };
         hooks.m_loop.m_after = [](milliseconds, const std::function<void()>&) {};
@@ -64,6 +71,46 @@
         m_planner->restore(records, m_now);
     }
 
+    /// Lets two tasks that last, of which one may be missing, run on the first two VMs.
+    void run_lasting_job()
+    {
+        for (int index = 0; index < 2; ++index) {
+            worker_report worker;
+            worker.m_life = {"i-" + std::to_string(index), 1};
+            worker.m_pool = "pool";
+            worker.m_port = 80;
+            worker.m_capacity = {16'000, 32'768, 0};
+            m_scheduler->worker_listed(worker, m_now);
+        }
+        m_scheduler->begin(m_now);
+        list_runs();
+        job_call call{call_kind::submit, "host", "/queue/00000000000000aa", job_spec{}};
+        step_spec step;
+        step.m_count = 2;
+        step.m_long_running = true;
+        step.m_max_per_worker = 1;
+        step.m_may_miss = 1;
+        call.m_spec->m_steps.push_back(step);
+        m_scheduler->take_call(1, call, m_now);
+        m_scheduler->written(m_scheduler->take_batch(m_now), m_now);
+        list_runs();
+    }
+
+    /// Lets the workers list all that they were told to run, fully at work.
+    void list_runs()
+    {
+        for (int index = 0; index < 2; ++index) {
+            const worker_life life{"i-" + std::to_string(index), 1};
+            hold_answer answer;
+            answer.m_result = order_result::accepted;
+            answer.m_born_ms = 1;
+            for (const auto& [key, run] : m_scheduler->mutable_state().find_life(life)->runs()) {
+                answer.m_running.push_back({key, run.m_run, "", 100, 0});
+            }
+            m_scheduler->hold_answered(life, answer, m_now.m_at, m_now);
+        }
+    }
+
     std::vector<kept_record> pass(milliseconds time)
     {
         std::vector<kept_record> all;
@@ -121,6 +168,7 @@
     CPPUNIT_TEST(wave_never_has_more_away_than_allowed);
     CPPUNIT_TEST(wave_is_completed_only_when_all_have_begun);
     CPPUNIT_TEST(successor_knows_what_a_wave_has_done);
+    CPPUNIT_TEST(a_successor_moves_no_task_while_stops_of_its_predecessor_may_be_under_way);
     CPPUNIT_TEST(a_wave_is_spread_and_leaves_time_for_what_comes_between);
     CPPUNIT_TEST(maintenance_that_a_predecessor_could_not_record_counts_as_away);
     CPPUNIT_TEST_SUITE_END();
@@ -241,6 +289,20 @@
                                      after.maintained());
     }
 
+    void a_successor_moves_no_task_while_stops_of_its_predecessor_may_be_under_way()
+    {
+        fixture it;
+        it.run_lasting_job();
+        it.m_planner->declare(wave_of(5), "wave/1", it.m_now);
+
+        // A run that the predecessor has told to stop is listed as at work until it has ended.
+        it.pass(milliseconds{900});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, it.m_stops.size());
+
+        it.pass(milliseconds{1'000});
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("then one at a time", std::size_t{1}, it.m_stops.size());
+    }
+
     void a_wave_is_spread_and_leaves_time_for_what_comes_between()
     {
         // 172 VMs in 25 s, each away for 4 s with the time to empty it; an outage of 4 s comes.
