Tell a refusal only once no other copy of the submission may be taken

The logs show the owner's refusal, its way to the caller 1.3 s later over a slowed link, and 4 ms after that an acceptance: the entry had sent the call again when the link to the owner was new, and there was room for the second copy. Ruled out: the caller's own next try (it waits 300 ms at least).

Two of the three tests fail before. The fault is older than refusals by load: a refusal while the log takes no writes could cross a second copy alike.

--- a/src/node/call_router.cpp
+++ b/src/node/call_router.cpp
@@ -5,6 +5,17 @@
 
 namespace peridotrudder {
 
+namespace {
+
+/// Returns whether the status says that the job was not taken.
+bool is_refusal(call_status status)
+{
+    return status == call_status::overloaded || status == call_status::unavailable ||
+           status == call_status::unknown_queue || status == call_status::invalid;
+}
+
+} // namespace
+
 call_router call_router::create(router_options options, sender send)
 {
     call_router made;
@@ -59,6 +70,15 @@
         --found->second.m_unresolved;
         return;
     }
+    auto& kept = found->second;
+    if (kept.m_call.m_kind == call_kind::submit && is_refusal(answer.m_status)) {
+        --kept.m_unresolved;
+        if (kept.m_unresolved > 0) {
+            // Another copy may be taken yet: whether the job runs is known only when it is
+            // answered.
+            return;
+        }
+    }
     finish(number, answer);
 }
 
--- a/test/node/call_router_test.cpp
+++ b/test/node/call_router_test.cpp
@@ -24,8 +24,10 @@
 
     void take()
     {
+        job_call call;
+        call.m_kind = call_kind::submit;
         m_router.take(
-            {}, time_left, [this](const call_answer& answer) { m_answer = answer; }, start);
+            call, time_left, [this](const call_answer& answer) { m_answer = answer; }, start);
     }
 
     std::string status() const
@@ -52,6 +54,9 @@
     CPPUNIT_TEST(call_that_a_non_owner_turned_down_waits_for_the_owner);
     CPPUNIT_TEST(call_that_only_non_owners_saw_may_be_refused);
     CPPUNIT_TEST(call_of_an_owner_that_ended_is_never_said_not_to_have_run);
+    CPPUNIT_TEST(refusal_waits_while_another_copy_may_be_taken);
+    CPPUNIT_TEST(refusal_of_every_copy_is_told);
+    CPPUNIT_TEST(refusal_beside_a_copy_without_answer_ends_as_unknown);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -122,6 +127,42 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"unknown_outcome"}, it.status());
     }
 
+    void refusal_waits_while_another_copy_may_be_taken()
+    {
+        fixture it;
+        it.take();
+        it.m_router.owner_changed(start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, it.m_sent.size());
+
+        it.m_router.answered(it.m_sent[0], answer_of(call_status::overloaded), start);
+        CPPUNIT_ASSERT_EQUAL(std::string{"none yet"}, it.status());
+        it.m_router.answered(it.m_sent[0], answer_of(call_status::done), start);
+        CPPUNIT_ASSERT_EQUAL(std::string{"done"}, it.status());
+    }
+
+    void refusal_of_every_copy_is_told()
+    {
+        for (const auto refusal : {call_status::overloaded, call_status::unavailable,
+                                   call_status::unknown_queue, call_status::invalid}) {
+            fixture it;
+            it.take();
+            it.m_router.owner_changed(start);
+            it.m_router.answered(it.m_sent[0], answer_of(refusal), start);
+            it.m_router.answered(it.m_sent[0], answer_of(refusal), start);
+            CPPUNIT_ASSERT_EQUAL(std::string{to_string(refusal)}, it.status());
+        }
+    }
+
+    void refusal_beside_a_copy_without_answer_ends_as_unknown()
+    {
+        fixture it;
+        it.take();
+        it.m_router.owner_changed(start);
+        it.m_router.answered(it.m_sent[0], answer_of(call_status::unavailable), start);
+        it.m_router.tick(start + time_left);
+        CPPUNIT_ASSERT_EQUAL(std::string{"unknown_outcome"}, it.status());
+    }
+
     void call_that_only_non_owners_saw_may_be_refused()
     {
         fixture it;
