Judge stalled runs by answers only, and look unanswered starts up before stopping them

Two decisions stopped runs on no knowledge. (1) A run counts as stalled without progress for 1.2 s; the check also ran when a hold was not answered. A hold waits 1 s and times out 0.5 s later, so one lost answer, or a lost relay with all its holds, stopped every run of the worker that was not a long-running one known at work, and marked the worker as failing. (2) A start without answer was stopped at once, though usually only the answer is lost.

Stall and pace are judged on answers. A start without answer is looked up in the next list: listed, it goes on; not listed, a short task is stopped (which rules a late start out), a long-running one waits for the deadline of its start on the worker's clock. A run that is not listed after that deadline is gone.

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -22,6 +22,7 @@
     /// The worker confirmed the start, or lists the run.
     running,
     /// The start was not answered, or a predecessor recorded the run: it may run, or start later.
+    /// The next holds show which.
     uncertain,
 };
 
@@ -36,6 +37,11 @@
     bool m_best_effort{false};
     milliseconds m_latency_target{0};
     milliseconds m_estimate{0};
+    /// The worker refuses the start after this time, in Unix milliseconds on its own clock; zero if
+    /// no start was sent by this owner.
+    std::int64_t m_start_deadline_ms{0};
+    /// When the start was given up as unanswered.
+    std::optional<time_point> m_unanswered_since;
     /// When the start was confirmed.
     time_point m_confirmed_at;
     /// A stop was requested; the capacity stays reserved until the worker lists the end.
@@ -85,6 +91,9 @@
     std::vector<ended_entry> m_ended;
     /// Runs that are certainly not on the worker and will not be reported as ended.
     std::vector<run_key> m_gone;
+    /// Runs whose start was not answered, and that were not on the worker afterwards; they may
+    /// still start.
+    std::vector<run_key> m_not_begun;
     /// Runs that this owner does not know.
     std::vector<running_entry> m_unknown_runs;
 };
@@ -149,6 +158,8 @@
     std::optional<time_point> hold_due() const;
     /// Applies the answer to the hold that was sent at `sent_at`.
     hold_outcome hold_answered(const hold_answer& answer, time_point sent_at, time_point now);
+    /// Marks a run whose start was not answered.
+    void set_unanswered(worker_run& run, time_point now);
     /// Applies the answer to another order.
     void order_answered(const order_answer& answer, time_point now);
     /// Marks all ends up to a number as recorded.
--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -50,6 +50,8 @@
     void update_worker_health(worker_session& session, const job& target, const run_key& key,
                               run_end end, time_point now);
     void mark_run_lost(worker_session& session, const run_key& key, std::string_view reason);
+    /// Rules out that a run whose start was not answered still begins.
+    void stop_not_begun(worker_session& session, const run_key& key, time_point now);
     void stop_unknown_run(worker_session& session, const running_entry& unknown, time_point now);
     void stop_stalled(worker_session& session, time_point now);
     /// Throttles best-effort runs that slow down latency-sensitive ones, and speeds them up again.
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -109,6 +109,12 @@
     run.m_stopping = true;
 }
 
+void worker_session::set_unanswered(worker_run& run, time_point now)
+{
+    run.m_phase = run_phase::uncertain;
+    run.m_unanswered_since = now;
+}
+
 std::int64_t worker_session::clock_estimate(time_point now) const
 {
     const auto passed = std::chrono::duration_cast<milliseconds>(now - m_clock_at).count();
@@ -251,14 +257,21 @@
             continue;
         }
         // A run that is not listed is certainly gone only if it cannot start after this hold was
-        // sent: its start or its stop was confirmed before, or it was ordered with an earlier
-        // fencing token.
+        // sent: its start or its stop was confirmed before, it was ordered with an earlier fencing
+        // token, or the deadline of its start has passed.
         const bool confirmed_before =
             run.m_phase == run_phase::running && run.m_confirmed_at <= sent_at;
         const bool cannot_start = run.m_cannot_start_since && *run.m_cannot_start_since <= sent_at;
-        if (confirmed_before || cannot_start) {
+        const bool deadline_passed =
+            run.m_start_deadline_ms != 0 && answer.m_clock_ms > run.m_start_deadline_ms;
+        const bool not_begun = run.m_phase == run_phase::uncertain && run.m_unanswered_since &&
+                               *run.m_unanswered_since <= sent_at;
+        if (confirmed_before || cannot_start || deadline_passed) {
             outcome.m_gone.push_back(key);
         }
+        else if (not_begun) {
+            outcome.m_not_begun.push_back(key);
+        }
     }
 }
 
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -126,6 +126,7 @@
     order.m_checkpoint = target->at(start.m_key.m_task).m_checkpoint;
     order.m_fence = m_state->m_options.m_fence;
     order.m_deadline_ms = session->start_deadline(now.m_at);
+    run->m_start_deadline_ms = order.m_deadline_ms;
     run->m_phase = run_phase::ordered;
     m_state->m_ports.m_start(session->report(), order);
 }
@@ -152,9 +153,10 @@
         return;
     case order_result::unanswered:
         if (run->m_phase == run_phase::ordered) {
+            // Usually only the answer is lost. A stop would end a run that is under way, so the
+            // worker's next list decides.
             m_state->log_run("start_unanswered", key, instance.m_worker, "");
-            run->m_phase = run_phase::uncertain;
-            stop_run(*session, key, now.m_at);
+            session->set_unanswered(*run, now.m_at);
         }
         return;
     case order_result::obsolete:
@@ -233,14 +235,20 @@
     for (const auto& item : outcome.m_gone) {
         mark_run_lost(*session, item, "not listed by the worker");
     }
+    for (const auto& item : outcome.m_not_begun) {
+        stop_not_begun(*session, item, now.m_at);
+    }
     for (const auto& item : outcome.m_unknown_runs) {
         stop_unknown_run(*session, item, now.m_at);
     }
     if (!outcome.m_ended.empty()) {
         m_state->m_effects.emplace_back(ends_effect{session->instance(), session->newest_end()});
     }
-    stop_stalled(*session, now.m_at);
-    pace_best_effort(*session, now.m_at);
+    if (answer.m_result == order_result::accepted) {
+        // Without an answer nothing is known about the progress of the runs.
+        stop_stalled(*session, now.m_at);
+        pace_best_effort(*session, now.m_at);
+    }
 }
 
 void run_tracker::handle_end(worker_session& session, const ended_entry& ended, moment now)
@@ -363,6 +371,16 @@
     m_state->m_ports.m_stop(session.report(), {key, run->m_run, m_state->m_options.m_fence});
 }
 
+void run_tracker::stop_not_begun(worker_session& session, const run_key& key, time_point now)
+{
+    // A stop rules the start out, so that the task can run elsewhere at once. It may also reach a
+    // run that began late: a long-running task is left to the deadline of its start instead,
+    // because no more tasks of its step may be stopped than may be missing.
+    if (!session.find(key)->m_long_running) {
+        stop_run(session, key, now);
+    }
+}
+
 void run_tracker::stop_job(const job& target, time_point now)
 {
     for (const auto& ref : placed_tasks_of(target)) {
@@ -404,7 +422,11 @@
         }
     }
     for (const auto& key : stalled) {
-        m_state->log_run("run_stalled", key, session.id(), "");
+        const auto* run = session.find(key);
+        m_state->log_run("run_stalled", key, session.id(),
+                         fmt::format("{} percent for {} ms, confirmed {} ms ago", run->m_percent,
+                                     remaining(run->m_progress_at, now).count(),
+                                     remaining(run->m_confirmed_at, now).count()));
         auto& health = m_state->health_of(session.report().m_pool);
         health.failed(session.id(), m_state->pool_size(session.report().m_pool), now);
         stop_run(session, key, now);
