Renew leases in an outage of the log; size pools by real VMs and by what tasks can use at once

Cause 1 (leases). A worker got no hold while an end that it had listed was not recorded. Now such a worker gets a hold each second that only renews.

Cause 2 (VM sizes). Each VM counted as 16 cores; a deployment with 32 wanted twice the VMs, and the admission saw half of what there was. Now the mean of the listed VMs counts.

Cause 3 (late jobs). A job now demands at most what its tasks can use at once.

Tests that failed before: lease_is_renewed_while_ends_cannot_be_recorded, log_outage_ends_no_lease, larger_vms_are_kept_in_smaller_numbers, late_job_demands_no_more_than_its_tasks_can_use_at_once.

--- a/include/peridotrudder/jobs/job.hpp
+++ b/include/peridotrudder/jobs/job.hpp
@@ -159,6 +159,8 @@
     bool unblocked(std::uint32_t occurrence, std::uint32_t step) const;
     /// Returns how many tasks of the step have no run and are not finished.
     std::uint32_t waiting(std::uint32_t occurrence, std::uint32_t step) const;
+    /// Returns how many tasks of the step are not done.
+    std::uint32_t open_tasks(std::uint32_t occurrence, std::uint32_t step) const;
     std::uint32_t placed_tasks() const { return m_placed; }
     /// Returns how many tasks are not done.
     std::uint64_t unfinished_tasks() const { return m_open_total; }
--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -198,6 +198,7 @@
     std::uint32_t m_stopping_runs{0};
 
     bool m_hold_in_flight{false};
+    time_point m_hold_sent_at;
     time_point m_next_hold;
     std::uint64_t m_newest_end{0};
     std::uint64_t m_recorded_end{0};
--- a/include/peridotrudder/planning/vm_fleet.hpp
+++ b/include/peridotrudder/planning/vm_fleet.hpp
@@ -89,6 +89,8 @@
     /// Returns whether the VM may get a new order now.
     bool can_be_ordered(const managed_vm& managed, time_point now) const;
 
+    /// Returns the mean processor of the listed VMs, in thousandths of a core.
+    std::int64_t mean_cpu_millis() const;
     /// Orders the VM to another pool, or to maintenance for a wave. The order is sent once it is
     /// recorded.
     void order_move(managed_vm& managed, const std::string& pool, time_point now);
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -141,6 +141,11 @@
     }));
 }
 
+std::uint32_t job::open_tasks(std::uint32_t occurrence, std::uint32_t step) const
+{
+    return m_open.at(occurrence).at(step);
+}
+
 std::uint32_t job::place(const task_ref& ref, const worker_instance& worker)
 {
     auto& placed = find(ref);
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -141,10 +141,14 @@
 
 std::optional<time_point> worker_session::hold_due() const
 {
-    if (m_hold_in_flight || !needs_hold() || m_newest_end > m_recorded_end) {
+    if (m_hold_in_flight || !needs_hold()) {
         return std::nullopt;
     }
-    return m_next_hold;
+    // The worker lists ends that are not recorded yet again, without waiting. Meanwhile holds only
+    // serve to renew its lease.
+    return m_newest_end > m_recorded_end
+               ? std::max(m_next_hold, m_hold_sent_at + m_options.m_hold_wait)
+               : m_next_hold;
 }
 
 std::optional<hold_order> worker_session::next_hold(time_point now)
@@ -169,6 +173,7 @@
         order.m_wait = m_stopping_runs > 0 ? m_options.m_hold_pause : wait;
     }
     m_hold_in_flight = true;
+    m_hold_sent_at = now;
     m_end_in_current_hold = order.m_last_end;
     return order;
 }
--- a/src/planning/fleet_planner.cpp
+++ b/src/planning/fleet_planner.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-/// Processor assumed for every VM, in thousandths of a core.
-constexpr std::int64_t default_vm_cpu = 16'000;
 constexpr std::uint32_t full_percent = 100;
 /// Time from the end of a move until the VM's worker is listed and has answered.
 constexpr milliseconds arrival_slack{200};
@@ -312,11 +310,12 @@
     std::map<std::string, std::uint32_t> missing;
     std::map<std::string, std::uint32_t> surplus;
     m_target_vms.clear();
+    const auto vm_cpu = m_fleet->mean_cpu_millis();
     for (const auto& pool : state.m_config.pools()) {
         if (pool.m_spare) {
             continue;
         }
-        const auto target = required_vms(loads.at(pool.m_name), default_vm_cpu) + 1;
+        const auto target = required_vms(loads.at(pool.m_name), vm_cpu) + 1;
         const auto supply = supply_of(pool.m_name, state);
         m_target_vms[pool.m_name] = target;
         if (target > supply) {
@@ -353,7 +352,7 @@
         pool_outlook outlook;
         outlook.m_backlog = load.m_backlog;
         outlook.m_waiting_cpu = load.m_waiting;
-        outlook.m_cpu = usable_vms * default_vm_cpu - load.m_long_running;
+        outlook.m_cpu = usable_vms * m_fleet->mean_cpu_millis() - load.m_long_running;
         outlook.m_accepted_work =
             accepted == scheduler.state().m_accepted_work.end() ? 0 : accepted->second.m_work;
         outlooks.emplace(pool, outlook);
--- a/src/planning/pool_demand.cpp
+++ b/src/planning/pool_demand.cpp
@@ -39,6 +39,25 @@
     }
 }
 
+/// Returns the processor that the occurrence's tasks can use at once at most, in thousandths of a
+/// core: its ready and placed tasks now, or later those of a step that depends on them.
+std::int64_t most_cpu_at_once(const job& pool_job, std::uint32_t occurrence)
+{
+    std::int64_t ready = 0;
+    std::int64_t widest_blocked = 0;
+    for (std::uint32_t index = 0; index < pool_job.spec().m_steps.size(); ++index) {
+        const auto cpu = std::int64_t{pool_job.open_tasks(occurrence, index)} *
+                         pool_job.spec().m_steps[index].m_task_resources.m_cpu_millis;
+        if (pool_job.unblocked(occurrence, index)) {
+            ready += cpu;
+        }
+        else {
+            widest_blocked = std::max(widest_blocked, cpu);
+        }
+    }
+    return std::max(ready, widest_blocked);
+}
+
 /// Returns the occurrence's remaining work, in thousandths of a core times milliseconds, and adds
 /// its ready and its placed tasks to the load.
 std::int64_t remaining_work(const job& pool_job, std::uint32_t occurrence, pool_load& load)
@@ -93,7 +112,9 @@
             punctuality_of(pool_job, limits, now_ms) != punctuality::useless) {
             load.m_backlog += waiting_work(pool_job, occurrence);
         }
-        load.m_accepted += work / std::max(left_ms, min_time_left_ms);
+        // More processor than the tasks can use at once would not make a late job faster.
+        load.m_accepted += std::min(work / std::max(left_ms, min_time_left_ms),
+                                    most_cpu_at_once(pool_job, occurrence));
     }
 }
 
--- a/src/planning/vm_fleet.cpp
+++ b/src/planning/vm_fleet.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+/// Processor of a VM while the list does not tell any.
+constexpr std::int64_t assumed_vm_cpu_millis = 16'000;
 /// Pause before an order that was not answered, or refused for now, is sent again.
 constexpr milliseconds order_retry{400};
 /// A move counts as failed if the VM is not listed in its new pool after this time.
@@ -65,6 +67,18 @@
            !ordered_by_predecessor(managed, now);
 }
 
+std::int64_t vm_fleet::mean_cpu_millis() const
+{
+    std::int64_t total = 0;
+    std::int64_t count = 0;
+    for (const auto& [id, managed] : m_managed_vms) {
+        const auto cpu = managed.m_listed.m_capacity.m_cpu_millis;
+        total += cpu;
+        count += cpu > 0 ? 1 : 0;
+    }
+    return count == 0 ? assumed_vm_cpu_millis : total / count;
+}
+
 void vm_fleet::order_move(managed_vm& managed, const std::string& pool, time_point now)
 {
     set_order(managed, {managed.m_listed.m_id, pool, 0, m_fence}, now);
--- a/test/machines/worker_session_test.cpp
+++ b/test/machines/worker_session_test.cpp
@@ -72,6 +72,7 @@
     CPPUNIT_TEST(lease_end_allows_for_a_slow_clock);
     CPPUNIT_TEST(hold_to_a_silent_worker_does_not_renew_its_lease);
     CPPUNIT_TEST(lease_outlasts_three_lost_answers);
+    CPPUNIT_TEST(lease_is_renewed_while_ends_cannot_be_recorded);
     CPPUNIT_TEST(lease_of_a_worker_that_never_answered_includes_the_predecessors_grace);
     CPPUNIT_TEST(answer_to_another_order_does_not_end_a_predecessors_lease);
     CPPUNIT_TEST(new_birth_time_means_a_restart);
@@ -232,6 +233,30 @@
         CPPUNIT_ASSERT(lease_end == session.lease_ends_at());
     }
 
+    void lease_is_renewed_while_ends_cannot_be_recorded()
+    {
+        auto session = make_session();
+        confirm(session, start);
+        session.reserve(key, make_run(run_phase::running));
+        auto sent_at = start + milliseconds{40};
+        CPPUNIT_ASSERT(session.next_hold(sent_at).has_value());
+        auto answer = make_answer(40);
+        answer.m_running.push_back({key, 1, "", 10, 0});
+        answer.m_ended.push_back({1, {"00000000000000ff", {0, 0, 0}}, 1, run_end::done, ""});
+        session.hold_answered(answer, sent_at, sent_at);
+
+        CPPUNIT_ASSERT_MESSAGE("the end would be listed again at once",
+                               !session.next_hold(sent_at + milliseconds{100}).has_value());
+        sent_at += lease_options{}.m_hold_wait;
+        const auto renewal = session.next_hold(sent_at);
+        CPPUNIT_ASSERT(renewal.has_value());
+        CPPUNIT_ASSERT(renewal->m_deadline_ms.has_value());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("the worker must keep the end", std::uint64_t{0},
+                                     renewal->m_last_end);
+        const auto repeated = session.hold_answered(answer, sent_at, sent_at);
+        CPPUNIT_ASSERT_MESSAGE("the end is reported once", repeated.m_ended.empty());
+    }
+
     void lease_outlasts_three_lost_answers()
     {
         lease_options options;
--- a/test/planning/fleet_planner_test.cpp
+++ b/test/planning/fleet_planner_test.cpp
@@ -96,6 +96,18 @@
         list_runs();
     }
 
+    /// Submits a job of tasks of one core each, which wait because no worker is known.
+    void submit_waiting_tasks(std::uint32_t tasks)
+    {
+        job_call call{call_kind::submit, "host", "/queue/00000000000000bb", job_spec{}};
+        step_spec step;
+        step.m_count = tasks;
+        step.m_task_resources.m_cpu_millis = 1'000;
+        step.m_estimate = milliseconds{100};
+        call.m_spec->m_steps.push_back(step);
+        m_scheduler->take_call(1, call, m_now);
+    }
+
     /// Lets the workers report all ordered runs as running at 100 percent.
     void list_runs()
     {
@@ -163,6 +175,7 @@
 class fleet_planner_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(fleet_planner_test);
     CPPUNIT_TEST(all_idle_vms_but_one_are_moved_to_the_spare_pool);
+    CPPUNIT_TEST(larger_vms_are_kept_in_smaller_numbers);
     CPPUNIT_TEST(order_is_recorded_before_it_is_sent);
     CPPUNIT_TEST(vm_ordered_by_a_predecessor_gets_no_order_during_its_lease);
     CPPUNIT_TEST(unanswered_order_is_repeated_and_its_worker_stays_marked_as_leaving);
@@ -186,6 +199,23 @@
         }
     }
 
+    void larger_vms_are_kept_in_smaller_numbers()
+    {
+        const auto kept_with = [](std::int64_t vm_cpu_millis) {
+            fleet_fixture fleet;
+            for (auto& listed : fleet.m_listed_vms) {
+                listed.m_capacity.m_cpu_millis = vm_cpu_millis;
+            }
+            fleet.submit_waiting_tasks(64);
+            fleet.advance(milliseconds{3'000});
+            return 8 - fleet.m_orders.size();
+        };
+        // 64 cores that wait need 76 at the share that tasks of mixed sizes can use; one VM more is
+        // kept for what comes next.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, kept_with(16'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, kept_with(32'000));
+    }
+
     void order_is_recorded_before_it_is_sent()
     {
         fleet_fixture fleet;
--- a/test/planning/pool_demand_test.cpp
+++ b/test/planning/pool_demand_test.cpp
@@ -54,6 +54,26 @@
         return m_state.m_job_store.add(header);
     }
 
+    /// Adds a job of `steps` steps, each of one task that depends on the step before.
+    job& add_chain(std::uint32_t steps, std::int64_t now_ms)
+    {
+        job_header header;
+        header.m_id = std::to_string(m_jobs++);
+        header.m_queue = m_state.m_config.queues().front();
+        header.m_accepted_ms = start_ms + now_ms;
+        for (std::uint32_t index = 0; index < steps; ++index) {
+            step_spec step;
+            step.m_count = 1;
+            step.m_task_resources.m_cpu_millis = 8'000;
+            step.m_estimate = milliseconds{1'000};
+            if (index > 0) {
+                step.m_depends_on = {index - 1};
+            }
+            header.m_spec.m_steps.push_back(step);
+        }
+        return m_state.m_job_store.add(header);
+    }
+
     std::uint32_t required(std::int64_t now_ms)
     {
         return required_vms(m_demand.measure(m_state, moment_at(now_ms)).at("pool"), vm_cpu);
@@ -69,6 +89,7 @@
     CPPUNIT_TEST(waiting_work_counts_in_full);
     CPPUNIT_TEST(arrival_rate_follows_many_small_jobs_faster_than_few_large_ones);
     CPPUNIT_TEST(demand_follows_a_burst_up_and_down);
+    CPPUNIT_TEST(late_job_demands_no_more_than_its_tasks_can_use_at_once);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -154,6 +175,19 @@
         }
         CPPUNIT_ASSERT_MESSAGE("two seconds after the burst at most one VM is needed", after <= 1);
     }
+
+    void late_job_demands_no_more_than_its_tasks_can_use_at_once()
+    {
+        demand_fixture demand;
+        for (int count = 0; count < 10; ++count) {
+            demand.add_chain(4, 0).place({0, 0, 0}, {"i-1", 1});
+        }
+        // Ten seconds later every objective has passed. Each job runs one task of 8 cores, and the
+        // steps that follow can only run after it.
+        const auto load = demand.m_demand.measure(demand.m_state, moment_at(10'000)).at("pool");
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{10 * 8'000}, load.m_placed);
+        CPPUNIT_ASSERT(load.m_accepted <= load.m_placed);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(pool_demand_test);
--- a/test/scheduling/job_scheduler_test.cpp
+++ b/test/scheduling/job_scheduler_test.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(unanswered_hold_stops_no_run);
     CPPUNIT_TEST(run_whose_start_was_not_answered_goes_on);
     CPPUNIT_TEST(lost_orders_stop_no_more_long_running_tasks_than_may_be_missing);
+    CPPUNIT_TEST(log_outage_ends_no_lease);
     CPPUNIT_TEST(query_returns_the_recorded_state);
     CPPUNIT_TEST(first_start_and_end_of_a_job_are_logged_with_durations);
     CPPUNIT_TEST(restricted_steps_start_with_valid_tickets_only);
@@ -210,6 +211,23 @@
             });
     }
 
+    void log_outage_ends_no_lease()
+    {
+        fleet_simulation simulation{12};
+        simulation.change_owner(false);
+        simulation.submit_long_running(4, 1);
+        simulation.submit(6, 0);
+        simulation.pass(milliseconds{100});
+        simulation.set_journal_up(false);
+        // Short tasks end in the outage, while their workers also run long-running ones.
+        simulation.pass(lease_options{}.m_predecessor_grace - milliseconds{100});
+        simulation.set_journal_up(true);
+        simulation.pass(milliseconds{2'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{10}, simulation.starts());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, simulation.at_work());
+        assert_no_violation(simulation);
+    }
+
     void query_returns_the_recorded_state()
     {
         fleet_simulation simulation{7};
