--- a/include/peridotrudder/scheduling/job_rank.hpp
+++ b/include/peridotrudder/scheduling/job_rank.hpp
@@ -44,22 +44,27 @@
 /// Sort key of the waiting jobs of a pool; lower ranks are placed first.
 ///
 /// The order matters when a queue asks for more than its pool holds. Long-running jobs come first,
-/// since they are useful all the time; then jobs by priority; then jobs that can still be in time,
-/// by earliest objective. A job that is already late does not delay one that is not.
+/// since they are useful all the time; then jobs by priority; then jobs that can still be in time.
+/// A job that is already late does not delay one that is not. Among jobs that can be in time, the
+/// one with the least run time left comes first: in the order of their objectives, all jobs of an
+/// overload start when too little time is left.
 struct job_rank {
     /// False for long-running jobs.
     bool m_finite{false};
     std::uint32_t m_priority{0};
     punctuality m_punctuality{punctuality::in_time};
+    /// Estimated run time of the longest chain of steps that are not done.
+    milliseconds m_remaining_chain{0};
     std::int64_t m_objective_ms{0};
     std::string m_id;
 };
 
 inline bool operator<(const job_rank& left, const job_rank& right)
 {
-    return std::tie(left.m_finite, left.m_priority, left.m_punctuality, left.m_objective_ms,
-                    left.m_id) < std::tie(right.m_finite, right.m_priority, right.m_punctuality,
-                                          right.m_objective_ms, right.m_id);
+    return std::tie(left.m_finite, left.m_priority, left.m_punctuality, left.m_remaining_chain,
+                    left.m_objective_ms, left.m_id) <
+           std::tie(right.m_finite, right.m_priority, right.m_punctuality, right.m_remaining_chain,
+                    right.m_objective_ms, right.m_id);
 }
 
 job_rank rank_job(const job& source, const queue_config& queue, std::int64_t now_ms);
--- a/src/scheduling/job_rank.cpp
+++ b/src/scheduling/job_rank.cpp
@@ -82,6 +82,7 @@
     const auto limits = limits_of(source.header(), queue);
     rank.m_objective_ms = limits.m_objective_ms;
     if (rank.m_finite) {
+        rank.m_remaining_chain = remaining_chain(source, 0);
         rank.m_punctuality = punctuality_of(source, limits, now_ms);
     }
     return rank;
