Log every run in doubt, with the number of the run

Change: run_lost, run_stalled, start_unanswered and stranger_stopped have 120 lines a second of their own; run_lost and start_unanswered name the run. log_budget_test: routine_lines_do_not_displace_lines_of_reserved_kinds.

--- a/include/peridotrudder/telemetry/log_budget.hpp
+++ b/include/peridotrudder/telemetry/log_budget.hpp
@@ -13,11 +13,16 @@
 namespace peridotrudder {
 
 /// Decides which lines are written. The first line of each kind in a second always is, so that
-/// every kind of event stays visible. Suppressed lines are counted. Pure; not thread-safe.
+/// every kind of event stays visible. Lines of the reserved kinds have as large a budget of their
+/// own, so that routine lines never displace them. Suppressed lines are counted. Pure; not
+/// thread-safe.
 class log_budget {
 public:
-    /// Returns a budget of `max_lines_per_second`.
-    static log_budget create(std::uint32_t max_lines_per_second);
+    using kind_set = std::set<std::string, std::less<>>;
+
+    /// Returns a budget of `max_lines_per_second` for the reserved kinds, and as many for all
+    /// others.
+    static log_budget create(std::uint32_t max_lines_per_second, kind_set reserved_kinds = {});
 
     /// Returns whether a line of the kind may be written now.
     bool allows(std::string_view kind, time_point now);
@@ -28,10 +33,12 @@
 private:
     std::uint32_t m_max_lines_per_second{0};
     time_point m_second_start;
+    kind_set m_reserved_kinds;
     std::uint32_t m_lines_this_second{0};
+    std::uint32_t m_reserved_lines_this_second{0};
     std::uint64_t m_suppressed_now{0};
     std::uint64_t m_suppressed_before{0};
-    std::set<std::string, std::less<>> m_kinds_this_second;
+    kind_set m_kinds_this_second;
 };
 
 } // namespace peridotrudder
--- a/src/node/decision_log.cpp
+++ b/src/node/decision_log.cpp
@@ -9,6 +9,13 @@
 /// A line costs about as much processor time as an order to a worker.
 constexpr std::uint32_t max_lines_per_second = 120;
 
+/// Events that tell that a run was lost, or may run although its owner gave it up. Whether a task
+/// ran twice shows in these lines only.
+log_budget::kind_set doubtful_run_events()
+{
+    return {"run_lost", "run_stalled", "start_unanswered", "stranger_stopped"};
+}
+
 bool is_served(call_status status)
 {
     return status == call_status::done || status == call_status::state ||
@@ -17,7 +24,10 @@
 
 } // namespace
 
-decision_log::decision_log() : m_budget{log_budget::create(max_lines_per_second)} {}
+decision_log::decision_log()
+    : m_budget{log_budget::create(max_lines_per_second, doubtful_run_events())}
+{
+}
 
 void decision_log::decided(const decision& made, std::uint64_t epoch, time_point now)
 {
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -155,7 +155,8 @@
         if (run->m_phase == run_phase::ordered) {
             // Usually only the answer is lost. A stop would end a run that is under way, so the
             // worker's next list decides.
-            m_state->log_run("start_unanswered", key, instance.m_worker, "");
+            m_state->log_run("start_unanswered", key, instance.m_worker,
+                             fmt::format("run {}", number));
             session->set_unanswered(*run, now.m_at);
         }
         return;
@@ -334,7 +335,7 @@
     if (lost_task.m_phase == task_phase::placed && lost_task.m_run == number) {
         target->void_run(key.m_task);
         m_state->changed(key.m_job);
-        m_state->log_run("run_lost", key, session.id(), reason);
+        m_state->log_run("run_lost", key, session.id(), fmt::format("run {} {}", number, reason));
     }
 }
 
--- a/src/telemetry/log_budget.cpp
+++ b/src/telemetry/log_budget.cpp
@@ -1,5 +1,7 @@
 #include "peridotrudder/telemetry/log_budget.hpp"
 
+#include <utility>
+
 namespace peridotrudder {
 
 namespace {
@@ -8,10 +10,11 @@
 
 } // namespace
 
-log_budget log_budget::create(std::uint32_t max_lines_per_second)
+log_budget log_budget::create(std::uint32_t max_lines_per_second, kind_set reserved_kinds)
 {
     log_budget budget;
     budget.m_max_lines_per_second = max_lines_per_second;
+    budget.m_reserved_kinds = std::move(reserved_kinds);
     return budget;
 }
 
@@ -20,6 +23,7 @@
     if (now - m_second_start >= window) {
         m_second_start = now;
         m_lines_this_second = 0;
+        m_reserved_lines_this_second = 0;
         m_suppressed_before += m_suppressed_now;
         m_suppressed_now = 0;
         m_kinds_this_second.clear();
@@ -28,11 +32,13 @@
     if (first) {
         m_kinds_this_second.emplace(kind);
     }
-    if (!first && m_lines_this_second >= m_max_lines_per_second) {
+    const bool reserved = m_reserved_kinds.find(kind) != m_reserved_kinds.end();
+    auto& lines = reserved ? m_reserved_lines_this_second : m_lines_this_second;
+    if (!first && lines >= m_max_lines_per_second) {
         ++m_suppressed_now;
         return false;
     }
-    ++m_lines_this_second;
+    ++lines;
     return true;
 }
 
--- a/test/telemetry/log_budget_test.cpp
+++ b/test/telemetry/log_budget_test.cpp
@@ -8,6 +8,7 @@
     CPPUNIT_TEST_SUITE(log_budget_test);
     CPPUNIT_TEST(lines_beyond_the_budget_are_suppressed_and_counted);
     CPPUNIT_TEST(first_line_of_a_kind_is_always_written);
+    CPPUNIT_TEST(routine_lines_do_not_displace_lines_of_reserved_kinds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -35,6 +36,18 @@
 
 private:
     const time_point now{milliseconds{1'000'000}};
+
+    // Guards against runs that were repeated without a line that tells why.
+    void routine_lines_do_not_displace_lines_of_reserved_kinds()
+    {
+        auto budget = log_budget::create(2, {"run_lost"});
+        for (int line = 0; line < 10; ++line) {
+            budget.allows("job_accepted", now);
+        }
+        CPPUNIT_ASSERT(budget.allows("run_lost", now));
+        CPPUNIT_ASSERT(budget.allows("run_lost", now));
+        CPPUNIT_ASSERT(!budget.allows("run_lost", now));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(log_budget_test);
