Call an order not sent only if no attempt sent any of it: its task ran twice

Cause: libcurl repeats a request by itself if a reused connection ends without an answer. If the repeat can't connect, the call ends with CURLE_COULDNT_CONNECT, which was reported as not_connected: 'no byte of the request was sent'. But the first copy of the start had been carried out. The owner marked the run as lost, freed its capacity and placed the task elsewhere within 0.1 s.

Change: the number of request bytes counts over all attempts; only zero is not_connected. Everything that builds on it is true again: not_sent of orders and holds, nothing_done of appends, refused of VM orders.

--- a/src/links/http_transfer.hpp
+++ b/src/links/http_transfer.hpp
@@ -235,9 +235,11 @@
 
     transport_fault fault_of(CURLcode code) const
     {
+        // Counts all attempts of the call: libcurl repeats a request by itself if a reused
+        // connection ends without an answer, and `code` then tells of the last attempt only.
         long request_bytes = 0;
         curl_easy_getinfo(handle(), CURLINFO_REQUEST_SIZE, &request_bytes);
-        if (code == CURLE_COULDNT_CONNECT || request_bytes == 0) {
+        if (request_bytes == 0) {
             return transport_fault::not_connected;
         }
         return code == CURLE_PARTIAL_FILE ? transport_fault::incomplete_answer
--- a/test/links/http_client_test.cpp
+++ b/test/links/http_client_test.cpp
@@ -105,6 +105,7 @@
     CPPUNIT_TEST(request_on_a_dead_connection_is_not_sent_twice);
     CPPUNIT_TEST(libcurl_repeats_a_request_on_a_reused_connection);
     CPPUNIT_TEST(refused_connection_is_reported_as_not_connected);
+    CPPUNIT_TEST(request_that_was_received_before_a_reset_is_not_reported_as_not_sent);
     CPPUNIT_TEST(answer_that_ends_early_is_incomplete);
     CPPUNIT_TEST(answer_without_a_length_is_incomplete);
     CPPUNIT_TEST(answer_with_another_request_id_is_rejected);
@@ -141,6 +142,35 @@
         CPPUNIT_ASSERT(!result && result.error() == transport_fault::not_connected);
     }
 
+    // Guards against tasks that ran twice: a start was called not sent though the worker had it.
+    void request_that_was_received_before_a_reset_is_not_reported_as_not_sent()
+    {
+        asio::io_context context;
+        asio::ip::tcp::acceptor acceptor{
+            context, {asio::ip::make_address("127.0.0.1"), asio::ip::port_type{0}}};
+        const auto url = fmt::format("http://127.0.0.1:{}/", acceptor.local_endpoint().port());
+        int received = 0;
+        std::thread server{[&] {
+            asio::ip::tcp::socket socket{context};
+            acceptor.accept(socket);
+            asio::streambuf buffer;
+            buffer.consume(asio::read_until(socket, buffer, "\r\n\r\n"));
+            asio::write(socket, asio::buffer(std::string_view{whole_answer}));
+            asio::read_until(socket, buffer, "\r\n\r\n");
+            ++received;
+            // From now on the address is unreachable, and the connection is reset.
+            acceptor.close();
+            socket.set_option(asio::socket_base::linger{true, 0});
+        }};
+        const auto client = http_client::create();
+        const auto first = send_and_wait(*client, make_call(url));
+        const auto second = send_and_wait(*client, make_call(url));
+        server.join();
+        CPPUNIT_ASSERT(first.has_value());
+        CPPUNIT_ASSERT_EQUAL(1, received);
+        CPPUNIT_ASSERT(!second && second.error() == transport_fault::broken);
+    }
+
     void answer_that_ends_early_is_incomplete()
     {
         const auto result = ask_once("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nok");
