--- a/include/peridotrudder/links/http.hpp
+++ b/include/peridotrudder/links/http.hpp
@@ -40,6 +40,9 @@
     std::optional<std::size_t> m_declared_length;
     /// Whether the server closes the connection after the response.
     bool m_close_connection{false};
+    /// For an answer that was received: the request was sent more than once, so the answer does not
+    /// tell what became of the first copy.
+    bool m_request_repeated{false};
 };
 
 /// Returns a response with a JSON body.
--- a/src/links/http_transfer.hpp
+++ b/src/links/http_transfer.hpp
@@ -112,6 +112,7 @@
         long status = 0;
         curl_easy_getinfo(handle(), CURLINFO_RESPONSE_CODE, &status);
         m_response.m_status = static_cast<std::uint32_t>(status);
+        m_response.m_request_repeated = m_attempts > 1;
         return std::move(m_response);
     }
 
@@ -174,12 +175,22 @@
     void set_receivers()
     {
         curl_easy_setopt(handle(), CURLOPT_PRIVATE, this);
+        curl_easy_setopt(handle(), CURLOPT_PREREQDATA, this);
+        curl_easy_setopt(handle(), CURLOPT_PREREQFUNCTION, &transfer::on_attempt);
         curl_easy_setopt(handle(), CURLOPT_WRITEDATA, this);
         curl_easy_setopt(handle(), CURLOPT_WRITEFUNCTION, &transfer::on_body);
         curl_easy_setopt(handle(), CURLOPT_HEADERDATA, this);
         curl_easy_setopt(handle(), CURLOPT_HEADERFUNCTION, &transfer::on_header);
     }
 
+    /// Called each time the request is about to be sent on a connection.
+    static int on_attempt(void* self, char* /*remote_address*/, char* /*local_address*/,
+                          int /*remote_port*/, int /*local_port*/)
+    {
+        ++static_cast<transfer*>(self)->m_attempts;
+        return CURL_PREREQFUNC_OK;
+    }
+
     static std::size_t on_body(char* data, std::size_t size, std::size_t count, void* self)
     {
         return static_cast<transfer*>(self)->take_body({data, size * count});
@@ -262,6 +273,7 @@
     easy_handle m_easy;
     header_list m_headers;
     http_response m_response;
+    int m_attempts{0};
     bool m_too_long{false};
     bool m_mismatched{false};
 };
--- a/test/links/http_client_test.cpp
+++ b/test/links/http_client_test.cpp
@@ -131,8 +131,10 @@
         const scripted_server server{whole_answer};
         const auto client = http_client::create();
         const auto call = make_call(server.url());
-        CPPUNIT_ASSERT(send_and_wait(*client, call).has_value());
-        CPPUNIT_ASSERT(send_and_wait(*client, call).has_value());
+        const auto first = send_and_wait(*client, call);
+        const auto second = send_and_wait(*client, call);
+        CPPUNIT_ASSERT(first && !first->m_request_repeated);
+        CPPUNIT_ASSERT(second && second->m_request_repeated);
         CPPUNIT_ASSERT_EQUAL(3, server.requests());
     }
 
