Let the list of a restarted worker's runs decide which of them are lost

When a hold's answer or the list showed another birth of a worker, all its runs were declared lost and their capacity was freed. But orders name the worker's id only: a start sent to a worker whose restart the owner had not noticed (an idle worker gets no holds), or in flight when it was noticed, is carried out by the new incarnation. The task was started elsewhere as well. Answers to such orders were dropped.

Only an answered hold now shows a restart. The runs are carried over to the new incarnation, and the list in that same answer decides: a run that it lists goes on; one confirmed before and not listed ran on the former incarnation and is lost at once, as before; one whose start has no answer is stopped first, also if it is long-running, because the deadline of its start is a time on the former clock; one whose start was not sent is void. Answers to stops, and clock values, of the former incarnation don't count for the new one. Answers to starts and stops are matched by worker id, run key and run number. A listed restart keeps new work away until a hold is answered.

Ruled out: trusting the birth in the list, because the list may be behind what holds have shown.

test_machines: new_birth_time_means_a_restart called a function that is gone; it now checks the same on the answer's outcome, and the new birth. report_of_an_earlier_incarnation_changes_nothing checked a return value that is gone; it now checks that work goes on or is kept away, and that a hold is due.

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -38,7 +38,7 @@
     milliseconds m_latency_target{0};
     milliseconds m_estimate{0};
     /// The worker refuses the start after this time, in Unix milliseconds on its own clock; zero if
-    /// no start was sent by this owner.
+    /// this owner sent no start to the present incarnation.
     std::int64_t m_start_deadline_ms{0};
     /// When the start was given up as unanswered.
     std::optional<time_point> m_unanswered_since;
@@ -48,10 +48,10 @@
     bool m_stopping{false};
     bool m_stop_in_flight{false};
     time_point m_stop_sent_at;
-    /// The worker has answered the stop.
-    bool m_stop_answered{false};
-    /// Since when the run cannot start any more if it had not started before: a stop was answered,
-    /// or the start order had an outdated fencing token.
+    /// When the present incarnation answered the stop: it refuses the start from then on.
+    std::optional<time_point> m_stop_answered_at;
+    /// Since when the run cannot start any more if it had not started before, on any incarnation:
+    /// the start was answered, or had an outdated fencing token.
     std::optional<time_point> m_cannot_start_since;
     std::uint32_t m_percent{0};
     time_point m_progress_at;
@@ -85,7 +85,7 @@
 
 /// What the answer to a hold changed.
 struct hold_outcome {
-    /// The worker has restarted: the runs of its former incarnation are lost.
+    /// The answer came from another incarnation than the one before.
     bool m_restarted{false};
     /// New ends, in order.
     std::vector<ended_entry> m_ended;
@@ -101,6 +101,10 @@
 /// One worker as its pool's owner sees it. Has no side effects: it gets the time as `now`, and
 /// returns what to send.
 ///
+/// Only an answered hold shows which incarnation of the worker is there, and what it runs. Orders
+/// name the worker only, so any incarnation carries them out: after a restart, the list in the
+/// answer decides for each run whether the former or the new incarnation got its start.
+///
 /// The capacity of a run is reserved from the decision to start it until the worker has listed its
 /// end, or until it is certain that it does not run. This keeps a worker within its capacity.
 /// Not thread-safe.
@@ -115,8 +119,9 @@
     const std::map<run_key, worker_run>& runs() const { return m_runs; }
     worker_run* find(const run_key& key);
 
-    /// Applies a newer report. Returns whether the worker has restarted.
-    bool update(const worker_report& report, time_point now);
+    /// Applies a newer report. If it shows another incarnation, the worker gets no work until the
+    /// answer to a hold has shown which one is there.
+    void update(const worker_report& report, time_point now);
     void set_listed(bool listed, time_point now);
     bool listed() const { return m_listed; }
     /// Returns whether this incarnation of the worker has confirmed the owner's fencing token.
@@ -168,14 +173,16 @@
 
     /// Returns when every lease that the worker may have has certainly expired.
     time_point lease_ends_at() const;
-    /// Resets the session for a new incarnation of the worker. Returns the runs of the former one.
-    std::vector<run_key> reset_after_restart(std::int64_t born_ms, time_point now);
 
 private:
     static constexpr int silent_after_misses = 2;
 
     std::int64_t clock_estimate(time_point now) const;
     bool needs_hold() const;
+    /// Resets the session for a new incarnation of the worker. Returns the runs whose start was not
+    /// sent; all others may have been started by either incarnation.
+    std::vector<run_key> begin_incarnation(std::int64_t born_ms, time_point now);
+    void confirm_incarnation(time_point sent_at);
     void update_clock(std::int64_t clock_ms, time_point now);
     milliseconds longest_lease() const;
     void extend_lease(std::int64_t deadline_ms);
@@ -188,6 +195,8 @@
     time_point m_created_at;
     bool m_listed{true};
     bool m_token_confirmed{false};
+    /// Since when the list shows another incarnation than the one that answered last.
+    std::optional<time_point> m_restart_suspected_at;
     int m_missed_answers{0};
     time_point m_last_answered_hold_sent_at;
     time_point m_no_work_until;
--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -14,8 +14,8 @@
 /// Applies the answers of workers to jobs and sessions. Not thread-safe.
 ///
 /// A task gets another run only when its current one is certainly over: the worker reports its end;
-/// the worker does not list it and no order in flight can still start it; the worker has restarted;
-/// or every lease of a silent worker has expired.
+/// the worker does not list it and no order in flight can still start it, on the incarnation that
+/// answers or a later one; or every lease of a silent worker has expired.
 class run_tracker {
 public:
     explicit run_tracker(scheduler_state& state) : m_state{&state} {}
@@ -38,8 +38,6 @@
     void stop_job(const job& target, time_point now);
     /// Marks all runs of a worker as lost. Call only if nothing can be running there any more.
     void mark_all_lost(worker_session& session, std::string_view reason);
-    /// Marks the runs of the previous instance as lost and resets the session.
-    void handle_worker_restart(worker_session& session, std::int64_t born_ms, moment now);
 
     /// Sends the holds and repeated stops that are due, and removes workers that are gone.
     void tick(moment now);
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -39,12 +39,12 @@
     return position == m_runs.end() ? nullptr : &position->second;
 }
 
-bool worker_session::update(const worker_report& report, time_point now)
+void worker_session::update(const worker_report& report, time_point now)
 {
     m_listed = true;
     // Reports may arrive late: one of an earlier incarnation says nothing about the present one.
     if (report.m_instance.m_born_ms < instance().m_born_ms) {
-        return false;
+        return;
     }
     const bool reborn =
         instance().m_born_ms != 0 && report.m_instance.m_born_ms != instance().m_born_ms;
@@ -52,14 +52,14 @@
     const bool moved = report.m_address != m_report.m_address || report.m_port != m_report.m_port;
     m_report = report;
     if (reborn) {
-        // The caller resets the session, and needs the old incarnation until then.
         m_report.m_instance.m_born_ms = born_ms;
+        m_restart_suspected_at = m_restart_suspected_at.value_or(now);
+        m_next_hold = now;
     }
     if (moved) {
         m_missed_answers = 0;
         m_next_hold = now;
     }
-    return reborn;
 }
 
 void worker_session::set_listed(bool listed, time_point now)
@@ -76,8 +76,8 @@
 
 bool worker_session::takes_work(time_point now) const
 {
-    return m_listed && m_token_confirmed && !m_report.m_draining && m_missed_answers == 0 &&
-           now >= m_no_work_until;
+    return m_listed && m_token_confirmed && !m_restart_suspected_at && !m_report.m_draining &&
+           m_missed_answers == 0 && now >= m_no_work_until;
 }
 
 void worker_session::reserve(const run_key& key, const worker_run& run)
@@ -136,7 +136,8 @@
 bool worker_session::needs_hold() const
 {
     const bool has_ends_to_confirm = m_recorded_end > m_acknowledged_end;
-    return !m_token_confirmed || !m_runs.empty() || has_ends_to_confirm || m_missed_answers > 0;
+    return !m_token_confirmed || !m_runs.empty() || has_ends_to_confirm || m_missed_answers > 0 ||
+           m_restart_suspected_at;
 }
 
 std::optional<time_point> worker_session::hold_due() const
@@ -166,7 +167,8 @@
         order.m_deadline_ms = clock_estimate(now) + m_options.m_lease.count();
         extend_lease(*order.m_deadline_ms);
     }
-    const bool steady = m_token_confirmed && m_missed_answers == 0 && !m_runs.empty();
+    const bool steady =
+        m_token_confirmed && !m_restart_suspected_at && m_missed_answers == 0 && !m_runs.empty();
     if (steady) {
         const auto wait = m_best_effort_cpu_millis > 0 ? m_options.m_best_effort_hold_wait
                                                        : m_options.m_hold_wait;
@@ -205,11 +207,12 @@
     if (answer.m_born_ms && instance().m_born_ms != 0 &&
         *answer.m_born_ms != instance().m_born_ms) {
         outcome.m_restarted = true;
-        return outcome;
+        outcome.m_gone = begin_incarnation(*answer.m_born_ms, now);
     }
     if (answer.m_born_ms) {
         m_report.m_instance.m_born_ms = *answer.m_born_ms;
     }
+    confirm_incarnation(sent_at);
     m_missed_answers = 0;
     m_last_answered_hold_sent_at = std::max(m_last_answered_hold_sent_at, sent_at);
     m_acknowledged_end = std::max(m_acknowledged_end, m_end_in_current_hold);
@@ -266,7 +269,9 @@
         // token, or the deadline of its start has passed.
         const bool confirmed_before =
             run.m_phase == run_phase::running && run.m_confirmed_at <= sent_at;
-        const bool cannot_start = run.m_cannot_start_since && *run.m_cannot_start_since <= sent_at;
+        const bool cannot_start =
+            (run.m_cannot_start_since && *run.m_cannot_start_since <= sent_at) ||
+            (run.m_stop_answered_at && *run.m_stop_answered_at <= sent_at);
         const bool deadline_passed =
             run.m_start_deadline_ms != 0 && answer.m_clock_ms > run.m_start_deadline_ms;
         const bool not_begun = run.m_phase == run_phase::uncertain && run.m_unanswered_since &&
@@ -316,18 +321,33 @@
     return std::max(own_lease_ends_at, m_predecessor_lease_ends_at);
 }
 
-std::vector<run_key> worker_session::reset_after_restart(std::int64_t born_ms, time_point now)
+std::vector<run_key> worker_session::begin_incarnation(std::int64_t born_ms, time_point now)
 {
-    std::vector<run_key> lost;
-    for (const auto& entry : m_runs) {
-        lost.push_back(entry.first);
-    }
     auto new_session = create(m_report, m_fence, m_options, now);
     new_session.m_report.m_instance.m_born_ms = born_ms;
     new_session.m_listed = m_listed;
-    new_session.m_hold_in_flight = m_hold_in_flight;
+    new_session.m_next_hold = now + m_options.m_hold_pause;
+    std::vector<run_key> not_sent;
+    for (auto [key, run] : m_runs) {
+        if (run.m_phase == run_phase::recording) {
+            not_sent.push_back(key);
+        }
+        // What the former incarnation's clock and answers to stops ruled out isn't ruled out here.
+        run.m_start_deadline_ms = 0;
+        run.m_stop_in_flight = false;
+        run.m_stop_answered_at.reset();
+        new_session.reserve(key, run);
+    }
     *this = std::move(new_session);
-    return lost;
+    return not_sent;
+}
+
+void worker_session::confirm_incarnation(time_point sent_at)
+{
+    // An earlier hold may have been answered before the restart that the list shows.
+    if (m_restart_suspected_at && sent_at >= *m_restart_suspected_at) {
+        m_restart_suspected_at.reset();
+    }
 }
 
 } // namespace peridotrudder
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -69,9 +69,7 @@
                                                          m_state.m_options.m_lease, now.m_at));
         return;
     }
-    if (session->update(report, now.m_at)) {
-        m_runs.handle_worker_restart(*session, report.m_instance.m_born_ms, now);
-    }
+    session->update(report, now.m_at);
 }
 
 void job_scheduler::worker_unlisted(std::string_view id, moment now)
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -33,6 +33,16 @@
     return {key.m_job, key.m_task.m_occurrence, key.m_task.m_step};
 }
 
+/// Returns the answer without its clock if it was sent to a former incarnation.
+order_answer without_former_clock(order_answer answer, const worker_instance& sent_to,
+                                  const worker_session& session)
+{
+    if (!(session.instance() == sent_to)) {
+        answer.m_clock_ms.reset();
+    }
+    return answer;
+}
+
 /// Returns the tasks that have a run.
 std::vector<task_ref> placed_tasks_of(const job& source)
 {
@@ -134,12 +144,12 @@
 void run_tracker::start_answered(const worker_instance& instance, const run_key& key,
                                  std::uint32_t number, const order_answer& answer, moment now)
 {
-    auto* session = m_state->find_instance(instance);
+    auto* session = m_state->find_worker(instance.m_worker);
     auto* run = session == nullptr ? nullptr : session->find(key);
     if (run == nullptr || run->m_run != number) {
         return;
     }
-    session->order_answered(answer, now.m_at);
+    session->order_answered(without_former_clock(answer, instance, *session), now.m_at);
     switch (answer.m_result) {
     case order_result::accepted:
         if (run->m_phase != run_phase::running) {
@@ -187,20 +197,22 @@
 void run_tracker::stop_answered(const worker_instance& instance, const run_key& key,
                                 std::uint32_t number, const order_answer& answer, moment now)
 {
-    auto* session = m_state->find_instance(instance);
+    auto* session = m_state->find_worker(instance.m_worker);
     auto* run = session == nullptr ? nullptr : session->find(key);
     if (run == nullptr || run->m_run != number) {
         return;
     }
-    session->order_answered(answer, now.m_at);
+    session->order_answered(without_former_clock(answer, instance, *session), now.m_at);
     run->m_stop_in_flight = false;
     if (answer.m_result == order_result::fenced) {
         depose();
         return;
     }
-    if (answer.m_result == order_result::accepted || answer.m_result == order_result::obsolete) {
-        run->m_stop_answered = true;
-        run->m_cannot_start_since = now.m_at;
+    const bool answered =
+        answer.m_result == order_result::accepted || answer.m_result == order_result::obsolete;
+    // The answer to a stop that was sent before a restart may be the former incarnation's.
+    if (answered && session->instance() == instance) {
+        run->m_stop_answered_at = now.m_at;
     }
 }
 
@@ -226,8 +238,8 @@
         return;
     }
     if (outcome.m_restarted) {
-        handle_worker_restart(*session, *answer.m_born_ms, now);
-        return;
+        m_state->log("worker_restarted", "", session->id(),
+                     fmt::format("born {}", session->instance().m_born_ms));
     }
     for (const auto& item : outcome.m_ended) {
         handle_end(*session, item, now);
@@ -274,10 +286,10 @@
     if (ended.m_run_end != run_end::done) {
         m_state->log_run("run_ended", ended.m_key, session.id(), to_string(ended.m_run_end));
     }
-    const bool other_run =
-        before.m_phase == task_phase::placed &&
-        (before.m_run != ended.m_run || !(before.m_placed_on == session.instance()));
-    auto* elsewhere = other_run ? m_state->find_instance(before.m_placed_on) : nullptr;
+    const auto& placed_on = before.m_placed_on.m_worker;
+    const bool other_run = before.m_phase == task_phase::placed &&
+                           (before.m_run != ended.m_run || placed_on != session.id());
+    auto* elsewhere = other_run ? m_state->find_worker(placed_on) : nullptr;
     if (elsewhere != nullptr && ended.m_run_end == run_end::done) {
         stop_run(*elsewhere, ended.m_key, now.m_at);
     }
@@ -349,12 +361,6 @@
     }
 }
 
-void run_tracker::handle_worker_restart(worker_session& session, std::int64_t born_ms, moment now)
-{
-    mark_all_lost(session, "worker has restarted");
-    session.reset_after_restart(born_ms, now.m_at);
-}
-
 void run_tracker::stop_run(worker_session& session, const run_key& key, time_point now)
 {
     auto* run = session.find(key);
@@ -363,7 +369,7 @@
     }
     session.set_stopping(*run);
     // A start that is not sent yet is dropped by send_start.
-    if (run->m_phase == run_phase::recording || run->m_stop_in_flight || run->m_stop_answered) {
+    if (run->m_phase == run_phase::recording || run->m_stop_in_flight || run->m_stop_answered_at) {
         return;
     }
     run->m_stop_in_flight = true;
@@ -374,9 +380,10 @@
 void run_tracker::stop_not_begun(worker_session& session, const run_key& key, time_point now)
 {
     // A stop rules the start out, so that the task can run elsewhere at once. It may also reach a
-    // run that began late: a long-running task is left to the deadline of its start instead,
-    // because no more tasks of its step may be stopped than may be missing.
-    if (!session.find(key)->m_long_running) {
+    // run that began late: a long-running task is left to the deadline of its start instead, if
+    // there is one, because no more tasks of its step may be stopped than may be missing.
+    const auto* run = session.find(key);
+    if (!run->m_long_running || run->m_start_deadline_ms == 0) {
         stop_run(session, key, now);
     }
 }
@@ -384,7 +391,7 @@
 void run_tracker::stop_job(const job& target, time_point now)
 {
     for (const auto& ref : placed_tasks_of(target)) {
-        if (auto* session = m_state->find_instance(target.at(ref).m_placed_on)) {
+        if (auto* session = m_state->find_worker(target.at(ref).m_placed_on.m_worker)) {
             stop_run(*session, {target.header().m_id, ref}, now);
         }
     }
@@ -467,7 +474,7 @@
         }
         std::vector<run_key> repeated_stops;
         for (const auto& [key, run] : session.stopping_runs() == 0 ? no_runs : session.runs()) {
-            if (run.m_stopping && !run.m_stop_in_flight && !run.m_stop_answered &&
+            if (run.m_stopping && !run.m_stop_in_flight && !run.m_stop_answered_at &&
                 now.m_at - run.m_stop_sent_at > stop_retry) {
                 repeated_stops.push_back(key);
             }
--- a/test/machines/worker_session_test.cpp
+++ b/test/machines/worker_session_test.cpp
@@ -76,6 +76,10 @@
     CPPUNIT_TEST(lease_of_a_worker_that_never_answered_includes_the_predecessors_grace);
     CPPUNIT_TEST(answer_to_another_order_does_not_end_a_predecessors_lease);
     CPPUNIT_TEST(new_birth_time_means_a_restart);
+    CPPUNIT_TEST(run_listed_by_a_new_incarnation_goes_on);
+    CPPUNIT_TEST(start_in_flight_outlives_the_stop_and_the_clock_of_a_former_incarnation);
+    CPPUNIT_TEST(start_not_sent_before_a_restart_is_void);
+    CPPUNIT_TEST(listed_restart_is_confirmed_by_a_hold);
     CPPUNIT_TEST(report_of_an_earlier_incarnation_changes_nothing);
     CPPUNIT_TEST_SUITE_END();
 
@@ -317,20 +321,92 @@
         session.reserve(key, make_run(run_phase::running));
         auto answer = make_answer(0);
         answer.m_born_ms = 900;
-        CPPUNIT_ASSERT(session.hold_answered(answer, start, start).m_restarted);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, session.reset_after_restart(900, start).size());
-        CPPUNIT_ASSERT(!session.takes_work(start));
+        const auto outcome = session.hold_answered(answer, start, start);
+        CPPUNIT_ASSERT(outcome.m_restarted);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{900}, session.instance().m_born_ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outcome.m_gone.size());
+        session.release(key);
         CPPUNIT_ASSERT_EQUAL(std::int64_t{16'000}, session.room().m_cpu_millis);
     }
 
+    void run_listed_by_a_new_incarnation_goes_on()
+    {
+        auto session = make_session();
+        confirm(session, start);
+        session.reserve(key, make_run(run_phase::running));
+        auto answer = make_answer(0);
+        answer.m_born_ms = 900;
+        answer.m_running.push_back({key, 1, "", 10, 0});
+        const auto outcome = session.hold_answered(answer, start, start);
+        CPPUNIT_ASSERT(outcome.m_gone.empty());
+        CPPUNIT_ASSERT(outcome.m_unknown_runs.empty());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{12'000}, session.room().m_cpu_millis);
+    }
+
+    void start_in_flight_outlives_the_stop_and_the_clock_of_a_former_incarnation()
+    {
+        auto session = make_session();
+        confirm(session, start, 100'000);
+        auto run = make_run(run_phase::uncertain);
+        run.m_unanswered_since = start;
+        run.m_start_deadline_ms = 101'000;
+        run.m_stop_answered_at = start;
+        session.reserve(key, run);
+        const auto later = start + milliseconds{5'000};
+        auto answer = make_answer(200'000);
+        answer.m_born_ms = 900;
+        const auto outcome = session.hold_answered(answer, later, later);
+        CPPUNIT_ASSERT(outcome.m_gone.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outcome.m_not_begun.size());
+        CPPUNIT_ASSERT(!session.find(key)->m_stop_answered_at);
+        session.find(key)->m_stop_answered_at = later;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             session.hold_answered(answer, later, later).m_gone.size());
+    }
+
+    void start_not_sent_before_a_restart_is_void()
+    {
+        auto session = make_session();
+        confirm(session, start);
+        session.reserve(key, make_run(run_phase::recording));
+        auto answer = make_answer(0);
+        answer.m_born_ms = 900;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             session.hold_answered(answer, start, start).m_gone.size());
+    }
+
+    void listed_restart_is_confirmed_by_a_hold()
+    {
+        auto session = make_session();
+        confirm(session, start);
+        session.update(make_report(900), start + milliseconds{100});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{500}, session.instance().m_born_ms);
+        CPPUNIT_ASSERT(!session.takes_work(start + milliseconds{100}));
+        session.hold_answered(make_answer(90), start + milliseconds{90}, start + milliseconds{110});
+        CPPUNIT_ASSERT_MESSAGE("this answer may be from before the restart",
+                               !session.takes_work(start + milliseconds{110}));
+        const auto later = start + milliseconds{200};
+        CPPUNIT_ASSERT(session.next_hold(later).has_value());
+        auto answer = make_answer(5);
+        answer.m_born_ms = 900;
+        CPPUNIT_ASSERT(session.hold_answered(answer, later, later).m_restarted);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{900}, session.instance().m_born_ms);
+        CPPUNIT_ASSERT(session.takes_work(later));
+    }
+
     void report_of_an_earlier_incarnation_changes_nothing()
     {
         auto session = make_session();
         auto earlier_report = make_report(400);
         earlier_report.m_pool = "other";
-        CPPUNIT_ASSERT(!session.update(earlier_report, start));
+        confirm(session, start);
+        session.update(earlier_report, start);
         CPPUNIT_ASSERT_EQUAL(std::string{"pool"}, session.report().m_pool);
-        CPPUNIT_ASSERT(session.update(make_report(600), start));
+        CPPUNIT_ASSERT(session.takes_work(start));
+        CPPUNIT_ASSERT(!session.hold_due());
+        session.update(make_report(600), start);
+        CPPUNIT_ASSERT(!session.takes_work(start));
+        CPPUNIT_ASSERT(session.hold_due());
     }
 };
 
