Let a new owner adopt recorded runs on whichever incarnation of a worker is listed

The new owner declared a run lost if the incarnation in the record was not the one in the list of workers. The list may be older than the record: the predecessor learnt of the restart from a hold, and the entry is rewritten with the worker's next heartbeat, or not while the log is away or the worker is cut off from it. And where the list is newer, the newer incarnation may have got the recorded start.

The run is now adopted as uncertain on the worker of that id, and the answer to the first hold under the new fencing token decides. Nothing is lost by that where the worker did restart: the run is not in that answer and is started again at once.

Ruled out: writing the new incarnation into the job's record. It would not help before it is written, and nothing compares the record's incarnation any more.

--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -20,7 +20,8 @@
 public:
     explicit run_tracker(scheduler_state& state) : m_state{&state} {}
 
-    /// Adopts the runs that the job records place on workers, as runs whose state is uncertain.
+    /// Adopts the runs that the job records place on workers, as runs whose state is uncertain,
+    /// whichever incarnations of the workers are listed.
     void adopt_recorded_runs(moment now);
 
     /// Sends a recorded start, unless the job has ended or the worker cannot take it any more.
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -91,12 +91,8 @@
         entry = m_state->m_workers.emplace(placed.m_placed_on.m_worker, std::move(session)).first;
     }
     auto& session = entry->second;
-    if (!(session.instance() == placed.m_placed_on)) {
-        m_state->log_run("run_lost", key, session.id(), "worker has restarted");
-        m_state->m_job_store.find(key.m_job)->void_run(key.m_task);
-        m_state->changed(key.m_job);
-        return;
-    }
+    // The list may be older than the record, and any incarnation may have got the start, so the
+    // first hold decides.
     const auto& step = source.spec().m_steps[key.m_task.m_step];
     auto run = make_run(step, placed.m_run);
     run.m_phase = run_phase::uncertain;
