Tell incarnations of a worker apart by identity, not by the order of their births

Callers saw jobs that never ended, with a worker that answered every hold. The owner took an incarnation with an earlier birth for a former one. A worker's time of day may step back over a restart: then its answers and entries were ignored for good.

An answer to a hold with another birth is now always a restart: one hold is in flight at a time, so answers don't overtake each other. Entries of the list may come late, so births that were replaced, or that the list showed and a later hold did not, count as former, and their entries are ignored until a hold shows them again.

report_of_an_earlier_incarnation_changes_nothing took any lower birth for a former one, which was wrong. It now lets the worker restart from birth 400 to 500 first, and checks the same for 400. The two new tests are for an earlier birth, and for an entry that a later hold disproves.

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -119,8 +120,9 @@
     const std::map<run_key, worker_run>& runs() const { return m_runs; }
     worker_run* find(const run_key& key);
 
-    /// Applies a newer report. If it shows another incarnation, the worker gets no work until the
-    /// answer to a hold has shown which one is there.
+    /// Applies a report, unless it is known to be a former incarnation's. If it shows an unknown
+    /// incarnation, the worker gets no work until the answer to a hold has shown which one is
+    /// there. Births don't tell which incarnation is newer, as a time of day may step back.
     void update(const worker_report& report, time_point now);
     void set_listed(bool listed, time_point now);
     bool listed() const { return m_listed; }
@@ -183,6 +185,7 @@
     /// sent; all others may have been started by either incarnation.
     std::vector<run_key> begin_incarnation(std::int64_t born_ms, time_point now);
     void confirm_incarnation(time_point sent_at);
+    bool is_former(std::int64_t born_ms) const;
     void update_clock(std::int64_t clock_ms, time_point now);
     milliseconds longest_lease() const;
     void extend_lease(std::int64_t deadline_ms);
@@ -197,6 +200,10 @@
     bool m_token_confirmed{false};
     /// Since when the list shows another incarnation than the one that answered last.
     std::optional<time_point> m_restart_suspected_at;
+    /// Birth of the incarnation that the list showed last.
+    std::int64_t m_listed_born_ms{0};
+    /// Births of former incarnations.
+    std::set<std::int64_t> m_former;
     int m_missed_answers{0};
     time_point m_last_answered_hold_sent_at;
     time_point m_no_work_until;
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -1,7 +1,6 @@
 #include "peridotrudder/machines/worker_session.hpp"
 
 #include <algorithm>
-#include <set>
 
 namespace peridotrudder {
 
@@ -43,9 +42,10 @@
 {
     m_listed = true;
     // Reports may arrive late: one of an earlier incarnation says nothing about the present one.
-    if (report.m_instance.m_born_ms < instance().m_born_ms) {
+    if (is_former(report.m_instance.m_born_ms)) {
         return;
     }
+    m_listed_born_ms = report.m_instance.m_born_ms;
     const bool reborn =
         instance().m_born_ms != 0 && report.m_instance.m_born_ms != instance().m_born_ms;
     const auto born_ms = instance().m_born_ms;
@@ -201,9 +201,6 @@
         m_next_hold = now + std::min(retry_pause * m_missed_answers, longest_retry_pause);
         return outcome;
     }
-    if (answer.m_born_ms && *answer.m_born_ms < instance().m_born_ms) {
-        return outcome;
-    }
     if (answer.m_born_ms && instance().m_born_ms != 0 &&
         *answer.m_born_ms != instance().m_born_ms) {
         outcome.m_restarted = true;
@@ -326,6 +323,9 @@
     auto new_session = create(m_report, m_fence, m_options, now);
     new_session.m_report.m_instance.m_born_ms = born_ms;
     new_session.m_listed = m_listed;
+    new_session.m_former = m_former;
+    new_session.m_former.insert(instance().m_born_ms);
+    new_session.m_former.erase(born_ms);
     new_session.m_next_hold = now + m_options.m_hold_pause;
     std::vector<run_key> not_sent;
     for (auto [key, run] : m_runs) {
@@ -347,7 +347,13 @@
     // An earlier hold may have been answered before the restart that the list shows.
     if (m_restart_suspected_at && sent_at >= *m_restart_suspected_at) {
         m_restart_suspected_at.reset();
+        m_former.insert(m_listed_born_ms);
     }
 }
 
+bool worker_session::is_former(std::int64_t born_ms) const
+{
+    return m_former.count(born_ms) != 0;
+}
+
 } // namespace peridotrudder
--- a/test/machines/worker_session_test.cpp
+++ b/test/machines/worker_session_test.cpp
@@ -80,6 +80,8 @@
     CPPUNIT_TEST(start_in_flight_outlives_the_stop_and_the_clock_of_a_former_incarnation);
     CPPUNIT_TEST(start_not_sent_before_a_restart_is_void);
     CPPUNIT_TEST(listed_restart_is_confirmed_by_a_hold);
+    CPPUNIT_TEST(later_incarnation_may_have_an_earlier_birth);
+    CPPUNIT_TEST(listed_incarnation_that_a_later_hold_does_not_show_is_a_former_one);
     CPPUNIT_TEST(report_of_an_earlier_incarnation_changes_nothing);
     CPPUNIT_TEST_SUITE_END();
 
@@ -394,12 +396,40 @@
         CPPUNIT_ASSERT(session.takes_work(later));
     }
 
-    void report_of_an_earlier_incarnation_changes_nothing()
+    void later_incarnation_may_have_an_earlier_birth()
+    {
+        auto session = make_session();
+        confirm(session, start);
+        session.reserve(key, make_run(run_phase::running));
+        auto later_report = make_report(400);
+        later_report.m_port = 81;
+        session.update(later_report, start);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{81}, session.report().m_port);
+        auto answer = make_answer(0);
+        answer.m_born_ms = 400;
+        CPPUNIT_ASSERT(session.hold_answered(answer, start, start).m_restarted);
+        session.release(key);
+        CPPUNIT_ASSERT(session.takes_work(start));
+    }
+
+    void listed_incarnation_that_a_later_hold_does_not_show_is_a_former_one()
     {
         auto session = make_session();
+        confirm(session, start);
+        session.update(make_report(600), start + milliseconds{10});
+        const auto later = start + milliseconds{50};
+        confirm(session, later, 50);
+        CPPUNIT_ASSERT(session.takes_work(later));
+        session.update(make_report(600), later);
+        CPPUNIT_ASSERT(session.takes_work(later));
+    }
+
+    void report_of_an_earlier_incarnation_changes_nothing()
+    {
+        auto session = worker_session::create(make_report(400), fence, {}, start);
+        confirm(session, start);
         auto earlier_report = make_report(400);
         earlier_report.m_pool = "other";
-        confirm(session, start);
         session.update(earlier_report, start);
         CPPUNIT_ASSERT_EQUAL(std::string{"pool"}, session.report().m_pool);
         CPPUNIT_ASSERT(session.takes_work(start));
