Acknowledge ends only to a worker that can't have restarted since its last answer

A hold says up to which number the ends of runs were read, and the worker drops these. After a restart the ends are numbered anew, so the first holds to an incarnation that the owner had not noticed (an idle worker gets no holds; the answers were lost) made it drop ends that nobody had read. The run was in neither list then, and the task was started again.

A hold now names no end after a missed answer, while the list shows another incarnation, and if the last answer is older than half a second (or two pauses between holds).

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -186,6 +186,8 @@
     std::vector<run_key> begin_incarnation(std::int64_t born_ms, time_point now);
     void confirm_incarnation(time_point sent_at);
     bool is_former(std::int64_t born_ms) const;
+    /// Returns whether the worker is certainly still the incarnation that answered last.
+    bool incarnation_is_certain(time_point now) const;
     void update_clock(std::int64_t clock_ms, time_point now);
     milliseconds longest_lease() const;
     void extend_lease(std::int64_t deadline_ms);
@@ -206,6 +208,7 @@
     std::set<std::int64_t> m_former;
     int m_missed_answers{0};
     time_point m_last_answered_hold_sent_at;
+    time_point m_answered_at;
     time_point m_no_work_until;
     std::map<run_key, worker_run> m_runs;
     resources m_used;
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds longest_retry_pause{500};
 /// Maximum number of ends that a worker lists in one answer. A full list may be incomplete.
 constexpr std::size_t listed_ends_limit = 500;
+/// A worker can't have crashed, restarted and ended a run since an answer that is no older.
+constexpr milliseconds certain_incarnation_time{500};
 
 } // namespace
 
@@ -160,7 +162,8 @@
     }
     hold_order order;
     order.m_fence = m_fence;
-    order.m_last_end = m_recorded_end;
+    // Another incarnation would drop its own ends, which are numbered anew, unread.
+    order.m_last_end = incarnation_is_certain(now) ? m_recorded_end : 0;
     // A silent worker's lease is not renewed: that would postpone the time at which its runs have
     // certainly ended.
     if (m_clock_known && !silent() && !m_runs.empty()) {
@@ -211,6 +214,7 @@
     }
     confirm_incarnation(sent_at);
     m_missed_answers = 0;
+    m_answered_at = now;
     m_last_answered_hold_sent_at = std::max(m_last_answered_hold_sent_at, sent_at);
     m_acknowledged_end = std::max(m_acknowledged_end, m_end_in_current_hold);
     if (!m_token_confirmed) {
@@ -351,6 +355,12 @@
     }
 }
 
+bool worker_session::incarnation_is_certain(time_point now) const
+{
+    return m_token_confirmed && !m_restart_suspected_at && m_missed_answers == 0 &&
+           now - m_answered_at <= std::max(certain_incarnation_time, 2 * m_options.m_hold_pause);
+}
+
 bool worker_session::is_former(std::int64_t born_ms) const
 {
     return m_former.count(born_ms) != 0;
--- a/test/machines/worker_session_test.cpp
+++ b/test/machines/worker_session_test.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(capacity_is_reserved_from_the_decision_until_the_release);
     CPPUNIT_TEST(idle_worker_gets_no_hold);
     CPPUNIT_TEST(end_is_reported_once_and_acknowledged_only_when_recorded);
+    CPPUNIT_TEST(end_is_not_acknowledged_to_a_worker_that_may_have_restarted);
     CPPUNIT_TEST(run_confirmed_before_a_hold_and_not_listed_is_gone);
     CPPUNIT_TEST(run_without_an_answer_is_not_gone_before_its_stop_is_answered);
     CPPUNIT_TEST(adopted_run_not_listed_by_the_first_hold_under_the_new_token_is_gone);
@@ -147,6 +148,29 @@
                              session.hold_answered(answer, later, later).m_ended.size());
     }
 
+    void end_is_not_acknowledged_to_a_worker_that_may_have_restarted()
+    {
+        auto session = make_session();
+        confirm(session, start);
+        session.reserve(key, make_run(run_phase::running));
+        auto now = start + milliseconds{100};
+        CPPUNIT_ASSERT(session.next_hold(now).has_value());
+        auto answer = make_answer(100);
+        answer.m_ended.push_back({1, key, 1, run_end::done, ""});
+        session.hold_answered(answer, now, now);
+        session.ends_recorded(1);
+        now += milliseconds{5'000};
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("a long time without answers", std::uint64_t{0},
+                                     session.next_hold(now)->m_last_end);
+        session.hold_answered(no_answer(), now, now);
+        now += milliseconds{200};
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("a missed answer", std::uint64_t{0},
+                                     session.next_hold(now)->m_last_end);
+        session.hold_answered(answer, now, now);
+        now += milliseconds{200};
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, session.next_hold(now)->m_last_end);
+    }
+
     void run_confirmed_before_a_hold_and_not_listed_is_gone()
     {
         auto session = make_session();
