--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -1,7 +1,6 @@
 #include "peridotrudder/machines/worker_session.hpp"
 
 #include <algorithm>
-#include <set>
 
 namespace peridotrudder {
 
@@ -16,6 +15,8 @@
 constexpr milliseconds longest_retry_pause{500};
 /// Maximum number of ends that a worker lists in one answer. A full list may be incomplete.
 constexpr std::size_t listed_ends_limit = 500;
+/// A worker can't have crashed, restarted and ended a run since an answer that is no older.
+constexpr milliseconds certain_incarnation_time{500};
 
 } // namespace
 
@@ -39,27 +40,28 @@
     return position == m_runs.end() ? nullptr : &position->second;
 }
 
-bool worker_session::update(const worker_report& report, time_point now)
+void worker_session::update(const worker_report& report, time_point now)
 {
     m_listed = true;
     // Reports may arrive late: one of an earlier incarnation says nothing about the present one.
-    if (report.m_instance.m_born_ms < instance().m_born_ms) {
-        return false;
+    if (is_former(report.m_instance.m_born_ms)) {
+        return;
     }
+    m_listed_born_ms = report.m_instance.m_born_ms;
     const bool reborn =
         instance().m_born_ms != 0 && report.m_instance.m_born_ms != instance().m_born_ms;
     const auto born_ms = instance().m_born_ms;
     const bool moved = report.m_address != m_report.m_address || report.m_port != m_report.m_port;
     m_report = report;
     if (reborn) {
-        // The caller resets the session, and needs the old incarnation until then.
         m_report.m_instance.m_born_ms = born_ms;
+        m_restart_suspected_at = m_restart_suspected_at.value_or(now);
+        m_next_hold = now;
     }
     if (moved) {
         m_missed_answers = 0;
         m_next_hold = now;
     }
-    return reborn;
 }
 
 void worker_session::set_listed(bool listed, time_point now)
@@ -76,8 +78,8 @@
 
 bool worker_session::takes_work(time_point now) const
 {
-    return m_listed && m_token_confirmed && !m_report.m_draining && m_missed_answers == 0 &&
-           now >= m_no_work_until;
+    return m_listed && m_token_confirmed && !m_restart_suspected_at && !m_report.m_draining &&
+           m_missed_answers == 0 && now >= m_no_work_until;
 }
 
 void worker_session::reserve(const run_key& key, const worker_run& run)
@@ -136,7 +138,8 @@
 bool worker_session::needs_hold() const
 {
     const bool has_ends_to_confirm = m_recorded_end > m_acknowledged_end;
-    return !m_token_confirmed || !m_runs.empty() || has_ends_to_confirm || m_missed_answers > 0;
+    return !m_token_confirmed || !m_runs.empty() || has_ends_to_confirm || m_missed_answers > 0 ||
+           m_restart_suspected_at;
 }
 
 std::optional<time_point> worker_session::hold_due() const
@@ -159,14 +162,16 @@
     }
     hold_order order;
     order.m_fence = m_fence;
-    order.m_last_end = m_recorded_end;
+    // Another incarnation would drop its own ends, which are numbered anew, unread.
+    order.m_last_end = incarnation_is_certain(now) ? m_recorded_end : 0;
     // A silent worker's lease is not renewed: that would postpone the time at which its runs have
     // certainly ended.
     if (m_clock_known && !silent() && !m_runs.empty()) {
         order.m_deadline_ms = clock_estimate(now) + m_options.m_lease.count();
         extend_lease(*order.m_deadline_ms);
     }
-    const bool steady = m_token_confirmed && m_missed_answers == 0 && !m_runs.empty();
+    const bool steady =
+        m_token_confirmed && !m_restart_suspected_at && m_missed_answers == 0 && !m_runs.empty();
     if (steady) {
         const auto wait = m_best_effort_cpu_millis > 0 ? m_options.m_best_effort_hold_wait
                                                        : m_options.m_hold_wait;
@@ -199,18 +204,17 @@
         m_next_hold = now + std::min(retry_pause * m_missed_answers, longest_retry_pause);
         return outcome;
     }
-    if (answer.m_born_ms && *answer.m_born_ms < instance().m_born_ms) {
-        return outcome;
-    }
     if (answer.m_born_ms && instance().m_born_ms != 0 &&
         *answer.m_born_ms != instance().m_born_ms) {
         outcome.m_restarted = true;
-        return outcome;
+        outcome.m_gone = begin_incarnation(*answer.m_born_ms, now);
     }
     if (answer.m_born_ms) {
         m_report.m_instance.m_born_ms = *answer.m_born_ms;
     }
+    confirm_incarnation(sent_at);
     m_missed_answers = 0;
+    m_answered_at = now;
     m_last_answered_hold_sent_at = std::max(m_last_answered_hold_sent_at, sent_at);
     m_acknowledged_end = std::max(m_acknowledged_end, m_end_in_current_hold);
     if (!m_token_confirmed) {
@@ -266,7 +270,9 @@
         // token, or the deadline of its start has passed.
         const bool confirmed_before =
             run.m_phase == run_phase::running && run.m_confirmed_at <= sent_at;
-        const bool cannot_start = run.m_cannot_start_since && *run.m_cannot_start_since <= sent_at;
+        const bool cannot_start =
+            (run.m_cannot_start_since && *run.m_cannot_start_since <= sent_at) ||
+            (run.m_stop_answered_at && *run.m_stop_answered_at <= sent_at);
         const bool deadline_passed =
             run.m_start_deadline_ms != 0 && answer.m_clock_ms > run.m_start_deadline_ms;
         const bool not_begun = run.m_phase == run_phase::uncertain && run.m_unanswered_since &&
@@ -316,18 +322,48 @@
     return std::max(own_lease_ends_at, m_predecessor_lease_ends_at);
 }
 
-std::vector<run_key> worker_session::reset_after_restart(std::int64_t born_ms, time_point now)
+std::vector<run_key> worker_session::begin_incarnation(std::int64_t born_ms, time_point now)
 {
-    std::vector<run_key> lost;
-    for (const auto& entry : m_runs) {
-        lost.push_back(entry.first);
-    }
     auto new_session = create(m_report, m_fence, m_options, now);
     new_session.m_report.m_instance.m_born_ms = born_ms;
     new_session.m_listed = m_listed;
-    new_session.m_hold_in_flight = m_hold_in_flight;
+    new_session.m_former = m_former;
+    new_session.m_former.insert(instance().m_born_ms);
+    new_session.m_former.erase(born_ms);
+    new_session.m_next_hold = now + m_options.m_hold_pause;
+    std::vector<run_key> not_sent;
+    for (auto [key, run] : m_runs) {
+        if (run.m_phase == run_phase::recording) {
+            not_sent.push_back(key);
+        }
+        // What the former incarnation's clock and answers to stops ruled out isn't ruled out here.
+        run.m_start_deadline_ms = 0;
+        run.m_stop_in_flight = false;
+        run.m_stop_answered_at.reset();
+        new_session.reserve(key, run);
+    }
     *this = std::move(new_session);
-    return lost;
+    return not_sent;
+}
+
+void worker_session::confirm_incarnation(time_point sent_at)
+{
+    // An earlier hold may have been answered before the restart that the list shows.
+    if (m_restart_suspected_at && sent_at >= *m_restart_suspected_at) {
+        m_restart_suspected_at.reset();
+        m_former.insert(m_listed_born_ms);
+    }
+}
+
+bool worker_session::incarnation_is_certain(time_point now) const
+{
+    return m_token_confirmed && !m_restart_suspected_at && m_missed_answers == 0 &&
+           now - m_answered_at <= std::max(certain_incarnation_time, 2 * m_options.m_hold_pause);
+}
+
+bool worker_session::is_former(std::int64_t born_ms) const
+{
+    return m_former.count(born_ms) != 0;
 }
 
 } // namespace peridotrudder
