Tests of odd entries that fail, and a wider fuzzer

Another writer can leave any bytes among the workers' entries. The tests show what odd input does to the decoders today, on this commit:

- answer_with_a_reason_that_is_no_text_ended_the_process: uncaught json.exception.type_error.302
- deeply_nested_configuration_ended_the_process: segmentation fault (a copy recurses)
- worker_with_an_id_that_is_not_utf8..., id_with_a_line_feed...: such ids are used
- address_that_is_no_host_and_port...: ":80" is used
- real_number_beyond_the_range...: duration-s 1e30 is converted
- record_without_content...: the whole batch of a read is invalid
- deeply_nested_entry...: it names a worker
- number_of_tasks_that_wrapped_to_zero...: expected too_many_tasks, got none

unusable_entries_leave_the_other_workers_usable (fleet_owner_test) passes: one entry that the decoder refuses costs no other worker and the follower goes on.

--- a/fuzz/decoder_fuzzer.cpp
+++ b/fuzz/decoder_fuzzer.cpp
@@ -50,7 +50,31 @@
     }
 }
 
-const std::array<decoder, 12> decoders{
+/// Reads a worker's entry whose key and value are split at the first zero byte of the text, and
+/// writes the question about the worker.
+void read_worker_with_id(std::string_view text)
+{
+    const auto separator = std::min(text.find('\0'), text.size());
+    const std::string id{text.substr(0, separator)};
+    const auto value = text.substr(std::min(separator + 1, text.size()));
+    if (const auto report = platform::decode_worker(id, bytes_of(value))) {
+        static_cast<void>(platform::encode_question({{"0", 0, 0}, {report->m_instance}, {}}));
+    }
+}
+
+/// Reads a list of runs, and writes the order to start the first one again.
+void read_runs(std::string_view text)
+{
+    const auto answer = platform::decode_hold_answer(status_ok, text);
+    if (!answer.m_running.empty()) {
+        start_order order;
+        order.m_key = answer.m_running[0].m_key;
+        order.m_checkpoint = answer.m_running[0].m_checkpoint;
+        static_cast<void>(platform::encode_start(order));
+    }
+}
+
+const std::array<decoder, 16> decoders{
     [](std::string_view text) { static_cast<void>(platform::decode_job(text)); },
     [](std::string_view text) { static_cast<void>(platform::decode_config(bytes_of(text))); },
     [](std::string_view text) {
@@ -61,7 +85,7 @@
         std::string next;
         static_cast<void>(platform::decode_platform_vms(text, next));
     },
-    [](std::string_view text) { static_cast<void>(platform::decode_hold_answer(status_ok, text)); },
+    read_runs,
     [](std::string_view text) {
         static_cast<void>(platform::decode_order_answer(status_conflict, text));
     },
@@ -72,6 +96,21 @@
     [](std::string_view text) { static_cast<void>(decode_node_message(bytes_of(text))); },
     [](std::string_view text) { static_cast<void>(parse_node_settings("node.ini", text)); },
     restore_job,
+    read_worker_with_id,
+    [](std::string_view text) {
+        static_cast<void>(platform::decode_order_answer(status_ok, text));
+    },
+    [](std::string_view text) {
+        static_cast<void>(platform::decode_hold_answer(status_conflict, text));
+    },
+    [](std::string_view text) {
+        const auto spec = platform::decode_job(text);
+        if (spec && check_spec(*spec) == spec_fault::none) {
+            static_cast<void>(longest_chain(*spec));
+            static_cast<void>(estimated_work(*spec));
+            static_cast<void>(job::create({"0123456789abcdef", {}, 0, *spec}));
+        }
+    },
 };
 
 } // namespace
--- a/test/jobs/job_spec_test.cpp
+++ b/test/jobs/job_spec_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST_SUITE(job_spec_test);
     CPPUNIT_TEST(valid_specification_has_no_fault);
     CPPUNIT_TEST(each_fault_is_reported);
+    CPPUNIT_TEST(number_of_tasks_that_wrapped_to_zero_was_accepted);
     CPPUNIT_TEST(longest_chain_follows_dependencies);
     CPPUNIT_TEST(work_counts_every_task);
     CPPUNIT_TEST_SUITE_END();
@@ -68,6 +69,18 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"payload_too_long"}, fault_of(spec));
     }
 
+    // The product of tasks and occurrences wrapped, and the job's tables took all memory.
+    void number_of_tasks_that_wrapped_to_zero_was_accepted()
+    {
+        auto spec = two_steps();
+        spec.m_steps.resize(4, spec.m_steps[0]);
+        for (auto& step : spec.m_steps) {
+            step.m_count = 1U << 31U;
+        }
+        spec.m_recurrence = recurrence{1U << 31U, 0, 0};
+        CPPUNIT_ASSERT_EQUAL(std::string{"too_many_tasks"}, fault_of(spec));
+    }
+
     void longest_chain_follows_dependencies()
     {
         CPPUNIT_ASSERT_EQUAL(milliseconds{800}.count(), longest_chain(two_steps()).count());
--- a/test/node/fleet_owner_test.cpp
+++ b/test/node/fleet_owner_test.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// First byte of a worker's entry that can't be decoded.
+constexpr std::uint8_t unusable = 0;
+
 /// Simulated loop, log and workers, driven by the test.
 struct fixture {
     moment m_now{time_point{milliseconds{1'000'000}}, 1'000'000};
@@ -22,6 +25,8 @@
     std::vector<running_entry> m_running;
     std::vector<hold_order> m_holds;
     bool m_ended{false};
+    /// Answers to reads of the workers' topic, each given once.
+    std::deque<read_answer> m_worker_changes;
     std::unique_ptr<fleet_owner> m_owner;
 
     fixture() { m_owner = make_owner(7); }
@@ -43,8 +48,16 @@
                                       const std::function<void(newest_answer)>& callback) {
             later([this, topic, callback] { callback(newest(topic)); });
         };
-        ports.m_log.m_read = [](const read_request&, const std::function<void(read_answer)>&) {
-            // No new records arrive.
+        ports.m_log.m_read = [this](const read_request& request,
+                                    const std::function<void(read_answer)>& callback) {
+            // Without changes there is no answer yet.
+            if (request.m_topic == "workers" && !m_worker_changes.empty()) {
+                later([this, callback] {
+                    const auto answer = m_worker_changes.front();
+                    m_worker_changes.pop_front();
+                    callback(answer);
+                });
+            }
         };
         ports.m_workers.m_start = [this](const worker_report&, const start_order& order,
                                          const worker_port::callback<order_answer>&) {
@@ -91,8 +104,12 @@
             queue.m_pool = "pool";
             return fleet_config::create(1, {queue}, {{"pool", false, false}});
         };
-        wire.m_worker = [](const std::string& id,
-                           record_schema::bytes) -> tl::expected<worker_report, decode_error> {
+        wire.m_worker =
+            [](const std::string& id,
+               record_schema::bytes value) -> tl::expected<worker_report, decode_error> {
+            if (value[0] == unusable) {
+                return tl::make_unexpected(decode_error{decode_fault::malformed, ""});
+            }
             worker_report report;
             report.m_instance = {id, 1};
             report.m_pool = "pool";
@@ -194,6 +211,7 @@
     CPPUNIT_TEST(repeated_job_is_not_refused_while_the_log_is_down);
     CPPUNIT_TEST(lease_is_not_renewed_long_after_the_last_proof);
     CPPUNIT_TEST(fenced_owner_ends);
+    CPPUNIT_TEST(unusable_entries_leave_the_other_workers_usable);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -258,6 +276,36 @@
         }
     }
 
+    // Neither a snapshot nor a batch of changes may be dropped for one entry.
+    void unusable_entries_leave_the_other_workers_usable()
+    {
+        using bytes = std::vector<std::uint8_t>;
+        fixture it;
+        it.m_topics["workers"]["a-odd"] = {unusable};
+        it.m_topics["workers"]["z-odd"] = {unusable};
+        read_answer changes;
+        changes.m_result = log_result::ok;
+        changes.m_records = {{"b-odd", bytes{unusable}, 0},
+                             {"", std::nullopt, 1},
+                             {"i-2", bytes{1}, 2},
+                             {"y-odd", bytes{unusable}, 3}};
+        it.m_worker_changes.push_back(changes);
+        changes.m_records = {{"i-3", bytes{1}, 4}};
+        it.m_worker_changes.push_back(changes);
+        it.serve();
+        it.pass(milliseconds{1'000});
+        const auto& workers = it.m_owner->scheduler()->state().m_workers;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, workers.size());
+        for (const std::string id : {"i-1", "i-2", "i-3"}) {
+            CPPUNIT_ASSERT_MESSAGE(id, workers.count(id) != 0 &&
+                                           workers.at(id).takes_work(it.m_now.m_at));
+        }
+        const auto token = it.submit("0123456789abcdef");
+        it.pass(milliseconds{50});
+        CPPUNIT_ASSERT_EQUAL(std::string{"done"}, it.status(token));
+        CPPUNIT_ASSERT_EQUAL(1, it.m_starts);
+    }
+
     void fenced_owner_ends()
     {
         fixture it;
--- /dev/null
+++ b/test/platform/odd_entries_test.cpp
@@ -0,0 +1,283 @@
+/// @file
+/// Input that another writer, a worker or a caller can send and that no decoder may use: each is an
+/// error of its entry only.
+
+#include "platform/log_service.hpp"
+#include "platform/policy_service.hpp"
+#include "platform/wire_codec.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+
+namespace peridotrudder::platform {
+
+namespace {
+
+constexpr std::size_t record_bytes = 262'144;
+constexpr std::uint32_t status_ok = 200;
+constexpr std::uint32_t status_conflict = 409;
+/// More than any tail latency in milliseconds that a run can have.
+constexpr std::int64_t max_load = 1'000'000'000;
+
+std::vector<std::uint8_t> bytes(const std::string& text)
+{
+    return {text.begin(), text.end()};
+}
+
+/// Returns `levels` arrays, each within the one before.
+std::string nested(std::size_t levels)
+{
+    return std::string(levels, '[') + std::string(levels, ']');
+}
+
+std::string with(std::string text, const std::string& part, const std::string& replacement)
+{
+    const auto position = text.find(part);
+    CPPUNIT_ASSERT(position != std::string::npos);
+    return text.replace(position, part.size(), replacement);
+}
+
+const std::string worker_entry =
+    R"({"service":"pool","address":"10.0.0.9:8080","zone":"north","version":"v1","slots":8,)"
+    R"("state":"ready","cold-left-ms":0,"capacity":{"cpu":16000,"mem-mb":32768,"gpu":0},)"
+    R"("labels":["a","r1-3"],"clock-ms":5,"sequence":4,"born":77})";
+
+const std::string hold_body =
+    R"({"clock-ms":482113,"born":3,"running":[["5c0e7a21d94b36f8.0.1.17",2,"c",41,7]],)"
+    R"("ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
+
+struct replacement {
+    std::string m_part;
+    std::string m_by;
+};
+
+void assert_refused(const std::vector<replacement>& table)
+{
+    CPPUNIT_ASSERT(decode_worker("i-1", bytes(worker_entry)).has_value());
+    for (const auto& odd : table) {
+        CPPUNIT_ASSERT_MESSAGE(
+            odd.m_part + " -> " + odd.m_by,
+            !decode_worker("i-1", bytes(with(worker_entry, odd.m_part, odd.m_by))).has_value());
+    }
+}
+
+std::string read_body(const std::string& records)
+{
+    return std::string("\0\0\0\0\0\0\0\x09\0\0\0\0\0\0\0\x02", 16) + records;
+}
+
+} // namespace
+
+class odd_entries_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(odd_entries_test);
+    CPPUNIT_TEST(answer_with_a_reason_that_is_no_text_ended_the_process);
+    CPPUNIT_TEST(worker_with_an_id_that_is_not_utf8_ended_the_process);
+    CPPUNIT_TEST(id_with_a_line_feed_added_a_header_to_orders);
+    CPPUNIT_TEST(address_that_is_no_host_and_port_was_used);
+    CPPUNIT_TEST(entry_with_an_absurd_number_was_used);
+    CPPUNIT_TEST(times_beyond_any_clock_overflowed);
+    CPPUNIT_TEST(real_number_beyond_the_range_was_converted);
+    CPPUNIT_TEST(record_without_content_stopped_the_follower);
+    CPPUNIT_TEST(deeply_nested_entry_named_a_worker);
+    CPPUNIT_TEST(deeply_nested_configuration_ended_the_process);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // The library throws for a value of another type, which no caller of the decoders expects.
+    void answer_with_a_reason_that_is_no_text_ended_the_process()
+    {
+        const std::array<std::string, 5> reasons{"7", "[]", "{}", "true", "1e30"};
+        for (const auto& reason : reasons) {
+            const auto body = R"({"reason":)" + reason + "}";
+            CPPUNIT_ASSERT(decode_order_answer(status_conflict, body).m_result ==
+                           order_result::invalid);
+            CPPUNIT_ASSERT(decode_hold_answer(status_conflict, body).m_result ==
+                           order_result::invalid);
+        }
+    }
+
+    // The library throws when text that is not UTF-8 is written; keys may have any bytes.
+    void worker_with_an_id_that_is_not_utf8_ended_the_process()
+    {
+        CPPUNIT_ASSERT(!decode_worker("i-\xff", bytes(worker_entry)));
+        const policy_request question{{"5c0e7a21d94b36f8", 0, 1}, {{"i-\xff", 3}}, {}};
+        CPPUNIT_ASSERT(!encode_question(question).empty());
+        start_order order;
+        order.m_checkpoint = "\xff";
+        CPPUNIT_ASSERT(!encode_start(order).empty());
+    }
+
+    // An order names its worker's id in a header.
+    void id_with_a_line_feed_added_a_header_to_orders()
+    {
+        using namespace std::string_literals;
+        const std::array<std::string, 6> ids{"", "i-1\r\nX: y", "i-1\n", "i\0001"s, "i 1", "i\x7f"};
+        for (const auto& id : ids) {
+            CPPUNIT_ASSERT_MESSAGE(id, !decode_worker(id, bytes(worker_entry)));
+        }
+    }
+
+    // The address becomes part of a URL.
+    void address_that_is_no_host_and_port_was_used()
+    {
+        const std::array<std::string, 22> odd{
+            "10.0.0.9:0",
+            "10.0.0.9:65536",
+            "10.0.0.9:99999999999999999999",
+            "10.0.0.9:-1",
+            "10.0.0.9:+80",
+            "10.0.0.9: 80",
+            "10.0.0.9:80x",
+            "10.0.0.9:",
+            "10.0.0.9",
+            ":80",
+            "",
+            "fe80::1:80",
+            "[fe80::1:80",
+            "[]:80",
+            "10.0.0.9 :80",
+            "10.0.0.9/path?:80",
+            "user@10.0.0.9:80",
+            "10.0.0.9#:80",
+            R"(10.0.0.9\r\nHost: x:80)",
+            R"(10.0.0.9\u0000:80)",
+            R"(höst:80)",
+            std::string(record_bytes / 2, 'a') + ":80",
+        };
+        std::vector<replacement> table;
+        for (const auto& address : odd) {
+            table.push_back({"10.0.0.9:8080", address});
+        }
+        assert_refused(table);
+        const std::array<std::string, 3> good{"10.0.0.9:65535", "[fe80::1]:80", "host-1.local:1"};
+        for (const auto& address : good) {
+            CPPUNIT_ASSERT_MESSAGE(
+                address, decode_worker("i-1", bytes(with(worker_entry, "10.0.0.9:8080", address))));
+        }
+    }
+
+    // Sums of capacities overflow, and a worker that is not there draws all work.
+    void entry_with_an_absurd_number_was_used()
+    {
+        std::vector<replacement> table;
+        const std::array<std::string, 10> numbers{"1e400",
+                                                  "9223372036854775807",
+                                                  "9223372036854775808",
+                                                  "18446744073709551616",
+                                                  "-1",
+                                                  "1e30",
+                                                  "0.5",
+                                                  "\"1\"",
+                                                  "1000000001",
+                                                  "[1]"};
+        for (const auto& number : numbers) {
+            table.push_back({"\"cpu\":16000", "\"cpu\":" + number});
+            table.push_back({"\"mem-mb\":32768", "\"mem-mb\":" + number});
+            table.push_back({"\"gpu\":0", "\"gpu\":" + number});
+        }
+        table.push_back({R"({"cpu":16000,"mem-mb":32768,"gpu":0})", "7"});
+        table.push_back({R"({"cpu":16000,"mem-mb":32768,"gpu":0})", "null"});
+        assert_refused(table);
+        CPPUNIT_ASSERT_MESSAGE(
+            "estimate",
+            !decode_job(R"({"steps":[{"count":1,"estimate-ms":9223372036854775807}]})"));
+        CPPUNIT_ASSERT_MESSAGE("request",
+                               !decode_job(R"({"steps":[{"count":1,"cpu":9223372036854775807}]})"));
+        CPPUNIT_ASSERT_MESSAGE("interval",
+                               !decode_job(R"({"steps":[{"count":1}],"repeats":3,"first-ms":1,)"
+                                           R"("interval-ms":9223372036854775807})"));
+    }
+
+    void times_beyond_any_clock_overflowed()
+    {
+        const std::array<std::string, 6> numbers{
+            "1e400", "9223372036854775807", "9223372036854775808", "-1", "1e30", "0.5"};
+        std::vector<replacement> table;
+        for (const auto& number : numbers) {
+            table.push_back({"\"born\":77", "\"born\":" + number});
+        }
+        assert_refused(table);
+        const auto hold = [](const std::string& part, const std::string& by) {
+            return decode_hold_answer(status_ok, with(hold_body, part, by)).m_result;
+        };
+        CPPUNIT_ASSERT(hold("7]]", "7]]") == order_result::accepted);
+        CPPUNIT_ASSERT(hold("482113", "9223372036854775807") == order_result::unanswered);
+        CPPUNIT_ASSERT(hold("482113", "-9223372036854775808") == order_result::unanswered);
+        CPPUNIT_ASSERT(hold("\"born\":3", "\"born\":-1") == order_result::unanswered);
+        CPPUNIT_ASSERT(!decode_order_answer(status_ok, R"({"clock-ms":9223372036854775807})")
+                            .m_clock_ms.has_value());
+        CPPUNIT_ASSERT(
+            !decode_policy_answer(status_ok, R"({"good":[],"valid-ms":9223372036854775807})")
+                 .m_answered);
+    }
+
+    // The conversion of a real number beyond the range of an integer is undefined.
+    void real_number_beyond_the_range_was_converted()
+    {
+        for (const std::string seconds : {"1e30", "-1e30", "-1", "1e400"}) {
+            CPPUNIT_ASSERT_MESSAGE(
+                seconds, !decode_wave(bytes(R"({"wave":1,"duration-s":)" + seconds + "}")));
+        }
+        CPPUNIT_ASSERT(decode_wave(bytes(R"({"wave":1,"duration-s":2.5})"))->m_duration ==
+                       milliseconds{2'500});
+        for (const std::string load : {"1e30", "-1e30", "9223372036854775807"}) {
+            const auto answer = decode_hold_answer(status_ok, with(hold_body, "7]]", load + "]]"));
+            CPPUNIT_ASSERT(answer.m_result == order_result::accepted);
+            CPPUNIT_ASSERT_MESSAGE(load, answer.m_running[0].m_load >= 0 &&
+                                             answer.m_running[0].m_load <= max_load);
+        }
+        CPPUNIT_ASSERT(!decode_config(
+            bytes(R"({"version":1,"routes":[{"host":"h","path-prefix":"/","service":"s",)"
+                  R"("stretch":1e300}]})")));
+    }
+
+    // The follower read the batch with such a record again and again.
+    void record_without_content_stopped_the_follower()
+    {
+        const auto good = frame_records({{"key", std::vector<std::uint8_t>{1, 2, 3}, 0}});
+        const std::string empty(4, '\0');
+        const std::string key_longer_than_content{"\0\0\0\x02\xff\x41", 6};
+        const auto answer =
+            parse_read_body(read_body(good + empty + key_longer_than_content + good));
+        CPPUNIT_ASSERT(answer.m_result == log_result::ok);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("offsets are counted", std::size_t{4},
+                                     answer.m_records.size());
+        for (const std::size_t odd : {1, 2}) {
+            CPPUNIT_ASSERT(answer.m_records[odd].m_key.empty());
+            CPPUNIT_ASSERT(!answer.m_records[odd].m_value.has_value());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string{"key"}, answer.m_records[3].m_key);
+    }
+
+    void deeply_nested_entry_named_a_worker()
+    {
+        for (const std::size_t levels : {40, 10'000, 120'000}) {
+            assert_refused({{"\"slots\":8", "\"slots\":" + nested(levels)},
+                            {"\"labels\":[\"a\",\"r1-3\"]", "\"labels\":" + nested(levels)},
+                            {"\"slots\":8", "\"slots\":" + std::string(levels, '[')}});
+        }
+        CPPUNIT_ASSERT_MESSAGE(
+            "brackets in text do not nest",
+            decode_worker("i-1", bytes(with(worker_entry, "\"v1\"",
+                                            '"' + std::string(100, '[') + R"(\"[[")"))));
+    }
+
+    // The library copies a tree recursively, so a copy of a deep one overflows the stack.
+    void deeply_nested_configuration_ended_the_process()
+    {
+        const auto levels = (record_bytes - 100) / 2;
+        CPPUNIT_ASSERT(!decode_config(bytes(R"({"version":1,"routes":)" + nested(levels) + "}")));
+        CPPUNIT_ASSERT(!decode_wave(bytes(R"({"wave":1,"machines":)" + nested(levels) + "}")));
+        CPPUNIT_ASSERT(!decode_job(R"({"steps":)" + nested(levels) + "}"));
+        std::string next;
+        CPPUNIT_ASSERT(!decode_platform_vms(R"({"machines":)" + nested(levels) + "}", next));
+        const auto answer = R"({"reason":)" + nested(levels) + "}";
+        CPPUNIT_ASSERT(decode_order_answer(status_conflict, answer).m_result ==
+                       order_result::invalid);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(odd_entries_test);
+
+} // namespace peridotrudder::platform
