Map every exception of a decoder to an error in one place

What callers saw: a worker, the log or the VM service that refuses with a `reason` that is no text ({"reason":7}), or a listed worker whose id is not UTF-8 and that a policy is asked about, could end the process that read it, and then the next owner.

Cause: the JSON library throws type_error from value() and dump(); the decoders caught decode_exception only, and the answers of orders nothing.

Ruled out: 1e400, which the parser reports without throwing (trial; the text is only discarded).

--- a/include/peridotrudder/base/codec.hpp
+++ b/include/peridotrudder/base/codec.hpp
@@ -61,6 +61,22 @@
     decode_error m_error;
 };
 
+/// Runs a decoder and returns its result, or its exception as an error. The JSON library's own
+/// exceptions and those of memory become `malformed`: input that causes one cannot be used.
+template <typename Decoder>
+auto catch_decode_error(Decoder decoder) -> tl::expected<decltype(decoder()), decode_error>
+{
+    try {
+        return decoder();
+    }
+    catch (const decode_exception& exception) {
+        return tl::make_unexpected(exception.error());
+    }
+    catch (const std::exception&) {
+        return tl::make_unexpected(decode_error{decode_fault::malformed, ""});
+    }
+}
+
 template <typename T>
 struct is_vector : std::false_type {
 };
@@ -315,14 +331,11 @@
 template <layout Layout, typename T>
 tl::expected<T, decode_error> decode(const nlohmann::json& json)
 {
-    T value{};
-    try {
+    return catch_decode_error([&json] {
+        T value{};
         from_value<Layout>(json, value, "");
-    }
-    catch (const decode_exception& exception) {
-        return tl::make_unexpected(exception.error());
-    }
-    return value;
+        return value;
+    });
 }
 
 } // namespace internal
