Refuse JSON that nests too deeply before a tree is built

What callers saw: a configuration whose `routes` nest 131,000 levels (a record of 256 KB) ended the process with a segmentation fault; a worker's entry with such a field named a worker to use; a call of 1 MB of "[" took 78 MB for a moment, beside the 160 MB of a small node.

Cause: the library's parser and destructor do not recurse, but its copies and writers do, and a tree takes about 75 times the text.

Change: parse_json finds the depth in the text first, with the limit that parse_cbor has (max_nesting).

Before: deeply_nested_configuration_ended_the_process ended test_platform with signal 11, and deeply_nested_entry_named_a_worker failed at 40 levels.

--- a/include/peridotrudder/base/codec.hpp
+++ b/include/peridotrudder/base/codec.hpp
@@ -355,11 +355,14 @@
     return internal::decode<internal::layout::packed, T>(json);
 }
 
-/// Returns the JSON value in `text`, or `malformed`.
+/// Maximum nesting of input: the library's CBOR reader, its copies and its writer recurse for each
+/// level.
+constexpr int max_nesting = 32;
+
+/// Returns the JSON value in `text`, or `malformed`, also if it nests deeper than `max_nesting`.
 tl::expected<nlohmann::json, decode_error> parse_json(std::string_view text);
 
-/// Returns the value in the CBOR bytes, or `malformed`. Rejects nesting deeper than 32 levels,
-/// since the library's CBOR reader recurses for each level.
+/// Returns the value in the CBOR bytes, or `malformed`, also if it nests deeper than `max_nesting`.
 tl::expected<nlohmann::json, decode_error> parse_cbor(gsl::span<const std::uint8_t> bytes);
 
 /// Returns a `T` read from JSON text.
--- a/src/base/codec.cpp
+++ b/src/base/codec.cpp
@@ -4,8 +4,6 @@
 
 namespace {
 
-constexpr int max_cbor_depth = 32;
-
 /// Parses CBOR without storing it, and stops if the nesting is too deep.
 class depth_checker : public nlohmann::json_sax<nlohmann::json> {
 public:
@@ -28,7 +26,7 @@
     }
 
 private:
-    bool descend() { return ++m_depth <= max_cbor_depth; }
+    bool descend() { return ++m_depth <= max_nesting; }
     bool ascend()
     {
         --m_depth;
@@ -38,29 +36,62 @@
     int m_depth{0};
 };
 
+/// Returns whether the JSON text nests deeper than `max_nesting`. Finds it before a tree is built,
+/// which takes many times the memory of the text.
+bool nests_too_deep(std::string_view text)
+{
+    int depth = 0;
+    bool in_string = false;
+    for (std::size_t index = 0; index < text.size(); ++index) {
+        const char character = text[index];
+        if (in_string) {
+            index += character == '\\' ? 1 : 0;
+            in_string = character != '"';
+            continue;
+        }
+        in_string = character == '"';
+        if (character == '[' || character == '{') {
+            if (++depth > max_nesting) {
+                return true;
+            }
+        }
+        else if (character == ']' || character == '}') {
+            --depth;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 tl::expected<nlohmann::json, decode_error> parse_json(std::string_view text)
 {
-    auto json = nlohmann::json::parse(text, nullptr, false);
-    if (json.is_discarded()) {
+    if (nests_too_deep(text)) {
         return tl::make_unexpected(decode_error{decode_fault::malformed, ""});
     }
-    return json;
+    return internal::catch_decode_error([text] {
+        auto json = nlohmann::json::parse(text, nullptr, false);
+        if (json.is_discarded()) {
+            throw internal::decode_exception{{decode_fault::malformed, ""}};
+        }
+        return json;
+    });
 }
 
 tl::expected<nlohmann::json, decode_error> parse_cbor(gsl::span<const std::uint8_t> bytes)
 {
-    depth_checker checker;
-    if (!nlohmann::json::sax_parse(bytes.begin(), bytes.end(), &checker,
-                                   nlohmann::json::input_format_t::cbor)) {
-        return tl::make_unexpected(decode_error{decode_fault::malformed, ""});
-    }
-    auto json = nlohmann::json::from_cbor(bytes.begin(), bytes.end(), true, false);
-    if (json.is_discarded()) {
-        return tl::make_unexpected(decode_error{decode_fault::malformed, ""});
-    }
-    return json;
+    return internal::catch_decode_error([bytes] {
+        depth_checker checker;
+        if (!nlohmann::json::sax_parse(bytes.begin(), bytes.end(), &checker,
+                                       nlohmann::json::input_format_t::cbor)) {
+            throw internal::decode_exception{{decode_fault::malformed, ""}};
+        }
+        auto json = nlohmann::json::from_cbor(bytes.begin(), bytes.end(), true, false);
+        if (json.is_discarded()) {
+            throw internal::decode_exception{{decode_fault::malformed, ""}};
+        }
+        return json;
+    });
 }
 
 } // namespace peridotrudder
