Refuse a job whose number of tasks wraps

What callers saw: a job of four steps of 2^31 tasks that repeats 2^31 times was valid, and its tables take all memory of the owner, and then of the next one.

Cause: tasks times occurrences is 2^64, which wraps to 0, below the limit of 20,000.

Change: the limit is checked before the product.

--- a/src/jobs/job_spec.cpp
+++ b/src/jobs/job_spec.cpp
@@ -71,6 +71,10 @@
         if (schedule.m_times == 0 || schedule.m_interval_ms < 0 || is_long_running(spec)) {
             return spec_fault::bad_recurrence;
         }
+        if (tasks > max_tasks) {
+            // The product would wrap.
+            return spec_fault::too_many_tasks;
+        }
         tasks *= schedule.m_times;
     }
     return tasks > max_tasks ? spec_fault::too_many_tasks : spec_fault::none;
