Bound the estimated work of a job

What callers saw: nothing yet; found by reading what becomes of the largest numbers that are accepted. Processor x estimate x tasks of one valid job overflowed, so that the work of its queue was any number and other jobs of the pool could be refused or admitted wrongly.

Change: the work is summed as a real number and limited to max_work. Not changed: the sums of pool_demand.cpp (remaining_work, waiting_work) and work_by_chain, which such a job still overflows.

Before, test_jobs: work_of_an_absurd_job_overflowed, expected, actual. After: test_jobs OK (18 tests).

--- a/src/jobs/job_spec.cpp
+++ b/src/jobs/job_spec.cpp
@@ -9,6 +9,8 @@
 constexpr std::size_t max_payload_bytes = 4'000;
 /// Limits the memory that one job takes in the owner.
 constexpr std::uint64_t max_tasks = 20'000;
+/// Limit of a job's estimated work, so that sums over all jobs do not overflow: 31 years of a core.
+constexpr double max_work = 1e15;
 
 bool is_negative(const resources& value)
 {
@@ -98,11 +100,12 @@
 
 std::int64_t estimated_work(const job_spec& spec)
 {
-    std::int64_t work = 0;
+    double work = 0.0;
     for (const auto& step : spec.m_steps) {
-        work += step.m_task_resources.m_cpu_millis * step.m_estimate.count() * step.m_count;
+        work += static_cast<double>(step.m_task_resources.m_cpu_millis) *
+                static_cast<double>(step.m_estimate.count()) * step.m_count;
     }
-    return work;
+    return static_cast<std::int64_t>(std::min(work, max_work));
 }
 
 bool is_long_running(const job_spec& spec)
--- a/test/jobs/job_spec_test.cpp
+++ b/test/jobs/job_spec_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(valid_specification_has_no_fault);
     CPPUNIT_TEST(each_fault_is_reported);
     CPPUNIT_TEST(number_of_tasks_that_wrapped_to_zero_was_accepted);
+    CPPUNIT_TEST(work_of_an_absurd_job_overflowed);
     CPPUNIT_TEST(longest_chain_follows_dependencies);
     CPPUNIT_TEST(work_counts_every_task);
     CPPUNIT_TEST_SUITE_END();
@@ -81,6 +82,19 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"too_many_tasks"}, fault_of(spec));
     }
 
+    // The work of all accepted jobs is summed.
+    void work_of_an_absurd_job_overflowed()
+    {
+        auto spec = two_steps();
+        for (auto& step : spec.m_steps) {
+            step.m_count = 10'000;
+            step.m_task_resources.m_cpu_millis = 100'000'000;
+            step.m_estimate = milliseconds{31'536'000'000};
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string{"none"}, fault_of(spec));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1'000'000'000'000'000}, estimated_work(spec));
+    }
+
     void longest_chain_follows_dependencies()
     {
         CPPUNIT_ASSERT_EQUAL(milliseconds{800}.count(), longest_chain(two_steps()).count());
