--- a/include/peridotrudder/base/codec.hpp
+++ b/include/peridotrudder/base/codec.hpp
@@ -61,6 +61,22 @@
     decode_error m_error;
 };
 
+/// Runs a decoder and returns its result, or its exception as an error. The JSON library's own
+/// exceptions and those of memory become `malformed`: input that causes one cannot be used.
+template <typename Decoder>
+auto catch_decode_error(Decoder decoder) -> tl::expected<decltype(decoder()), decode_error>
+{
+    try {
+        return decoder();
+    }
+    catch (const decode_exception& exception) {
+        return tl::make_unexpected(exception.error());
+    }
+    catch (const std::exception&) {
+        return tl::make_unexpected(decode_error{decode_fault::malformed, ""});
+    }
+}
+
 template <typename T>
 struct is_vector : std::false_type {
 };
@@ -315,14 +331,11 @@
 template <layout Layout, typename T>
 tl::expected<T, decode_error> decode(const nlohmann::json& json)
 {
-    T value{};
-    try {
+    return catch_decode_error([&json] {
+        T value{};
         from_value<Layout>(json, value, "");
-    }
-    catch (const decode_exception& exception) {
-        return tl::make_unexpected(exception.error());
-    }
-    return value;
+        return value;
+    });
 }
 
 } // namespace internal
@@ -342,11 +355,14 @@
     return internal::decode<internal::layout::packed, T>(json);
 }
 
-/// Returns the JSON value in `text`, or `malformed`.
+/// Maximum nesting of input: the library's CBOR reader, its copies and its writer recurse for each
+/// level.
+constexpr int max_nesting = 32;
+
+/// Returns the JSON value in `text`, or `malformed`, also if it nests deeper than `max_nesting`.
 tl::expected<nlohmann::json, decode_error> parse_json(std::string_view text);
 
-/// Returns the value in the CBOR bytes, or `malformed`. Rejects nesting deeper than 32 levels,
-/// since the library's CBOR reader recurses for each level.
+/// Returns the value in the CBOR bytes, or `malformed`, also if it nests deeper than `max_nesting`.
 tl::expected<nlohmann::json, decode_error> parse_cbor(gsl::span<const std::uint8_t> bytes);
 
 /// Returns a `T` read from JSON text.
