Let the stand-in restart workers under their id, change capacities and crash by a task

What was missing: the soak could only crash a VM, whose worker came back under a new id with its entry removed at once. Workers on the platform also restart under the id that they had, shrink, and crash by a task that they run.

Change: /restart takes a time of absence, the delay of the entry, a shift of 'born' and whether the id stays; an entry expires after three reports that did not come. /capacity changes the capacity, shown with the next report and recorded in the ledger. /entry writes any bytes among the workers' entries. A payload with 'crashes' ends the worker. Orders that a worker carries out late are recorded, and are lost with the life that took them, also if the next one has the same id. The numbers of reports start anew with each worker.

--- a/standins/fleet/fleet_main.cpp
+++ b/standins/fleet/fleet_main.cpp
@@ -214,13 +214,25 @@
         constexpr std::int64_t delay_spread_ms = 4'000;
         const auto delay =
             min_delay_ms + static_cast<std::int64_t>(m_random() % std::uint64_t{delay_spread_ms});
-        run_after(delay, [&vm, request, worker_id = vm.m_worker->id()] {
-            if (vm.m_worker && vm.m_worker->id() == worker_id) {
+        // The worker has the order, so a restart loses it, also if the worker keeps its id.
+        run_after(delay, [this, &vm, request, started_at_ms = vm.m_worker->started_at_ms()] {
+            if (vm.m_worker && vm.m_worker->started_at_ms() == started_at_ms) {
+                record_late_start(*vm.m_worker, request);
                 vm.m_worker->answer(request, unix_ms(), [](const http_response&) {});
             }
         });
     }
 
+    void record_late_start(const task_worker& worker, const http_request& request)
+    {
+        const auto body = json::parse(request.m_body, nullptr, false);
+        if (request.m_path == "/-/run-start" && body.is_object()) {
+            record_event({unix_ms(), "late", body.value("task", std::string{}),
+                          body.value("run", std::uint64_t{0}), worker.id(),
+                          worker.started_at_ms()});
+        }
+    }
+
     /// Answers the control requests of tests: operator records, faults, crashes and the ledger.
     http_response answer_control_request(const http_request& request)
     {
@@ -254,7 +266,32 @@
         if (request.m_path == "/ledger") {
             return ledger(static_cast<std::size_t>(std::atoll(value("from").c_str())));
         }
-        return json_response(not_found, "{}");
+        if (request.m_path == "/entry") {
+            // An empty body deletes the entry.
+            m_log.put("keyed.servers", value("key"), request.m_body);
+            return json_response(ok, "{}");
+        }
+        const auto body = json::parse(request.m_body, nullptr, false);
+        const auto vm = m_pools.vms().find(body.is_object() ? body.value("vm", "") : "");
+        if (vm == m_pools.vms().end()) {
+            return json_response(not_found, "{}");
+        }
+        return change_worker(request.m_path, vm->second, body);
+    }
+
+    http_response change_worker(std::string_view path, stand_in_vm& vm, const json& body)
+    {
+        if (path == "/restart") {
+            m_pools.restart(vm, unix_ms(),
+                            {body.value("down_ms", std::int64_t{0}),
+                             body.value("entry_delay_ms", std::int64_t{0}),
+                             body.value("born_shift_ms", std::int64_t{0}),
+                             body.value("keeps_id", false)});
+        }
+        if (path == "/capacity") {
+            m_pools.set_capacity(vm, unix_ms(), body.value("percent", 100U));
+        }
+        return json_response(ok, "{}");
     }
 
     http_response set_faults(const std::string& body)
--- a/standins/fleet/task_worker.cpp
+++ b/standins/fleet/task_worker.cpp
@@ -31,11 +31,13 @@
 
 } // namespace
 
-task_worker task_worker::create(std::string id, std::int64_t now_ms, event_sink sink)
+task_worker task_worker::create(std::string id, std::int64_t now_ms, event_sink sink,
+                                std::int64_t born_shift_ms)
 {
     task_worker worker;
     worker.m_id = std::move(id);
     worker.m_started_at_ms = now_ms;
+    worker.m_born_shift_ms = born_shift_ms;
     worker.m_sink = std::move(sink);
     return worker;
 }
@@ -107,6 +109,9 @@
         active.m_finish_ms = now_ms + payload["ms"].get<std::int64_t>();
         active.m_will_fail = run <= payload.value("fails", std::uint64_t{0});
     }
+    if (payload.is_object() && payload.contains("crashes")) {
+        active.m_crash_ms = now_ms + payload["crashes"].get<std::int64_t>();
+    }
     m_runs.emplace(task, active);
     emit_event("start", task, run, now_ms);
     return make_acceptance(clock(now_ms));
@@ -167,7 +172,7 @@
         }
     }
     return json{{"clock-ms", clock(now_ms)},
-                {"born", m_started_at_ms},
+                {"born", born_ms()},
                 {"running", std::move(running)},
                 {"ended", std::move(ended)}}
         .dump();
@@ -184,8 +189,26 @@
     emit_event(outcome, task, run, now_ms);
 }
 
+bool task_worker::crash(std::int64_t now_ms)
+{
+    const auto culprit = std::find_if(m_runs.begin(), m_runs.end(), [now_ms](const auto& entry) {
+        const auto& crash_ms = entry.second.m_crash_ms;
+        return crash_ms && now_ms >= *crash_ms;
+    });
+    if (culprit == m_runs.end()) {
+        return false;
+    }
+    emit_event("crashed", culprit->first, culprit->second.m_run, now_ms);
+    m_runs.erase(culprit);
+    m_has_crashed = true;
+    return true;
+}
+
 void task_worker::tick(std::int64_t now_ms)
 {
+    if (crash(now_ms)) {
+        return;
+    }
     std::vector<std::pair<std::string, std::string>> ended_runs;
     for (const auto& [task, active] : m_runs) {
         if (clock(now_ms) >= m_lease_end_ms) {
--- a/standins/fleet/task_worker.hpp
+++ b/standins/fleet/task_worker.hpp
@@ -20,10 +20,12 @@
 /// Something that happened at a worker, for tests that check the scheduler's guarantees.
 struct worker_event {
     std::int64_t m_time_ms{0};
-    /// "start", the outcome of a run ("done", "failed", "stopped", "lapsed" or "killed"), or
-    /// "noted" once the owner has acknowledged a "done".
+    /// "start", the outcome of a run ("done", "failed", "stopped", "lapsed", "killed", or "crashed"
+    /// if it crashed its worker), "noted" once the owner has acknowledged a "done", "late" before a
+    /// start that was ordered long ago, or "capacity" when the worker's capacity has changed.
     std::string m_kind;
     std::string m_task;
+    /// With "capacity", thousandths of a processor core.
     std::uint64_t m_run{0};
     std::string m_worker;
     std::int64_t m_started_at_ms{0};
@@ -34,15 +36,22 @@
 /// One instance of a worker, from its start until `kill`. A task's payload sets how long it runs
 /// and how many of its runs fail: `{"ms":300,"fails":1}` takes 300 ms and fails in run 1; a task
 /// without "ms" runs until it is stopped. Its only side effects are calls of the sink and of the
-/// responders. Not thread-safe.
+/// responders. With "crashes", the worker crashes that many milliseconds after the task's start.
+/// Not thread-safe.
 class task_worker {
 public:
     using responder = std::function<void(peridotrudder::http_response)>;
 
-    static task_worker create(std::string id, std::int64_t now_ms, event_sink sink);
+    /// `born_shift_ms` is added to the time of its start that the worker publishes.
+    static task_worker create(std::string id, std::int64_t now_ms, event_sink sink,
+                              std::int64_t born_shift_ms = 0);
 
     const std::string& id() const { return m_id; }
     std::int64_t started_at_ms() const { return m_started_at_ms; }
+    /// Time of its start as the worker publishes it.
+    std::int64_t born_ms() const { return m_started_at_ms + m_born_shift_ms; }
+    /// Whether a task has crashed the worker; `kill` must follow.
+    bool has_crashed() const { return m_has_crashed; }
     /// Answers an order; a hold (long poll) may be answered later, by `tick`.
     void answer(const peridotrudder::http_request& request, std::int64_t now_ms, responder respond);
     /// Ends the runs that are finished or stopped, or all of them when the lease has expired, and
@@ -59,6 +68,8 @@
         std::optional<std::int64_t> m_finish_ms;
         std::optional<std::int64_t> m_stop_ms;
         bool m_will_fail{false};
+        /// Present for a task that crashes its worker.
+        std::optional<std::int64_t> m_crash_ms;
     };
 
     struct waiting_hold {
@@ -72,6 +83,7 @@
     std::string make_hold_answer(std::int64_t now_ms) const;
     bool accept_fencing_token(std::uint64_t fencing_token);
     void extend_lease(const nlohmann::json& body, std::int64_t now_ms);
+    bool crash(std::int64_t now_ms);
     void end_run(const std::string& task, const std::string& outcome, std::int64_t now_ms);
     void emit_event(const std::string& kind, const std::string& task, std::uint64_t run,
                     std::int64_t now_ms) const;
@@ -79,6 +91,8 @@
 
     std::string m_id;
     std::int64_t m_started_at_ms{0};
+    std::int64_t m_born_shift_ms{0};
+    bool m_has_crashed{false};
     event_sink m_sink;
     std::uint64_t m_fencing_token{0};
     /// On this worker's clock, which is 0 when the worker starts.
--- a/standins/fleet/vm_pools.cpp
+++ b/standins/fleet/vm_pools.cpp
@@ -22,11 +22,26 @@
 constexpr std::uint32_t vms_per_rack = 4;
 constexpr const char* worker_topic = "keyed.servers";
 
-json capacity()
+constexpr std::uint32_t full_percent = 100;
+/// An entry expires after this many reports that did not come.
+constexpr std::int64_t missed_reports = 3;
+
+std::uint32_t share_of(std::uint32_t full, std::uint32_t percent)
+{
+    return full * percent / full_percent;
+}
+
+std::uint32_t cpu_millis(std::uint32_t percent)
+{
+    constexpr std::uint32_t full_cpu_millis = 16'000;
+    return share_of(full_cpu_millis, percent);
+}
+
+json capacity(std::uint32_t percent)
 {
-    constexpr int cpu_millis = 16'000;
-    constexpr int memory_mb = 32'768;
-    return {{"cpu", cpu_millis}, {"mem-mb", memory_mb}, {"gpu", 0}};
+    constexpr std::uint32_t full_memory_mb = 32'768;
+    return {
+        {"cpu", cpu_millis(percent)}, {"mem-mb", share_of(full_memory_mb, percent)}, {"gpu", 0}};
 }
 
 } // namespace
@@ -92,7 +107,7 @@
                             {"state", vm.m_state},
                             {"zone", "one"},
                             {"labels", {"a", vm.m_rack}},
-                            {"capacity", capacity()},
+                            {"capacity", capacity(full_percent)},
                             {"id", vm.m_worker ? vm.m_worker->id() : std::string{}}});
     }
     return json{{"machines", std::move(machines)}, {"next-token", nullptr}}.dump();
@@ -100,10 +115,47 @@
 
 void vm_pools::start_worker(stand_in_vm& vm, std::int64_t now_ms)
 {
+    const auto restart = vm.m_restart.value_or(worker_restart{});
+    vm.m_restart.reset();
+    const auto id =
+        restart.m_keeps_id ? vm.m_last_worker_id : fmt::format("i-{:06}", ++m_started_workers);
     vm.m_worker = std::make_unique<task_worker>(
-        task_worker::create(fmt::format("i-{:06}", ++m_started_workers), now_ms, m_sink));
+        task_worker::create(id, now_ms, m_sink, restart.m_born_shift_ms));
     vm.m_draining = false;
-    report(vm, now_ms);
+    vm.m_reports = 0;
+    if (vm.m_capacity_percent != full_percent) {
+        emit_capacity(vm, now_ms);
+    }
+    // The first report is due `m_entry_delay_ms` from now.
+    vm.m_reported_at_ms = now_ms + restart.m_entry_delay_ms - report_interval_ms;
+}
+
+void vm_pools::restart(stand_in_vm& vm, std::int64_t now_ms, const worker_restart& restart)
+{
+    if (!vm.m_worker) {
+        return;
+    }
+    vm.m_worker->kill(now_ms);
+    vm.m_last_worker_id = vm.m_worker->id();
+    vm.m_worker.reset();
+    vm.m_restart = restart;
+    vm.m_restart_at_ms = now_ms + restart.m_down_ms;
+    m_silent_entries[vm.m_last_worker_id] =
+        vm.m_reported_at_ms + missed_reports * report_interval_ms;
+}
+
+void vm_pools::set_capacity(stand_in_vm& vm, std::int64_t now_ms, std::uint32_t percent)
+{
+    vm.m_capacity_percent = percent;
+    if (vm.m_worker) {
+        emit_capacity(vm, now_ms);
+    }
+}
+
+void vm_pools::emit_capacity(const stand_in_vm& vm, std::int64_t now_ms) const
+{
+    m_sink({now_ms, "capacity", "", cpu_millis(vm.m_capacity_percent), vm.m_worker->id(),
+            vm.m_worker->started_at_ms()});
 }
 
 void vm_pools::take_down(stand_in_vm& vm, const std::string& state, std::int64_t now_ms,
@@ -111,6 +163,7 @@
 {
     vm.m_state = state;
     vm.m_up_at_ms = now_ms + downtime_ms;
+    vm.m_restart.reset();
     if (vm.m_worker) {
         vm.m_worker->kill(now_ms);
         m_log.put(worker_topic, vm.m_worker->id(), std::nullopt);
@@ -126,6 +179,7 @@
 void vm_pools::report(stand_in_vm& vm, std::int64_t now_ms)
 {
     vm.m_reported_at_ms = now_ms;
+    m_silent_entries.erase(vm.m_worker->id());
     m_log.put(worker_topic, vm.m_worker->id(),
               json{{"service", vm.m_pool},
                    {"address",
@@ -135,29 +189,54 @@
                    {"slots", 8},
                    {"state", vm.m_draining ? "draining" : "ready"},
                    {"cold-left-ms", 0},
-                   {"capacity", capacity()},
+                   {"capacity", capacity(vm.m_capacity_percent)},
                    {"labels", {"a", vm.m_rack}},
-                   {"born", vm.m_worker->started_at_ms()},
+                   {"born", vm.m_worker->born_ms()},
                    {"sequence", ++vm.m_reports}}
                   .dump());
 }
 
-void vm_pools::tick(std::int64_t now_ms)
+void vm_pools::drop_silent_entries(std::int64_t now_ms)
 {
-    for (auto& [id, vm] : m_vms) {
-        if (vm.m_state != "up" && now_ms >= vm.m_up_at_ms) {
-            vm.m_state = "up";
-        }
-        if (vm.m_state == "up" && !vm.m_worker && vm.m_pool != m_options.m_spare_pool) {
-            start_worker(vm, now_ms);
-        }
-        if (!vm.m_worker) {
+    for (auto entry = m_silent_entries.begin(); entry != m_silent_entries.end();) {
+        if (now_ms < entry->second) {
+            ++entry;
             continue;
         }
-        vm.m_worker->tick(now_ms);
-        if (now_ms - vm.m_reported_at_ms >= report_interval_ms) {
-            report(vm, now_ms);
-        }
+        m_log.put(worker_topic, entry->first, std::nullopt);
+        entry = m_silent_entries.erase(entry);
+    }
+}
+
+void vm_pools::tick(std::int64_t now_ms)
+{
+    drop_silent_entries(now_ms);
+    for (auto& [id, vm] : m_vms) {
+        tick(vm, now_ms);
+    }
+}
+
+void vm_pools::tick(stand_in_vm& vm, std::int64_t now_ms)
+{
+    if (vm.m_state != "up" && now_ms >= vm.m_up_at_ms) {
+        vm.m_state = "up";
+    }
+    const bool is_restarting = vm.m_restart && now_ms < vm.m_restart_at_ms;
+    if (vm.m_state == "up" && !vm.m_worker && !is_restarting &&
+        vm.m_pool != m_options.m_spare_pool) {
+        start_worker(vm, now_ms);
+    }
+    if (!vm.m_worker) {
+        return;
+    }
+    vm.m_worker->tick(now_ms);
+    if (vm.m_worker->has_crashed()) {
+        constexpr std::int64_t down_ms = 2'500;
+        // Under a new id and under the old one in turn.
+        restart(vm, now_ms, {down_ms, 0, 0, vm.m_crashes++ % 2 == 1});
+    }
+    else if (now_ms - vm.m_reported_at_ms >= report_interval_ms) {
+        report(vm, now_ms);
     }
 }
 
--- a/standins/fleet/vm_pools.hpp
+++ b/standins/fleet/vm_pools.hpp
@@ -9,11 +9,23 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace standins {
 
+/// How the worker of a VM comes back after it has ended without notice.
+struct worker_restart {
+    std::int64_t m_down_ms{0};
+    /// Time from its start until the worker writes its entry; until then the old entry stays,
+    /// unless it has expired.
+    std::int64_t m_entry_delay_ms{0};
+    /// Added to the time of its start that the worker publishes.
+    std::int64_t m_born_shift_ms{0};
+    bool m_keeps_id{false};
+};
+
 /// A VM and the worker that currently runs on it.
 struct stand_in_vm {
     std::string m_id;
@@ -28,6 +40,13 @@
     std::int64_t m_up_at_ms{0};
     /// Absent while the VM is not up, and in the spare pool.
     std::unique_ptr<task_worker> m_worker;
+    /// Present while the worker is down although its VM is up.
+    std::optional<worker_restart> m_restart;
+    std::string m_last_worker_id;
+    std::int64_t m_restart_at_ms{0};
+    /// Share of the VM's full capacity that its worker has.
+    std::uint32_t m_capacity_percent{100};
+    std::uint32_t m_crashes{0};
     std::uint64_t m_reports{0};
     std::int64_t m_reported_at_ms{0};
     bool m_draining{false};
@@ -59,18 +78,28 @@
     void tick(std::int64_t now_ms);
     /// Kills the worker of a VM without notice; the VM is up again after `down_ms`.
     void crash(stand_in_vm& vm, std::int64_t now_ms, std::int64_t down_ms);
+    /// Kills the worker of a VM, whose entry in the log stays until it expires; the worker comes
+    /// back as `restart` says. Without effect on a VM without a worker.
+    void restart(stand_in_vm& vm, std::int64_t now_ms, const worker_restart& restart);
+    /// Changes the capacity of a VM's worker; its entry shows it with the next heartbeat.
+    void set_capacity(stand_in_vm& vm, std::int64_t now_ms, std::uint32_t percent);
 
 private:
     void start_worker(stand_in_vm& vm, std::int64_t now_ms);
     void take_down(stand_in_vm& vm, const std::string& state, std::int64_t now_ms,
                    std::int64_t downtime_ms);
     void report(stand_in_vm& vm, std::int64_t now_ms);
+    void emit_capacity(const stand_in_vm& vm, std::int64_t now_ms) const;
+    void drop_silent_entries(std::int64_t now_ms);
+    void tick(stand_in_vm& vm, std::int64_t now_ms);
     std::string list_vms() const;
 
     vm_pools_options m_options;
     log_store& m_log;
     event_sink m_sink;
     std::map<std::string, stand_in_vm> m_vms;
+    /// Times at which the entries of workers that ended without notice expire, by worker id.
+    std::map<std::string, std::int64_t> m_silent_entries;
     std::uint64_t m_started_workers{0};
 };
 
--- a/test/standins/task_worker_test.cpp
+++ b/test/standins/task_worker_test.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(ends_all_runs_when_the_lease_expires);
     CPPUNIT_TEST(a_hold_waits_for_an_ended_run_and_drops_acknowledged_ones);
     CPPUNIT_TEST(fails_as_many_runs_as_the_payload_says);
+    CPPUNIT_TEST(a_task_whose_payload_says_so_crashes_the_worker);
+    CPPUNIT_TEST(lists_of_runs_carry_the_published_time_of_the_start);
     CPPUNIT_TEST_SUITE_END();
 
     std::vector<worker_event> m_events;
@@ -115,6 +117,29 @@
         m_worker.tick(210);
         CPPUNIT_ASSERT_EQUAL(std::string{"done"}, last_event());
     }
+
+    void a_task_whose_payload_says_so_crashes_the_worker()
+    {
+        start(1, 0, R"({"ms":300,"crashes":50})");
+        m_worker.tick(49);
+        CPPUNIT_ASSERT(!m_worker.has_crashed());
+        m_worker.tick(50);
+        CPPUNIT_ASSERT(m_worker.has_crashed());
+        CPPUNIT_ASSERT_EQUAL(std::string{"crashed"}, last_event());
+        m_worker.kill(50);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("the end of the task is recorded once", std::size_t{2},
+                                     m_events.size());
+    }
+
+    void lists_of_runs_carry_the_published_time_of_the_start()
+    {
+        m_worker = task_worker::create(
+            "i-1", 1'000, [](const worker_event&) {}, -400);
+        const auto answer = call("/-/hold", {{"fence", 5}, {"last-seen", 0}}, 1'100);
+        CPPUNIT_ASSERT_EQUAL(600, answer["born"].get<int>());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("the clock counts from the start", 100,
+                                     answer["clock-ms"].get<int>());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(task_worker_test);
--- a/test/standins/vm_pools_test.cpp
+++ b/test/standins/vm_pools_test.cpp
@@ -12,10 +12,16 @@
     CPPUNIT_TEST(workers_are_published_in_the_log_but_the_spare_pool_has_none);
     CPPUNIT_TEST(a_move_kills_the_worker_and_starts_another_in_the_new_pool);
     CPPUNIT_TEST(a_crash_removes_the_worker_record_and_the_vm_comes_back_with_a_new_worker);
+    CPPUNIT_TEST(a_restarted_worker_keeps_its_id_and_writes_its_entry_late);
+    CPPUNIT_TEST(the_entry_of_a_silent_worker_expires);
+    CPPUNIT_TEST(a_worker_that_a_task_has_crashed_comes_back);
+    CPPUNIT_TEST(a_changed_capacity_shows_with_the_next_heartbeat);
     CPPUNIT_TEST_SUITE_END();
 
     log_store m_log;
-    vm_pools m_pools{make_options(), m_log, [](const worker_event&) {}};
+    std::vector<worker_event> m_events;
+    vm_pools m_pools{make_options(), m_log,
+                     [this](const worker_event& event) { m_events.push_back(event); }};
 
     static vm_pools_options make_options()
     {
@@ -42,6 +48,14 @@
         return worker ? worker->id() : "";
     }
 
+    json entry_of(const std::string& worker_id) const
+    {
+        const auto entry = m_log.newest("keyed.servers", worker_id);
+        return entry.empty() ? json{} : json::parse(entry);
+    }
+
+    stand_in_vm& first_vm() { return m_pools.vms().at("m-0000"); }
+
 public:
     void workers_are_published_in_the_log_but_the_spare_pool_has_none()
     {
@@ -79,6 +93,70 @@
         CPPUNIT_ASSERT(!worker_id_on("m-0000").empty());
         CPPUNIT_ASSERT(worker_id_on("m-0000") != before);
     }
+
+    void a_restarted_worker_keeps_its_id_and_writes_its_entry_late()
+    {
+        m_pools.tick(1'000);
+        const auto id = worker_id_on("m-0000");
+
+        m_pools.restart(first_vm(), 1'100, {200, 500, -5'000, true});
+        m_pools.tick(1'299);
+        CPPUNIT_ASSERT_EQUAL(std::string{}, worker_id_on("m-0000"));
+        m_pools.tick(1'300);
+        CPPUNIT_ASSERT_EQUAL(id, worker_id_on("m-0000"));
+        m_pools.tick(1'799);
+        CPPUNIT_ASSERT_EQUAL(1'000, entry_of(id)["born"].get<int>());
+        m_pools.tick(1'800);
+        CPPUNIT_ASSERT_EQUAL(-3'700, entry_of(id)["born"].get<int>());
+        CPPUNIT_ASSERT_EQUAL(1, entry_of(id)["sequence"].get<int>());
+    }
+
+    void the_entry_of_a_silent_worker_expires()
+    {
+        m_pools.tick(0);
+        const auto id = worker_id_on("m-0000");
+
+        m_pools.restart(first_vm(), 100, {10'000, 0, 0, true});
+        m_pools.tick(4'499);
+        CPPUNIT_ASSERT(!entry_of(id).is_null());
+        m_pools.tick(4'500);
+        CPPUNIT_ASSERT(entry_of(id).is_null());
+        m_pools.tick(10'100);
+        CPPUNIT_ASSERT(!entry_of(id).is_null());
+    }
+
+    void a_worker_that_a_task_has_crashed_comes_back()
+    {
+        m_pools.tick(0);
+        http_request request;
+        request.m_path = "/-/run-start";
+        request.m_body = json{
+            {"task", "job.0.0.0"},
+            {"run", 1},
+            {"spec", R"({"crashes":0})"},
+            {"deadline-ms", 4'000},
+            {"fence", 1}}.dump();
+        first_vm().m_worker->answer(request, 10, [](const peridotrudder::http_response&) {});
+
+        m_pools.tick(20);
+        CPPUNIT_ASSERT_EQUAL(std::string{"crashed"}, m_events.back().m_kind);
+        CPPUNIT_ASSERT_EQUAL(std::string{}, worker_id_on("m-0000"));
+        m_pools.tick(2'520);
+        CPPUNIT_ASSERT(!worker_id_on("m-0000").empty());
+    }
+
+    void a_changed_capacity_shows_with_the_next_heartbeat()
+    {
+        m_pools.tick(0);
+        const auto id = worker_id_on("m-0000");
+
+        m_pools.set_capacity(first_vm(), 100, 25);
+        CPPUNIT_ASSERT_EQUAL(std::string{"capacity"}, m_events.back().m_kind);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4'000}, m_events.back().m_run);
+        CPPUNIT_ASSERT_EQUAL(16'000, entry_of(id)["capacity"]["cpu"].get<int>());
+        m_pools.tick(1'500);
+        CPPUNIT_ASSERT_EQUAL(4'000, entry_of(id)["capacity"]["cpu"].get<int>());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(vm_pools_test);
