Add faults of workers, their entries and their links to the soak

Change: link faults refuse (reset, then refuse for a time), break_starts (the worker has taken a start, the connection is reset instead of the answer, and new ones are refused), cut_some_nodes (a worker loses the path to some nodes, which the proxy tells apart by the owner of the connection in /proc) and silence (connections go silent for good). restart, shrink and odd_entry use the stand-in's new switches, several workers at a time or as a series. Some jobs crash their workers.

The oracle counts a shrunk capacity 4.5 s later (6.5 s more for an order that a worker carried out late), counts the use of a worker by run instead of by task (a task that ran twice left its share behind), fails a task that is started three times after it has crashed three workers, and lets only a job that crashes workers be shown as failed after it lost two.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,6 +8,9 @@
 DEADLINE_S = 3.0
 TRIES = 4
 REFUSED = (429, 503)
+DEADLY_SHARE = 0.025
+CRASH_MS = (20, 150, 900)
+LONGEST_CRASH_MS = 3000
 
 
 class Job:
@@ -17,6 +20,8 @@
         self.id = job_id
         self.path = prefix + job_id
         self.body = body
+        # Whether its tasks crash their workers.
+        self.deadly = "crashes" in json.loads(body["spec"])
         self.sent_at = time.time()
         self.accepted_at = None
         self.open_tries = 0
@@ -56,7 +61,9 @@
     async def _call(self, method, path, body):
         if self._writer is None:
             self._reader, self._writer = await asyncio.open_connection("127.0.0.1", self._port)
-        content = json.dumps(body).encode() if body is not None else b""
+        content = body
+        if not isinstance(body, bytes):
+            content = json.dumps(body).encode() if body is not None else b""
         head = (f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nContent-Type: application/json\r\n"
                 f"Deadline-Ms: {int(DEADLINE_S * 1000)}\r\nContent-Length: {len(content)}\r\n\r\n")
         self._writer.write(head.encode() + content)
@@ -75,10 +82,14 @@
 
 
 class Callers:
-    """All callers of a soak run. `jobs` holds their jobs by id, for the checks."""
+    """All callers of a soak run. `jobs` holds their jobs by id, for the checks.
 
-    def __init__(self, rng, ports):
+    `deadly_rng` draws the jobs whose tasks crash their workers; there are none without it.
+    """
+
+    def __init__(self, rng, ports, deadly_rng=None):
         self._rng = rng
+        self._deadly_rng = deadly_rng
         self._connections = [Connection(port) for port in ports]
         self.jobs = {}
 
@@ -98,6 +109,9 @@
             if index > 0:
                 step["depends-on"] = [index - 1]
             steps.append(step)
+        if self._deadly_rng is not None and self._deadly_rng.random() < DEADLY_SHARE:
+            spec = {"ms": LONGEST_CRASH_MS, "crashes": self._deadly_rng.choice(CRASH_MS)}
+            steps = [{**steps[0], "count": 1}]
         return Job(job_id, prefix, {"spec": json.dumps(spec), "steps": steps})
 
     async def submit(self, long_running=False):
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -3,12 +3,19 @@
 import time
 
 WORKER_CPU = 16_000
+# A capacity that has shrunk counts after the stable window and a heartbeat.
+SHRUNK_S = 4.5
 # No task of a cancelled job starts after CANCEL_S, except by orders that workers carry out late, up
 # to 6 s later.
 CANCEL_S = 3.0
 LATE_ORDER_S = 6.5
 VISIBLE_S = 3.0
 ATTEMPTS = 4
+# A task that crashes workers may be given up after it has lost GIVE_UP_LOSSES workers. After it has
+# crashed MAX_CRASHES of them, it may not be started MAX_MORE_STARTS times.
+GIVE_UP_LOSSES = 2
+MAX_CRASHES = 3
+MAX_MORE_STARTS = 3
 
 
 class Oracle:
@@ -20,7 +27,12 @@
         self.starts = 0
         self.violations = []
         self._running = {}
-        self._cpu = {}
+        self._capacity = {}
+        self._used = {}
+        self._late = set()
+        self._crashes = {}
+        self._worker_losses = {}
+        self._starts_after_crashes = {}
         self._done = set()
         self._recorded_successes = {}
         self._failures = {}
@@ -34,6 +46,11 @@
             self.events += 1
             if event["what"] == "start":
                 self._take_start(event)
+            elif event["what"] == "capacity":
+                self._capacity.setdefault(event["worker"], []).append(
+                    (event["at_ms"] / 1000, event["run"]))
+            elif event["what"] == "late":
+                self._late.add((event["worker"], event["task"], event["run"]))
             elif event["what"] == "noted":
                 self._recorded_successes.setdefault(event["task"], event["at_ms"])
             else:
@@ -55,11 +72,35 @@
         at = event["at_ms"] / 1000
         if job.cancelled_at is not None and at > job.cancelled_at + CANCEL_S + LATE_ORDER_S:
             self.fail(f"UNASKED: {task} starts {at - job.cancelled_at:.1f} s after cancellation")
-        cpu = job.body["steps"][int(step)]["cpu"]
-        self._running[task] = (worker, event["run"], cpu)
-        self._cpu[worker] = self._cpu.get(worker, 0) + cpu
-        if self._cpu[worker] > WORKER_CPU:
-            self.fail(f"LIMIT: {worker} uses {self._cpu[worker]} thousandths of a core with {task}")
+        self._running[task] = (worker, event["run"])
+        self._check_capacity(event, job.body["steps"][int(step)]["cpu"])
+        self._check_crashes(task)
+
+    def _check_capacity(self, event, cpu):
+        worker, at = event["worker"], event["at_ms"] / 1000
+        run = (event["task"], event["run"])
+        runs = self._used.setdefault(worker, {})
+        runs[run] = cpu
+        late = (worker, *run) in self._late
+        capacity = self._capacity_since(worker, at - SHRUNK_S - (LATE_ORDER_S if late else 0))
+        if sum(runs.values()) > capacity:
+            self.fail(f"LIMIT: {worker} uses {sum(runs.values())} of {capacity} thousandths of a "
+                      f"core with {event['task']}")
+
+    def _capacity_since(self, worker, since):
+        """Returns the largest capacity that the worker has had since a time."""
+        counted = [WORKER_CPU]
+        for at, capacity in self._capacity.get(worker, []):
+            counted = [capacity] if at <= since else [*counted, capacity]
+        return max(counted)
+
+    def _check_crashes(self, task):
+        if self._crashes.get(task, 0) < MAX_CRASHES:
+            return
+        starts = self._starts_after_crashes[task] = self._starts_after_crashes.get(task, 0) + 1
+        if starts >= MAX_MORE_STARTS:
+            self.fail(f"BUDGET: {task} starts {MAX_MORE_STARTS} times after it has crashed "
+                      f"{MAX_CRASHES} workers")
 
     def _check_order(self, job, task, step):
         for needed in job.body["steps"][step].get("depends-on", []):
@@ -70,13 +111,17 @@
     def _take_end(self, event):
         task = event["task"]
         running = self._running.get(task)
-        if running is not None and running[:2] == (event["worker"], event["run"]):
+        if running == (event["worker"], event["run"]):
             del self._running[task]
-            self._cpu[running[0]] -= running[2]
+        self._used.get(event["worker"], {}).pop((task, event["run"]), None)
         if event["what"] == "done":
             self._done.add(task)
         if event["what"] == "failed":
             self._failures[task] = self._failures.get(task, 0) + 1
+        if event["what"] == "crashed":
+            self._crashes[task] = self._crashes.get(task, 0) + 1
+        if event["what"] in ("crashed", "killed"):
+            self._worker_losses[task] = self._worker_losses.get(task, 0) + 1
 
     def tasks_of(self, job):
         for step, spec in enumerate(job.body["steps"]):
@@ -96,8 +141,7 @@
         for asked_at, answered_at, state in job.states:
             if state == "completed" and not all(t in self._done for t in self.tasks_of(job)):
                 self.fail(f"MIXED: {job.id} is shown as completed, but has unfinished tasks")
-            if state == "failed" and max(
-                    (self._failures.get(t, 0) for t in self.tasks_of(job)), default=0) < ATTEMPTS:
+            if state == "failed" and not self._may_have_failed(job):
                 self.fail(f"LOST: {job.id} is shown as failed before {ATTEMPTS} failures of a task")
             if state == "cancelled" and job.cancel_sent_at is None:
                 self.fail(f"LOST: {job.id} is shown as cancelled, but no caller cancelled it")
@@ -110,11 +154,19 @@
             if state in ("completed", "failed", "cancelled"):
                 ended = (state, answered_at)
 
+    def _may_have_failed(self, job):
+        return any(self._failures.get(task, 0) >= ATTEMPTS or
+                   job.deadly and self._worker_losses.get(task, 0) >= GIVE_UP_LOSSES
+                   for task in self.tasks_of(job))
+
     def unfinished(self):
-        """Returns accepted jobs that have not ended, or whose long-running tasks do not all run."""
+        """Returns accepted jobs that have not ended, or whose long-running tasks do not all run.
+
+        Jobs that crash their workers need not end.
+        """
         unfinished = []
         for job in self.jobs.values():
-            if job.accepted_at is None or job.cancel_sent_at is not None:
+            if job.accepted_at is None or job.cancel_sent_at is not None or job.deadly:
                 continue
             if job.long_running:
                 if not all(task in self._running for task in self.tasks_of(job)):
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -35,6 +35,17 @@
 STOPPED = {0, 4, -signal.SIGKILL}
 
 
+def socket_inode(local_port):
+    """Returns the inode of the connected TCP socket with a local port, or None."""
+    with open("/proc/net/tcp", encoding="ascii") as table:
+        for line in table:
+            fields = line.split()
+            # A listening socket has state 0A.
+            if fields[1].endswith(f":{local_port:04X}") and fields[3] != "0A":
+                return fields[9]
+    return None
+
+
 class Process:
     """A program that can be restarted, and that tells expected ends from unexpected ones."""
 
@@ -69,6 +80,14 @@
             self.paused = False
         os.kill(self._child.pid, number)
 
+    def has_socket(self, inode):
+        folder = f"/proc/{self._child.pid}/fd" if self.runs else ""
+        try:
+            return any(os.readlink(f"{folder}/{entry}") == f"socket:[{inode}]"
+                       for entry in os.listdir(folder))
+        except OSError:
+            return False
+
     def take_end(self):
         """Returns the exit code if the process ended unexpectedly, otherwise None."""
         code = self._child.poll()
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -19,15 +19,18 @@
 from faults import Faults
 from oracle import Oracle
 from system import System
+from worker_faults import WORKER_KINDS, WorkerFaults
 
 WARM_UP_S = 2.0
 # Time in which accepted jobs must end after the faults, including what leases and late orders take.
 SETTLE_S = 28.0
 CHECK_INTERVAL_S = 0.5
 FAULT_GAP_S = 0.9
+WORKER_FAULT_GAP_S = 1.5
 NODE_COUNTS = (3, 4, 5)
 # With the lowest value the owner is too small for the fleet, and other nodes relay its orders.
 NODE_CORES = ("0.5", "0.02")
+ALL_WORKER_KINDS = (*WORKER_KINDS, "deadly")
 
 
 async def watch(system, oracle, finished):
@@ -64,9 +67,13 @@
     nodes = options.nodes or rng.choice(NODE_COUNTS)
     cores = options.cores or rng.choice(NODE_CORES)
     system = System(folder, options.build, options.base_port, nodes, cores)
-    callers = Callers(random.Random(rng.random()), system.caller_ports)
+    caller_rng, fault_rng = random.Random(rng.random()), random.Random(rng.random())
+    worker_rng, deadly_rng = random.Random(rng.random()), random.Random(rng.random())
+    callers = Callers(caller_rng, system.caller_ports,
+                      deadly_rng if "deadly" in options.worker_kinds else None)
     oracle = Oracle(callers.jobs)
-    faults = Faults(random.Random(rng.random()), system)
+    faults = Faults(fault_rng, system)
+    worker_faults = WorkerFaults(worker_rng, system, options.worker_kinds)
     finished = asyncio.Event()
     try:
         await system.start()
@@ -74,7 +81,9 @@
         until = time.time() + WARM_UP_S + options.seconds
         load = asyncio.ensure_future(callers.run_load(until, options.jobs_per_s))
         await asyncio.sleep(WARM_UP_S)
-        await faults.inject(asyncio.get_running_loop().time() + options.seconds, FAULT_GAP_S)
+        faults_until = asyncio.get_running_loop().time() + options.seconds
+        await asyncio.gather(faults.inject(faults_until, FAULT_GAP_S),
+                             worker_faults.inject(faults_until, WORKER_FAULT_GAP_S))
         await system.heal()
         await load
         await settle(callers, oracle)
@@ -83,17 +92,25 @@
     finally:
         callers.close()
         await system.stop()
-    return oracle, faults
+    return oracle, faults.done + worker_faults.done
 
 
 def report(options, oracle, faults, jobs):
     accepted = sum(job.accepted_at is not None for job in jobs.values())
     print(f"seed {options.seed}: {len(jobs)} jobs, {accepted} accepted, {oracle.starts} starts, "
-          f"{len(faults.done)} faults, {len(oracle.violations)} broken", flush=True)
+          f"{len(faults)} faults, {len(oracle.violations)} broken", flush=True)
     for violation in oracle.violations[:10]:
         print(f"  {violation}", flush=True)
 
 
+def kinds(text):
+    """Reads a list of kinds of worker faults."""
+    names = {"all": ALL_WORKER_KINDS, "none": ()}.get(text, text.split(","))
+    if unknown := set(names) - set(ALL_WORKER_KINDS):
+        raise argparse.ArgumentTypeError(f"unknown kinds {unknown}")
+    return set(names)
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
@@ -101,6 +118,8 @@
     parser.add_argument("--nodes", type=int, help="number of nodes; drawn by default")
     parser.add_argument("--cores", help="processor cores of each node; drawn by default")
     parser.add_argument("--jobs_per_s", type=float, default=6)
+    parser.add_argument("--worker_kinds", type=kinds, default=kinds("all"),
+                        help="all, none, or some of: " + ", ".join(ALL_WORKER_KINDS))
     parser.add_argument("--build", default="build")
     parser.add_argument("--base_port", type=int, default=17200)
     options = parser.parse_args()
@@ -108,7 +127,7 @@
     oracle, faults = asyncio.run(play(options, folder))
     report(options, oracle, faults, oracle.jobs)
     if oracle.violations:
-        for fault in faults.done:
+        for fault in sorted(faults, reverse=True):
             print(f"  fault {fault}")
         print(f"  logs: {folder}")
         sys.exit(1)
--- a/soak/system.py
+++ b/soak/system.py
@@ -4,7 +4,7 @@
 import signal
 
 from callers import Connection
-from processes import NODE_SETTINGS, Process
+from processes import NODE_SETTINGS, Process, socket_inode
 from proxy import Link
 
 POOLS = ("quick", "deep")
@@ -21,6 +21,7 @@
         self._base = base_port
         self._version = 0
         self._restarting = {}
+        self._switches = Connection(base_port)
         vm_count = VMS_PER_POOL * (len(POOLS) + 1)
         first_worker = base_port + 1
         shift = vm_count
@@ -29,7 +30,7 @@
             f"{build}/standins/standin-fleet", f"--port={base_port}",
             f"--vms_per_pool={VMS_PER_POOL}", f"--pools={','.join(POOLS)}",
             f"--advertised_shift={shift}"], f"{folder}/fleet.log")
-        self.worker_links = [Link(first_worker + shift + vm, first_worker + vm)
+        self.worker_links = [Link(first_worker + shift + vm, first_worker + vm, self.node_with_port)
                              for vm in range(vm_count)]
         self.nodes, self.log_links, self.peer_links, self.caller_ports = [], [], [], []
         for number in range(node_count):
@@ -51,11 +52,15 @@
     def links(self):
         return self.log_links + self.peer_links + self.worker_links
 
+    def node_with_port(self, port):
+        """Returns the name of the node that has a connection from a local port, or None."""
+        inode = socket_inode(port)
+        return next((node.name for node in self.nodes if node.has_socket(inode)), None)
+
     async def start(self):
         self.fleet.start()
         for link in self.links:
             await link.start()
-        self._switches = Connection(self._base)
         while (await self._switches.call("GET", "/ledger?from=0"))[0] != 200:
             await asyncio.sleep(0.1)
         await self.configure()
@@ -65,6 +70,14 @@
     async def switch(self, path, body=None):
         return await self._switches.call("POST", path, body if body is not None else {})
 
+    async def change_worker(self, change, vm, **values):
+        """Restarts the worker of a VM or changes its capacity, see the stand-in."""
+        await self.switch(f"/{change}", {"vm": f"m-{vm:04}", **values})
+
+    async def put_entry(self, worker_id, content):
+        """Writes an entry among those of the workers; empty content deletes it."""
+        await self.switch(f"/entry?key={worker_id}", content)
+
     async def configure(self):
         """Declares the next configuration version, which changes only a timeout."""
         self._version += 7
@@ -100,12 +113,14 @@
     async def heal(self):
         for link in self.links:
             link.heal()
+            await link.start()
         await self.switch("/faults")
         for node in self.nodes:
             if node.paused:
                 node.send(signal.SIGCONT)
 
     async def stop(self):
+        self._switches.close()
         for node in self.nodes:
             node.end()
         self.fleet.end()
