Lose answers of appends and peers in the soak, too, and keep the ledger of a failed run

break_appends and break_peers lose an answer by a reset and then refuse, as break_starts does at workers. A worker that restarts loses its connections, at once or when it is back: before, the stand-in's server carried a request from one life to the next, which no process does. A failed run writes ledger.json beside its logs. Sockets that no longer have an owner are not asked for it.

--- a/soak/processes.py
+++ b/soak/processes.py
@@ -40,8 +40,8 @@
     with open("/proc/net/tcp", encoding="ascii") as table:
         for line in table:
             fields = line.split()
-            # A listening socket has state 0A.
-            if fields[1].endswith(f":{local_port:04X}") and fields[3] != "0A":
+            # A connected socket has state 01.
+            if fields[1].endswith(f":{local_port:04X}") and fields[3] == "01":
                 return fields[9]
     return None
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -6,7 +6,6 @@
 
 CHUNK_BYTES = 65_536
 LINGER_NOTHING = struct.pack("ii", 1, 0)
-START = b"POST /-/run-start "
 
 
 class Channel:
@@ -16,7 +15,8 @@
         # Name of the program that opened it; None if the link doesn't ask.
         self.client = client
         self.silent = False
-        self.start_sent = False
+        # Whether the answer to the last request is to be lost.
+        self.breaks = False
 
 
 class Link:
@@ -34,8 +34,8 @@
         self.forwards = True
         self.returns = True
         self.cut_clients = set()
-        # Resets and refuses instead of returning the answer to the next start of a task.
-        self.breaks_starts = False
+        # Resets and refuses instead of returning the answer to the next request that has this.
+        self.breaks_after = None
         self._passes = asyncio.Event()
         self._passes.set()
         self._writers = set()
@@ -118,12 +118,12 @@
 
     async def _forward(self, channel, data):
         await self._wait_until(lambda: self.forwards and channel.client not in self.cut_clients)
-        channel.start_sent = START in data
+        channel.breaks = self.breaks_after is not None and self.breaks_after in data
 
     async def _return(self, channel, _):
         await self._wait_until(lambda: self.returns and channel.client not in self.cut_clients)
-        if self.breaks_starts and channel.start_sent:
-            self.breaks_starts = False
+        if self.breaks_after is not None and channel.breaks:
+            self.breaks_after = None
             self.refuse()
 
     async def _wait_until(self, passes):
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -9,6 +9,7 @@
 
 import argparse
 import asyncio
+import json
 import random
 import shutil
 import sys
@@ -89,6 +90,9 @@
         await settle(callers, oracle)
         finished.set()
         await watcher
+        if oracle.violations:
+            with open(f"{folder}/ledger.json", "w", encoding="utf-8") as file:
+                file.writelines(json.dumps(event) + "\n" for event in await system.ledger(0))
     finally:
         callers.close()
         await system.stop()
--- a/soak/worker_faults.py
+++ b/soak/worker_faults.py
@@ -1,4 +1,4 @@
-"""Faults of workers, of their entries and of the links to them, beside those of `Faults`.
+"""Faults of workers, of their entries and of links that refuse, beside those of `Faults`.
 
 They are drawn from a generator of their own, so that the other faults of a seed remain the same.
 """
@@ -68,16 +68,24 @@
         for link in links:
             await link.start()
 
-    async def break_starts(self, duration_s):
-        """The worker gets a start; its answer is lost by a reset, and the link then refuses."""
-        links = self._some_links()
+    async def _break(self, links, request, duration_s):
+        """The next such request arrives; its answer is lost by a reset, and the link refuses."""
         for link in links:
-            link.breaks_starts = True
+            link.breaks_after = request
         await asyncio.sleep(duration_s)
         for link in links:
-            link.breaks_starts = False
+            link.breaks_after = None
             await link.start()
 
+    async def break_starts(self, duration_s):
+        await self._break(self._some_links(), b"POST /-/run-start ", duration_s)
+
+    async def break_appends(self, duration_s):
+        await self._break(self._system.log_links, b"POST /-/log-append", duration_s)
+
+    async def break_peers(self, duration_s):
+        await self._break(self._system.peer_links, b"POST ", duration_s)
+
     async def cut_some_nodes(self, duration_s):
         nodes = self._rng.sample([node.name for node in self._system.nodes],
                                  self._rng.randint(1, len(self._system.nodes) - 1))
@@ -108,10 +116,14 @@
     async def _restart(self, vm, values, refuses, delay_s):
         await asyncio.sleep(delay_s)
         link = self._system.worker_links[vm]
+        # Connections end with the worker that had them: at once, or unnoticed until it is back.
         if refuses:
             link.refuse()
+        else:
+            link.silence()
         await self._system.change_worker("restart", vm, **values)
         await asyncio.sleep(values["down_ms"] / 1000)
+        link.reset()
         await link.start()
 
     async def shrink(self, duration_s):
@@ -132,4 +144,4 @@
 
 # Kinds with their weights. "deadly" is a kind of job instead of a fault, see `Callers`.
 WORKER_KINDS = {"refuse": 2, "break_starts": 3, "cut_some_nodes": 2, "silence": 1, "restart": 3,
-                "shrink": 2, "odd_entry": 2}
+                "shrink": 2, "odd_entry": 2, "break_appends": 1, "break_peers": 1}
