--- a/soak/soak.py
+++ b/soak/soak.py
@@ -63,7 +63,11 @@
         oracle.fail(f"UNASKED: {task} runs long after its cancellation")
 
 
-async def play(options, folder):
+def draw_run(options, folder):
+    """Returns the system, its callers, the faults and the worker faults.
+
+    What was added last draws from generators that are created last, so that seeds keep the rest.
+    """
     rng = random.Random(options.seed)
     nodes = options.nodes or rng.choice(NODE_COUNTS)
     cores = options.cores or rng.choice(NODE_CORES)
@@ -72,9 +76,24 @@
     worker_rng, deadly_rng = random.Random(rng.random()), random.Random(rng.random())
     callers = Callers(caller_rng, system.caller_ports,
                       deadly_rng if "deadly" in options.worker_kinds else None)
+    return (system, callers, Faults(fault_rng, system),
+            WorkerFaults(worker_rng, system, options.worker_kinds))
+
+
+async def inject(faults, worker_faults, seconds):
+    until = asyncio.get_running_loop().time() + seconds
+    await asyncio.gather(faults.inject(until, FAULT_GAP_S),
+                         worker_faults.inject(until, WORKER_FAULT_GAP_S))
+
+
+async def write_ledger(system, folder):
+    with open(f"{folder}/ledger.json", "w", encoding="utf-8") as file:
+        file.writelines(json.dumps(event) + "\n" for event in await system.ledger(0))
+
+
+async def play(options, folder):
+    system, callers, faults, worker_faults = draw_run(options, folder)
     oracle = Oracle(callers.jobs)
-    faults = Faults(fault_rng, system)
-    worker_faults = WorkerFaults(worker_rng, system, options.worker_kinds)
     finished = asyncio.Event()
     try:
         await system.start()
@@ -82,17 +101,14 @@
         until = time.time() + WARM_UP_S + options.seconds
         load = asyncio.ensure_future(callers.run_load(until, options.jobs_per_s))
         await asyncio.sleep(WARM_UP_S)
-        faults_until = asyncio.get_running_loop().time() + options.seconds
-        await asyncio.gather(faults.inject(faults_until, FAULT_GAP_S),
-                             worker_faults.inject(faults_until, WORKER_FAULT_GAP_S))
+        await inject(faults, worker_faults, options.seconds)
         await system.heal()
         await load
         await settle(callers, oracle)
         finished.set()
         await watcher
         if oracle.violations:
-            with open(f"{folder}/ledger.json", "w", encoding="utf-8") as file:
-                file.writelines(json.dumps(event) + "\n" for event in await system.ledger(0))
+            await write_ledger(system, folder)
     finally:
         callers.close()
         await system.stop()
