Believe a worker's entry whose birth its holds do not confirm

Change: births that holds did not confirm are kept apart from those of former incarnations. Their entries raise no further suspicion and tell the worker's state as any other. A birth known only from the list, when a hold shows another, is of this kind as well; report_of_an_earlier_incarnation_changes_nothing now lets a hold confirm the earlier birth first, which is what the test is about.

worker_session_test: entry_with_a_birth_that_holds_do_not_confirm_still_tells_the_workers_state.

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -122,7 +122,8 @@
 
     /// Applies a report, unless it is known to be a former incarnation's. If it shows an unknown
     /// incarnation, the worker gets no work until the answer to a hold has shown which one is
-    /// there. Births don't tell which incarnation is newer, as a time of day may step back.
+    /// there; after that it counts like one of the incarnation that answers. Births don't tell
+    /// which incarnation is newer, as a time of day may step back.
     void update(const worker_report& report, time_point now);
     void set_listed(bool listed, time_point now);
     bool listed() const { return m_listed; }
@@ -206,6 +207,8 @@
     std::int64_t m_listed_born_ms{0};
     /// Births of former incarnations.
     std::set<std::int64_t> m_former;
+    /// Births that the list showed, and that holds did not confirm.
+    std::set<std::int64_t> m_unconfirmed;
     int m_missed_answers{0};
     time_point m_last_answered_hold_sent_at;
     time_point m_answered_at;
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -55,8 +55,10 @@
     m_report = report;
     if (reborn) {
         m_report.m_instance.m_born_ms = born_ms;
-        m_restart_suspected_at = m_restart_suspected_at.value_or(now);
-        m_next_hold = now;
+        if (m_unconfirmed.count(report.m_instance.m_born_ms) == 0) {
+            m_restart_suspected_at = m_restart_suspected_at.value_or(now);
+            m_next_hold = now;
+        }
     }
     if (moved) {
         m_missed_answers = 0;
@@ -328,7 +330,9 @@
     new_session.m_report.m_instance.m_born_ms = born_ms;
     new_session.m_listed = m_listed;
     new_session.m_former = m_former;
-    new_session.m_former.insert(instance().m_born_ms);
+    // Only a hold shows that a birth is an incarnation's.
+    const bool confirmed = m_answered_at != time_point{};
+    (confirmed ? new_session.m_former : new_session.m_unconfirmed).insert(instance().m_born_ms);
     new_session.m_former.erase(born_ms);
     new_session.m_next_hold = now + m_options.m_hold_pause;
     std::vector<run_key> not_sent;
@@ -351,7 +355,7 @@
     // An earlier hold may have been answered before the restart that the list shows.
     if (m_restart_suspected_at && sent_at >= *m_restart_suspected_at) {
         m_restart_suspected_at.reset();
-        m_former.insert(m_listed_born_ms);
+        m_unconfirmed.insert(m_listed_born_ms);
     }
 }
 
--- a/test/machines/worker_session_test.cpp
+++ b/test/machines/worker_session_test.cpp
@@ -83,6 +83,7 @@
     CPPUNIT_TEST(listed_restart_is_confirmed_by_a_hold);
     CPPUNIT_TEST(later_incarnation_may_have_an_earlier_birth);
     CPPUNIT_TEST(listed_incarnation_that_a_later_hold_does_not_show_is_a_former_one);
+    CPPUNIT_TEST(entry_with_a_birth_that_holds_do_not_confirm_still_tells_the_workers_state);
     CPPUNIT_TEST(report_of_an_earlier_incarnation_changes_nothing);
     CPPUNIT_TEST_SUITE_END();
 
@@ -448,10 +449,30 @@
         CPPUNIT_ASSERT(session.takes_work(later));
     }
 
+    // Guards against entries that were ignored for good since their birth is not the holds' one.
+    void entry_with_a_birth_that_holds_do_not_confirm_still_tells_the_workers_state()
+    {
+        auto session = make_session();
+        confirm(session, start);
+        session.update(make_report(600), start + milliseconds{10});
+        const auto later = start + milliseconds{50};
+        confirm(session, later, 50);
+        auto draining = make_report(600);
+        draining.m_draining = true;
+        draining.m_capacity.m_cpu_millis = 8'000;
+        session.update(draining, later);
+        CPPUNIT_ASSERT(!session.takes_work(later));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{8'000}, session.room().m_cpu_millis);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{500}, session.instance().m_born_ms);
+    }
+
     void report_of_an_earlier_incarnation_changes_nothing()
     {
         auto session = worker_session::create(make_report(400), fence, {}, start);
-        confirm(session, start);
+        auto first_answer = make_answer(0);
+        first_answer.m_born_ms = 400;
+        session.hold_answered(first_answer, start, start);
+        session.hold_answered(make_answer(0), start, start);
         auto earlier_report = make_report(400);
         earlier_report.m_pool = "other";
         session.update(earlier_report, start);
