Let a list of VMs end only the runs that began before it was asked for

Cause: the list of VMs shows a worker that restarts as down. If the owner does not notice the restart, it may start a task there between its question and the answer. The list then ended that run too, and starts without an answer, which the worker may carry out when it is back.

Change: a list ends the runs that were confirmed before it was asked for, and those that cannot start any more; the worker's next list, a 421 or the end of its lease decides on the others. That costs time only for starts that were on their way when a VM crashed.

job_scheduler_test: vm_list_that_is_older_than_a_start_does_not_end_its_run failed on the code before ('runs twice'); the histories of invariants_hold_in_any_history have such lists now.

--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -42,8 +42,8 @@
     void set_config(fleet_config config);
     void worker_listed(const worker_report& report, moment now);
     void worker_unlisted(std::string_view id, moment now);
-    /// Marks the runs of a worker as lost because its VM was down at `seen_at`. Ignored if the
-    /// worker has answered since.
+    /// Marks the runs that a worker had at `seen_at` as lost because its VM was down then. Ignored
+    /// if the worker has answered since.
     void worker_down(std::string_view id, time_point seen_at);
     /// Adopts the recorded runs. Call once, after the first list of workers.
     void begin(moment now);
--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -39,6 +39,9 @@
     void stop_job(const job& target, time_point now);
     /// Marks all runs of a worker as lost. Call only if nothing can be running there any more.
     void mark_all_lost(worker_session& session, std::string_view reason);
+    /// Marks those runs as lost that cannot be on the worker any more since its VM was down at
+    /// `seen_at`. A start without an answer may still be carried out when the worker is back.
+    void mark_lost_with_vm(worker_session& session, time_point seen_at);
 
     /// Sends the holds and repeated stops that are due, and removes workers that are gone.
     void tick(moment now);
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -88,7 +88,7 @@
         session->runs().empty()) {
         return;
     }
-    m_runs.mark_all_lost(*session, "its VM is down");
+    m_runs.mark_lost_with_vm(*session, seen_at);
     session->set_down();
 }
 
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -358,6 +358,23 @@
     }
 }
 
+void run_tracker::mark_lost_with_vm(worker_session& session, time_point seen_at)
+{
+    std::vector<run_key> lost;
+    for (const auto& [key, run] : session.runs()) {
+        const bool was_running = run.m_phase == run_phase::running && run.m_confirmed_at <= seen_at;
+        const bool cannot_start =
+            (run.m_cannot_start_since && *run.m_cannot_start_since <= seen_at) ||
+            (run.m_stop_answered_at && *run.m_stop_answered_at <= seen_at);
+        if (was_running || cannot_start || run.m_phase == run_phase::recording) {
+            lost.push_back(key);
+        }
+    }
+    for (const auto& key : lost) {
+        mark_run_lost(session, key, "its VM is down");
+    }
+}
+
 void run_tracker::stop_run(worker_session& session, const run_key& key, time_point now)
 {
     auto* run = session.find(key);
--- a/test/scheduling/fleet_simulation.hpp
+++ b/test/scheduling/fleet_simulation.hpp
@@ -201,6 +201,22 @@
     {
         m_cuts.emplace(m_epoch, pick(index).m_instance.m_worker);
     }
+    /// Reads the list of VMs: the owner learns after `delay` which workers are down now.
+    void read_vm_list(milliseconds delay)
+    {
+        std::vector<std::string> down;
+        for (const auto& [id, worker] : m_workers) {
+            if (!worker.m_up) {
+                down.push_back(id);
+            }
+        }
+        later(delay, [this, down, asked_at = m_now, epoch = m_epoch] {
+            auto* reader = find_owner(epoch);
+            for (const auto& id : reader == nullptr ? std::vector<std::string>{} : down) {
+                reader->m_scheduler->worker_down(id, asked_at);
+            }
+        });
+    }
     void set_journal_up(bool up) { m_journal_up = up; }
     /// Lets a placement policy decide which workers may run a step. Call before the first owner
     /// starts.
--- a/test/scheduling/job_scheduler_test.cpp
+++ b/test/scheduling/job_scheduler_test.cpp
@@ -72,6 +72,10 @@
     case 13:
         simulation.crash(number, milliseconds{10}, milliseconds{60'000}, number % 4 == 0);
         return;
+    case 14:
+        simulation.crash(number, milliseconds{10}, milliseconds{60'000}, false);
+        simulation.read_vm_list(milliseconds{number % 300});
+        return;
     default:
         simulation.set_faults({});
         return;
@@ -101,6 +105,7 @@
     CPPUNIT_TEST(worker_whose_time_of_day_stepped_back_gets_work);
     CPPUNIT_TEST(ends_of_a_restarted_worker_are_not_forgotten_unread);
     CPPUNIT_TEST(tasks_of_a_restarted_worker_run_again_at_once);
+    CPPUNIT_TEST(vm_list_that_is_older_than_a_start_does_not_end_its_run);
     CPPUNIT_TEST(invariants_hold_in_any_history);
     CPPUNIT_TEST_SUITE_END();
 
@@ -393,6 +398,25 @@
         assert_no_violation(simulation);
     }
 
+    // A run was declared lost by a list of VMs that had been made before its start.
+    void vm_list_that_is_older_than_a_start_does_not_end_its_run()
+    {
+        for (std::uint64_t seed = 40; seed < 100; ++seed) {
+            fleet_simulation simulation{seed};
+            simulation.change_owner(false);
+            simulation.pass(milliseconds{100});
+            for (std::uint32_t index = 0; index < workers; ++index) {
+                simulation.crash(index, milliseconds{10}, milliseconds{60'000}, false);
+            }
+            simulation.read_vm_list(milliseconds{seed});
+            simulation.pass(short_time);
+            simulation.submit_long_running(8, 8);
+            simulation.pass(milliseconds{2'000});
+            assert_no_violation(simulation);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{8}, simulation.starts());
+        }
+    }
+
     void invariants_hold_in_any_history()
     {
         assert_property(
@@ -402,7 +426,7 @@
                 simulation.change_owner(false);
                 const auto actions =
                     *rc::gen::container<std::vector<std::pair<int, std::uint32_t>>>(
-                        rc::gen::pair(rc::gen::inRange(0, 15), rc::gen::inRange(0U, 1'000U)));
+                        rc::gen::pair(rc::gen::inRange(0, 16), rc::gen::inRange(0U, 1'000U)));
                 for (const auto& [action, number] : actions) {
                     apply_action(simulation, action, number);
                     simulation.pass(short_time * (number % 9 + 1));
