Number relayed orders by epoch: an answer of an earlier epoch was taken for another worker's

Cause: a process that owns the fleet again makes a new order_distributor, whose orders were numbered from 1 again. Relays answer by number only. A late answer to order N of the earlier epoch was taken as the answer to the new order N, of another worker and often of another kind: a list of another worker's runs, with another birth. All runs of the worker were declared lost, or 'not listed', while they went on.

Ruled out: a restart (the workers' runs end done), a start called not sent (no such line), a lapsed lease (none).

Change: the numbers carry the epoch, which no two takeovers share.

order_relay_test: answer_to_an_order_of_an_earlier_epoch_is_not_taken_for_another_orders failed before (1 answer instead of 0). Other numbers of exchanges between nodes (calls, probes) are counted for the life of the process.

--- a/include/peridotrudder/node/order_relay.hpp
+++ b/include/peridotrudder/node/order_relay.hpp
@@ -50,12 +50,15 @@
 /// deadlines and run numbers protect workers against its late orders, as against any others. Not
 /// thread-safe; runs on the loop.
 ///
-///     auto relay = order_distributor::create(options, ports);
+///     auto relay = order_distributor::create(options, epoch, ports);
 ///     relay->select_relays(agent.linked_nodes(), own_cpu_millis, workers);
 ///     owner_ports.m_workers = relay->port();
 class order_distributor {
 public:
-    static std::unique_ptr<order_distributor> create(relay_options options, relay_ports ports);
+    /// The numbers of its orders are those of the epoch: a late answer to an order of another epoch
+    /// of the same process belongs to none of them.
+    static std::unique_ptr<order_distributor> create(relay_options options, std::uint64_t epoch,
+                                                     relay_ports ports);
 
     /// Returns the hooks for sending orders. They are valid for the distributor's lifetime.
     worker_port port();
@@ -78,7 +81,7 @@
         std::function<void(const relayed_answer&)> m_answered;
     };
 
-    order_distributor(relay_options options, relay_ports ports);
+    order_distributor(relay_options options, std::uint64_t epoch, relay_ports ports);
 
     /// Sends the order through the worker's relay. Returns whether there is one.
     template <typename Order>
@@ -99,7 +102,7 @@
     std::map<std::string, time_point> m_backoff_until;
     std::map<std::string, std::vector<relayed_order>> m_batches;
     std::map<std::uint64_t, pending_order> m_pending;
-    std::uint64_t m_next_number{1};
+    std::uint64_t m_next_number;
     /// Held weakly by pending timers, which do nothing once the distributor is destroyed.
     std::shared_ptr<order_distributor*> m_self;
 };
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -266,7 +266,7 @@
 
     void begin_ownership(const ownership_claim& claim)
     {
-        m_distributor = order_distributor::create({}, make_relay_ports());
+        m_distributor = order_distributor::create({}, claim.m_epoch, make_relay_ports());
         owner_options options;
         options.m_epoch = claim.m_epoch;
         options.m_predecessor_released = claim.m_after_release;
--- a/src/node/order_relay.cpp
+++ b/src/node/order_relay.cpp
@@ -15,6 +15,9 @@
 /// the owner.
 constexpr std::uint32_t min_share_divisor = 2;
 
+/// An epoch has room for this many bits of order numbers.
+constexpr unsigned bits_of_number_in_epoch = 32;
+
 /// Calls `step` on the object after a pause, if the object still exists.
 template <typename Object, typename Step>
 void run_later(const loop_port& loop, milliseconds pause, const std::shared_ptr<Object*>& object,
@@ -59,14 +62,16 @@
 } // namespace
 
 std::unique_ptr<order_distributor> order_distributor::create(relay_options options,
-                                                             relay_ports ports)
+                                                             std::uint64_t epoch, relay_ports ports)
 {
-    return std::unique_ptr<order_distributor>{new order_distributor{options, std::move(ports)}};
+    return std::unique_ptr<order_distributor>{
+        new order_distributor{options, epoch, std::move(ports)}};
 }
 
-order_distributor::order_distributor(relay_options options, relay_ports ports)
+order_distributor::order_distributor(relay_options options, std::uint64_t epoch, relay_ports ports)
     : m_options{options},
       m_ports{std::move(ports)},
+      m_next_number{epoch << bits_of_number_in_epoch},
       m_self{std::make_shared<order_distributor*>(this)}
 {
 }
--- a/test/node/order_relay_test.cpp
+++ b/test/node/order_relay_test.cpp
@@ -128,14 +128,15 @@
     CPPUNIT_TEST(drops_a_silent_relay_until_its_backoff_ends);
     CPPUNIT_TEST(waits_for_a_hold_as_long_as_the_worker_may_wait);
     CPPUNIT_TEST(ignores_answers_of_a_dropped_relay);
+    CPPUNIT_TEST(answer_to_an_order_of_an_earlier_epoch_is_not_taken_for_another_orders);
     CPPUNIT_TEST(a_relay_sends_every_kind_of_order_and_returns_the_answers_together);
     CPPUNIT_TEST_SUITE_END();
 
     relay_fixture m_fixture;
 
-    std::unique_ptr<order_distributor> make_relay(std::size_t workers)
+    std::unique_ptr<order_distributor> make_relay(std::size_t workers, std::uint64_t epoch = 1)
     {
-        auto made = order_distributor::create({}, m_fixture.ports());
+        auto made = order_distributor::create({}, epoch, m_fixture.ports());
         made->select_relays(relay_fixture::nodes(6, 3), own_cpu, workers);
         return made;
     }
@@ -301,6 +302,26 @@
         CPPUNIT_ASSERT_EQUAL(1, answers);
     }
 
+    // Guards against runs that were judged by another worker's answer after a change of the epoch.
+    void answer_to_an_order_of_an_earlier_epoch_is_not_taken_for_another_orders()
+    {
+        const auto earlier = make_relay(large_fleet, 7);
+        earlier->port().m_start(worker_named("w-1"), start_of(0), [](const order_answer&) {});
+        m_fixture.pass(milliseconds{5});
+        const auto [peer, message] = m_fixture.m_sent.at(0);
+        const auto number = std::get<relayed_orders>(message).m_orders.at(0).m_number;
+
+        const auto present = make_relay(large_fleet, 8);
+        int answers = 0;
+        present->port().m_start(worker_named("w-1"), start_of(1),
+                                [&](const order_answer&) { ++answers; });
+        m_fixture.pass(milliseconds{5});
+        CPPUNIT_ASSERT_EQUAL(peer, m_fixture.m_sent.at(1).first);
+        present->handle_answers(peer, {{{number, order_answer{}, std::nullopt}}});
+
+        CPPUNIT_ASSERT_EQUAL(0, answers);
+    }
+
     void a_relay_sends_every_kind_of_order_and_returns_the_answers_together()
     {
         const auto carrier = order_forwarder::create({}, m_fixture.ports());
