Give up a task that crashes the workers that start it

Cause: a run lost with its worker counts as nothing; only ends `failed` count as attempts, so nothing bounded the starts. It is the class of the request that crashes server after server.

Each task now has a count of crashes in a row, in its job's record, so that a successor goes on with it; records without it are read as before. A crash is an incarnation that ended (another `born`, another worker at the address, its VM down), not a lapsed lease, and not a worker that drains or leaves. It counts against a run that the worker outlived by less than 250 ms, as far as the owner heard. A suspect starts alone: on the calm worker with the fewest runs, and nothing else is placed there until the worker is heard from after that time; then its count is cleared. Four suspects of a step at a time, and its other tasks wait unless they are long-running. Two crashes in a row fail the job: three more may escape the count before the bound is reached.

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -42,8 +42,12 @@
     std::int64_t m_start_deadline_ms{0};
     /// When the start was given up as unanswered.
     std::optional<time_point> m_unanswered_since;
+    /// When the start was sent; absent if a predecessor sent it.
+    std::optional<time_point> m_ordered_at;
     /// When the start was confirmed.
     time_point m_confirmed_at;
+    /// The task is suspected of crashing its workers.
+    bool m_on_trial{false};
     /// A stop was requested; the capacity stays reserved until the worker lists the end.
     bool m_stopping{false};
     bool m_stop_in_flight{false};
@@ -129,6 +133,8 @@
     void set_down();
     /// Returns whether the worker may be given new work.
     bool takes_work(time_point now) const;
+    /// Returns when the worker's last answer arrived.
+    time_point last_heard_at() const { return m_clock_at; }
     void hold_back_until(time_point until) { m_no_work_until = std::max(m_no_work_until, until); }
 
     const resources& used() const { return m_used; }
@@ -143,6 +149,18 @@
     void set_hold_pause(milliseconds pause) { m_options.m_hold_pause = pause; }
     resources room() const { return m_report.m_capacity - m_used; }
 
+    /// Notes a start, which makes its task a suspect if the worker crashes before `suspect_until`.
+    void note_start(time_point suspect_until, bool on_trial);
+    /// Keeps further tasks off the worker until no task started so far would be a suspect any more.
+    /// Starts that are decided already are sent.
+    void keep_for_trial() { m_trial_until = std::max(m_trial_until, m_calm_from); }
+    /// Returns whether the worker is kept for a task on trial, so that nothing else may be placed.
+    bool has_trial(time_point now) const { return !is_past(m_trial_until, now); }
+    /// Returns whether no task started so far would be a suspect any more.
+    bool is_calm(time_point now) const { return is_past(m_calm_from, now); }
+    /// Returns when no task started so far would be a suspect any more.
+    time_point calm_from() const { return m_calm_from; }
+
     /// Reserves capacity for a run.
     void reserve(const run_key& key, const worker_run& run);
     /// Frees the capacity of a run.
@@ -174,6 +192,12 @@
 private:
     static constexpr int silent_after_misses = 2;
 
+    /// Returns whether the worker is known to have outlived `until`, or has no runs to watch.
+    bool is_past(time_point until, time_point now) const
+    {
+        return now >= until && (m_clock_at > until || m_runs.empty());
+    }
+
     std::int64_t clock_estimate(time_point now) const;
     bool needs_hold() const;
     void update_clock(std::int64_t clock_ms, time_point now);
@@ -191,6 +215,8 @@
     int m_missed_answers{0};
     time_point m_last_answered_hold_sent_at;
     time_point m_no_work_until;
+    time_point m_trial_until;
+    time_point m_calm_from;
     std::map<run_key, worker_run> m_runs;
     resources m_used;
     std::uint32_t m_long_running_runs{0};
--- a/include/peridotrudder/planning/fleet_planner.hpp
+++ b/include/peridotrudder/planning/fleet_planner.hpp
@@ -73,7 +73,7 @@
     void update_returned_vms(time_point asked_at);
     void handle_order_result(const vm_order& order, vm_order_result result);
     void update_idle_times(const scheduler_state& state, time_point now);
-    void report_lost_workers(job_scheduler& scheduler);
+    void report_lost_workers(job_scheduler& scheduler, moment now);
     void plan_waves(job_scheduler& scheduler, moment now);
     void plan_wave(wave_state& wave, job_scheduler& scheduler, moment now);
     void plan_pools(job_scheduler& scheduler, moment now);
--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -44,7 +44,7 @@
     void worker_unlisted(std::string_view id, moment now);
     /// Marks the runs of a worker as lost because its VM was down at `seen_at`. Ignored if the
     /// worker has answered since.
-    void worker_down(std::string_view id, time_point seen_at);
+    void worker_down(std::string_view id, time_point seen_at, moment now);
     /// Adopts the recorded runs. Call once, after the first list of workers.
     void begin(moment now);
     /// Sets the pause between holds to a worker; it is longer while the owner is short of CPU.
--- a/include/peridotrudder/scheduling/placement.hpp
+++ b/include/peridotrudder/scheduling/placement.hpp
@@ -30,6 +30,8 @@
     std::string m_avoid;
     /// One more failure fails the job, so no unhealthy worker is used.
     bool m_last_attempt{false};
+    /// The task is suspected of crashing its workers, so it starts where nothing else just has.
+    bool m_on_trial{false};
     /// Tickets that restrict the workers; null if no placement policy applies.
     const ticket_cache* m_tickets{nullptr};
 
@@ -48,6 +50,11 @@
 candidate* choose_worker(const placement_request& request, std::vector<candidate>& candidates,
                          time_point now);
 
+/// Keeps other tasks off a worker that fits the task on trial, until nothing has just started
+/// there.
+void reserve_for_trial(const placement_request& request, std::vector<candidate>& candidates,
+                       time_point now);
+
 /// Returns the workers that the task fits on, with or without a ticket.
 std::vector<worker_instance> workers_with_room(const placement_request& request,
                                                const std::vector<candidate>& candidates,
--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -38,6 +38,8 @@
     void stop_job(const job& target, time_point now);
     /// Marks all runs of a worker as lost. Call only if nothing can be running there any more.
     void mark_all_lost(worker_session& session, std::string_view reason);
+    /// The same for a worker that has certainly ended, which may be the fault of one of its tasks.
+    void mark_all_lost_in_crash(worker_session& session, std::string_view reason, moment now);
     /// Marks the runs of the previous instance as lost and resets the session.
     void handle_worker_restart(worker_session& session, std::int64_t born_ms, moment now);
 
@@ -50,6 +52,18 @@
     void update_worker_health(worker_session& session, const job& target, const run_key& key,
                               run_end end, time_point now);
     void mark_run_lost(worker_session& session, const run_key& key, std::string_view reason);
+    struct crash {
+        std::string_view m_reason;
+        /// From the start to the worker's last answer; absent if a predecessor sent the start.
+        std::optional<milliseconds> m_heard_after_start;
+    };
+
+    /// Counts the crash of a run's worker against the task, and gives the task up at the limit.
+    void blame(const run_key& key, const worker_instance& instance, const crash& seen, moment now);
+    /// Forgets the crashes of tasks whose present worker has survived their start.
+    void clear_survivors(worker_session& session);
+    /// Tells of the end of a job, and stops what still runs of it.
+    void end_job(const job& target, moment now);
     /// Rules out that a run whose start was not answered still begins.
     void stop_not_begun(worker_session& session, const run_key& key, time_point now);
     void stop_unknown_run(worker_session& session, const running_entry& unknown, time_point now);
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -80,6 +80,14 @@
            now >= m_no_work_until;
 }
 
+void worker_session::note_start(time_point suspect_until, bool on_trial)
+{
+    m_calm_from = std::max(m_calm_from, suspect_until);
+    if (on_trial) {
+        m_trial_until = std::max(m_trial_until, suspect_until);
+    }
+}
+
 void worker_session::reserve(const run_key& key, const worker_run& run)
 {
     release(key);
@@ -170,7 +178,9 @@
     if (steady) {
         const auto wait = m_best_effort_cpu_millis > 0 ? m_options.m_best_effort_hold_wait
                                                        : m_options.m_hold_wait;
-        order.m_wait = m_stopping_runs > 0 ? m_options.m_hold_pause : wait;
+        // The answer shows soon whether the worker has survived the start of a task on trial.
+        const bool prompt = m_stopping_runs > 0 || has_trial(now);
+        order.m_wait = prompt ? m_options.m_hold_pause : wait;
     }
     m_hold_in_flight = true;
     m_hold_sent_at = now;
--- a/src/planning/fleet_planner.cpp
+++ b/src/planning/fleet_planner.cpp
@@ -96,7 +96,7 @@
     m_first_planned_at = m_first_planned_at.value_or(now.m_at);
     if (m_fleet->newest_list_requested_at()) {
         update_idle_times(scheduler.state(), now.m_at);
-        report_lost_workers(scheduler);
+        report_lost_workers(scheduler, now);
         plan_waves(scheduler, now);
         plan_pools(scheduler, now);
         mark_leaving(scheduler);
@@ -163,7 +163,7 @@
     }
 }
 
-void fleet_planner::report_lost_workers(job_scheduler& scheduler)
+void fleet_planner::report_lost_workers(job_scheduler& scheduler, moment now)
 {
     // The list shows a crash long before the leases expire. A worker that is on no listed VM, or on
     // one that is down, has ended.
@@ -180,7 +180,7 @@
         }
     }
     for (const auto& id : ended) {
-        scheduler.worker_down(id, *m_fleet->newest_list_requested_at());
+        scheduler.worker_down(id, *m_fleet->newest_list_requested_at(), now);
     }
 }
 
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -37,6 +37,9 @@
     if (!session.takes_work(now) || !fits(reserved_for(step), session.room())) {
         return false;
     }
+    if (session.has_trial(now)) {
+        return false;
+    }
     if (worker.m_unhealthy && request.m_last_attempt) {
         return false;
     }
@@ -54,6 +57,13 @@
     return permitted && has_room(request, worker, now);
 }
 
+/// Returns whether a crash of the worker would show which task is at fault. The members of a gang
+/// start together, so they are not kept apart.
+bool is_calm(const placement_request& request, const candidate& worker, time_point now)
+{
+    return !request.m_on_trial || request.m_step->m_gang || worker.m_session->is_calm(now);
+}
+
 /// Compared lexicographically; lower is better.
 using rank = std::tuple<bool, bool, bool, std::int64_t, std::int64_t>;
 
@@ -65,6 +75,11 @@
         !step.m_data_rack.empty() && session.report().m_rack != step.m_data_rack;
     const bool avoided = session.id() == request.m_avoid;
     const auto room = session.room().m_cpu_millis;
+    if (request.m_on_trial) {
+        // As few runs as possible would be lost with the worker.
+        return {worker.m_unhealthy, avoided, off_data_rack,
+                static_cast<std::int64_t>(session.runs().size()), room};
+    }
     if (step.m_best_effort) {
         return {worker.m_unhealthy, avoided, off_data_rack, session.best_effort_cpu_millis() - room,
                 room};
@@ -100,13 +115,29 @@
     return workers;
 }
 
+void reserve_for_trial(const placement_request& request, std::vector<candidate>& candidates,
+                       time_point now)
+{
+    candidate* soonest = nullptr;
+    for (auto& worker : candidates) {
+        const bool sooner =
+            soonest == nullptr || worker.m_session->calm_from() < soonest->m_session->calm_from();
+        if (sooner && may_run(request, worker, now)) {
+            soonest = &worker;
+        }
+    }
+    if (soonest != nullptr) {
+        soonest->m_session->keep_for_trial();
+    }
+}
+
 candidate* choose_worker(const placement_request& request, std::vector<candidate>& candidates,
                          time_point now)
 {
     candidate* best = nullptr;
     rank best_rank;
     for (auto& worker : candidates) {
-        if (!may_run(request, worker, now)) {
+        if (!may_run(request, worker, now) || !is_calm(request, worker, now)) {
             continue;
         }
         const auto worker_rank = rank_of(request, worker);
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -1,5 +1,6 @@
 #include "peridotrudder/scheduling/run_tracker.hpp"
 
+#include "peridotrudder/scheduling/crash_suspects.hpp"
 #include "peridotrudder/scheduling/job_rank.hpp"
 #include "peridotrudder/scheduling/pacing.hpp"
 
@@ -85,6 +86,9 @@
         m_state->log_run("run_lost", key, session.id(), "worker has restarted");
         m_state->m_job_store.find(key.m_job)->void_run(key.m_task);
         m_state->changed(key.m_job);
+        if (placed.m_crashes > 0) {
+            blame(key, session.instance(), {"worker has restarted", std::nullopt}, now);
+        }
         return;
     }
     const auto& step = source.spec().m_steps[key.m_task.m_step];
@@ -93,6 +97,7 @@
     // Orders of the previous owner are rejected once the worker knows this owner's fencing token.
     run.m_cannot_start_since = now.m_at;
     run.m_pace_known = false;
+    run.m_on_trial = placed.m_crashes > 0;
     run.m_stopping = source.phase() != job_phase::active;
     session.reserve(key, run);
 }
@@ -128,6 +133,8 @@
     order.m_deadline_ms = session->start_deadline(now.m_at);
     run->m_start_deadline_ms = order.m_deadline_ms;
     run->m_phase = run_phase::ordered;
+    run->m_ordered_at = now.m_at;
+    session->note_start(now.m_at + crash_window, run->m_on_trial);
     m_state->m_ports.m_start(session->report(), order);
 }
 
@@ -222,7 +229,7 @@
                      std::string{to_string(answer.m_result)});
     }
     if (answer.m_result == order_result::other_instance && session->instance() == instance) {
-        mark_all_lost(*session, "address belongs to another worker");
+        mark_all_lost_in_crash(*session, "address belongs to another worker", now);
         return;
     }
     if (outcome.m_restarted) {
@@ -246,6 +253,7 @@
     }
     if (answer.m_result == order_result::accepted) {
         // Without an answer nothing is known about the progress of the runs.
+        clear_survivors(*session);
         stop_stalled(*session, now.m_at);
         pace_best_effort(*session, now.m_at);
     }
@@ -282,19 +290,22 @@
         stop_run(*elsewhere, ended.m_key, now.m_at);
     }
     if (was_active && target->phase() != job_phase::active) {
-        const auto accepted_ms = target->header().m_accepted_ms;
-        const auto objective_ms =
-            limits_of(target->header(), m_state->queue_of(target->header())).m_objective_ms -
-            accepted_ms;
-        m_state->log_timed(
-            "job_ended", ended.m_key.m_job, "",
-            fmt::format("{}, objective {} ms", to_string(target->phase()), objective_ms),
-            milliseconds{now.m_unix_ms - accepted_ms});
-        m_state->m_tickets.drop_job(ended.m_key.m_job);
-        stop_job(*target, now.m_at);
+        end_job(*target, now);
     }
 }
 
+void run_tracker::end_job(const job& target, moment now)
+{
+    const auto& header = target.header();
+    const auto objective_ms =
+        limits_of(header, m_state->queue_of(header)).m_objective_ms - header.m_accepted_ms;
+    m_state->log_timed("job_ended", header.m_id, "",
+                       fmt::format("{}, objective {} ms", to_string(target.phase()), objective_ms),
+                       milliseconds{now.m_unix_ms - header.m_accepted_ms});
+    m_state->m_tickets.drop_job(header.m_id);
+    stop_job(target, now.m_at);
+}
+
 void run_tracker::update_worker_health(worker_session& session, const job& target,
                                        const run_key& key, run_end end, time_point now)
 {
@@ -349,9 +360,75 @@
     }
 }
 
+void run_tracker::mark_all_lost_in_crash(worker_session& session, std::string_view reason,
+                                         moment now)
+{
+    // A worker that drains is told to leave, so its end is no crash.
+    const bool expected =
+        session.report().m_draining || m_state->m_leaving.count(session.id()) != 0;
+    const auto last_heard_at = session.last_heard_at();
+    std::vector<std::pair<run_key, crash>> suspects;
+    for (const auto& [key, run] : session.runs()) {
+        const auto* target = m_state->m_job_store.find(key.m_job);
+        const bool current = target != nullptr && target->has(key.m_task) &&
+                             target->at(key.m_task).m_run == run.m_run;
+        if (expected || !current ||
+            !is_suspect(run, target->at(key.m_task).m_crashes, last_heard_at)) {
+            continue;
+        }
+        crash seen{reason, std::nullopt};
+        if (run.m_ordered_at) {
+            seen.m_heard_after_start = remaining(*run.m_ordered_at, last_heard_at);
+        }
+        suspects.emplace_back(key, seen);
+    }
+    const auto instance = session.instance();
+    mark_all_lost(session, reason);
+    for (const auto& [key, seen] : suspects) {
+        blame(key, instance, seen, now);
+    }
+}
+
+void run_tracker::blame(const run_key& key, const worker_instance& instance, const crash& seen,
+                        moment now)
+{
+    auto* target = m_state->m_job_store.find(key.m_job);
+    if (target->phase() != job_phase::active) {
+        return;
+    }
+    const auto crashes = target->record_crash(key.m_task, crash_limit, now.m_unix_ms);
+    m_state->changed(key.m_job);
+    const auto heard = seen.m_heard_after_start
+                           ? fmt::format("{} ms after the start", seen.m_heard_after_start->count())
+                           : std::string{"under a predecessor"};
+    m_state->log_run("crash_blamed", key, instance.m_worker,
+                     fmt::format("crash {}, {}, last heard of {}", crashes, seen.m_reason, heard));
+    if (target->phase() != job_phase::active) {
+        m_state->log_run("task_given_up", key, instance.m_worker, "crashes its workers");
+        end_job(*target, now);
+    }
+}
+
+void run_tracker::clear_survivors(worker_session& session)
+{
+    for (const auto& [key, listed] : session.runs()) {
+        if (!listed.m_on_trial || !has_survived(listed, session.last_heard_at())) {
+            continue;
+        }
+        session.find(key)->m_on_trial = false;
+        auto* target = m_state->m_job_store.find(key.m_job);
+        if (target != nullptr && target->has(key.m_task) &&
+            target->at(key.m_task).m_run == listed.m_run) {
+            m_state->log_run("suspect_cleared", key, session.id(), "");
+            target->clear_crashes(key.m_task);
+            m_state->changed(key.m_job);
+        }
+    }
+}
+
 void run_tracker::handle_worker_restart(worker_session& session, std::int64_t born_ms, moment now)
 {
-    mark_all_lost(session, "worker has restarted");
+    mark_all_lost_in_crash(session, "worker has restarted", now);
     session.reset_after_restart(born_ms, now.m_at);
 }
 
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -1,5 +1,7 @@
 #include "peridotrudder/scheduling/task_placer.hpp"
 
+#include "peridotrudder/scheduling/crash_suspects.hpp"
+
 #include <algorithm>
 
 namespace peridotrudder {
@@ -63,6 +65,7 @@
     }
     request.m_last_attempt = !request.m_step->m_long_running &&
                              waiting.m_job->at(ref).m_failures + 1 >= waiting.m_queue->m_attempts;
+    request.m_on_trial = waiting.m_job->at(ref).m_crashes > 0;
     request.m_tickets = waiting.m_queue->m_policy ? &m_state->m_tickets : nullptr;
     return request;
 }
@@ -83,7 +86,10 @@
     log_first_placement(target, instance.m_worker, now);
     const auto number = target.place(ref, instance);
     const run_key key{target.header().m_id, ref};
-    chosen.m_session->reserve(key, make_run(step, number));
+    auto run = make_run(step, number);
+    run.m_on_trial = target.at(ref).m_crashes > 0;
+    chosen.m_session->reserve(key, run);
+    chosen.m_session->note_start(now.m_at + crash_window, run.m_on_trial);
     m_state->m_job_store.mark_changed(key.m_job);
     m_state->m_effects.emplace_back(start_effect{instance, key, number});
 }
@@ -123,7 +129,10 @@
     const auto number = target.place_gang(occurrence, step, instances);
     for (std::uint32_t index = 0; index < count; ++index) {
         const run_key key{target.header().m_id, {occurrence, step, index}};
-        chosen[index]->m_session->reserve(key, make_run(target.spec().m_steps[step], number));
+        auto run = make_run(target.spec().m_steps[step], number);
+        run.m_on_trial = target.at(key.m_task).m_crashes > 0;
+        chosen[index]->m_session->reserve(key, run);
+        chosen[index]->m_session->note_start(now.m_at + crash_window, run.m_on_trial);
         m_state->m_effects.emplace_back(start_effect{instances[index], key, number});
     }
     m_state->m_job_store.mark_changed(target.header().m_id);
@@ -137,25 +146,38 @@
     if (target.spec().m_steps[step].m_gang) {
         return place_gang(waiting, occurrence, step, candidates, now);
     }
-    const auto count = target.spec().m_steps[step].m_count;
-    for (std::uint32_t index = 0; index < count; ++index) {
+    const auto& spec = target.spec().m_steps[step];
+    auto suspects = count_suspects(target, occurrence, step);
+    bool all = true;
+    for (std::uint32_t index = 0; index < spec.m_count; ++index) {
         const task_ref ref{occurrence, step, index};
-        if (target.at(ref).m_phase != task_phase::waiting) {
+        const auto& entry = target.at(ref);
+        if (entry.m_phase != task_phase::waiting) {
+            continue;
+        }
+        if (!may_start(spec, entry, suspects)) {
+            all = false;
             continue;
         }
         const auto request = make_placement_request(waiting, ref);
-        if (is_known_not_to_fit(*request.m_step)) {
+        if (!request.m_on_trial && is_known_not_to_fit(*request.m_step)) {
             return false;
         }
         auto* chosen = choose_worker(request, candidates, now.m_at);
         if (chosen == nullptr) {
             request_tickets(waiting, request, candidates, now.m_at);
+            if (request.m_on_trial) {
+                reserve_for_trial(request, candidates, now.m_at);
+                all = false;
+                continue;
+            }
             remember_size(request);
             return false;
         }
+        suspects.m_on_trial += request.m_on_trial ? 1 : 0;
         place_task(target, ref, *chosen, now);
     }
-    return true;
+    return all;
 }
 
 void task_placer::request_tickets(const waiting_job& waiting, const placement_request& request,
