--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -40,8 +40,9 @@
     /// Marks all runs of a worker as lost. Call only if nothing can be running there any more.
     void mark_all_lost(worker_session& session, std::string_view reason);
     /// Marks those runs as lost that cannot be on the worker any more since its VM was down at
-    /// `seen_at`. A start without an answer may still be carried out when the worker is back.
-    void mark_lost_with_vm(worker_session& session, time_point seen_at);
+    /// `seen_at`, which may be the fault of one of its tasks. A start without an answer may still
+    /// be carried out when the worker is back.
+    void mark_lost_with_vm(worker_session& session, time_point seen_at, moment now);
 
     /// Sends the holds and repeated stops that are due, and removes workers that are gone.
     void tick(moment now);
@@ -52,6 +53,25 @@
     void update_worker_health(worker_session& session, const job& target, const run_key& key,
                               run_end end, time_point now);
     void mark_run_lost(worker_session& session, const run_key& key, std::string_view reason);
+    struct crash {
+        std::string_view m_reason;
+        /// From the start to the worker's last answer; absent if a predecessor sent the start.
+        std::optional<milliseconds> m_heard_after_start;
+    };
+
+    /// Marks runs as lost with their worker, which was last heard of at `last_heard_at`, and blames
+    /// the tasks that it may have crashed under.
+    void mark_lost_in_crash(worker_session& session, const std::vector<run_key>& keys,
+                            time_point last_heard_at, std::string_view reason, moment now);
+    /// Marks the runs as lost that an answer to a hold showed to be gone.
+    void mark_gone(worker_session& session, const hold_outcome& outcome, time_point last_heard_at,
+                   moment now);
+    /// Counts the crash of a run's worker against the task, and gives the task up at the limit.
+    void blame(const run_key& key, const worker_instance& instance, const crash& seen, moment now);
+    /// Forgets the crashes of tasks whose present worker has survived their start.
+    void clear_survivors(worker_session& session);
+    /// Tells of the end of a job, and stops what still runs of it.
+    void end_job(const job& target, moment now);
     /// Rules out that a run whose start was not answered still begins.
     void stop_not_begun(worker_session& session, const run_key& key, time_point now);
     void stop_unknown_run(worker_session& session, const running_entry& unknown, time_point now);
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -1,5 +1,6 @@
 #include "peridotrudder/scheduling/run_tracker.hpp"
 
+#include "peridotrudder/scheduling/crash_suspects.hpp"
 #include "peridotrudder/scheduling/job_rank.hpp"
 #include "peridotrudder/scheduling/pacing.hpp"
 
@@ -99,6 +100,7 @@
     // Orders of the previous owner are rejected once the worker knows this owner's fencing token.
     run.m_cannot_start_since = now.m_at;
     run.m_pace_known = false;
+    run.m_on_trial = placed.m_crashes > 0;
     run.m_stopping = source.phase() != job_phase::active;
     session.reserve(key, run);
 }
@@ -134,6 +136,8 @@
     order.m_deadline_ms = session->start_deadline(now.m_at);
     run->m_start_deadline_ms = order.m_deadline_ms;
     run->m_phase = run_phase::ordered;
+    run->m_ordered_at = now.m_at;
+    session->note_start(now.m_at + crash_window, run->m_on_trial);
     m_state->m_ports.m_start(session->report(), order);
 }
 
@@ -225,13 +229,19 @@
         return;
     }
     const bool was_silent = session->silent();
+    const auto last_heard_at = session->last_heard_at();
     const auto outcome = session->hold_answered(answer, sent_at, now.m_at);
     if (session->silent() != was_silent) {
         m_state->log(was_silent ? "worker_answers" : "worker_silent", "", session->id(),
                      std::string{to_string(answer.m_result)});
     }
     if (answer.m_result == order_result::other_instance && session->instance() == instance) {
-        mark_all_lost(*session, "address belongs to another worker");
+        std::vector<run_key> lost;
+        for (const auto& entry : session->runs()) {
+            lost.push_back(entry.first);
+        }
+        mark_lost_in_crash(*session, lost, session->last_heard_at(),
+                           "address belongs to another worker", now);
         return;
     }
     if (outcome.m_restarted) {
@@ -241,9 +251,7 @@
     for (const auto& item : outcome.m_ended) {
         handle_end(*session, item, now);
     }
-    for (const auto& item : outcome.m_gone) {
-        mark_run_lost(*session, item, "not listed by the worker");
-    }
+    mark_gone(*session, outcome, last_heard_at, now);
     for (const auto& item : outcome.m_not_begun) {
         stop_not_begun(*session, item, now.m_at);
     }
@@ -255,11 +263,32 @@
     }
     if (answer.m_result == order_result::accepted) {
         // Without an answer nothing is known about the progress of the runs.
+        clear_survivors(*session);
         stop_stalled(*session, now.m_at);
         pace_best_effort(*session, now.m_at);
     }
 }
 
+void run_tracker::mark_gone(worker_session& session, const hold_outcome& outcome,
+                            time_point last_heard_at, moment now)
+{
+    std::vector<run_key> crashed;
+    for (const auto& key : outcome.m_gone) {
+        const auto* target = m_state->m_job_store.find(key.m_job);
+        // A predecessor's run whose worker has restarted since the run was recorded.
+        const bool adopted_after_restart =
+            !session.find(key)->m_ordered_at && target != nullptr && target->has(key.m_task) &&
+            !(target->at(key.m_task).m_placed_on == session.instance());
+        if (outcome.m_restarted || adopted_after_restart) {
+            crashed.push_back(key);
+        }
+        else {
+            mark_run_lost(session, key, "not listed by the worker");
+        }
+    }
+    mark_lost_in_crash(session, crashed, last_heard_at, "worker has restarted", now);
+}
+
 void run_tracker::handle_end(worker_session& session, const ended_entry& ended, moment now)
 {
     const auto* run = session.find(ended.m_key);
@@ -291,19 +320,22 @@
         stop_run(*elsewhere, ended.m_key, now.m_at);
     }
     if (was_active && target->phase() != job_phase::active) {
-        const auto accepted_ms = target->header().m_accepted_ms;
-        const auto objective_ms =
-            limits_of(target->header(), m_state->queue_of(target->header())).m_objective_ms -
-            accepted_ms;
-        m_state->log_timed(
-            "job_ended", ended.m_key.m_job, "",
-            fmt::format("{}, objective {} ms", to_string(target->phase()), objective_ms),
-            milliseconds{now.m_unix_ms - accepted_ms});
-        m_state->m_tickets.drop_job(ended.m_key.m_job);
-        stop_job(*target, now.m_at);
+        end_job(*target, now);
     }
 }
 
+void run_tracker::end_job(const job& target, moment now)
+{
+    const auto& header = target.header();
+    const auto objective_ms =
+        limits_of(header, m_state->queue_of(header)).m_objective_ms - header.m_accepted_ms;
+    m_state->log_timed("job_ended", header.m_id, "",
+                       fmt::format("{}, objective {} ms", to_string(target.phase()), objective_ms),
+                       milliseconds{now.m_unix_ms - header.m_accepted_ms});
+    m_state->m_tickets.drop_job(header.m_id);
+    stop_job(target, now.m_at);
+}
+
 void run_tracker::update_worker_health(worker_session& session, const job& target,
                                        const run_key& key, run_end end, time_point now)
 {
@@ -358,7 +390,7 @@
     }
 }
 
-void run_tracker::mark_lost_with_vm(worker_session& session, time_point seen_at)
+void run_tracker::mark_lost_with_vm(worker_session& session, time_point seen_at, moment now)
 {
     std::vector<run_key> lost;
     for (const auto& [key, run] : session.runs()) {
@@ -370,8 +402,73 @@
             lost.push_back(key);
         }
     }
-    for (const auto& key : lost) {
-        mark_run_lost(session, key, "its VM is down");
+    mark_lost_in_crash(session, lost, session.last_heard_at(), "its VM is down", now);
+}
+
+void run_tracker::mark_lost_in_crash(worker_session& session, const std::vector<run_key>& keys,
+                                     time_point last_heard_at, std::string_view reason, moment now)
+{
+    // A worker that drains is told to leave, so its end is no crash.
+    const bool expected =
+        session.report().m_draining || m_state->m_leaving.count(session.id()) != 0;
+    std::vector<std::pair<run_key, crash>> suspects;
+    for (const auto& key : keys) {
+        const auto& run = *session.find(key);
+        const auto* target = m_state->m_job_store.find(key.m_job);
+        const bool current = target != nullptr && target->has(key.m_task) &&
+                             target->at(key.m_task).m_run == run.m_run;
+        if (expected || !current ||
+            !is_suspect(run, target->at(key.m_task).m_crashes, last_heard_at)) {
+            continue;
+        }
+        crash seen{reason, std::nullopt};
+        if (run.m_ordered_at) {
+            seen.m_heard_after_start = remaining(*run.m_ordered_at, last_heard_at);
+        }
+        suspects.emplace_back(key, seen);
+    }
+    for (const auto& key : keys) {
+        mark_run_lost(session, key, reason);
+    }
+    for (const auto& [key, seen] : suspects) {
+        blame(key, session.instance(), seen, now);
+    }
+}
+
+void run_tracker::blame(const run_key& key, const worker_instance& instance, const crash& seen,
+                        moment now)
+{
+    auto* target = m_state->m_job_store.find(key.m_job);
+    if (target->phase() != job_phase::active) {
+        return;
+    }
+    const auto crashes = target->record_crash(key.m_task, crash_limit, now.m_unix_ms);
+    m_state->changed(key.m_job);
+    const auto heard = seen.m_heard_after_start
+                           ? fmt::format("{} ms after the start", seen.m_heard_after_start->count())
+                           : std::string{"under a predecessor"};
+    m_state->log_run("crash_blamed", key, instance.m_worker,
+                     fmt::format("crash {}, {}, last heard of {}", crashes, seen.m_reason, heard));
+    if (target->phase() != job_phase::active) {
+        m_state->log_run("task_given_up", key, instance.m_worker, "crashes its workers");
+        end_job(*target, now);
+    }
+}
+
+void run_tracker::clear_survivors(worker_session& session)
+{
+    for (const auto& [key, listed] : session.runs()) {
+        if (!listed.m_on_trial || !has_survived(listed, session.last_heard_at())) {
+            continue;
+        }
+        session.find(key)->m_on_trial = false;
+        auto* target = m_state->m_job_store.find(key.m_job);
+        if (target != nullptr && target->has(key.m_task) &&
+            target->at(key.m_task).m_run == listed.m_run) {
+            m_state->log_run("suspect_cleared", key, session.id(), "");
+            target->clear_crashes(key.m_task);
+            m_state->changed(key.m_job);
+        }
     }
 }
 
