Let a release not hide an earlier owner that may still renew leases

Change: a release says whether the owners before it are over, because it followed such a release itself or has owned the fleet for as long as they can go on; only then does the next claim count as 'after a release'.

owner_election_test: release_soon_after_an_unplanned_change_does_not_hide_the_earlier_owner.

--- a/include/peridotrudder/ownership/owner_election.hpp
+++ b/include/peridotrudder/ownership/owner_election.hpp
@@ -23,7 +23,8 @@
     std::string m_node;
     /// The owner has released the ownership.
     bool m_released{false};
-    /// The claim follows a release: the former owner sends no more orders.
+    /// No earlier owner can renew leases any more: the last one has released the ownership, and so
+    /// on for those before it, or they ran out of time under an owner since.
     bool m_after_release{false};
 
     template <typename Archive, typename Self>
@@ -56,6 +57,8 @@
     milliseconds m_ask_timeout{120};
     /// Time after which the peers are asked again.
     milliseconds m_ask_interval{300};
+    /// Time after its last proof of ownership for which an owner may renew leases.
+    milliseconds m_renewal_time{5'000};
     /// Delay of this node's claim. It differs between nodes, so that usually only one claims.
     milliseconds m_stagger{0};
 };
@@ -75,6 +78,11 @@
     void learn(const ownership_claim& claim, time_point now);
     const ownership_claim& claim() const { return m_claim; }
     bool is_owner() const;
+    /// Returns whether no owner so far can renew leases any more, so that the next one need not
+    /// wait for them.
+    bool follows_release() const { return m_claim.m_released && m_claim.m_after_release; }
+    /// Returns the same for the owners before this node, which owns the fleet.
+    bool predecessors_are_over(time_point now) const;
 
     /// Records a heartbeat of the owner of an epoch.
     void heard(std::uint64_t epoch, time_point now);
@@ -103,6 +111,7 @@
 
     election_options m_options;
     ownership_claim m_claim;
+    time_point m_learnt_at;
     std::size_t m_members{1};
     time_point m_last_heartbeat_at;
     bool m_link_broken{false};
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -272,7 +272,9 @@
     own_claim.m_owner = m_options.m_self.m_incarnation;
     own_claim.m_node = m_options.m_self.m_name;
     own_claim.m_released = released;
-    own_claim.m_after_release = !released && m_election.claim().m_released;
+    own_claim.m_after_release = released
+                                    ? m_election.predecessors_are_over(m_ports.m_loop.m_now().m_at)
+                                    : m_election.follows_release();
     append_request request;
     request.m_topic = m_options.m_topic;
     request.m_timeout = append_timeout;
--- a/src/ownership/owner_election.cpp
+++ b/src/ownership/owner_election.cpp
@@ -28,6 +28,7 @@
         return;
     }
     m_claim = claim;
+    m_learnt_at = now;
     clear_suspicion(now);
     m_owner_gone = claim.m_released;
     m_owner_gone_at = now;
@@ -49,6 +50,12 @@
            m_claim.m_owner == m_options.m_self;
 }
 
+bool owner_election::predecessors_are_over(time_point now) const
+{
+    // No predecessor has a proof of ownership that is newer than this claim.
+    return m_claim.m_after_release || now - m_learnt_at >= m_options.m_renewal_time;
+}
+
 void owner_election::heard(std::uint64_t epoch, time_point now)
 {
     if (epoch == m_claim.m_epoch && !m_owner_gone) {
--- a/test/ownership/owner_election_test.cpp
+++ b/test/ownership/owner_election_test.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(isolated_node_claims_only_when_the_journal_is_silent);
     CPPUNIT_TEST(older_claim_changes_nothing);
     CPPUNIT_TEST(node_does_not_claim_what_it_owns);
+    CPPUNIT_TEST(release_soon_after_an_unplanned_change_does_not_hide_the_earlier_owner);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -149,6 +150,31 @@
         election.owner_gone(5, now);
         CPPUNIT_ASSERT(!election.is_owner());
     }
+
+    // A successor's successor waited for no leases, and a task ran twice.
+    void release_soon_after_an_unplanned_change_does_not_hide_the_earlier_owner()
+    {
+        auto owner = make_election();
+        owner.learn(make_claim(1, "other"), start);
+        CPPUNIT_ASSERT(!owner.follows_release());
+        owner.learn(make_claim(2, "self"), start);
+        CPPUNIT_ASSERT(!owner.predecessors_are_over(start + milliseconds{4'900}));
+        CPPUNIT_ASSERT(owner.predecessors_are_over(start + milliseconds{5'000}));
+
+        auto successor = make_election();
+        auto release = make_claim(3, "other");
+        release.m_released = true;
+        successor.learn(release, start);
+        CPPUNIT_ASSERT_MESSAGE("an earlier owner may renew leases", !successor.follows_release());
+        release.m_epoch = 4;
+        release.m_after_release = true;
+        successor.learn(release, start);
+        CPPUNIT_ASSERT(successor.follows_release());
+        auto planned = make_claim(5, "self");
+        planned.m_after_release = true;
+        successor.learn(planned, start);
+        CPPUNIT_ASSERT_MESSAGE("a chain of releases", successor.predecessors_are_over(start));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(owner_election_test);
