Send no start that the worker's capacity has shrunk below meanwhile

If the worker's capacity shrinks meanwhile and its entry says so, the start was sent all the same.

Change: a start is void if the worker's reservations exceed its capacity when it would be sent; the task waits again.

job_scheduler_test: start_recorded_before_a_capacity_shrank_is_not_sent_after_it failed before ('worker i-0 is over its capacity').

--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -115,7 +115,9 @@
         return;
     }
     const bool runnable = target->phase() == job_phase::active && !run->m_stopping;
-    if (!runnable || !session->takes_work(now.m_at)) {
+    // The worker's capacity may have shrunk while the start was being recorded.
+    const bool has_room = fits(resources{}, session->room());
+    if (!runnable || !has_room || !session->takes_work(now.m_at)) {
         mark_run_lost(*session, start.m_key, "not sent");
         return;
     }
--- a/test/scheduling/fleet_simulation.hpp
+++ b/test/scheduling/fleet_simulation.hpp
@@ -240,6 +240,8 @@
         });
     }
     void set_journal_up(bool up) { m_journal_up = up; }
+    /// Holds writes to the journal up, while the list of workers can be read.
+    void set_writes_up(bool up) { m_writes_up = up; }
     /// Lets a placement policy decide which workers may run a step. Call before the first owner
     /// starts.
     void set_policy(bool restricted) { m_restricted = restricted; }
@@ -541,7 +543,7 @@
         if (writer == nullptr) {
             return;
         }
-        if (!m_journal_up) {
+        if (!m_journal_up || !m_writes_up) {
             later(milliseconds{40}, [this, epoch] { write(epoch); });
             return;
         }
@@ -1075,6 +1077,7 @@
     std::set<std::pair<std::uint64_t, std::string>> m_cuts;
     order_faults m_faults;
     bool m_journal_up{true};
+    bool m_writes_up{true};
     std::uint64_t m_journal_epoch{0};
     std::map<std::string, std::vector<std::uint8_t>> m_journal;
     std::uint64_t m_epoch{0};
--- a/test/scheduling/job_scheduler_test.cpp
+++ b/test/scheduling/job_scheduler_test.cpp
@@ -90,6 +90,7 @@
     CPPUNIT_TEST(ends_of_a_restarted_worker_are_not_forgotten_unread);
     CPPUNIT_TEST(tasks_of_a_restarted_worker_run_again_at_once);
     CPPUNIT_TEST(vm_list_that_is_older_than_a_start_does_not_end_its_run);
+    CPPUNIT_TEST(start_recorded_before_a_capacity_shrank_is_not_sent_after_it);
     CPPUNIT_TEST(invariants_hold_in_any_history_of_restarts);
     CPPUNIT_TEST(task_that_crashes_its_workers_crashed_server_after_server);
     CPPUNIT_TEST(crash_count_of_a_task_was_forgotten_at_a_takeover);
@@ -406,6 +407,27 @@
         }
     }
 
+    // A start that waited for its record brought a worker over its capacity, which had shrunk.
+    void start_recorded_before_a_capacity_shrank_is_not_sent_after_it()
+    {
+        for (std::uint64_t seed = 200; seed < 220; ++seed) {
+            fleet_simulation simulation{seed};
+            simulation.change_owner(false);
+            simulation.pass(milliseconds{1'000});
+            simulation.set_writes_up(false);
+            simulation.submit(4, 0);
+            simulation.pass(milliseconds{100});
+            for (std::uint32_t index = 0; index < workers; ++index) {
+                simulation.set_capacity(index, 1'000);
+            }
+            simulation.pass(milliseconds{6'000});
+            simulation.set_writes_up(true);
+            simulation.pass(milliseconds{1'000});
+            assert_no_violation(simulation);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, simulation.starts());
+        }
+    }
+
     void invariants_hold_in_any_history_of_restarts()
     {
         constexpr int longest_history = 30;
