--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -227,7 +227,7 @@
     bool m_token_confirmed{false};
     /// Since when the list shows another incarnation than the one that answered last.
     std::optional<time_point> m_restart_suspected_at;
-    /// Birth of the incarnation that the list showed last.
+    /// Birth of the incarnation that the list showed last; zero if none since the last restart.
     std::int64_t m_listed_born_ms{0};
     /// Births of former incarnations.
     std::set<std::int64_t> m_former;
