--- a/include/peridotrudder/jobs/job.hpp
+++ b/include/peridotrudder/jobs/job.hpp
@@ -164,6 +164,8 @@
     /// Returns how many tasks of the step are not done.
     std::uint32_t open_tasks(std::uint32_t occurrence, std::uint32_t step) const;
     std::uint32_t placed_tasks() const { return m_placed; }
+    /// Returns the tasks that have a run.
+    std::vector<task_ref> placed_refs() const;
     /// Returns how many tasks are not done.
     std::uint64_t unfinished_tasks() const { return m_open_total; }
 
--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// Tracks runs from start to end, despite lost answers and lost workers.
 
+#include "peridotrudder/scheduling/crash_tracker.hpp"
 #include "peridotrudder/scheduling/placement.hpp"
 #include "peridotrudder/scheduling/scheduler_state.hpp"
 
@@ -20,11 +21,7 @@
 /// earlier one.
 class run_tracker {
 public:
-    explicit run_tracker(scheduler_state& state) : m_state{&state} {}
-
-    /// Adopts the runs that the job records place on workers, as runs whose state is uncertain,
-    /// whichever incarnations of the workers are listed.
-    void adopt_recorded_runs(moment now);
+    explicit run_tracker(scheduler_state& state) : m_state{&state}, m_crashes{state} {}
 
     /// Sends a recorded start, unless the job has ended or the worker cannot take it any more.
     void send_start(const start_effect& start, moment now);
@@ -50,17 +47,10 @@
     void tick(moment now);
 
 private:
-    void adopt(const run_key& key, const job& source, moment now);
     void handle_end(worker_session& session, const ended_entry& ended, moment now);
     void update_worker_health(worker_session& session, const job& target, const run_key& key,
                               run_end end, time_point now);
     void mark_run_lost(worker_session& session, const run_key& key, std::string_view reason);
-    struct crash {
-        std::string_view m_reason;
-        /// From the start to the worker's last answer; absent if a predecessor sent the start.
-        std::optional<milliseconds> m_heard_after_start;
-    };
-
     /// Marks runs as lost with their worker, which was last heard of at `last_heard_at`, and blames
     /// the tasks that it may have crashed under.
     void mark_lost_in_crash(worker_session& session, const std::vector<run_key>& keys,
@@ -68,10 +58,6 @@
     /// Marks the runs as lost that an answer to a hold showed to be gone.
     void mark_gone(worker_session& session, const hold_outcome& outcome, time_point last_heard_at,
                    moment now);
-    /// Counts the crash of a run's worker against the task, and gives the task up at the limit.
-    void blame(const run_key& key, const worker_instance& instance, const crash& seen, moment now);
-    /// Forgets the crashes of tasks whose present worker has survived their start.
-    void clear_survivors(worker_session& session);
     /// Tells of the end of a job, and stops what still runs of it.
     void end_job(const job& target, moment now);
     /// Rules out that a run whose start was not answered still begins.
@@ -83,6 +69,7 @@
     void depose();
 
     scheduler_state* m_state;
+    crash_tracker m_crashes;
 };
 
 } // namespace peridotrudder
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -156,6 +156,25 @@
     return m_open.at(occurrence).at(step);
 }
 
+std::vector<task_ref> job::placed_refs() const
+{
+    std::vector<task_ref> placed;
+    if (m_placed == 0) {
+        return placed;
+    }
+    for (std::uint32_t occurrence = 0; occurrence < occurrences(); ++occurrence) {
+        for (std::uint32_t step = 0; step < spec().m_steps.size(); ++step) {
+            const auto& tasks = m_tasks[occurrence][step];
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                if (tasks[index].m_phase == task_phase::placed) {
+                    placed.push_back({occurrence, step, index});
+                }
+            }
+        }
+    }
+    return placed;
+}
+
 std::uint32_t job::place(const task_ref& ref, const worker_instance& worker)
 {
     auto& placed = find(ref);
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -1,5 +1,7 @@
 #include "peridotrudder/scheduling/job_scheduler.hpp"
 
+#include "peridotrudder/scheduling/run_adoption.hpp"
+
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -94,7 +96,7 @@
 
 void job_scheduler::begin(moment now)
 {
-    m_runs.adopt_recorded_runs(now);
+    adopt_recorded_runs(m_state, now);
 }
 
 void job_scheduler::set_hold_pause(milliseconds pause)
--- /dev/null
+++ b/src/scheduling/run_adoption.cpp
@@ -0,0 +1,50 @@
+#include "peridotrudder/scheduling/run_adoption.hpp"
+
+#include "peridotrudder/scheduling/run_tracker.hpp"
+
+namespace peridotrudder {
+
+namespace {
+
+void adopt(scheduler_state& state, const run_key& key, const job& source, moment now)
+{
+    const auto& placed = source.at(key.m_task);
+    auto entry = state.m_workers.find(placed.m_placed_on.m_worker);
+    if (entry == state.m_workers.end()) {
+        // The worker is not listed now. It may return, or keep running until its lease expires.
+        worker_report unseen;
+        unseen.m_instance = placed.m_placed_on;
+        auto session = worker_session::create(unseen, state.m_options.m_fence,
+                                              state.m_options.m_lease, now.m_at);
+        session.set_listed(false, now.m_at);
+        entry = state.m_workers.emplace(placed.m_placed_on.m_worker, std::move(session)).first;
+    }
+    auto& session = entry->second;
+    // The list may be older than the record, and any incarnation may have got the start, so the
+    // first hold decides.
+    const auto& step = source.spec().m_steps[key.m_task.m_step];
+    auto run = make_run(step, placed.m_run);
+    run.m_phase = run_phase::uncertain;
+    // Orders of the previous owner are rejected once the worker knows this owner's fencing token.
+    run.m_cannot_start_since = now.m_at;
+    run.m_pace_known = false;
+    run.m_on_trial = placed.m_crashes > 0;
+    run.m_stopping = source.phase() != job_phase::active;
+    session.reserve(key, run);
+}
+
+} // namespace
+
+void adopt_recorded_runs(scheduler_state& state, moment now)
+{
+    for (const auto& [id, stored_job] : state.m_job_store.jobs()) {
+        if (stored_job.phase() == job_phase::active) {
+            state.m_schedulable_jobs.insert(id);
+        }
+        for (const auto& ref : stored_job.placed_refs()) {
+            adopt(state, {id, ref}, stored_job, now);
+        }
+    }
+}
+
+} // namespace peridotrudder
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -44,67 +44,8 @@
     return answer;
 }
 
-/// Returns the tasks that have a run.
-std::vector<task_ref> placed_tasks_of(const job& source)
-{
-    std::vector<task_ref> placed;
-    if (source.placed_tasks() == 0) {
-        return placed;
-    }
-    for (std::uint32_t occurrence = 0; occurrence < source.occurrences(); ++occurrence) {
-        for (std::uint32_t step = 0; step < source.spec().m_steps.size(); ++step) {
-            const auto tasks = source.tasks(occurrence, step);
-            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-                if (tasks[index].m_phase == task_phase::placed) {
-                    placed.push_back({occurrence, step, index});
-                }
-            }
-        }
-    }
-    return placed;
-}
-
 } // namespace
 
-void run_tracker::adopt_recorded_runs(moment now)
-{
-    for (const auto& [id, stored_job] : m_state->m_job_store.jobs()) {
-        if (stored_job.phase() == job_phase::active) {
-            m_state->m_schedulable_jobs.insert(id);
-        }
-        for (const auto& ref : placed_tasks_of(stored_job)) {
-            adopt({id, ref}, stored_job, now);
-        }
-    }
-}
-
-void run_tracker::adopt(const run_key& key, const job& source, moment now)
-{
-    const auto& placed = source.at(key.m_task);
-    auto entry = m_state->m_workers.find(placed.m_placed_on.m_worker);
-    if (entry == m_state->m_workers.end()) {
-        // The worker is not listed now. It may return, or keep running until its lease expires.
-        worker_report unseen;
-        unseen.m_instance = placed.m_placed_on;
-        auto session = worker_session::create(unseen, m_state->m_options.m_fence,
-                                              m_state->m_options.m_lease, now.m_at);
-        session.set_listed(false, now.m_at);
-        entry = m_state->m_workers.emplace(placed.m_placed_on.m_worker, std::move(session)).first;
-    }
-    auto& session = entry->second;
-    // The list may be older than the record, and any incarnation may have got the start, so the
-    // first hold decides.
-    const auto& step = source.spec().m_steps[key.m_task.m_step];
-    auto run = make_run(step, placed.m_run);
-    run.m_phase = run_phase::uncertain;
-    // Orders of the previous owner are rejected once the worker knows this owner's fencing token.
-    run.m_cannot_start_since = now.m_at;
-    run.m_pace_known = false;
-    run.m_on_trial = placed.m_crashes > 0;
-    run.m_stopping = source.phase() != job_phase::active;
-    session.reserve(key, run);
-}
-
 void run_tracker::send_start(const start_effect& start, moment now)
 {
     auto* session = m_state->find_instance(start.m_instance);
@@ -265,7 +206,7 @@
     }
     if (answer.m_result == order_result::accepted) {
         // Without an answer nothing is known about the progress of the runs.
-        clear_survivors(*session);
+        m_crashes.clear_survivors(*session);
         stop_stalled(*session, now.m_at);
         pace_best_effort(*session, now.m_at);
     }
@@ -410,66 +351,14 @@
 void run_tracker::mark_lost_in_crash(worker_session& session, const std::vector<run_key>& keys,
                                      time_point last_heard_at, std::string_view reason, moment now)
 {
-    // A worker that drains is told to leave, so its end is no crash.
-    const bool expected =
-        session.report().m_draining || m_state->m_leaving.count(session.id()) != 0;
-    std::vector<std::pair<run_key, crash>> suspects;
-    for (const auto& key : keys) {
-        const auto& run = *session.find(key);
-        const auto* target = m_state->m_job_store.find(key.m_job);
-        const bool current = target != nullptr && target->has(key.m_task) &&
-                             target->at(key.m_task).m_run == run.m_run;
-        if (expected || !current ||
-            !is_suspect(run, target->at(key.m_task).m_crashes, last_heard_at)) {
-            continue;
-        }
-        crash seen{reason, std::nullopt};
-        if (run.m_ordered_at) {
-            seen.m_heard_after_start = remaining(*run.m_ordered_at, last_heard_at);
-        }
-        suspects.emplace_back(key, seen);
-    }
+    const auto instance = session.instance();
+    const auto suspects = m_crashes.suspects(session, keys, last_heard_at);
     for (const auto& key : keys) {
         mark_run_lost(session, key, reason);
     }
-    for (const auto& [key, seen] : suspects) {
-        blame(key, session.instance(), seen, now);
-    }
-}
-
-void run_tracker::blame(const run_key& key, const worker_instance& instance, const crash& seen,
-                        moment now)
-{
-    auto* target = m_state->m_job_store.find(key.m_job);
-    if (target->phase() != job_phase::active) {
-        return;
-    }
-    const auto crashes = target->record_crash(key.m_task, crash_limit, now.m_unix_ms);
-    m_state->changed(key.m_job);
-    const auto heard = seen.m_heard_after_start
-                           ? fmt::format("{} ms after the start", seen.m_heard_after_start->count())
-                           : std::string{"under a predecessor"};
-    m_state->log_run("crash_blamed", key, instance.m_worker,
-                     fmt::format("crash {}, {}, last heard of {}", crashes, seen.m_reason, heard));
-    if (target->phase() != job_phase::active) {
-        m_state->log_run("task_given_up", key, instance.m_worker, "crashes its workers");
-        end_job(*target, now);
-    }
-}
-
-void run_tracker::clear_survivors(worker_session& session)
-{
-    for (const auto& [key, listed] : session.runs()) {
-        if (!listed.m_on_trial || !has_survived(listed, session.last_heard_at())) {
-            continue;
-        }
-        session.find(key)->m_on_trial = false;
-        auto* target = m_state->m_job_store.find(key.m_job);
-        if (target != nullptr && target->has(key.m_task) &&
-            target->at(key.m_task).m_run == listed.m_run) {
-            m_state->log_run("suspect_cleared", key, session.id(), "");
-            target->clear_crashes(key.m_task);
-            m_state->changed(key.m_job);
+    for (const auto& suspect : suspects) {
+        if (m_crashes.blame(suspect, instance, reason, now)) {
+            end_job(*m_state->m_job_store.find(suspect.m_key.m_job), now);
         }
     }
 }
@@ -503,7 +392,7 @@
 
 void run_tracker::stop_job(const job& target, time_point now)
 {
-    for (const auto& ref : placed_tasks_of(target)) {
+    for (const auto& ref : target.placed_refs()) {
         if (auto* session = m_state->find_worker(target.at(ref).m_placed_on.m_worker)) {
             stop_run(*session, {target.header().m_id, ref}, now);
         }
