Let an entry's graceful shutdown answer every request that reaches it

Cause: the caller server ended by stopping its loop. Connections were closed as they were: a request that had been read, or that was on its way on an idle connection, was reset, and so were connections in the listener's backlog. libcurl repeats such a GET on a new connection, which is refused.

Ruled out: a timeout (the test took 26.6 s, a call may take 30), an entry that ended with calls open (its exit code is checked), planners (none sends to the callers' port).

Change: a server may have a closing response. Its destruction then stops new handshakes, accepts the connections that were made, waits for the responses to requests that were read, and sends the closing response on every connection that waits for a request before it ends that direction. A request that crosses it gets this response and does not run. The entry uses its refusal "shutting_down".

Failed tries: to ask for the farewell before the record's lock; a connection that began to read at that moment was passed over, and one stop in about 50 waited out its second for it.

--- a/include/peridotrudder/entry/caller_api.hpp
+++ b/include/peridotrudder/entry/caller_api.hpp
@@ -63,4 +63,7 @@
 /// Returns the HTTP response for a caller whose request had the outcome `result`.
 http_response to_response(const std::string& request_id, const outcome& result);
 
+/// Returns the response for callers whose requests arrive while the entry closes its connections.
+http_response closing_response();
+
 } // namespace peridotrudder
--- a/include/peridotrudder/links/http_server.hpp
+++ b/include/peridotrudder/links/http_server.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace peridotrudder {
@@ -33,6 +34,9 @@
     milliseconds m_read_timeout{10'000};
     /// Time limit for a handler to respond.
     milliseconds m_handle_timeout{700'000};
+    /// For a server on its own threads: what callers get whose requests arrive while it is being
+    /// destroyed. Without it, connections are closed as they are, which may cut off a request.
+    std::optional<http_response> m_closing_response;
 };
 
 /// Why a server did not start: the address could not be bound or is not an IP address.
@@ -61,7 +65,10 @@
     http_server& operator=(const http_server&) = delete;
     http_server(http_server&&) = delete;
     http_server& operator=(http_server&&) = delete;
-    /// Closes all connections and joins the threads.
+    /// Closes all connections and joins the threads. With a closing response, first accepts the
+    /// callers that have connected, waits up to a second for the responses to the requests that
+    /// were read, and sends the closing response on every other connection, also on idle ones: a
+    /// request may be on its way. Such a request does not run.
     ~http_server();
 
     class implementation;
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -122,6 +122,11 @@
     return response;
 }
 
+http_response closing_response()
+{
+    return to_response(random_hex(request_id_bytes), not_run(refusal::shutting_down));
+}
+
 caller_api::caller_api(request_router& router, entry_metrics& metrics, span_store& spans)
     : m_router{router},
       m_metrics{metrics},
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -186,6 +186,7 @@
         options.m_port = m_settings.m_caller_port;
         options.m_threads = m_settings.m_caller_threads;
         options.m_max_body_bytes = m_settings.m_max_body_bytes;
+        options.m_closing_response = closing_response();
         return start_server(options, m_caller_server,
                             [this](http_request request, const http_responder& respond) {
                                 m_callers.handle(std::move(request), respond);
--- a/src/links/http_server.cpp
+++ b/src/links/http_server.cpp
@@ -1,8 +1,13 @@
 #include "peridotrudder/links/http_server.hpp"
 
+#include "links/open_connections.hpp"
+
 #include <restinio/all.hpp>
 
+#include <future>
+#include <thread>
 #include <utility>
+#include <vector>
 
 namespace peridotrudder {
 
@@ -13,6 +18,7 @@
 
 struct server_traits : public restinio::default_traits_t {
     using request_handler_t = restinio_handler;
+    using stream_socket_t = internal::recorded_socket;
 };
 
 /// Traits for a server whose loop is run by one thread.
@@ -23,6 +29,10 @@
 constexpr std::size_t max_url_bytes = 8'192;
 constexpr std::size_t max_header_bytes = 16'384;
 constexpr std::size_t max_headers = 64;
+/// Time in which a closing server must have answered the requests that it has read.
+constexpr milliseconds answer_time{1'000};
+/// Time for which a closing server waits for callers to close their connections after the farewell.
+constexpr milliseconds linger_time{200};
 
 http_request read_request(const restinio::request_handle_t& handle)
 {
@@ -125,20 +135,94 @@
 
 namespace {
 
-/// Runs on threads created by RESTinio.
+/// Returns the response as it is sent on a connection that closes after it.
+std::string to_farewell(const http_response& response)
+{
+    const auto line = status_line(response.m_status);
+    auto text = fmt::format("HTTP/1.1 {} {}\r\nConnection: close\r\nContent-Length: {}\r\n",
+                            response.m_status, line.reason_phrase(), response.m_body.size());
+    for (const auto& header : response.m_headers) {
+        text += fmt::format("{}: {}\r\n", header.m_name, header.m_value);
+    }
+    return text + "\r\n" + response.m_body;
+}
+
+/// Runs on threads of its own.
 class threaded_server : public http_server::implementation {
 public:
     threaded_server(const http_server_options& options, http_handler handler)
-        : m_running{restinio::run_async(restinio::own_io_context(),
-                                        make_settings<server_traits>(options, std::move(handler)),
-                                        options.m_threads)}
+        : m_closing_response{options.m_closing_response},
+          m_connections{asio::use_service<internal::open_connections>(m_loop)},
+          m_server{restinio::external_io_context(m_loop),
+                   make_own_settings(options, std::move(handler))}
     {
+        m_server.open_sync();
+        for (std::size_t count = 0; count < options.m_threads; ++count) {
+            m_threads.emplace_back([this] { m_loop.run(); });
+        }
+    }
+
+    threaded_server(const threaded_server&) = delete;
+    threaded_server& operator=(const threaded_server&) = delete;
+    threaded_server(threaded_server&&) = delete;
+    threaded_server& operator=(threaded_server&&) = delete;
+
+    ~threaded_server() override
+    {
+        const auto deadline = std::chrono::steady_clock::now() + answer_time;
+        if (m_closing_response) {
+            m_connections.start_closing(to_farewell(*m_closing_response));
+            internal::stop_handshakes(m_listener, deadline);
+        }
+        std::promise<void> closed;
+        asio::post(m_loop, [this, &closed] {
+            m_server.close_sync();
+            closed.set_value();
+        });
+        closed.get_future().wait();
+        if (m_closing_response) {
+            m_connections.wait_until_closed(linger_time, deadline);
+        }
+        m_loop.stop();
+        for (auto& thread : m_threads) {
+            thread.join();
+        }
     }
 
 private:
-    using handle = decltype(restinio::run_async<server_traits>(
-        restinio::own_io_context(), restinio::server_settings_t<server_traits>{}, 1));
-    handle m_running;
+    restinio::server_settings_t<server_traits> make_own_settings(const http_server_options& options,
+                                                                 http_handler handler)
+    {
+        auto settings = make_settings<server_traits>(
+            options, [this, handler = std::move(handler)](http_request request,
+                                                          const http_responder& respond) {
+                handle(handler, std::move(request), respond);
+            });
+        settings.acceptor_post_bind_hook(
+            [this](asio::ip::tcp::acceptor& acceptor) { m_listener = acceptor.native_handle(); });
+        return settings;
+    }
+
+    void handle(const http_handler& handler, http_request request, const http_responder& respond)
+    {
+        // The farewell may have been sent on this connection: then the caller takes it for the
+        // response, so the request must not run.
+        if (m_connections.is_closing()) {
+            auto response = *m_closing_response;
+            response.m_close_connection = true;
+            respond(std::move(response));
+            return;
+        }
+        handler(std::move(request), respond);
+    }
+
+    std::optional<http_response> m_closing_response;
+    asio::io_context m_loop;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work{m_loop.get_executor()};
+    internal::open_connections& m_connections;
+    int m_listener{-1};
+    restinio::http_server_t<server_traits> m_server;
+    std::vector<std::thread> m_threads;
 };
 
 class loop_server : public http_server::implementation {
