Let a test keep the planner of an entry that it starts anew

Cause: start_entry overwrote the id of the entry's planner with that of a new one, so nothing ended the former one.

Change: the planner is a process of its own, as for an operator, so it goes on while its entry is started anew; and start fails for a name whose process was not stopped.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -6,10 +6,15 @@
 run_dir=$(mktemp -d)
 declare -A pids=()
 
-# start NAME COMMAND...: starts a process in the background; its log goes to the run folder.
+# start NAME COMMAND...: starts a process in the background; its log goes to the run folder. Fails if
+# a process of this name was started and not stopped, since its id would be lost.
 start() {
     local name=$1
     shift
+    if [ -n "${pids[$name]:-}" ]; then
+        echo "already started: $name" >&2
+        return 1
+    fi
     "$@" >"$run_dir/$name.log" 2>&1 &
     pids[$name]=$!
 }
@@ -92,10 +97,13 @@
     wait_until 10 curl -sf "http://127.0.0.1:$platform_port/vms"
 }
 
-# start_entry NUMBER: starts one entry and its planner.
+# start_entry NUMBER: starts one entry, and its planner unless it runs: it is a process of its own and
+# goes on while its entry is started anew.
 start_entry() {
     start "entry-$1" "$build_dir/apps/peridot-entry" --settings "$conf/entry-$1.ini"
-    start "planner-$1" "$build_dir/apps/peridot-planner" --settings "$conf/entry-$1.ini"
+    if [ -z "${pids[planner-$1]:-}" ]; then
+        start "planner-$1" "$build_dir/apps/peridot-planner" --settings "$conf/entry-$1.ini"
+    fi
 }
 
 # start_system CONF: starts the stand-ins and every entry of a configuration folder, and applies its
