Keep libcurl from repeating holds that let a worker forget ends

Found by review. A hold on a reused connection that is reset is sent again by libcurl on another one. The connection may have ended with the worker, and the next incarnation then drops ends unread that have the numbers of the former one's. Ruled out by reading: last-seen is zero while the incarnation is in doubt, but the repeat belongs to the transport, and the owner does not learn of it.

Starts and stops may be repeated as before (their refusals count as no answer): on one incarnation they are idempotent, and a later one's list decides.

--- a/include/peridotrudder/links/http_client.hpp
+++ b/include/peridotrudder/links/http_client.hpp
@@ -28,6 +28,9 @@
     /// Whether an idle connection may be used. libcurl sends a request again by itself when a
     /// reused connection turns out to be dead, so this must be false for what may run only once.
     bool m_may_reuse_connection{true};
+    /// Whether a request on an idle connection that turns out to be dead is sent again. If not, the
+    /// call fails as `broken`.
+    bool m_may_be_repeated{true};
     std::size_t m_max_answer_bytes{16'777'216};
     /// A header that the answer must repeat, so that another request's answer is not accepted.
     std::optional<http_header> m_required_header;
--- a/src/links/http_transfer.hpp
+++ b/src/links/http_transfer.hpp
@@ -187,8 +187,10 @@
     static int on_attempt(void* self, char* /*remote_address*/, char* /*local_address*/,
                           int /*remote_port*/, int /*local_port*/)
     {
-        ++static_cast<transfer*>(self)->m_attempts;
-        return CURL_PREREQFUNC_OK;
+        auto& sent = *static_cast<transfer*>(self);
+        ++sent.m_attempts;
+        const bool permitted = sent.m_attempts == 1 || sent.m_call.m_may_be_repeated;
+        return permitted ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
     }
 
     static std::size_t on_body(char* data, std::size_t size, std::size_t count, void* self)
--- a/test/links/http_client_test.cpp
+++ b/test/links/http_client_test.cpp
@@ -104,6 +104,7 @@
     CPPUNIT_TEST_SUITE(http_client_test);
     CPPUNIT_TEST(request_on_a_dead_connection_is_not_sent_twice);
     CPPUNIT_TEST(libcurl_repeats_a_request_on_a_reused_connection);
+    CPPUNIT_TEST(request_that_may_not_be_repeated_was_repeated_on_another_connection);
     CPPUNIT_TEST(refused_connection_is_reported_as_not_connected);
     CPPUNIT_TEST(request_that_was_received_before_a_reset_is_not_reported_as_not_sent);
     CPPUNIT_TEST(answer_that_ends_early_is_incomplete);
@@ -138,6 +139,20 @@
         CPPUNIT_ASSERT_EQUAL(3, server.requests());
     }
 
+    // A hold that was repeated reached the next incarnation, which dropped its ends unread.
+    void request_that_may_not_be_repeated_was_repeated_on_another_connection()
+    {
+        const scripted_server server{whole_answer};
+        const auto client = http_client::create();
+        auto call = make_call(server.url());
+        CPPUNIT_ASSERT(send_and_wait(*client, call).has_value());
+        call.m_may_be_repeated = false;
+        const auto result = send_and_wait(*client, call);
+        CPPUNIT_ASSERT(!result && result.error() == transport_fault::broken);
+        CPPUNIT_ASSERT_EQUAL(2, server.requests());
+        CPPUNIT_ASSERT(send_and_wait(*client, call).has_value());
+    }
+
     void refused_connection_is_reported_as_not_connected()
     {
         const auto result = fetch(make_call("http://127.0.0.1:1/"));
