Give a new incarnation no work before its own capacity is known

Found by review. After a restart under the same id an owner learns of the new incarnation from an answered hold, up to 1.5 s before its entry comes, and filled it up to the capacity of the former one.

Ruled out: starts that were under way at the restart. No owner can take them back, so the simulation does not count them against the new incarnation; what starts after it has to fit beside them.

Change: a session that a hold has shown another incarnation of gets no work until an entry with that birth is there. Until then other workers get the tasks.

Measured: the simulation gives new incarnations other capacities, which count at once. Before: the directed test and the property of restarts fail (second case).

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -237,6 +237,8 @@
     time_point m_created_at;
     bool m_listed{true};
     bool m_token_confirmed{false};
+    /// The report is one of the incarnation that answers: a later one may be of another kind.
+    bool m_capacity_known{true};
     /// Since when the list shows another incarnation than the one that answered last.
     std::optional<time_point> m_restart_suspected_at;
     /// Birth of the incarnation that the list showed last; zero if none since the last restart.
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -25,6 +25,8 @@
 {
     worker_session session;
     session.m_report = std::move(report);
+    // A worker that is only known from records has no address yet.
+    session.m_capacity_known = session.m_report.m_port != 0;
     session.m_fence = fence;
     session.m_options = options;
     session.m_created_at = now;
@@ -53,6 +55,7 @@
     const auto born_ms = instance().m_born_ms;
     const bool moved = report.m_address != m_report.m_address || report.m_port != m_report.m_port;
     m_report = report;
+    m_capacity_known = m_capacity_known || !reborn;
     if (reborn) {
         m_report.m_instance.m_born_ms = born_ms;
         if (m_unconfirmed.count(report.m_instance.m_born_ms) == 0) {
@@ -80,8 +83,8 @@
 
 bool worker_session::takes_work(time_point now) const
 {
-    return m_listed && m_token_confirmed && !m_restart_suspected_at && !m_report.m_draining &&
-           m_missed_answers == 0 && now >= m_no_work_until;
+    return m_listed && m_capacity_known && m_token_confirmed && !m_restart_suspected_at &&
+           !m_report.m_draining && m_missed_answers == 0 && now >= m_no_work_until;
 }
 
 void worker_session::note_start(time_point suspect_until, bool on_trial)
@@ -341,6 +344,7 @@
     auto new_session = create(m_report, m_fence + 1, m_options, now);
     new_session.m_report.m_instance.m_born_ms = born_ms;
     new_session.m_listed = m_listed;
+    new_session.m_capacity_known = m_listed_born_ms == born_ms;
     new_session.m_former = m_former;
     // Only a hold shows that a birth is an incarnation's.
     const bool confirmed = m_answered_at != time_point{};
--- a/test/machines/worker_session_test.cpp
+++ b/test/machines/worker_session_test.cpp
@@ -493,6 +493,9 @@
         session.hold_answered(first_answer, start, start);
         session.hold_answered(make_answer(0), start, start);
         confirm(session, start);
+        CPPUNIT_ASSERT_MESSAGE("the capacity is the former incarnation's",
+                               !session.takes_work(start));
+        session.update(make_report(500), start);
         auto earlier_report = make_report(400);
         earlier_report.m_pool = "other";
         session.update(earlier_report, start);
