Leave only the odd entry out of the platform's list of VMs

One VM without a field, with a field of another type, nested deeply or with a number too large voided the whole list: no plan, no crash seen, as long as it stayed. A state that is not named counted as down, which ended the runs of a worker that still ran.

Cause: the list was decoded as one value, and unknown states fell back to `down`. Leaving an entry out is not enough: a worker on no listed VM counts as ended, a VM that is not listed as gone from its wave.

Ruled out: parsing with a handler that skips the odd part, since the library cannot go on after a number beyond the range; each element of the list is parsed alone if the whole text is refused.

Change: the list tells how many entries were unreadable. While there are any, VMs that it does not name keep their last entry, get no orders and are neither gone nor back for a wave; a worker has ended only if the entry of its VM can be read and shows it.

Open: a VM that has really gone is kept while the list stays incomplete. A wave that names a VM whose entry stays odd is not completed.

--- a/include/peridotrudder/base/codec.hpp
+++ b/include/peridotrudder/base/codec.hpp
@@ -362,6 +362,10 @@
 /// Returns the JSON value in `text`, or `malformed`, also if it nests deeper than `max_nesting`.
 tl::expected<nlohmann::json, decode_error> parse_json(std::string_view text);
 
+/// Like `parse_json` for an object, but an element of one of its arrays that `parse_json` refuses
+/// becomes null, so that it does not make the other elements unreadable.
+tl::expected<nlohmann::json, decode_error> parse_json_items(std::string_view text);
+
 /// Returns the value in the CBOR bytes, or `malformed`, also if it nests deeper than `max_nesting`.
 tl::expected<nlohmann::json, decode_error> parse_cbor(gsl::span<const std::uint8_t> bytes);
 
--- a/include/peridotrudder/planning/vm_control.hpp
+++ b/include/peridotrudder/planning/vm_control.hpp
@@ -75,8 +75,15 @@
     std::uint64_t m_fence{0};
 };
 
-/// The complete VM list, or `std::nullopt` if it could not be read.
-using platform_vm_list = std::optional<std::vector<platform_vm>>;
+/// The platform's VM list.
+struct platform_vms {
+    std::vector<platform_vm> m_vms;
+    /// Number of entries that could not be read. A VM that is not in `m_vms` may be one of them.
+    std::size_t m_unreadable{0};
+};
+
+/// All pages of the VM list, or `std::nullopt` if one could not be read.
+using platform_vm_list = std::optional<platform_vms>;
 
 /// Calls to the platform's VM control. Callbacks run later, on the caller's loop.
 struct vm_port {
--- a/include/peridotrudder/planning/vm_fleet.hpp
+++ b/include/peridotrudder/planning/vm_fleet.hpp
@@ -40,7 +40,12 @@
 
 /// A VM and the order that is pending for it.
 struct managed_vm {
+    /// The VM's newest entry that could be read.
     platform_vm m_listed;
+    /// The newest list has unreadable entries, and this VM may be one of them.
+    bool m_unreadable{false};
+    /// The worker that the VM had before its present one.
+    std::string m_former_worker;
     /// Since when nothing runs on the VM.
     std::optional<time_point> m_idle_since;
     /// The pending order; it is repeated until it is answered.
@@ -84,6 +89,10 @@
     {
         return m_newest_list_requested_at;
     }
+    /// Returns whether the newest list names all VMs: only then is a VM gone that it does not name.
+    bool list_complete() const { return m_unreadable_entries == 0; }
+    /// Returns those of the workers that the newest list shows to have ended.
+    std::vector<std::string> ended_workers(const std::vector<std::string>& workers) const;
     /// Returns whether a predecessor's order to the VM may still be pending.
     bool ordered_by_predecessor(const managed_vm& managed, time_point now) const;
     /// Returns whether the VM may get a new order now.
@@ -107,7 +116,9 @@
     vm_fleet(vm_fleet_options options, std::uint64_t fence, vm_fleet_hooks hooks);
 
     void read_list(time_point now);
-    void apply_list(const std::vector<platform_vm>& listed_vms, time_point asked_at);
+    void apply_list(const platform_vms& list, time_point asked_at);
+    void update(managed_vm& managed, const platform_vm& listed);
+    void log_unreadable(std::size_t unreadable);
     void log_change(const platform_vm& before, const platform_vm& after);
     void set_order(managed_vm& managed, vm_order sent_order, time_point now);
     void send_order(const std::string& vm_id);
@@ -117,6 +128,7 @@
     std::uint64_t m_fence{0};
     vm_fleet_hooks m_hooks;
     std::map<std::string, managed_vm> m_managed_vms;
+    std::size_t m_unreadable_entries{0};
     /// VMs that a predecessor ordered, and when they may be ordered again.
     std::map<std::string, time_point> m_predecessor_lease_ends;
     std::optional<time_point> m_newest_list_requested_at;
--- a/src/base/codec.cpp
+++ b/src/base/codec.cpp
@@ -36,13 +36,11 @@
     int m_depth{0};
 };
 
-/// Returns whether the JSON text nests deeper than `max_nesting`. Finds it before a tree is built,
-/// which takes many times the memory of the text.
-bool nests_too_deep(std::string_view text)
+/// Returns the position of the next bracket, brace or comma that is not within a string.
+std::size_t next_structural(std::string_view text, std::size_t from)
 {
-    int depth = 0;
     bool in_string = false;
-    for (std::size_t index = 0; index < text.size(); ++index) {
+    for (std::size_t index = from; index < text.size(); ++index) {
         const char character = text[index];
         if (in_string) {
             index += character == '\\' ? 1 : 0;
@@ -50,20 +48,86 @@
             continue;
         }
         in_string = character == '"';
-        if (character == '[' || character == '{') {
-            if (++depth > max_nesting) {
-                return true;
-            }
+        if (std::string_view{"[]{},"}.find(character) != std::string_view::npos) {
+            return index;
         }
-        else if (character == ']' || character == '}') {
-            --depth;
+    }
+    return text.size();
+}
+
+bool opens(char character)
+{
+    return character == '[' || character == '{';
+}
+
+bool closes(char character)
+{
+    return character == ']' || character == '}';
+}
+
+/// Returns whether the JSON text nests deeper than `levels`. Finds it before a tree is built, which
+/// takes many times the memory of the text.
+bool nests_too_deep(std::string_view text, int levels = max_nesting)
+{
+    int depth = 0;
+    for (auto index = next_structural(text, 0); index < text.size();
+         index = next_structural(text, index + 1)) {
+        depth += opens(text[index]) ? 1 : 0;
+        depth -= closes(text[index]) ? 1 : 0;
+        if (depth > levels) {
+            return true;
         }
     }
     return false;
 }
 
+/// Returns whether an element of an array of an object can be parsed. Blank text is no element.
+bool is_readable_item(std::string_view text)
+{
+    constexpr int outer_levels = 2;
+    return text.find_first_not_of(" \t\r\n") == std::string_view::npos ||
+           (!nests_too_deep(text, max_nesting - outer_levels) && nlohmann::json::accept(text));
+}
+
+/// Returns the text of an object with null instead of each unreadable element of its arrays.
+std::string without_odd_items(std::string_view text)
+{
+    constexpr std::string_view items = "{[";
+    std::string kept;
+    std::string containers;
+    std::size_t begin = 0;
+    for (auto index = next_structural(text, 0); index < text.size();
+         index = next_structural(text, index + 1)) {
+        const char character = text[index];
+        if (containers == items && !opens(character)) {
+            const auto item = text.substr(begin, index - begin);
+            kept += is_readable_item(item) ? item : "null";
+            begin = index;
+        }
+        if (opens(character)) {
+            containers.push_back(character);
+        }
+        else if (closes(character) && !containers.empty()) {
+            containers.pop_back();
+        }
+        // An element begins here; what comes before it is copied as it is.
+        if (containers == items && !closes(character)) {
+            kept += text.substr(begin, index + 1 - begin);
+            begin = index + 1;
+        }
+    }
+    kept += text.substr(begin);
+    return kept;
+}
+
 } // namespace
 
+tl::expected<nlohmann::json, decode_error> parse_json_items(std::string_view text)
+{
+    auto whole = parse_json(text);
+    return whole ? whole : parse_json(without_odd_items(text));
+}
+
 tl::expected<nlohmann::json, decode_error> parse_json(std::string_view text)
 {
     if (nests_too_deep(text)) {
--- a/src/planning/fleet_planner.cpp
+++ b/src/planning/fleet_planner.cpp
@@ -113,14 +113,14 @@
             const auto listed = vms.find(id);
             if (listed == vms.end()) {
                 // The VM is no longer listed: there is nothing left to maintain.
-                if (wave.m_begun.count(id) == 0) {
+                if (m_fleet->list_complete() && wave.m_begun.count(id) == 0) {
                     m_waves.mark_gone(wave, id);
                 }
                 continue;
             }
             const auto& managed = listed->second;
             const bool back = managed.m_listed.m_state == platform_vm_state::up &&
-                              !managed.m_order &&
+                              !managed.m_unreadable && !managed.m_order &&
                               asked_at - managed.m_order_answered_at > m_options.m_maintenance_time;
             if (back && wave.m_away.count(id) != 0) {
                 m_waves.mark_returned(wave, id);
@@ -167,19 +167,13 @@
 {
     // The list shows a crash long before the leases expire. A worker that is on no listed VM, or on
     // one that is down, has ended.
-    std::set<std::string> up;
-    for (const auto& [id, managed] : m_fleet->vms()) {
-        if (managed.m_listed.m_state != platform_vm_state::down) {
-            up.insert(managed.m_listed.m_worker);
-        }
-    }
-    std::vector<std::string> ended;
+    std::vector<std::string> used;
     for (const auto& [id, session] : scheduler.state().m_workers) {
-        if (up.count(id) == 0 && !session.runs().empty()) {
-            ended.push_back(id);
+        if (!session.runs().empty()) {
+            used.push_back(id);
         }
     }
-    for (const auto& id : ended) {
+    for (const auto& id : m_fleet->ended_workers(used)) {
         scheduler.worker_down(id, *m_fleet->newest_list_requested_at(), now);
     }
 }
--- a/src/planning/vm_fleet.cpp
+++ b/src/planning/vm_fleet.cpp
@@ -62,9 +62,9 @@
 
 bool vm_fleet::can_be_ordered(const managed_vm& managed, time_point now) const
 {
-    return managed.m_listed.m_state == platform_vm_state::up && !managed.m_order &&
-           managed.m_destination_pool.empty() && managed.m_leaving_for_wave == 0 &&
-           !ordered_by_predecessor(managed, now);
+    return managed.m_listed.m_state == platform_vm_state::up && !managed.m_unreadable &&
+           !managed.m_order && managed.m_destination_pool.empty() &&
+           managed.m_leaving_for_wave == 0 && !ordered_by_predecessor(managed, now);
 }
 
 std::int64_t vm_fleet::mean_cpu_millis() const
@@ -124,41 +124,90 @@
     m_list_in_flight = true;
     m_list_requested_at = now;
     const std::weak_ptr<vm_fleet*> self = m_self;
-    m_hooks.m_vms.m_list([self, now](const platform_vm_list& listed_vms) {
+    m_hooks.m_vms.m_list([self, now](const platform_vm_list& list) {
         const auto alive = self.lock();
         if (!alive) {
             return;
         }
         (*alive)->m_list_in_flight = false;
-        if (listed_vms) {
-            (*alive)->apply_list(*listed_vms, now);
+        if (list) {
+            (*alive)->apply_list(*list, now);
         }
     });
 }
 
-void vm_fleet::apply_list(const std::vector<platform_vm>& listed_vms, time_point asked_at)
+void vm_fleet::apply_list(const platform_vms& list, time_point asked_at)
 {
+    log_unreadable(list.m_unreadable);
+    m_unreadable_entries = list.m_unreadable;
+    const auto is_overdue = [asked_at](const managed_vm& managed) {
+        return asked_at - managed.m_order_answered_at > arrival_patience;
+    };
     std::set<std::string> listed_ids;
-    for (const auto& listed : listed_vms) {
+    for (const auto& listed : list.m_vms) {
         listed_ids.insert(listed.m_id);
         auto& managed = m_managed_vms[listed.m_id];
-        log_change(managed.m_listed, listed);
-        managed.m_listed = listed;
+        update(managed, listed);
         const bool arrived =
             listed.m_state == platform_vm_state::up && listed.m_pool == managed.m_destination_pool;
-        const bool overdue = asked_at - managed.m_order_answered_at > arrival_patience;
         if (!managed.m_destination_pool.empty() && asked_at > managed.m_order_answered_at &&
-            (arrived || overdue)) {
+            (arrived || is_overdue(managed))) {
             managed.m_destination_pool.clear();
         }
     }
     for (auto entry = m_managed_vms.begin(); entry != m_managed_vms.end();) {
-        entry = listed_ids.count(entry->first) != 0 ? std::next(entry) : m_managed_vms.erase(entry);
+        const bool is_listed = listed_ids.count(entry->first) != 0;
+        entry->second.m_unreadable = !is_listed;
+        if (!is_listed && is_overdue(entry->second)) {
+            entry->second.m_destination_pool.clear();
+        }
+        entry = is_listed || !list_complete() ? std::next(entry) : m_managed_vms.erase(entry);
     }
     m_newest_list_requested_at = asked_at;
     m_hooks.m_listed(asked_at);
 }
 
+void vm_fleet::update(managed_vm& managed, const platform_vm& listed)
+{
+    log_change(managed.m_listed, listed);
+    if (!managed.m_listed.m_worker.empty() && managed.m_listed.m_worker != listed.m_worker) {
+        managed.m_former_worker = managed.m_listed.m_worker;
+    }
+    managed.m_listed = listed;
+}
+
+std::vector<std::string> vm_fleet::ended_workers(const std::vector<std::string>& workers) const
+{
+    std::set<std::string> up;
+    std::set<std::string> seen_ended;
+    for (const auto& [id, managed] : m_managed_vms) {
+        if (managed.m_listed.m_state != platform_vm_state::down) {
+            up.insert(managed.m_listed.m_worker);
+        }
+        else if (!managed.m_unreadable) {
+            seen_ended.insert(managed.m_listed.m_worker);
+        }
+        if (!managed.m_unreadable) {
+            seen_ended.insert(managed.m_former_worker);
+        }
+    }
+    std::vector<std::string> ended;
+    for (const auto& worker : workers) {
+        // The VM of a worker that an incomplete list does not name may be an unreadable entry.
+        if (up.count(worker) == 0 && (list_complete() || seen_ended.count(worker) != 0)) {
+            ended.push_back(worker);
+        }
+    }
+    return ended;
+}
+
+void vm_fleet::log_unreadable(std::size_t unreadable)
+{
+    if (unreadable != m_unreadable_entries) {
+        m_hooks.m_decided({"vm_entries_unreadable", "", "", std::to_string(unreadable)});
+    }
+}
+
 void vm_fleet::log_change(const platform_vm& before, const platform_vm& after)
 {
     const bool same = before.m_state == after.m_state && before.m_worker == after.m_worker &&
