Sum estimated work as real numbers

The product of both fits into 64 bits, the sum over four tasks does not, nor does the sum of work times chain over accepted jobs: undefined, in practice a negative demand, a wrong share of the pools and a job admitted behind any backlog.

Ruled out: a lower bound for each value, since 20,000 tasks and any number of jobs would need one below what users send.

Change: work, backlog and the totals of accepted work are real numbers; what becomes an integer again is bounded first. Sums of processor fit: 2e12 for a job at its limits.

Not run with the sanitizer for overflow in this commit.

--- a/include/peridotrudder/planning/pool_demand.hpp
+++ b/include/peridotrudder/planning/pool_demand.hpp
@@ -30,7 +30,7 @@
     std::int64_t m_placed{0};
     /// Estimated work of the tasks without a run, in thousandths of a core times milliseconds.
     /// Jobs that can no longer end in time to be useful don't count.
-    std::int64_t m_backlog{0};
+    double m_backlog{0.0};
 };
 
 /// Measures and forecasts the demand of each pool.
--- a/include/peridotrudder/scheduling/admission.hpp
+++ b/include/peridotrudder/scheduling/admission.hpp
@@ -14,7 +14,7 @@
 struct pool_outlook {
     /// Estimated work of tasks that have no run, in thousandths of a core times milliseconds. Jobs
     /// that are too late to be useful are not counted, since they are placed last.
-    std::int64_t m_backlog{0};
+    double m_backlog{0.0};
     /// CPU, in thousandths of a core, that tasks ready to start are waiting for; zero while all
     /// fit.
     std::int64_t m_waiting_cpu{0};
@@ -22,7 +22,7 @@
     /// can still be moved to it.
     std::int64_t m_cpu{0};
     /// Total work of short jobs accepted before the measurement, in the unit of `m_backlog`.
-    std::int64_t m_accepted_work{0};
+    double m_accepted_work{0.0};
 };
 
 struct admission_decision {
@@ -39,6 +39,6 @@
 /// job while no ready task waits for CPU. `accepted_work` is the total work of short jobs accepted
 /// in the pool so far.
 admission_decision decide_admission(const job_spec& spec, const queue_config& queue,
-                                    const pool_outlook& outlook, std::int64_t accepted_work);
+                                    const pool_outlook& outlook, double accepted_work);
 
 } // namespace peridotrudder
--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -85,12 +85,13 @@
     milliseconds m_retention{120'000};
 };
 
-/// Totals over accepted jobs, based on their estimates.
+/// Totals over accepted jobs, based on their estimates. They grow as long as the owner serves,
+/// beyond any integer if estimates are absurd.
 struct accepted_total {
     /// Work, in thousandths of a core times milliseconds.
-    std::int64_t m_work{0};
+    double m_work{0.0};
     /// Sum of each job's work times the milliseconds of its longest chain.
-    std::int64_t m_work_by_chain{0};
+    double m_work_by_chain{0.0};
     std::int64_t m_jobs{0};
 };
 
--- a/src/planning/fleet_planner.cpp
+++ b/src/planning/fleet_planner.cpp
@@ -348,7 +348,7 @@
         outlook.m_waiting_cpu = load.m_waiting;
         outlook.m_cpu = usable_vms * m_fleet->mean_cpu_millis() - load.m_long_running;
         outlook.m_accepted_work =
-            accepted == scheduler.state().m_accepted_work.end() ? 0 : accepted->second.m_work;
+            accepted == scheduler.state().m_accepted_work.end() ? 0.0 : accepted->second.m_work;
         outlooks.emplace(pool, outlook);
     }
     scheduler.set_outlooks(std::move(outlooks));
--- a/src/planning/pool_demand.cpp
+++ b/src/planning/pool_demand.cpp
@@ -20,6 +20,9 @@
 /// Minimum of the remaining time that a job's work is divided by, so that an almost or already late
 /// job does not count as unlimited demand.
 constexpr std::int64_t min_time_left_ms = 400;
+/// Limit of a demand of processor that is an estimate, in thousandths of a core: a million VMs with
+/// a thousand cores each.
+constexpr double max_cpu_millis = 1e12;
 /// Share of a VM's processor that tasks of mixed sizes can use.
 constexpr double usable_share = 0.85;
 
@@ -58,23 +61,31 @@
     return std::max(ready, widest_blocked);
 }
 
+/// Returns the estimated work of one task, in thousandths of a core times milliseconds. As a real
+/// number, since the sum over a job's tasks may exceed any integer.
+double work_of_task(const step_spec& step)
+{
+    return static_cast<double>(step.m_task_resources.m_cpu_millis) *
+           static_cast<double>(step.m_estimate.count());
+}
+
 /// Returns the occurrence's remaining work, in thousandths of a core times milliseconds, and adds
 /// its ready and its placed tasks to the load.
-std::int64_t remaining_work(const job& pool_job, std::uint32_t occurrence, pool_load& load)
+double remaining_work(const job& pool_job, std::uint32_t occurrence, pool_load& load)
 {
-    std::int64_t work = 0;
+    double work = 0.0;
     for (std::uint32_t index = 0; index < pool_job.spec().m_steps.size(); ++index) {
         const auto& step = pool_job.spec().m_steps[index];
         const bool unblocked = pool_job.unblocked(occurrence, index);
         for (const auto& task : pool_job.tasks(occurrence, index)) {
-            const auto task_work = step.m_task_resources.m_cpu_millis * step.m_estimate.count();
+            const auto task_work = work_of_task(step);
             if (task.m_phase == task_phase::waiting) {
                 work += task_work;
                 load.m_waiting += unblocked ? step.m_task_resources.m_cpu_millis : 0;
             }
             else if (task.m_phase == task_phase::placed) {
                 // It has run for an unknown time: on average half of its work is left.
-                work += task_work / 2;
+                work += task_work / 2.0;
                 load.m_placed += step.m_task_resources.m_cpu_millis;
             }
         }
@@ -84,13 +95,12 @@
 
 /// Returns the estimated work of the occurrence's tasks that have no run, in thousandths of a core
 /// times milliseconds.
-std::int64_t waiting_work(const job& pool_job, std::uint32_t occurrence)
+double waiting_work(const job& pool_job, std::uint32_t occurrence)
 {
-    std::int64_t work = 0;
+    double work = 0.0;
     for (std::uint32_t index = 0; index < pool_job.spec().m_steps.size(); ++index) {
         const auto& step = pool_job.spec().m_steps[index];
-        work += pool_job.waiting(occurrence, index) * step.m_task_resources.m_cpu_millis *
-                step.m_estimate.count();
+        work += pool_job.waiting(occurrence, index) * work_of_task(step);
     }
     return work;
 }
@@ -113,8 +123,9 @@
             load.m_backlog += waiting_work(pool_job, occurrence);
         }
         // More processor than the tasks can use at once would not make a late job faster.
-        load.m_accepted += std::min(work / std::max(left_ms, min_time_left_ms),
-                                    most_cpu_at_once(pool_job, occurrence));
+        const auto needed_cpu = work / static_cast<double>(std::max(left_ms, min_time_left_ms));
+        load.m_accepted += static_cast<std::int64_t>(
+            std::min(needed_cpu, static_cast<double>(most_cpu_at_once(pool_job, occurrence))));
     }
 }
 
@@ -150,12 +161,13 @@
         const auto total = state.m_accepted_work.find(pool);
         update_arrivals(total == state.m_accepted_work.end() ? accepted_total{} : total->second,
                         passed, average);
-        load.m_arriving = static_cast<std::int64_t>(average.m_work_rate);
+        load.m_arriving = static_cast<std::int64_t>(std::min(average.m_work_rate, max_cpu_millis));
         const double remaining_share =
             std::exp(-static_cast<double>(m_lead.count()) / average.m_duration_ms);
-        load.m_forecast =
-            static_cast<std::int64_t>(static_cast<double>(load.m_accepted) * remaining_share +
-                                      average.m_work_rate * (1.0 - remaining_share));
+        load.m_forecast = static_cast<std::int64_t>(
+            std::min(static_cast<double>(load.m_accepted) * remaining_share +
+                         average.m_work_rate * (1.0 - remaining_share),
+                     max_cpu_millis));
     }
     return loads;
 }
@@ -163,9 +175,8 @@
 void pool_demand::update_arrivals(const accepted_total& total, double passed_ms,
                                   arrival_average& average) const
 {
-    const auto work = static_cast<double>(total.m_work - average.m_last_total.m_work);
-    const auto weighted =
-        static_cast<double>(total.m_work_by_chain - average.m_last_total.m_work_by_chain);
+    const auto work = total.m_work - average.m_last_total.m_work;
+    const auto weighted = total.m_work_by_chain - average.m_last_total.m_work_by_chain;
     const auto jobs = static_cast<double>(total.m_jobs - average.m_last_total.m_jobs);
     average.m_last_total = total;
     if (work > 0.0) {
--- a/src/scheduling/admission.cpp
+++ b/src/scheduling/admission.cpp
@@ -2,10 +2,19 @@
 
 #include "peridotrudder/scheduling/job_rank.hpp"
 
+#include <algorithm>
+
 namespace peridotrudder {
 
+namespace {
+
+/// Limit of the time that a job is expected to wait; no job's estimates come near it.
+constexpr double max_wait_ms = 1e15;
+
+} // namespace
+
 admission_decision decide_admission(const job_spec& spec, const queue_config& queue,
-                                    const pool_outlook& outlook, std::int64_t accepted_work)
+                                    const pool_outlook& outlook, double accepted_work)
 {
     admission_decision decision;
     const bool has_room = outlook.m_waiting_cpu == 0 || outlook.m_cpu <= 0;
@@ -13,7 +22,9 @@
         return decision;
     }
     const auto queued_work = outlook.m_backlog + accepted_work - outlook.m_accepted_work;
-    const milliseconds wait{queued_work / outlook.m_cpu};
+    const auto wait_ms = queued_work / static_cast<double>(outlook.m_cpu);
+    const milliseconds wait{
+        static_cast<std::int64_t>(std::clamp(wait_ms, -max_wait_ms, max_wait_ms))};
     const auto chain = longest_chain(spec);
     const auto useful = useful_time(chain, queue);
     if (wait + chain > useful) {
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -173,10 +173,10 @@
     m_state.m_schedulable_jobs.insert(id);
     if (!is_long_running(*call.m_spec)) {
         auto& total = m_state.m_accepted_work[queue.m_pool];
-        const auto work = estimated_work(*call.m_spec);
+        const auto work = static_cast<double>(estimated_work(*call.m_spec));
         total.m_work += work;
         ++total.m_jobs;
-        total.m_work_by_chain += work * longest_chain(*call.m_spec).count();
+        total.m_work_by_chain += work * static_cast<double>(longest_chain(*call.m_spec).count());
     }
     m_state.log("job_accepted", id, "", queue.m_name);
     answer_when_written(token, status_only(call_status::done), id);
@@ -195,8 +195,8 @@
         return false;
     }
     m_state.log("job_refused", id, "",
-                fmt::format("would end too late to be useful: backlog {} core ms, {} cores",
-                            outlook->second.m_backlog / millis_per_core,
+                fmt::format("would end too late to be useful: backlog {:.0f} core ms, {} cores",
+                            outlook->second.m_backlog / static_cast<double>(millis_per_core),
                             outlook->second.m_cpu / millis_per_core));
     auto answer = status_only(call_status::overloaded);
     answer.m_retry_after = decision.m_retry_after;
--- a/test/planning/fleet_planner_test.cpp
+++ b/test/planning/fleet_planner_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <fmt/format.h>
 
 namespace peridotrudder {
 
@@ -201,6 +202,7 @@
     CPPUNIT_TEST(successor_moves_no_task_while_its_predecessors_stops_may_be_pending);
     CPPUNIT_TEST(wave_is_spread_over_its_duration_with_a_reserve_for_outages);
     CPPUNIT_TEST(maintenance_that_a_predecessor_did_not_record_counts_as_away);
+    CPPUNIT_TEST(work_of_accepted_jobs_at_their_limits_was_negative);
     CPPUNIT_TEST(run_ended_because_the_entry_of_its_vm_was_unreadable);
     CPPUNIT_TEST(crash_was_not_seen_while_another_vms_entry_was_unreadable);
     CPPUNIT_TEST(wave_counted_a_vm_with_an_unreadable_entry_as_gone);
@@ -321,6 +323,28 @@
                        std::make_pair(std::string{"wave/1"}, true));
     }
 
+    // A sum beyond 64 bits is undefined.
+    void work_of_accepted_jobs_at_their_limits_was_negative()
+    {
+        fleet_fixture fleet;
+        for (int index = 0; index < 3; ++index) {
+            job_call call{call_kind::submit, "host", fmt::format("/queue/{:016x}", index),
+                          job_spec{}};
+            step_spec step;
+            step.m_count = 1'000;
+            step.m_task_resources.m_cpu_millis = 100'000'000;
+            step.m_estimate = milliseconds{31'536'000'000};
+            call.m_spec->m_steps.push_back(step);
+            fleet.m_scheduler->take_call(1, call, fleet.m_now);
+        }
+        const auto& total = fleet.m_scheduler->state().m_accepted_work.at("pool");
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{3}, total.m_jobs);
+        const double chain_ms = 31'536'000'000.0;
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(
+            chain_ms,
+            static_cast<double>(total.m_work_by_chain) / static_cast<double>(total.m_work), 1.0);
+    }
+
     // A run whose worker still runs is started a second time.
     void run_ended_because_the_entry_of_its_vm_was_unreadable()
     {
--- a/test/planning/pool_demand_test.cpp
+++ b/test/planning/pool_demand_test.cpp
@@ -90,9 +90,34 @@
     CPPUNIT_TEST(arrival_rate_follows_many_small_jobs_faster_than_few_large_ones);
     CPPUNIT_TEST(demand_follows_a_burst_up_and_down);
     CPPUNIT_TEST(late_job_demands_no_more_than_its_tasks_can_use_at_once);
+    CPPUNIT_TEST(work_of_jobs_at_their_limits_was_negative_demand);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Sums beyond 64 bits are undefined.
+    void work_of_jobs_at_their_limits_was_negative_demand()
+    {
+        demand_fixture demand;
+        for (int index = 0; index < 3; ++index) {
+            job_header header;
+            header.m_id = std::to_string(index);
+            header.m_queue = demand.m_state.m_config.queues().front();
+            header.m_accepted_ms = start_ms;
+            step_spec step;
+            step.m_count = 1'000;
+            step.m_task_resources.m_cpu_millis = 100'000'000;
+            step.m_estimate = milliseconds{31'536'000'000};
+            header.m_spec.m_steps = {step};
+            demand.m_state.m_job_store.add(header);
+        }
+        const auto load = demand.m_demand.measure(demand.m_state, moment_at(0)).at("pool");
+        const auto max_cpu = 3 * std::int64_t{1'000} * 100'000'000;
+        CPPUNIT_ASSERT_EQUAL(max_cpu, load.m_waiting);
+        CPPUNIT_ASSERT(load.m_accepted > 0 && load.m_accepted <= max_cpu);
+        CPPUNIT_ASSERT(load.m_forecast > 0 && load.m_forecast <= max_cpu);
+        CPPUNIT_ASSERT(static_cast<double>(load.m_backlog) > 9e21);
+    }
+
     void idle_pool_needs_no_vms()
     {
         demand_fixture demand;
--- a/test/scheduling/admission_test.cpp
+++ b/test/scheduling/admission_test.cpp
@@ -83,7 +83,7 @@
             waiting.push_back({now, estimated_work(spec), longest_chain(spec)});
         }
         if (now % measure_ms == 0) {
-            outlook = {0, 0, pool_cpu, accepted};
+            outlook = {0, 0, pool_cpu, static_cast<double>(accepted)};
             for (const auto& job : waiting) {
                 outlook.m_backlog += is_useless(job, now) ? 0 : job.m_work;
                 outlook.m_waiting_cpu += job.m_work;
@@ -117,6 +117,7 @@
     CPPUNIT_TEST(rejects_a_job_that_would_end_too_late_with_a_retry_time);
     CPPUNIT_TEST(counts_work_accepted_since_the_measurement);
     CPPUNIT_TEST(never_rejects_long_running_or_recurring_jobs);
+    CPPUNIT_TEST(admitted_a_job_behind_work_at_the_limits);
     CPPUNIT_TEST(rejections_in_a_short_overload_keep_accepted_jobs_useful);
     CPPUNIT_TEST_SUITE_END();
 
@@ -153,6 +154,17 @@
             !decide_admission(spec, make_queue(), outlook, 50'000 + pool_cpu * 200).m_admitted);
     }
 
+    // The sum of the backlog and of the accepted work exceeded 64 bits.
+    void admitted_a_job_behind_work_at_the_limits()
+    {
+        constexpr std::int64_t huge_work = 9'000'000'000'000'000'000;
+        const pool_outlook outlook{huge_work, 1'000, 1, 0};
+        const auto decision =
+            decide_admission(make_spec(4, milliseconds{500}), make_queue(), outlook, huge_work);
+        CPPUNIT_ASSERT(!decision.m_admitted);
+        CPPUNIT_ASSERT(decision.m_retry_after > milliseconds{0});
+    }
+
     void never_rejects_long_running_or_recurring_jobs()
     {
         const pool_outlook too_much{pool_cpu * 60'000, 1'000, pool_cpu, 0};
