Skip an odd item in the list of newest records

Ruled out: endless paging by a key that is skipped.

Change: such an item is left out. The page is decoded by a function of its own, which the tests reach.

--- a/test/platform/odd_entries_test.cpp
+++ b/test/platform/odd_entries_test.cpp
@@ -79,6 +79,7 @@
     CPPUNIT_TEST(times_beyond_any_clock_overflowed);
     CPPUNIT_TEST(real_number_beyond_the_range_was_converted);
     CPPUNIT_TEST(record_without_content_stopped_the_follower);
+    CPPUNIT_TEST(one_odd_key_made_the_list_of_records_unreadable);
     CPPUNIT_TEST(deeply_nested_entry_named_a_worker);
     CPPUNIT_TEST(deeply_nested_configuration_ended_the_process);
     CPPUNIT_TEST(one_odd_vm_made_the_list_of_vms_unreadable);
@@ -251,6 +252,37 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"key"}, answer.m_records[3].m_key);
     }
 
+    // A follower reads the list again until it can be read.
+    void one_odd_key_made_the_list_of_records_unreadable()
+    {
+        const std::string good = R"({"key":"i-1","value":"AQID","offset":4})";
+        const std::array<std::string, 10> odd{"null",
+                                              "7",
+                                              "[]",
+                                              "{}",
+                                              R"({"key":7,"value":"AQID","offset":5})",
+                                              "{\"key\":\"i-\xff\",\"value\":\"AQID\"}",
+                                              R"({"key":"i-2","offset":1e400})",
+                                              R"({"value":"AQID","offset":5})",
+                                              nested(40),
+                                              nested(100'000)};
+        for (const auto& item : odd) {
+            for (const auto& items : {item + "," + good, good + "," + item}) {
+                const auto page =
+                    parse_newest_body(R"({"items":[)" + items + R"(],"has-more":true,"end":9})");
+                CPPUNIT_ASSERT_MESSAGE(item.substr(0, 80), page.m_result == log_result::ok);
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, page.m_records.size());
+                CPPUNIT_ASSERT_EQUAL(std::string{"i-1"}, page.m_records[0].m_key);
+                CPPUNIT_ASSERT_EQUAL(std::size_t{3}, page.m_records[0].m_value->size());
+                CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, page.m_end);
+                CPPUNIT_ASSERT(page.m_more);
+            }
+        }
+        for (const std::string body : {"", "[]", "{}", R"({"items":7})", R"({"items":[})"}) {
+            CPPUNIT_ASSERT(parse_newest_body(body).m_result == log_result::invalid);
+        }
+    }
+
     void deeply_nested_entry_named_a_worker()
     {
         for (const std::size_t levels : {40, 10'000, 120'000}) {
