Mark the answer of a worker that has an odd row, instead of voiding it

One unreadable row in a worker's list of runs or of ends voided each answer that had it: the worker counted as silent, and all its runs were lost when the lease ended.

Leaving the row out alone would be worse: a run that is not listed counts as gone and is started again while it runs.

Change: the answer tells how many rows were unreadable. Then the rows that can be read count and the worker has answered, but no run is gone because it is not listed. An end whose number can be read is acknowledged, so that the worker drops it; the next complete list ends its run, which starts again.

Open: while a running row stays odd, runs that the worker has lost are not noticed there. A readable end with a number near the maximum hides later ends.

--- a/include/peridotrudder/machines/worker_orders.hpp
+++ b/include/peridotrudder/machines/worker_orders.hpp
@@ -217,6 +217,11 @@
     std::optional<std::int64_t> m_born_ms;
     std::vector<running_entry> m_running;
     std::vector<ended_entry> m_ended;
+    /// Number of rows that could not be read; absent for none. A run that is in neither list may be
+    /// in one of them.
+    std::optional<std::uint32_t> m_unreadable;
+    /// Highest number of an end whose row could not be read otherwise.
+    std::optional<std::uint64_t> m_unreadable_end;
 
     template <typename Archive, typename Self>
     static void describe(Archive& archive, Self& self)
@@ -226,6 +231,8 @@
         archive.field("born_ms", self.m_born_ms);
         archive.field("running", self.m_running);
         archive.field("ended", self.m_ended);
+        archive.field("unreadable", self.m_unreadable);
+        archive.field("unreadable_end", self.m_unreadable_end);
     }
 };
 
--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -94,6 +94,8 @@
     bool m_restarted{false};
     /// New ends, in order.
     std::vector<ended_entry> m_ended;
+    /// Whether the worker listed ends that it had not listed before, readable or not.
+    bool m_new_ends{false};
     /// Runs that are certainly not on the worker and will not be reported as ended.
     std::vector<run_key> m_gone;
     /// Runs whose start was not answered, and that were not on the worker afterwards; they may
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -241,6 +241,12 @@
             outcome.m_ended.push_back(entry);
         }
     }
+    outcome.m_new_ends = !outcome.m_ended.empty();
+    if (answer.m_unreadable_end.value_or(0) > m_newest_end) {
+        // The worker would list the row again until it is acknowledged.
+        m_newest_end = *answer.m_unreadable_end;
+        outcome.m_new_ends = true;
+    }
     reconcile_runs(answer, sent_at, now, outcome);
     return outcome;
 }
@@ -267,7 +273,8 @@
         }
         run->m_load = entry.m_load;
     }
-    if (answer.m_ended.size() >= listed_ends_limit) {
+    if (answer.m_ended.size() >= listed_ends_limit || answer.m_unreadable) {
+        // A run that is not named may be on a row that is not there or cannot be read.
         return;
     }
     for (const auto& entry : answer.m_ended) {
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -201,7 +201,7 @@
     for (const auto& item : outcome.m_unknown_runs) {
         stop_unknown_run(*session, item, now.m_at);
     }
-    if (!outcome.m_ended.empty()) {
+    if (outcome.m_new_ends) {
         m_state->m_effects.emplace_back(ends_effect{session->instance(), session->newest_end()});
     }
     if (answer.m_result == order_result::accepted) {
--- a/test/machines/worker_session_test.cpp
+++ b/test/machines/worker_session_test.cpp
@@ -67,6 +67,8 @@
     CPPUNIT_TEST(end_is_reported_once_and_acknowledged_only_when_recorded);
     CPPUNIT_TEST(end_is_not_acknowledged_to_a_worker_that_may_have_restarted);
     CPPUNIT_TEST(run_confirmed_before_a_hold_and_not_listed_is_gone);
+    CPPUNIT_TEST(run_on_a_row_that_could_not_be_read_was_gone);
+    CPPUNIT_TEST(end_that_could_not_be_read_was_listed_for_good);
     CPPUNIT_TEST(run_without_an_answer_is_not_gone_before_its_stop_is_answered);
     CPPUNIT_TEST(adopted_run_not_listed_by_the_first_hold_under_the_new_token_is_gone);
     CPPUNIT_TEST(run_unknown_to_the_owner_is_reported);
@@ -172,6 +174,39 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, session.next_hold(now)->m_last_end);
     }
 
+    // It is started a second time while it runs.
+    void run_on_a_row_that_could_not_be_read_was_gone()
+    {
+        auto session = make_session();
+        confirm(session, start);
+        session.reserve(key, make_run(run_phase::running));
+        session.find(key)->m_confirmed_at = start;
+        auto answer = make_answer(2'000);
+        answer.m_unreadable = 1;
+        const auto sent_at = start + milliseconds{2'000};
+        CPPUNIT_ASSERT(session.next_hold(sent_at).has_value());
+        CPPUNIT_ASSERT(session.hold_answered(answer, sent_at, sent_at).m_gone.empty());
+        CPPUNIT_ASSERT(session.find(key) != nullptr);
+        answer.m_unreadable.reset();
+        const auto later = sent_at + milliseconds{2'000};
+        CPPUNIT_ASSERT(session.next_hold(later).has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             session.hold_answered(answer, later, later).m_gone.size());
+    }
+
+    // As long as the worker lists it, no list is complete.
+    void end_that_could_not_be_read_was_listed_for_good()
+    {
+        auto session = make_session();
+        confirm(session, start);
+        auto answer = make_answer(2'000);
+        answer.m_unreadable = 1;
+        answer.m_unreadable_end = 9;
+        const auto sent_at = start + milliseconds{2'000};
+        CPPUNIT_ASSERT(session.hold_answered(answer, sent_at, sent_at).m_new_ends);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, session.newest_end());
+    }
+
     void run_confirmed_before_a_hold_and_not_listed_is_gone()
     {
         auto session = make_session();
--- a/test/platform/odd_entries_test.cpp
+++ b/test/platform/odd_entries_test.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(real_number_beyond_the_range_was_converted);
     CPPUNIT_TEST(record_without_content_stopped_the_follower);
     CPPUNIT_TEST(one_odd_key_made_the_list_of_records_unreadable);
+    CPPUNIT_TEST(one_odd_row_made_the_answer_of_a_worker_unreadable);
     CPPUNIT_TEST(deeply_nested_entry_named_a_worker);
     CPPUNIT_TEST(deeply_nested_configuration_ended_the_process);
     CPPUNIT_TEST(one_odd_vm_made_the_list_of_vms_unreadable);
@@ -283,6 +284,43 @@
         }
     }
 
+    // A worker whose answers cannot be read counts as silent, and its runs are lost.
+    void one_odd_row_made_the_answer_of_a_worker_unreadable()
+    {
+        const std::string running = R"(["5c0e7a21d94b36f8.0.1.17",2,"c",41,7])";
+        const std::string ended = R"([58,"5c0e7a21d94b36f8.0.1.9",1,"done",""])";
+        const std::array<std::string, 14> odd{"null",
+                                              "7",
+                                              "[]",
+                                              "{}",
+                                              "[1]",
+                                              R"([7,7])",
+                                              R"(["no task",2,"c",41,7])",
+                                              R"(["5c0e7a21d94b36f8.0.1.17",-2,"c",41,7])",
+                                              R"(["5c0e7a21d94b36f8.0.1.17",1e400,"c",41,7])",
+                                              R"([59,"5c0e7a21d94b36f8.0.1.9",1,"asleep",""])",
+                                              R"([59,"5c0e7a21d94b36f8.0.1",1,"done",""])",
+                                              R"([59,"5c0e7a21d94b36f8.0.1.9",1e400,"done",""])",
+                                              nested(40),
+                                              nested(100'000)};
+        for (const auto& row : odd) {
+            for (const auto& part : {running, ended}) {
+                for (const auto& by : {row + "," + part, part + "," + row}) {
+                    const auto answer = decode_hold_answer(status_ok, with(hold_body, part, by));
+                    CPPUNIT_ASSERT_MESSAGE(row.substr(0, 80),
+                                           answer.m_result == order_result::accepted);
+                    CPPUNIT_ASSERT_EQUAL(1U, answer.m_unreadable.value_or(0));
+                    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, answer.m_running.size());
+                    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, answer.m_ended.size());
+                }
+            }
+        }
+        CPPUNIT_ASSERT(!decode_hold_answer(status_ok, hold_body).m_unreadable);
+        const auto unknown_end =
+            decode_hold_answer(status_ok, with(hold_body, "\"done\"", "\"asleep\""));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{58}, unknown_end.m_unreadable_end.value_or(0));
+    }
+
     void deeply_nested_entry_named_a_worker()
     {
         for (const std::size_t levels : {40, 10'000, 120'000}) {
