Count a crash that is seen before the outcome of the start

Callers of other jobs lost their runs once more for each such crash: in the 596th history of crashes_stay_bounded_in_any_history, shrunk, a task crashed six workers, four times logged as run_lost 'not listed by the worker' and not as crash_blamed. The worker had restarted before the unanswered start came back, so the run was voided by the next list, and nothing was counted.

A run is now taken as lost in a crash if its record names another incarnation than the one that answers, whoever sent the start; before, only if a predecessor had sent it. The born time in the record shows it, so nothing new is kept. A start that was not sent is still no suspect.

Ruled out: a lost count (no takeover between these crashes).

--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -218,11 +218,12 @@
     std::vector<run_key> crashed;
     for (const auto& key : outcome.m_gone) {
         const auto* target = m_state->m_job_store.find(key.m_job);
-        // A predecessor's run whose worker has restarted since the run was recorded.
-        const bool adopted_after_restart =
-            !session.find(key)->m_ordered_at && target != nullptr && target->has(key.m_task) &&
+        // The worker has restarted since the run was recorded. The outcome of its start, or the
+        // owner, may have come only after that.
+        const bool placed_before_restart =
+            target != nullptr && target->has(key.m_task) &&
             !(target->at(key.m_task).m_placed_on == session.instance());
-        if (outcome.m_restarted || adopted_after_restart) {
+        if (outcome.m_restarted || placed_before_restart) {
             crashed.push_back(key);
         }
         else {
