Give no job up for runs that only a record speaks of

A successor counted each recorded run of a restarted worker as a crash; there the start had never arrived. The second crash, a real one, ended the job.

Crashes now have weights by their evidence: a run that is only recorded (15), an unanswered start (16: the worker may have been down before), a confirmed start with the crash soon after it (21, on trial 39). The limit is 60: two confirmed starts, the second on trial, or three; four of any kind. The other tasks of a step wait for strong evidence only. The sum is in the place of the count in the record; a count of 1 of an earlier version reads as a small weight.

Failed try: 20 for an unanswered start, three of them the limit: a job was given up after one crash, as two starts met workers that were just down.

--- a/include/peridotrudder/jobs/job.hpp
+++ b/include/peridotrudder/jobs/job.hpp
@@ -75,8 +75,8 @@
     /// Number of the newest run; runs are numbered from one.
     std::uint32_t m_run{0};
     std::uint32_t m_failures{0};
-    /// Runs in a row that may have crashed their workers.
-    std::uint32_t m_crashes{0};
+    /// Weight of the crashes of workers that its runs may have caused, since its last success.
+    std::uint32_t m_suspicion{0};
     /// Worker of the run, while the task is placed.
     worker_instance m_placed_on;
     /// State to resume from; empty for none.
@@ -186,12 +186,13 @@
     bool end(const task_ref& ref, std::uint32_t run, run_end kind, const std::string& checkpoint,
              std::uint32_t attempts, std::int64_t now_ms);
 
-    /// Counts a crash of the worker of the task's run. The job fails with the crash that makes
-    /// `limit` in a row. Returns the crashes in a row.
-    std::uint32_t record_crash(const task_ref& ref, std::uint32_t limit, std::int64_t now_ms);
+    /// Adds a crash of the worker of the task's run. The job fails once the weights reach `limit`.
+    /// Returns their sum.
+    std::uint32_t record_crash(const task_ref& ref, std::uint32_t weight, std::uint32_t limit,
+                               std::int64_t now_ms);
 
     /// Forgets the task's crashes, after a run that its worker survived.
-    void clear_crashes(const task_ref& ref) { find(ref).m_crashes = 0; }
+    void clear_crashes(const task_ref& ref) { find(ref).m_suspicion = 0; }
 
     /// Cancels an active job. Returns whether it was active.
     bool cancel(std::int64_t now_ms);
--- a/include/peridotrudder/scheduling/crash_suspects.hpp
+++ b/include/peridotrudder/scheduling/crash_suspects.hpp
@@ -10,27 +10,57 @@
 
 namespace peridotrudder {
 
-/// A crash is blamed on the tasks that started less than this long before it.
+/// A crash soon after a start, less than this long, suggests that the start caused it.
 inline constexpr milliseconds crash_window{250};
 
-/// Crashes in a row after which a task is given up. Callers bear three crashes and two more starts,
-/// so some crashes may escape the count, such as those around changes of the owner.
-inline constexpr std::uint32_t crash_limit = 2;
+/// What the crash of a worker says against the task of a run on it.
+enum class crash_evidence {
+    /// The run cannot have caused the crash.
+    none,
+    /// A predecessor recorded the run. It may never have begun there, or long before.
+    recorded,
+    /// The start was sent and not answered. The worker may have crashed before.
+    unanswered,
+    /// The run began, and its worker crashed soon after.
+    confirmed,
+};
+
+/// Weight at which a task is given up. Callers bear three crashes and two more starts: three
+/// confirmed crashes reach it, and so do four of any kind.
+inline constexpr std::uint32_t suspicion_limit = 60;
+
+/// Weight from which a task starts on trial: alone on its worker until it has survived the start.
+inline constexpr std::uint32_t trial_suspicion = 15;
+
+/// Weight from which the other tasks of a step wait for the suspect's trial.
+inline constexpr std::uint32_t strong_suspicion = 16;
 
 /// Suspects of one step that may be on trial at a time.
 inline constexpr std::uint32_t max_trials = 4;
 
-/// Returns whether the run may have crashed its worker, which is known to have ended and was last
-/// heard of at `last_heard_at`. `crashes` is the count of the run's task so far.
-bool is_suspect(const worker_run& run, std::uint32_t crashes, time_point last_heard_at);
+/// Returns what it says against the run's task that its worker, last heard of at `last_heard_at`,
+/// is known to have ended.
+crash_evidence judge_crash(const worker_run& run, bool suspected, time_point last_heard_at);
+
+/// Returns the weight of the evidence. Two confirmed crashes reach the limit if the second was that
+/// of a trial.
+std::uint32_t weight_of(crash_evidence evidence, bool on_trial);
 
 /// Returns whether the worker, last heard of at `last_heard_at`, has survived the start of the run.
 bool has_survived(const worker_run& run, time_point last_heard_at);
 
-/// Unfinished tasks of a step that crashed their last worker.
+/// Returns whether the task may start on trial only.
+inline bool is_on_trial(const task& suspect)
+{
+    return suspect.m_suspicion >= trial_suspicion;
+}
+
+/// Unfinished tasks of a step that are on trial.
 struct step_suspects {
     std::uint32_t m_waiting{0};
     std::uint32_t m_on_trial{0};
+    /// Whether there is strong evidence against one of them.
+    bool m_strong{false};
 };
 
 step_suspects count_suspects(const job& source, std::uint32_t occurrence, std::uint32_t step);
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -15,7 +15,7 @@
     /// Index into the record's worker instances; absent unless the task is placed.
     std::optional<std::uint32_t> m_instance;
     std::string m_checkpoint;
-    std::uint32_t m_crashes{0};
+    std::uint32_t m_suspicion{0};
 };
 
 nlohmann::json to_array(const stored_task& stored)
@@ -23,16 +23,16 @@
     auto row = nlohmann::json::array({stored.m_ref.m_occurrence, stored.m_ref.m_step,
                                       stored.m_ref.m_index, static_cast<unsigned>(stored.m_phase),
                                       stored.m_run, stored.m_failures});
-    const bool has_crashes = stored.m_crashes != 0;
-    const bool has_checkpoint = has_crashes || !stored.m_checkpoint.empty();
+    const bool is_suspected = stored.m_suspicion != 0;
+    const bool has_checkpoint = is_suspected || !stored.m_checkpoint.empty();
     if (stored.m_instance || has_checkpoint) {
         row.push_back(stored.m_instance ? nlohmann::json(*stored.m_instance) : nlohmann::json{});
     }
     if (has_checkpoint) {
         row.push_back(stored.m_checkpoint);
     }
-    if (has_crashes) {
-        row.push_back(stored.m_crashes);
+    if (is_suspected) {
+        row.push_back(stored.m_suspicion);
     }
     return row;
 }
@@ -48,7 +48,7 @@
 {
     constexpr std::size_t instance_position = 6;
     constexpr std::size_t checkpoint_index = 7;
-    constexpr std::size_t crashes_index = 8;
+    constexpr std::size_t suspicion_index = 8;
     stored_task stored;
     stored.m_ref = {number_at(row, 0), number_at(row, 1), number_at(row, 2)};
     const auto phase = number_at(row, 3);
@@ -64,8 +64,8 @@
     if (row.size() > checkpoint_index) {
         stored.m_checkpoint = row[checkpoint_index].get<std::string>();
     }
-    if (row.size() > crashes_index) {
-        stored.m_crashes = number_at(row, crashes_index);
+    if (row.size() > suspicion_index) {
+        stored.m_suspicion = number_at(row, suspicion_index);
     }
     return stored;
 }
@@ -283,19 +283,21 @@
     }
 }
 
-std::uint32_t job::record_crash(const task_ref& ref, std::uint32_t limit, std::int64_t now_ms)
+std::uint32_t job::record_crash(const task_ref& ref, std::uint32_t weight, std::uint32_t limit,
+                                std::int64_t now_ms)
 {
     auto& suspect = find(ref);
     const bool over = suspect.m_phase == task_phase::done || suspect.m_phase == task_phase::failed;
     if (over || m_phase != job_phase::active) {
-        return suspect.m_crashes;
+        return suspect.m_suspicion;
     }
-    if (++suspect.m_crashes >= limit) {
+    suspect.m_suspicion += weight;
+    if (suspect.m_suspicion >= limit) {
         void_run(ref);
         suspect.m_phase = task_phase::failed;
         finish(job_phase::failed, now_ms);
     }
-    return suspect.m_crashes;
+    return suspect.m_suspicion;
 }
 
 void job::finish(job_phase phase, std::int64_t now_ms)
@@ -346,7 +348,7 @@
                 }
                 stored_task stored{{occurrence, step, index}, member.m_phase, member.m_run,
                                    member.m_failures,         std::nullopt,   member.m_checkpoint,
-                                   member.m_crashes};
+                                   member.m_suspicion};
                 if (member.m_phase == task_phase::placed) {
                     stored.m_instance = instances.index_of(member.m_placed_on);
                 }
@@ -392,7 +394,7 @@
             entry.m_run = stored.m_run;
             entry.m_failures = stored.m_failures;
             entry.m_checkpoint = stored.m_checkpoint;
-            entry.m_crashes = stored.m_crashes;
+            entry.m_suspicion = stored.m_suspicion;
             if (stored.m_instance) {
                 entry.m_placed_on = instances->at(*stored.m_instance);
             }
--- a/src/scheduling/crash_suspects.cpp
+++ b/src/scheduling/crash_suspects.cpp
@@ -4,6 +4,13 @@
 
 namespace {
 
+constexpr std::uint32_t recorded_weight = 15;
+constexpr std::uint32_t unanswered_weight = 16;
+constexpr std::uint32_t confirmed_weight = 21;
+/// With one confirmed crash before, but not with an unanswered start, this makes the limit: two
+/// workers have certainly crashed then.
+constexpr std::uint32_t trial_weight = suspicion_limit - confirmed_weight;
+
 bool is_confirmed(const worker_run& run)
 {
     return run.m_confirmed_at != time_point{};
@@ -11,18 +18,37 @@
 
 } // namespace
 
-bool is_suspect(const worker_run& run, std::uint32_t crashes, time_point last_heard_at)
+crash_evidence judge_crash(const worker_run& run, bool suspected, time_point last_heard_at)
 {
     // A crash breaks the channel of a start, so a start that still has no outcome did not arrive.
     if (run.m_phase == run_phase::recording || run.m_phase == run_phase::ordered) {
-        return false;
+        return crash_evidence::none;
     }
     if (!run.m_ordered_at) {
-        // A predecessor started the run. A long-running one perhaps long ago: if its worker had
-        // survived the start, its task would have no crashes any more.
-        return crashes > 0 || !run.m_long_running;
+        // A long-running one may have begun long ago: if its worker had survived the start, its
+        // task would not be suspected any more.
+        return suspected || !run.m_long_running ? crash_evidence::recorded : crash_evidence::none;
+    }
+    if (!is_confirmed(run)) {
+        return crash_evidence::unanswered;
+    }
+    return last_heard_at <= *run.m_ordered_at + crash_window ? crash_evidence::confirmed
+                                                             : crash_evidence::none;
+}
+
+std::uint32_t weight_of(crash_evidence evidence, bool on_trial)
+{
+    switch (evidence) {
+    case crash_evidence::none:
+        return 0;
+    case crash_evidence::recorded:
+        return recorded_weight;
+    case crash_evidence::unanswered:
+        return unanswered_weight;
+    case crash_evidence::confirmed:
+        return on_trial ? trial_weight : confirmed_weight;
     }
-    return !is_confirmed(run) || last_heard_at <= *run.m_ordered_at + crash_window;
+    return 0;
 }
 
 bool has_survived(const worker_run& run, time_point last_heard_at)
@@ -35,22 +61,25 @@
 {
     step_suspects suspects;
     for (const auto& entry : source.tasks(occurrence, step)) {
-        if (entry.m_crashes > 0) {
-            suspects.m_waiting += entry.m_phase == task_phase::waiting ? 1 : 0;
-            suspects.m_on_trial += entry.m_phase == task_phase::placed ? 1 : 0;
+        const bool waits = entry.m_phase == task_phase::waiting;
+        if (!is_on_trial(entry) || (!waits && entry.m_phase != task_phase::placed)) {
+            continue;
         }
+        suspects.m_waiting += waits ? 1 : 0;
+        suspects.m_on_trial += waits ? 0 : 1;
+        suspects.m_strong = suspects.m_strong || entry.m_suspicion >= strong_suspicion;
     }
     return suspects;
 }
 
 bool may_start(const step_spec& step, const task& waiting, const step_suspects& suspects)
 {
-    if (waiting.m_crashes > 0) {
+    if (is_on_trial(waiting)) {
         return suspects.m_on_trial < max_trials;
     }
     // Tasks of a step are alike, so the others may be at fault too. Those of long-running steps are
     // not held back: each is missed while it does not run.
-    return step.m_long_running || suspects.m_waiting + suspects.m_on_trial == 0;
+    return step.m_long_running || !suspects.m_strong;
 }
 
 } // namespace peridotrudder
--- a/src/scheduling/crash_tracker.cpp
+++ b/src/scheduling/crash_tracker.cpp
@@ -1,11 +1,28 @@
 #include "peridotrudder/scheduling/crash_tracker.hpp"
 
-#include "peridotrudder/scheduling/crash_suspects.hpp"
-
 #include <fmt/format.h>
 
 namespace peridotrudder {
 
+namespace {
+
+std::string_view to_text(crash_evidence evidence)
+{
+    switch (evidence) {
+    case crash_evidence::none:
+        return "none";
+    case crash_evidence::recorded:
+        return "recorded";
+    case crash_evidence::unanswered:
+        return "unanswered";
+    case crash_evidence::confirmed:
+        return "confirmed";
+    }
+    return "";
+}
+
+} // namespace
+
 std::vector<crash_suspect> crash_tracker::suspects(worker_session& session,
                                                    const std::vector<run_key>& keys,
                                                    time_point last_heard_at) const
@@ -20,10 +37,15 @@
         const auto* target = m_state->m_job_store.find(key.m_job);
         const bool current = target != nullptr && target->has(key.m_task) &&
                              target->at(key.m_task).m_run == run.m_run;
-        if (!current || !is_suspect(run, target->at(key.m_task).m_crashes, last_heard_at)) {
+        if (!current) {
+            continue;
+        }
+        const bool suspected = is_on_trial(target->at(key.m_task));
+        const auto evidence = judge_crash(run, suspected, last_heard_at);
+        if (evidence == crash_evidence::none) {
             continue;
         }
-        crash_suspect suspect{key, std::nullopt};
+        crash_suspect suspect{key, evidence, run.m_on_trial, std::nullopt};
         if (run.m_ordered_at) {
             suspect.m_heard_after_start = remaining(*run.m_ordered_at, last_heard_at);
         }
@@ -40,14 +62,17 @@
     if (target->phase() != job_phase::active) {
         return false;
     }
-    const auto crashes = target->record_crash(key.m_task, crash_limit, now.m_unix_ms);
+    const auto weight = weight_of(suspect.m_evidence, suspect.m_on_trial);
+    const auto total = target->record_crash(key.m_task, weight, suspicion_limit, now.m_unix_ms);
     m_state->changed(key.m_job);
     const auto& heard_after_start = suspect.m_heard_after_start;
     const auto heard = heard_after_start
                            ? fmt::format("{} ms after the start", heard_after_start->count())
                            : std::string{"under a predecessor"};
     m_state->log_run("crash_blamed", key, instance.m_worker,
-                     fmt::format("crash {}, {}, last heard of {}", crashes, reason, heard));
+                     fmt::format("{} start, weight {} of {}, {}, last heard of {}",
+                                 to_text(suspect.m_evidence), total, suspicion_limit, reason,
+                                 heard));
     if (target->phase() == job_phase::active) {
         return false;
     }
--- a/src/scheduling/run_adoption.cpp
+++ b/src/scheduling/run_adoption.cpp
@@ -1,5 +1,6 @@
 #include "peridotrudder/scheduling/run_adoption.hpp"
 
+#include "peridotrudder/scheduling/crash_suspects.hpp"
 #include "peridotrudder/scheduling/run_tracker.hpp"
 
 namespace peridotrudder {
@@ -28,7 +29,7 @@
     // Orders of the previous owner are rejected once the worker knows this owner's fencing token.
     run.m_cannot_start_since = now.m_at;
     run.m_pace_known = false;
-    run.m_on_trial = placed.m_crashes > 0;
+    run.m_on_trial = is_on_trial(placed);
     run.m_stopping = source.phase() != job_phase::active;
     session.reserve(key, run);
 }
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -65,7 +65,7 @@
     }
     request.m_last_attempt = !request.m_step->m_long_running &&
                              waiting.m_job->at(ref).m_failures + 1 >= waiting.m_queue->m_attempts;
-    request.m_on_trial = waiting.m_job->at(ref).m_crashes > 0;
+    request.m_on_trial = is_on_trial(waiting.m_job->at(ref));
     request.m_tickets = waiting.m_queue->m_policy ? &m_state->m_tickets : nullptr;
     return request;
 }
@@ -87,7 +87,7 @@
     const auto number = target.place(ref, instance);
     const run_key key{target.header().m_id, ref};
     auto run = make_run(step, number);
-    run.m_on_trial = target.at(ref).m_crashes > 0;
+    run.m_on_trial = is_on_trial(target.at(ref));
     chosen.m_session->reserve(key, run);
     chosen.m_session->note_start(now.m_at + crash_window, run.m_on_trial);
     m_state->m_job_store.mark_changed(key.m_job);
@@ -130,7 +130,7 @@
     for (std::uint32_t index = 0; index < count; ++index) {
         const run_key key{target.header().m_id, {occurrence, step, index}};
         auto run = make_run(target.spec().m_steps[step], number);
-        run.m_on_trial = target.at(key.m_task).m_crashes > 0;
+        run.m_on_trial = is_on_trial(target.at(key.m_task));
         chosen[index]->m_session->reserve(key, run);
         chosen[index]->m_session->note_start(now.m_at + crash_window, run.m_on_trial);
         m_state->m_effects.emplace_back(start_effect{instances[index], key, number});
--- a/test/scheduling/job_scheduler_test.cpp
+++ b/test/scheduling/job_scheduler_test.cpp
@@ -94,6 +94,7 @@
     CPPUNIT_TEST(invariants_hold_in_any_history_of_restarts);
     CPPUNIT_TEST(task_that_crashes_its_workers_crashed_server_after_server);
     CPPUNIT_TEST(crash_count_of_a_task_was_forgotten_at_a_takeover);
+    CPPUNIT_TEST(recorded_run_that_never_began_was_counted_as_a_crash);
     CPPUNIT_TEST(neighbours_of_a_task_that_crashes_its_workers_are_completed);
     CPPUNIT_TEST(loss_of_all_workers_at_once_fails_no_job);
     CPPUNIT_TEST(invariants_hold_in_any_history);
@@ -486,6 +487,31 @@
         }
     }
 
+    // A job would be given up after one crash.
+    void recorded_run_that_never_began_was_counted_as_a_crash()
+    {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            fleet_simulation simulation{seed};
+            simulation.judge_failed_jobs();
+            simulation.change_owner(false);
+            simulation.pass(short_time);
+            for (std::uint32_t index = 0; index < workers; ++index) {
+                simulation.set_reachable(index, false);
+            }
+            simulation.set_deadly(1);
+            simulation.submit(1, 0);
+            simulation.pass(short_time);
+            simulation.change_owner(false);
+            for (std::uint32_t index = 0; index < workers; ++index) {
+                simulation.crash(index);
+                simulation.set_reachable(index, true);
+            }
+            simulation.pass(milliseconds{30'000});
+            assert_no_violation(simulation);
+            CPPUNIT_ASSERT(simulation.phase_of(1) == job_phase::failed);
+        }
+    }
+
     // Tasks started beside the one at fault would be blamed with it.
     void neighbours_of_a_task_that_crashes_its_workers_are_completed()
     {
