--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -182,7 +182,8 @@
         // predecessor started there.
         std::vector<run_key> lost;
         for (const auto& [key, run] : session->runs()) {
-            if (run.m_phase != run_phase::uncertain || !is_of_other_incarnation(*session, key)) {
+            const bool adopted = run.m_phase == run_phase::uncertain && !run.m_ordered_at;
+            if (!adopted || !is_of_other_incarnation(*session, key)) {
                 lost.push_back(key);
             }
         }
@@ -220,6 +221,7 @@
 {
     std::vector<run_key> crashed;
     for (const auto& key : outcome.m_gone) {
+        // The outcome of the start, or this owner, may have come only after the restart.
         if (outcome.m_restarted || is_of_other_incarnation(session, key)) {
             crashed.push_back(key);
         }
@@ -230,10 +232,11 @@
     mark_lost_in_crash(session, crashed, last_heard_at, "worker has restarted", now);
 }
 
-bool run_tracker::is_of_other_incarnation(worker_session& session, const run_key& key) const
+bool run_tracker::is_of_other_incarnation(const worker_session& session,
+                                          const run_key& key) const
 {
     const auto* target = m_state->m_job_store.find(key.m_job);
-    return !session.find(key)->m_ordered_at && target != nullptr && target->has(key.m_task) &&
+    return target != nullptr && target->has(key.m_task) &&
            !(target->at(key.m_task).m_placed_on == session.instance());
 }
 
