Build the test of worker sessions with -O3 too

Seen: a Release build with tests stops in worker_session_test.cpp: GCC 12 takes the strings of a temporary for uninitialized (-O3 -Werror, maybe-uninitialized).

Ruled out: a value that is really missing: all members of the temporary are given. A named constant of the whole entry, tried first, is warned about in the same way.

Change: the key of the unknown run is a constant beside the other key; the assertions are as they were.

Before: the file does not compile with -O3 -DNDEBUG and the project's warnings. After: it does, and test_machines passes.

--- a/test/machines/worker_session_test.cpp
+++ b/test/machines/worker_session_test.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::uint64_t fence = 7;
 const run_key key{"0123456789abcdef", {0, 0, 0}};
+const run_key unknown_key{"00000000000000ff", {0, 0, 0}};
 const time_point start{milliseconds{1'000'000}};
 
 worker_report make_report(std::int64_t born_ms = 500)
@@ -326,7 +327,7 @@
         CPPUNIT_ASSERT(session.next_hold(sent_at).has_value());
         auto answer = make_answer(40);
         answer.m_running.push_back({key, 1, "", 10, 0});
-        answer.m_ended.push_back({1, {"00000000000000ff", {0, 0, 0}}, 1, run_end::done, ""});
+        answer.m_ended.push_back({1, unknown_key, 1, run_end::done, ""});
         session.hold_answered(answer, sent_at, sent_at);
 
         CPPUNIT_ASSERT_MESSAGE("the end would be listed again at once",
