Read the urgency of a request alike where char is signed

Callers saw: nothing yet; found by reading, for x86-64. A `Priority` header with a byte beyond ASCII after `u=` counted as negative where char is signed, so as urgent, and as archive elsewhere.

Change: the byte is taken as unsigned. class_of moves to the header, so that a test can call it.

Before: with -fsigned-char, the new test of caller_api_test fails. After: it passes with and without.

--- a/include/peridotrudder/entry/caller_api.hpp
+++ b/include/peridotrudder/entry/caller_api.hpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 
 namespace peridotrudder {
 
@@ -63,6 +64,9 @@
 /// Returns the HTTP response for a caller whose request had the outcome `result`.
 http_response to_response(const std::string& request_id, const outcome& result);
 
+/// Returns the class that the `Priority` header asks for, limited to the contract's class.
+work_class class_of(std::string_view priority, work_class highest);
+
 /// Returns the response for callers whose requests arrive while the entry closes its connections.
 http_response closing_response();
 
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -67,24 +67,6 @@
     return status == 429 || status == 503 || status == 504;
 }
 
-/// Returns the class that the `Priority` header asks for, limited to the contract's class.
-work_class class_of(std::string_view priority, work_class highest)
-{
-    const auto position = priority.find("u=");
-    if (position == std::string_view::npos || position + 2 >= priority.size()) {
-        return highest;
-    }
-    const int level = priority[position + 2] - '0';
-    auto requested = work_class::archive;
-    if (level <= last_urgent_level) {
-        requested = work_class::urgent;
-    }
-    else if (level <= last_normal_level) {
-        requested = work_class::normal;
-    }
-    return std::max(requested, highest);
-}
-
 milliseconds declared_run_time(std::string_view header)
 {
     std::uint32_t run_time_ms = 0;
@@ -122,6 +104,24 @@
     return response;
 }
 
+work_class class_of(std::string_view priority, work_class highest)
+{
+    const auto position = priority.find("u=");
+    if (position == std::string_view::npos || position + 2 >= priority.size()) {
+        return highest;
+    }
+    // Whether `char` is signed depends on the machine.
+    const int level = static_cast<unsigned char>(priority[position + 2]) - '0';
+    auto requested = work_class::archive;
+    if (level <= last_urgent_level) {
+        requested = work_class::urgent;
+    }
+    else if (level <= last_normal_level) {
+        requested = work_class::normal;
+    }
+    return std::max(requested, highest);
+}
+
 http_response closing_response()
 {
     return to_response(random_hex(request_id_bytes), not_run(refusal::shutting_down));
--- a/test/entry/caller_api_test.cpp
+++ b/test/entry/caller_api_test.cpp
@@ -10,6 +10,8 @@
     CPPUNIT_TEST(refusal_says_that_it_was_not_run_and_why);
     CPPUNIT_TEST(unknown_outcome_has_its_own_status_and_header);
     CPPUNIT_TEST(completed_request_without_its_answer_gets_an_error_status);
+    CPPUNIT_TEST(priority_selects_the_class_up_to_that_of_the_contract);
+    CPPUNIT_TEST(priority_that_is_no_ascii_text_is_not_urgent_on_any_machine);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -53,6 +55,21 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"done"}, outcome_header(response));
     }
 
+    void priority_selects_the_class_up_to_that_of_the_contract()
+    {
+        CPPUNIT_ASSERT(class_of("u=1", work_class::urgent) == work_class::urgent);
+        CPPUNIT_ASSERT(class_of("u=4", work_class::urgent) == work_class::normal);
+        CPPUNIT_ASSERT(class_of("u=7", work_class::urgent) == work_class::archive);
+        CPPUNIT_ASSERT(class_of("u=0", work_class::normal) == work_class::normal);
+        CPPUNIT_ASSERT(class_of("", work_class::normal) == work_class::normal);
+    }
+
+    // Guards against a byte that counts as negative, so as most urgent, where `char` is signed.
+    void priority_that_is_no_ascii_text_is_not_urgent_on_any_machine()
+    {
+        CPPUNIT_ASSERT(class_of("u=\xc3", work_class::urgent) == work_class::archive);
+    }
+
 private:
     static std::string outcome_header(const http_response& response)
     {
