Build two tests of the platform adapter with -O3 too

Change: the key of the step is a constant of its own; the assertions are as they were.

Before: neither compiles with -O3. After: both do, and test_platform passes.

--- a/test/platform/odd_entries_test.cpp
+++ b/test/platform/odd_entries_test.cpp
@@ -104,7 +104,8 @@
     void worker_with_an_id_that_is_not_utf8_ended_the_process()
     {
         CPPUNIT_ASSERT(!decode_worker("i-\xff", bytes(worker_entry)));
-        const policy_request question{{"5c0e7a21d94b36f8", 0, 1}, {{"i-\xff", 3}}, {}};
+        const step_key step{"5c0e7a21d94b36f8", 0, 1};
+        const policy_request question{step, {{"i-\xff", 3}}, {}};
         CPPUNIT_ASSERT(!encode_question(question).empty());
         start_order order;
         order.m_checkpoint = "\xff";
--- a/test/platform/policy_service_test.cpp
+++ b/test/platform/policy_service_test.cpp
@@ -19,7 +19,8 @@
 public:
     void a_question_names_the_step_and_the_workers()
     {
-        const policy_request question{{"5c0e7a21d94b36f8", 0, 1}, {{"i-1", 3}, {"i-2", 4}}, {}};
+        const step_key step{"5c0e7a21d94b36f8", 0, 1};
+        const policy_request question{step, {{"i-1", 3}, {"i-2", 4}}, {}};
         const auto body = nlohmann::json::parse(encode_question(question));
         CPPUNIT_ASSERT_EQUAL(std::string{"5c0e7a21d94b36f8.0.1"}, body["step"].get<std::string>());
         CPPUNIT_ASSERT(nlohmann::json::parse(R"(["i-1","i-2"])") == body["workers"]);
