Drop relayed orders that were on their way for too long

Cause: what a paused relay finds in its sockets it takes for new. Its owner gave these orders up after 1.1 s, and they are late orders of our own making.

Change: messages to relays carry the owner's steady time. A relay knows the fastest message of each peer, allows the clocks to drift by 4 percent, and drops what was 1.1 s longer on its way than that. It can't tell if the first message of a peer is late itself. Orders that the network or a worker holds up are as late as before.

Measured: order_relay_test with a pause of 2.3 s fails without the comparison (3 starts carried out, 2 expected) and holds with it; with clocks that run 2 percent apart, in both directions, none of 300 orders in 300 s is dropped.

--- a/include/peridotrudder/node/order_relay.hpp
+++ b/include/peridotrudder/node/order_relay.hpp
@@ -109,7 +109,9 @@
 
 /// The relay's side: forwards an owner's orders to workers, and returns the answers.
 ///
-/// Keeps no state but the calls in flight. Not thread-safe; runs on the loop.
+/// Orders that were on their way for so long that the owner has given them up are dropped: after a
+/// pause of the relay they would reach workers that a successor has judged by then. The time on the
+/// way counts from that of the fastest message of the same peer. Not thread-safe; runs on the loop.
 class order_forwarder {
 public:
     static std::unique_ptr<order_forwarder> create(relay_options options, relay_ports ports);
@@ -119,12 +121,21 @@
 private:
     order_forwarder(relay_options options, relay_ports ports);
 
+    /// Returns how much longer the message was on its way than the fastest one of the peer.
+    milliseconds delay_of(const std::string& from, const relayed_orders& message);
     void carry(const std::string& from, const relayed_order& order);
     void answer(const std::string& to, relayed_answer answer);
     void flush(const std::string& to);
 
     relay_options m_options;
+    struct peer_clock {
+        /// Difference between the two steady clocks, plus the time of the fastest message.
+        milliseconds m_difference;
+        time_point m_at;
+    };
+
     relay_ports m_ports;
+    std::map<std::string, peer_clock> m_clocks;
     std::map<std::string, std::vector<relayed_answer>> m_batches;
     /// Held weakly by pending calls, which do nothing once the forwarder is destroyed.
     std::shared_ptr<order_forwarder*> m_self;
--- a/include/peridotrudder/ownership/node_messages.hpp
+++ b/include/peridotrudder/ownership/node_messages.hpp
@@ -143,11 +143,14 @@
 
 struct relayed_orders {
     static constexpr std::string_view kind = "orders";
+    /// Milliseconds on the owner's steady clock, whose origin the relay does not know.
+    std::int64_t m_sent_at_ms{0};
     std::vector<relayed_order> m_orders;
 
     template <typename Archive, typename Self>
     static void describe(Archive& archive, Self& self)
     {
+        archive.field("sent_at_ms", self.m_sent_at_ms);
         archive.field("orders", self.m_orders);
     }
 };
--- a/src/node/order_relay.cpp
+++ b/src/node/order_relay.cpp
@@ -18,6 +18,14 @@
 /// An epoch has room for this many bits of order numbers.
 constexpr unsigned bits_of_number_in_epoch = 32;
 
+/// Two steady clocks may run apart by one millisecond in so many.
+constexpr int steady_millis_per_drift = 25;
+
+milliseconds steady_millis(time_point time)
+{
+    return std::chrono::duration_cast<milliseconds>(time.time_since_epoch());
+}
+
 /// Calls `step` on the object after a pause, if the object still exists.
 template <typename Object, typename Step>
 void run_later(const loop_port& loop, milliseconds pause, const std::shared_ptr<Object*>& object,
@@ -202,7 +210,8 @@
 {
     bool left = true;
     send_batches(m_batches, relay, [&](std::vector<relayed_order> orders) {
-        left = m_ports.m_send(relay, relayed_orders{std::move(orders)}) && left;
+        const auto sent_at_ms = steady_millis(m_ports.m_loop.m_now().m_at).count();
+        left = m_ports.m_send(relay, relayed_orders{sent_at_ms, std::move(orders)}) && left;
     });
     if (!left) {
         drop_relay(relay, "no link");
@@ -277,11 +286,28 @@
 
 void order_forwarder::handle_orders(const std::string& from, const relayed_orders& message)
 {
+    const auto delay = delay_of(from, message);
+    if (delay >= m_options.m_answer_timeout) {
+        m_ports.m_log_event(
+            "orders_dropped",
+            fmt::format("{} of {}, {} ms old", message.m_orders.size(), from, delay.count()));
+        return;
+    }
     for (const auto& order : message.m_orders) {
         carry(from, order);
     }
 }
 
+milliseconds order_forwarder::delay_of(const std::string& from, const relayed_orders& message)
+{
+    const auto now = m_ports.m_loop.m_now().m_at;
+    const auto difference = steady_millis(now) - milliseconds{message.m_sent_at_ms};
+    auto& known = m_clocks.emplace(from, peer_clock{difference, now}).first->second;
+    const auto drift = remaining(known.m_at, now) / steady_millis_per_drift;
+    known = {std::min(known.m_difference + drift, difference), now};
+    return difference - known.m_difference;
+}
+
 void order_forwarder::carry(const std::string& from, const relayed_order& order)
 {
     worker_report to;
--- a/test/node/order_relay_test.cpp
+++ b/test/node/order_relay_test.cpp
@@ -130,6 +130,8 @@
     CPPUNIT_TEST(ignores_answers_of_a_dropped_relay);
     CPPUNIT_TEST(answer_to_an_order_of_an_earlier_epoch_is_not_taken_for_another_orders);
     CPPUNIT_TEST(a_relay_sends_every_kind_of_order_and_returns_the_answers_together);
+    CPPUNIT_TEST(a_relay_that_was_paused_carried_out_orders_that_the_owner_had_given_up);
+    CPPUNIT_TEST(a_relay_with_a_slower_clock_carries_out_all_orders);
     CPPUNIT_TEST_SUITE_END();
 
     relay_fixture m_fixture;
@@ -354,6 +356,52 @@
         CPPUNIT_ASSERT(answers[3].m_hold->m_result == order_result::accepted);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, answers[3].m_number);
     }
+
+    // After the pause, starts reached workers whose runs a successor had already given up.
+    void a_relay_that_was_paused_carried_out_orders_that_the_owner_had_given_up()
+    {
+        const auto carrier = order_forwarder::create({}, m_fixture.ports());
+        auto message = message_with_a_start(70'000);
+        carrier->handle_orders("owner-i", message);
+        m_fixture.pass(milliseconds{1'000});
+        message.m_sent_at_ms += 1'000;
+        carrier->handle_orders("owner-i", message);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fixture.m_direct.size());
+        message.m_sent_at_ms += 100;
+        m_fixture.pass(milliseconds{2'300});
+        carrier->handle_orders("owner-i", message);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fixture.m_direct.size());
+        message.m_sent_at_ms += 2'200;
+        carrier->handle_orders("owner-i", message);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_fixture.m_direct.size());
+    }
+
+    // The difference between the clocks grows without bound; it is no delay.
+    void a_relay_with_a_slower_clock_carries_out_all_orders()
+    {
+        for (const std::int64_t owner_ms : {980, 1'020}) {
+            m_fixture.m_direct.clear();
+            const auto carrier = order_forwarder::create({}, m_fixture.ports());
+            auto message = message_with_a_start(70'000);
+            for (int second = 0; second < 300; ++second) {
+                carrier->handle_orders("owner-i", message);
+                message.m_sent_at_ms += owner_ms;
+                m_fixture.pass(milliseconds{1'000});
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t{300}, m_fixture.m_direct.size());
+        }
+    }
+
+private:
+    static relayed_orders message_with_a_start(std::int64_t sent_at_ms)
+    {
+        relayed_order order;
+        order.m_instance = {"w-1", 17};
+        order.m_address = "10.0.0.2";
+        order.m_port = 90;
+        order.m_start = start_of(0);
+        return {sent_at_ms, {order}};
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(order_relay_test);
