Let a list of VMs end no run because its token is outdated

Found by review of the token for each incarnation: after a restart, a run whose start was under way counted as one that can't start on any incarnation. Only the one that has answered a hold with the higher token refuses it. If its VM went down again before, the list of VMs ended the run, and the next incarnation might have carried the start out: TWICE.

Change: "ordered with an outdated token" is a state of its own. It counts for the list of an answered hold, not for a list of VMs, as before the tokens.

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -63,9 +63,12 @@
     time_point m_stop_sent_at;
     /// When the present incarnation answered the stop: it refuses the start from then on.
     std::optional<time_point> m_stop_answered_at;
-    /// Since when no hold is sent that the run could start after: the start was answered, or its
-    /// fencing token is lower than that of the holds.
+    /// Since when the run cannot start any more if it had not started before, on any incarnation:
+    /// the start was answered, or had a predecessor's fencing token.
     std::optional<time_point> m_cannot_start_since;
+    /// Since when holds have a higher token than the start, so that an incarnation which has
+    /// answered one of them does not carry it out. A later one may.
+    std::optional<time_point> m_outdated_since;
     std::uint32_t m_percent{0};
     time_point m_progress_at;
     std::int64_t m_load{0};
@@ -142,6 +145,8 @@
     /// which incarnation is newer, as a time of day may step back.
     void update(const worker_report& report, time_point now);
     void set_listed(bool listed, time_point now);
+    /// Returns whether the list shows another incarnation than the one that answered last.
+    bool restart_suspected() const { return m_restart_suspected_at.has_value(); }
     bool listed() const { return m_listed; }
     /// Returns whether this incarnation of the worker has confirmed its fencing token.
     bool token_confirmed() const { return m_token_confirmed; }
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -287,12 +287,14 @@
         // earlier token itself.
         const bool confirmed_before =
             run.m_phase == run_phase::running && run.m_confirmed_at <= sent_at;
-        const bool cannot_start = (run.m_cannot_start_since &&
-                                   *run.m_cannot_start_since <= sent_at && !outcome.m_restarted) ||
-                                  (run.m_stop_answered_at && *run.m_stop_answered_at <= sent_at);
+        const bool outdated =
+            run.m_outdated_since && *run.m_outdated_since <= sent_at && !outcome.m_restarted;
+        const bool cannot_start =
+            outdated || (run.m_cannot_start_since && *run.m_cannot_start_since <= sent_at) ||
+            (run.m_stop_answered_at && *run.m_stop_answered_at <= sent_at);
         const bool deadline_passed =
             run.m_start_deadline_ms != 0 && answer.m_clock_ms > run.m_start_deadline_ms;
-        const bool not_begun = run.m_phase == run_phase::uncertain && !run.m_cannot_start_since &&
+        const bool not_begun = run.m_phase == run_phase::uncertain && !run.m_outdated_since &&
                                run.m_unanswered_since && *run.m_unanswered_since <= sent_at;
         if (confirmed_before || cannot_start || deadline_passed) {
             outcome.m_gone.push_back(key);
@@ -359,7 +361,7 @@
         run.m_start_deadline_ms = 0;
         run.m_stop_in_flight = false;
         run.m_stop_answered_at.reset();
-        run.m_cannot_start_since = now;
+        run.m_outdated_since = now;
         new_session.reserve(key, run);
     }
     *this = std::move(new_session);
