Judge the progress of runs by the present incarnation only

Found by review. A hold's answer may be from before the restart that the list shows. It tells nothing on the progress of the runs that the new incarnation has, but it let the owner stop them as stalled, and clear suspects of the crash that had just come.

Change: while a restart is suspected, neither is judged. run_tracker_test, new, drives an owner with one worker by hand: the former incarnation's answer leads to a stop on the code before (line 131), to none now; a run without progress is still stopped. Its third test shows that an order refused for the owner's own lower token deposes nobody, while a refused hold does.

--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -207,8 +207,9 @@
     if (!outcome.m_ended.empty()) {
         m_state->m_effects.emplace_back(ends_effect{session->instance(), session->newest_end()});
     }
-    if (answer.m_result == order_result::accepted) {
-        // Without an answer nothing is known about the progress of the runs.
+    if (answer.m_result == order_result::accepted && !session->restart_suspected()) {
+        // Without an answer of the present incarnation nothing is known about the progress of its
+        // runs.
         m_crashes.clear_survivors(*session);
         stop_stalled(*session, now.m_at);
         pace_best_effort(*session, now.m_at);
--- /dev/null
+++ b/test/scheduling/run_tracker_test.cpp
@@ -0,0 +1,156 @@
+#include "peridotrudder/scheduling/job_scheduler.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace peridotrudder {
+
+namespace {
+
+constexpr std::int64_t first_birth_ms = 500;
+constexpr std::int64_t second_birth_ms = 900;
+
+worker_report report_of(std::int64_t born_ms)
+{
+    worker_report report;
+    report.m_instance = {"i-1", born_ms};
+    report.m_pool = "pool";
+    report.m_address = "10.0.0.1";
+    report.m_port = 80;
+    report.m_capacity = {4'000, 8'000, 0};
+    return report;
+}
+
+/// An owner with one worker, whose answers the test gives.
+struct owner_fixture {
+    std::vector<std::pair<worker_report, start_order>> m_starts;
+    std::vector<stop_order> m_stops;
+    std::vector<hold_order> m_holds;
+    time_point m_held_at;
+    bool m_deposed{false};
+    moment m_now{time_point{milliseconds{1'000'000}}, 1'000'000};
+    std::unique_ptr<job_scheduler> m_scheduler;
+
+    owner_fixture()
+    {
+        scheduler_ports ports;
+        ports.m_start = [this](const worker_report& to, const start_order& order) {
+            m_starts.emplace_back(to, order);
+        };
+        ports.m_stop = [this](const worker_report&, const stop_order& order) {
+            m_stops.push_back(order);
+        };
+        ports.m_pace = [](const worker_report&, const pace_order&) {};
+        ports.m_hold = [this](const worker_report&, const hold_order& order) {
+            m_holds.push_back(order);
+            m_held_at = m_now.m_at;
+        };
+        ports.m_ask = [](const policy_request&) {};
+        ports.m_answer = [](std::uint64_t, const call_answer&) {};
+        ports.m_log = [](const decision&) {};
+        ports.m_deposed = [this] { m_deposed = true; };
+        scheduler_options options;
+        options.m_fence = first_token(1);
+        m_scheduler = job_scheduler::create(options, std::move(ports), job_store{}, m_now);
+        queue_config queue;
+        queue.m_host = "host";
+        queue.m_prefix = "/queue/";
+        queue.m_pool = "pool";
+        m_scheduler->set_config(fleet_config::create(1, {queue}, {{"pool", false, false}}));
+        m_scheduler->worker_listed(report_of(first_birth_ms), m_now);
+        answer_hold(first_birth_ms);
+        pass(milliseconds{100});
+    }
+
+    void pass(milliseconds time)
+    {
+        m_now.m_at += time;
+        m_now.m_unix_ms += time.count();
+    }
+
+    /// Submits a job of one task, whose run shows no progress for longer than runs may.
+    void start_run()
+    {
+        job_call call{call_kind::submit, "host", "/queue/0123456789abcdef", job_spec{}};
+        step_spec step;
+        step.m_count = 1;
+        step.m_task_resources.m_cpu_millis = 1'000;
+        step.m_estimate = milliseconds{100};
+        call.m_spec->m_steps.push_back(step);
+        m_scheduler->take_call(1, call, m_now);
+        m_scheduler->written(m_scheduler->take_batch(m_now), m_now);
+        const auto [to, order] = m_starts.at(0);
+        m_scheduler->start_answered(to.m_instance, order.m_key, order.m_run,
+                                    {order_result::accepted, std::nullopt}, m_now);
+        pass(milliseconds{100});
+        answer_hold(first_birth_ms);
+        pass(milliseconds{3'000});
+        m_scheduler->tick(m_now);
+    }
+
+    /// Sends the hold that is due, if any, and answers it.
+    void answer_hold(std::int64_t born_ms)
+    {
+        m_scheduler->tick(m_now);
+        hold_answer answer;
+        answer.m_result = order_result::accepted;
+        answer.m_born_ms = born_ms;
+        answer.m_clock_ms = m_now.m_unix_ms;
+        for (const auto& [to, order] : m_starts) {
+            answer.m_running.push_back({order.m_key, order.m_run, "", 10, 0});
+        }
+        m_scheduler->hold_answered({"i-1", first_birth_ms}, answer, m_held_at, m_now);
+    }
+};
+
+} // namespace
+
+class run_tracker_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(run_tracker_test);
+    CPPUNIT_TEST(run_without_progress_is_stopped);
+    CPPUNIT_TEST(run_was_stopped_as_stalled_by_the_answer_of_a_former_incarnation);
+    CPPUNIT_TEST(owner_gave_up_since_a_worker_refused_its_own_lower_token);
+    CPPUNIT_TEST_SUITE_END();
+
+    owner_fixture m_owner;
+
+public:
+    void run_without_progress_is_stopped()
+    {
+        m_owner.start_run();
+        m_owner.answer_hold(first_birth_ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_owner.m_stops.size());
+    }
+
+    // The stop reached the run that the new incarnation had begun under the same number.
+    void run_was_stopped_as_stalled_by_the_answer_of_a_former_incarnation()
+    {
+        m_owner.start_run();
+        m_owner.pass(milliseconds{10});
+        m_owner.m_scheduler->worker_listed(report_of(second_birth_ms), m_owner.m_now);
+        m_owner.answer_hold(first_birth_ms);
+        CPPUNIT_ASSERT(m_owner.m_stops.empty());
+    }
+
+    // Orders that were under way at a restart have a lower token than the holds after it.
+    void owner_gave_up_since_a_worker_refused_its_own_lower_token()
+    {
+        m_owner.start_run();
+        const auto token = m_owner.m_holds.back().m_fence;
+        m_owner.answer_hold(second_birth_ms);
+        m_owner.m_scheduler->tick(m_owner.m_now);
+        CPPUNIT_ASSERT(m_owner.m_holds.back().m_fence > token);
+        const auto& [to, order] = m_owner.m_starts.at(0);
+        m_owner.m_scheduler->start_answered(to.m_instance, order.m_key, order.m_run,
+                                            {order_result::fenced, std::nullopt}, m_owner.m_now);
+        CPPUNIT_ASSERT(!m_owner.m_deposed);
+        hold_answer fenced;
+        fenced.m_result = order_result::fenced;
+        m_owner.m_scheduler->hold_answered({"i-1", second_birth_ms}, fenced, m_owner.m_held_at,
+                                           m_owner.m_now);
+        CPPUNIT_ASSERT(m_owner.m_deposed);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(run_tracker_test);
+
+} // namespace peridotrudder
