Start no task beside a run of it that a worker is still to stop

A run that an owner does not know is reserved under its task's key and stopped. If the task was waiting, it was placed at once: on another worker it ran twice until the stop had taken effect, on the same worker its reservation replaced that of the run being stopped, so the worker was filled beyond its capacity.

Ruled out by reading: ends that release a run of another number (the number is compared), a stop that frees capacity before the end is listed, gang members (all or none are placed; a gang with a stranger among its members is not covered by this change).

Change: a task waits while a worker still has a run of it that it is to stop.

--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -112,6 +112,8 @@
     ticket_cache m_tickets;
     /// By pool; no entry before the first measurement.
     std::map<std::string, pool_outlook> m_outlooks;
+    /// Workers that run a task without the owner's doing, and are to stop it.
+    std::map<run_key, std::string> m_strangers;
     /// Worker on which a task failed last.
     std::map<run_key, std::string> m_failed_on;
     /// Effects to carry out once the next batch is written.
@@ -123,6 +125,8 @@
     worker_session* find_instance(const worker_instance& instance);
     /// Returns the job's queue as configured now or, if it was removed, as it was at submission.
     const queue_config& queue_of(const job_header& header) const;
+    /// Returns whether a worker still has a run of the task that it is to stop.
+    bool has_stranger(const run_key& key);
     worker_health& health_of(const std::string& pool);
     std::size_t pool_size(std::string_view pool) const;
     /// Marks the job for writing and for placement.
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -418,6 +418,7 @@
         run.m_phase = run_phase::running;
         run.m_confirmed_at = now;
         session.reserve(unknown.m_key, run);
+        m_state->m_strangers.insert_or_assign(unknown.m_key, session.id());
         stop_run(session, unknown.m_key, now);
         return;
     }
--- a/src/scheduling/scheduler_state.cpp
+++ b/src/scheduling/scheduler_state.cpp
@@ -36,6 +36,20 @@
     return configured != nullptr ? *configured : header.m_queue;
 }
 
+bool scheduler_state::has_stranger(const run_key& key)
+{
+    const auto stranger = m_strangers.find(key);
+    if (stranger == m_strangers.end()) {
+        return false;
+    }
+    auto* session = find_worker(stranger->second);
+    if (session != nullptr && session->find(key) != nullptr) {
+        return true;
+    }
+    m_strangers.erase(stranger);
+    return false;
+}
+
 worker_health& scheduler_state::health_of(const std::string& pool)
 {
     const auto found = m_health.find(pool);
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -155,7 +155,8 @@
         if (entry.m_phase != task_phase::waiting) {
             continue;
         }
-        if (!may_start(spec, entry, suspects)) {
+        const bool runs_already = m_state->has_stranger({target.header().m_id, ref});
+        if (runs_already || !may_start(spec, entry, suspects)) {
             all = false;
             continue;
         }
--- a/test/scheduling/run_tracker_test.cpp
+++ b/test/scheduling/run_tracker_test.cpp
@@ -67,8 +67,7 @@
         m_now.m_unix_ms += time.count();
     }
 
-    /// Submits a job of one task, whose run shows no progress for longer than runs may.
-    void start_run()
+    void submit()
     {
         job_call call{call_kind::submit, "host", "/queue/0123456789abcdef", job_spec{}};
         step_spec step;
@@ -77,7 +76,15 @@
         step.m_estimate = milliseconds{100};
         call.m_spec->m_steps.push_back(step);
         m_scheduler->take_call(1, call, m_now);
-        m_scheduler->written(m_scheduler->take_batch(m_now), m_now);
+    }
+
+    void write() { m_scheduler->written(m_scheduler->take_batch(m_now), m_now); }
+
+    /// Submits a job of one task, whose run shows no progress for longer than runs may.
+    void start_run()
+    {
+        submit();
+        write();
         const auto [to, order] = m_starts.at(0);
         m_scheduler->start_answered(to.m_instance, order.m_key, order.m_run,
                                     {order_result::accepted, std::nullopt}, m_now);
@@ -109,6 +116,7 @@
     CPPUNIT_TEST(run_without_progress_is_stopped);
     CPPUNIT_TEST(run_was_stopped_as_stalled_by_the_answer_of_a_former_incarnation);
     CPPUNIT_TEST(owner_gave_up_since_a_worker_refused_its_own_lower_token);
+    CPPUNIT_TEST(task_was_started_beside_a_run_of_it_that_was_being_stopped);
     CPPUNIT_TEST_SUITE_END();
 
     owner_fixture m_owner;
@@ -149,6 +157,32 @@
                                            m_owner.m_now);
         CPPUNIT_ASSERT(m_owner.m_deposed);
     }
+
+    // The new run took over the capacity of the one that was still there.
+    void task_was_started_beside_a_run_of_it_that_was_being_stopped()
+    {
+        m_owner.submit();
+        m_owner.m_scheduler->tick(m_owner.m_now);
+        const run_key key{"0123456789abcdef", {0, 0, 0}};
+        hold_answer answer;
+        answer.m_result = order_result::accepted;
+        answer.m_born_ms = first_birth_ms;
+        answer.m_clock_ms = m_owner.m_now.m_unix_ms;
+        answer.m_running.push_back({key, 7, "", 10, 0});
+        m_owner.m_scheduler->hold_answered({"i-1", first_birth_ms}, answer, m_owner.m_held_at,
+                                           m_owner.m_now);
+        m_owner.write();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_owner.m_stops.size());
+        CPPUNIT_ASSERT(m_owner.m_starts.empty());
+        answer.m_running.clear();
+        answer.m_ended.push_back({1, key, 7, run_end::stopped, ""});
+        m_owner.pass(milliseconds{200});
+        m_owner.m_scheduler->tick(m_owner.m_now);
+        m_owner.m_scheduler->hold_answered({"i-1", first_birth_ms}, answer, m_owner.m_held_at,
+                                           m_owner.m_now);
+        m_owner.write();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_owner.m_starts.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(run_tracker_test);
