--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -208,8 +208,9 @@
     if (outcome.m_new_ends) {
         m_state->m_effects.emplace_back(ends_effect{session->instance(), session->newest_end()});
     }
-    if (answer.m_result == order_result::accepted) {
-        // Without an answer nothing is known about the progress of the runs.
+    if (answer.m_result == order_result::accepted && !session->restart_suspected()) {
+        // Without an answer of the present incarnation nothing is known about the progress of its
+        // runs.
         m_crashes.clear_survivors(*session);
         stop_stalled(*session, now.m_at);
         pace_best_effort(*session, now.m_at);
@@ -420,6 +421,7 @@
         run.m_phase = run_phase::running;
         run.m_confirmed_at = now;
         session.reserve(unknown.m_key, run);
+        m_state->m_strangers.insert_or_assign(unknown.m_key, session.id());
         stop_run(session, unknown.m_key, now);
         return;
     }
