Count late crashes and lapsed leases too, and forget them with success only

A sound job was given up after two crashes where workers crash by other causes.

A crash up to 3 s after the start of a short task counts (12, on trial 15), and what counts is kept until the task succeeds. A lapsed lease counts as a recorded run if the worker fell silent within 250 ms of the start, or the task is suspected. If in the last 20 s another worker crashed and no start explains it, a trial proves no more than any run: two crashes never suffice then. Long-running tasks are cleared after 250 ms as before; their late crashes count nothing. Siblings wait no longer than 250 ms of a trial.

Crashes come up to 3 s after the start and some workers stay away for 9 to 14 s where a test asks for it. crash_suspects_test: a run that its worker outlived is 'late', where it was no suspect.

--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -36,8 +36,6 @@
     void stop_run(worker_session& session, const run_key& key, time_point now);
     /// Stops all runs of a job.
     void stop_job(const job& target, time_point now);
-    /// Marks all runs of a worker as lost. Call only if nothing can be running there any more.
-    void mark_all_lost(worker_session& session, std::string_view reason);
     /// Marks those runs as lost that cannot be on the worker any more since its VM was down at
     /// `seen_at`, which may be the fault of one of its tasks. A start without an answer may still
     /// be carried out when the worker is back.
@@ -54,7 +52,8 @@
     /// Marks runs as lost with their worker, which was last heard of at `last_heard_at`, and blames
     /// the tasks that it may have crashed under.
     void mark_lost_in_crash(worker_session& session, const std::vector<run_key>& keys,
-                            time_point last_heard_at, std::string_view reason, moment now);
+                            time_point last_heard_at, bool crash_is_certain,
+                            std::string_view reason, moment now);
     /// Marks the runs as lost that an answer to a hold showed to be gone.
     void mark_gone(worker_session& session, const hold_outcome& outcome, time_point last_heard_at,
                    moment now);
--- a/src/scheduling/crash_suspects.cpp
+++ b/src/scheduling/crash_suspects.cpp
@@ -4,6 +4,10 @@
 
 namespace {
 
+/// Five make the limit. One alone sets no task on trial, as many tasks of a worker share a crash.
+constexpr std::uint32_t late_weight = 12;
+/// A trial that ends late is unlikely to be another's fault.
+constexpr std::uint32_t late_trial_weight = 15;
 constexpr std::uint32_t recorded_weight = 15;
 constexpr std::uint32_t unanswered_weight = 16;
 constexpr std::uint32_t confirmed_weight = 21;
@@ -16,6 +20,19 @@
     return run.m_confirmed_at != time_point{};
 }
 
+crash_evidence judge_confirmed(const worker_run& run, time_point last_heard_at)
+{
+    // Nothing is known of a predecessor's run before it was listed.
+    const auto begun_at = run.m_ordered_at.value_or(run.m_confirmed_at);
+    if (last_heard_at <= begun_at + crash_window) {
+        return run.m_ordered_at ? crash_evidence::confirmed : crash_evidence::recorded;
+    }
+    // A long-running task is lost with its worker in the course of time without any fault.
+    return !run.m_long_running && last_heard_at <= begun_at + late_crash_window
+               ? crash_evidence::late
+               : crash_evidence::none;
+}
+
 } // namespace
 
 crash_evidence judge_crash(const worker_run& run, bool suspected, time_point last_heard_at)
@@ -24,7 +41,7 @@
     if (run.m_phase == run_phase::recording || run.m_phase == run_phase::ordered) {
         return crash_evidence::none;
     }
-    if (!run.m_ordered_at) {
+    if (!run.m_ordered_at && (run.m_long_running || !is_confirmed(run))) {
         // A long-running one may have begun long ago: if its worker had survived the start, its
         // task would not be suspected any more.
         return suspected || !run.m_long_running ? crash_evidence::recorded : crash_evidence::none;
@@ -32,8 +49,22 @@
     if (!is_confirmed(run)) {
         return crash_evidence::unanswered;
     }
-    return last_heard_at <= *run.m_ordered_at + crash_window ? crash_evidence::confirmed
-                                                             : crash_evidence::none;
+    return judge_confirmed(run, last_heard_at);
+}
+
+crash_evidence without_proof_of_crash(crash_evidence evidence, bool suspected)
+{
+    switch (evidence) {
+    case crash_evidence::unanswered:
+    case crash_evidence::confirmed:
+        return crash_evidence::recorded;
+    case crash_evidence::late:
+    case crash_evidence::recorded:
+        return suspected ? evidence : crash_evidence::none;
+    case crash_evidence::none:
+        break;
+    }
+    return crash_evidence::none;
 }
 
 std::uint32_t weight_of(crash_evidence evidence, bool on_trial)
@@ -41,6 +72,8 @@
     switch (evidence) {
     case crash_evidence::none:
         return 0;
+    case crash_evidence::late:
+        return on_trial ? late_trial_weight : late_weight;
     case crash_evidence::recorded:
         return recorded_weight;
     case crash_evidence::unanswered:
@@ -57,12 +90,16 @@
     return run.m_phase == run_phase::running && last_heard_at > begun_at + crash_window;
 }
 
-step_suspects count_suspects(const job& source, std::uint32_t occurrence, std::uint32_t step)
+step_suspects count_suspects(const job& source, std::uint32_t occurrence, std::uint32_t step,
+                             const trial_check& is_trial)
 {
     step_suspects suspects;
+    std::uint32_t index = 0;
     for (const auto& entry : source.tasks(occurrence, step)) {
+        const task_ref ref{occurrence, step, index++};
         const bool waits = entry.m_phase == task_phase::waiting;
-        if (!is_on_trial(entry) || (!waits && entry.m_phase != task_phase::placed)) {
+        const bool placed = entry.m_phase == task_phase::placed;
+        if (!is_on_trial(entry) || !(waits || (placed && is_trial(ref, entry)))) {
             continue;
         }
         suspects.m_waiting += waits ? 1 : 0;
--- a/src/scheduling/crash_tracker.cpp
+++ b/src/scheduling/crash_tracker.cpp
@@ -1,16 +1,22 @@
 #include "peridotrudder/scheduling/crash_tracker.hpp"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace peridotrudder {
 
 namespace {
 
+/// Time for which a crash that no start explains suggests that workers crash by other causes.
+constexpr milliseconds unexplained_time{20'000};
+
 std::string_view to_text(crash_evidence evidence)
 {
     switch (evidence) {
     case crash_evidence::none:
         return "none";
+    case crash_evidence::late:
+        return "late";
     case crash_evidence::recorded:
         return "recorded";
     case crash_evidence::unanswered:
@@ -25,7 +31,8 @@
 
 std::vector<crash_suspect> crash_tracker::suspects(worker_session& session,
                                                    const std::vector<run_key>& keys,
-                                                   time_point last_heard_at) const
+                                                   time_point last_heard_at, bool crash_is_certain,
+                                                   time_point now)
 {
     std::vector<crash_suspect> found;
     // A worker that drains is told to leave, so its end is no crash.
@@ -41,19 +48,40 @@
             continue;
         }
         const bool suspected = is_on_trial(target->at(key.m_task));
-        const auto evidence = judge_crash(run, suspected, last_heard_at);
+        auto evidence = judge_crash(run, suspected, last_heard_at);
+        if (!crash_is_certain) {
+            evidence = without_proof_of_crash(evidence, suspected);
+        }
         if (evidence == crash_evidence::none) {
             continue;
         }
-        crash_suspect suspect{key, evidence, run.m_on_trial, std::nullopt};
+        crash_suspect suspect{key, evidence, suspected && !crashes_elsewhere(key, now),
+                              std::nullopt};
         if (run.m_ordered_at) {
             suspect.m_heard_after_start = remaining(*run.m_ordered_at, last_heard_at);
         }
         found.push_back(suspect);
     }
+    const bool explained = std::any_of(found.begin(), found.end(), [](const auto& suspect) {
+        return suspect.m_evidence == crash_evidence::confirmed ||
+               suspect.m_evidence == crash_evidence::unanswered;
+    });
+    if (crash_is_certain && !explained) {
+        m_unexplained.push_back({now, keys});
+    }
     return found;
 }
 
+bool crash_tracker::crashes_elsewhere(const run_key& key, time_point now)
+{
+    while (!m_unexplained.empty() && now - m_unexplained.front().m_at > unexplained_time) {
+        m_unexplained.pop_front();
+    }
+    return std::any_of(m_unexplained.begin(), m_unexplained.end(), [&key](const auto& crash) {
+        return std::find(crash.m_runs.begin(), crash.m_runs.end(), key) == crash.m_runs.end();
+    });
+}
+
 bool crash_tracker::blame(const crash_suspect& suspect, const worker_instance& instance,
                           std::string_view reason, moment now)
 {
@@ -88,7 +116,8 @@
         }
         session.find(key)->m_on_trial = false;
         auto* target = m_state->m_job_store.find(key.m_job);
-        if (target != nullptr && target->has(key.m_task) &&
+        // A short task is cleared by its success only: it may crash its worker at any time before.
+        if (listed.m_long_running && target != nullptr && target->has(key.m_task) &&
             target->at(key.m_task).m_run == listed.m_run) {
             m_state->log_run("suspect_cleared", key, session.id(), "");
             target->clear_crashes(key.m_task);
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -29,6 +29,16 @@
                     run.m_estimate * stall_estimate_percent / percent_per_whole + stall_time);
 }
 
+std::vector<run_key> keys_of(const std::map<run_key, worker_run>& runs)
+{
+    std::vector<run_key> keys;
+    keys.reserve(runs.size());
+    for (const auto& entry : runs) {
+        keys.push_back(entry.first);
+    }
+    return keys;
+}
+
 step_key step_of(const run_key& key)
 {
     return {key.m_job, key.m_task.m_occurrence, key.m_task.m_step};
@@ -179,11 +189,7 @@
                      std::string{to_string(answer.m_result)});
     }
     if (answer.m_result == order_result::other_instance && session->instance() == instance) {
-        std::vector<run_key> lost;
-        for (const auto& entry : session->runs()) {
-            lost.push_back(entry.first);
-        }
-        mark_lost_in_crash(*session, lost, session->last_heard_at(),
+        mark_lost_in_crash(*session, keys_of(session->runs()), session->last_heard_at(), true,
                            "address belongs to another worker", now);
         return;
     }
@@ -230,7 +236,10 @@
             mark_run_lost(session, key, "not listed by the worker");
         }
     }
-    mark_lost_in_crash(session, crashed, last_heard_at, "worker has restarted", now);
+    if (crashed.empty() && !outcome.m_restarted) {
+        return;
+    }
+    mark_lost_in_crash(session, crashed, last_heard_at, true, "worker has restarted", now);
 }
 
 void run_tracker::handle_end(worker_session& session, const ended_entry& ended, moment now)
@@ -323,17 +332,6 @@
     }
 }
 
-void run_tracker::mark_all_lost(worker_session& session, std::string_view reason)
-{
-    std::vector<run_key> keys;
-    for (const auto& entry : session.runs()) {
-        keys.push_back(entry.first);
-    }
-    for (const auto& key : keys) {
-        mark_run_lost(session, key, reason);
-    }
-}
-
 void run_tracker::mark_lost_with_vm(worker_session& session, time_point seen_at, moment now)
 {
     std::vector<run_key> lost;
@@ -346,14 +344,16 @@
             lost.push_back(key);
         }
     }
-    mark_lost_in_crash(session, lost, session.last_heard_at(), "its VM is down", now);
+    mark_lost_in_crash(session, lost, session.last_heard_at(), true, "its VM is down", now);
 }
 
 void run_tracker::mark_lost_in_crash(worker_session& session, const std::vector<run_key>& keys,
-                                     time_point last_heard_at, std::string_view reason, moment now)
+                                     time_point last_heard_at, bool crash_is_certain,
+                                     std::string_view reason, moment now)
 {
     const auto instance = session.instance();
-    const auto suspects = m_crashes.suspects(session, keys, last_heard_at);
+    const auto suspects =
+        m_crashes.suspects(session, keys, last_heard_at, crash_is_certain, now.m_at);
     for (const auto& key : keys) {
         mark_run_lost(session, key, reason);
     }
@@ -468,7 +468,9 @@
         const bool unreachable = session.silent() || !session.listed();
         if (unreachable && !session.runs().empty() && now.m_at >= session.lease_ends_at() &&
             (session.silent() || session.report().m_port == 0)) {
-            mark_all_lost(session, "lease expired");
+            // The worker may have crashed, or only be cut off.
+            mark_lost_in_crash(session, keys_of(session.runs()), session.last_heard_at(), false,
+                               "lease expired", now);
         }
         if (!session.listed() && session.runs().empty()) {
             m_state->log("worker_forgotten", "", session.id(), "");
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -147,7 +147,13 @@
         return place_gang(waiting, occurrence, step, candidates, now);
     }
     const auto& spec = target.spec().m_steps[step];
-    auto suspects = count_suspects(target, occurrence, step);
+    auto suspects = count_suspects(
+        target, occurrence, step, [this, &target](const auto& ref, const auto& entry) {
+            auto* session = m_state->find_worker(entry.m_placed_on.m_worker);
+            const auto* run =
+                session == nullptr ? nullptr : session->find({target.header().m_id, ref});
+            return run != nullptr && run->m_on_trial;
+        });
     bool all = true;
     for (std::uint32_t index = 0; index < spec.m_count; ++index) {
         const task_ref ref{occurrence, step, index};
--- a/test/scheduling/crash_suspects_test.cpp
+++ b/test/scheduling/crash_suspects_test.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST(start_without_outcome_is_no_suspect);
     CPPUNIT_TEST(adopted_run_is_a_suspect_if_it_is_short_or_its_task_was_one);
     CPPUNIT_TEST(two_crashes_give_a_task_up_only_if_both_runs_are_known_to_have_begun);
+    CPPUNIT_TEST(late_crash_counts_against_a_short_run_only);
+    CPPUNIT_TEST(expired_lease_is_weak_evidence);
     CPPUNIT_TEST(alike_tasks_wait_for_the_trial_unless_they_are_long_running);
     CPPUNIT_TEST_SUITE_END();
 
@@ -34,7 +36,7 @@
         const auto run = make_confirmed_run();
         const auto later = start + crash_window + milliseconds{1};
         CPPUNIT_ASSERT(judge_crash(run, false, start + crash_window) == crash_evidence::confirmed);
-        CPPUNIT_ASSERT(judge_crash(run, false, later) == crash_evidence::none);
+        CPPUNIT_ASSERT(judge_crash(run, false, later) == crash_evidence::late);
         CPPUNIT_ASSERT(!has_survived(run, start + crash_window));
         CPPUNIT_ASSERT(has_survived(run, later));
     }
@@ -53,12 +55,39 @@
     {
         auto run = make_confirmed_run();
         run.m_ordered_at.reset();
+        run.m_confirmed_at = {};
+        run.m_phase = run_phase::uncertain;
         CPPUNIT_ASSERT(judge_crash(run, false, start) == crash_evidence::recorded);
         run.m_long_running = true;
         CPPUNIT_ASSERT(judge_crash(run, false, start) == crash_evidence::none);
         CPPUNIT_ASSERT(judge_crash(run, true, start) == crash_evidence::recorded);
     }
 
+    // A task that crashes its workers a second after its start would be started without end.
+    void late_crash_counts_against_a_short_run_only()
+    {
+        auto run = make_confirmed_run();
+        const auto late = start + late_crash_window;
+        CPPUNIT_ASSERT(judge_crash(run, false, late) == crash_evidence::late);
+        CPPUNIT_ASSERT(judge_crash(run, false, late + milliseconds{1}) == crash_evidence::none);
+        run.m_long_running = true;
+        CPPUNIT_ASSERT(judge_crash(run, true, late) == crash_evidence::none);
+        CPPUNIT_ASSERT(weight_of(crash_evidence::late, false) < trial_suspicion);
+        CPPUNIT_ASSERT(weight_of(crash_evidence::late, true) * 5 >= suspicion_limit);
+    }
+
+    // A cut would give jobs up, or a task whose workers are silent after a crash never would.
+    void expired_lease_is_weak_evidence()
+    {
+        const auto recorded = crash_evidence::recorded;
+        CPPUNIT_ASSERT(without_proof_of_crash(crash_evidence::confirmed, false) == recorded);
+        CPPUNIT_ASSERT(without_proof_of_crash(crash_evidence::unanswered, false) == recorded);
+        for (const auto evidence : {crash_evidence::late, recorded}) {
+            CPPUNIT_ASSERT(without_proof_of_crash(evidence, false) == crash_evidence::none);
+            CPPUNIT_ASSERT(without_proof_of_crash(evidence, true) == evidence);
+        }
+    }
+
     // A job would be given up for a run that only its record speaks of.
     void two_crashes_give_a_task_up_only_if_both_runs_are_known_to_have_begun()
     {
--- a/test/scheduling/fleet_simulation.hpp
+++ b/test/scheduling/fleet_simulation.hpp
@@ -201,6 +201,13 @@
     void judge_failed_jobs() { m_judges_failed_jobs = true; }
     /// Lets the first `tasks` tasks of the next job crash each worker that starts them.
     void set_deadly(std::uint32_t tasks) { m_deadly_tasks = tasks; }
+    /// Lets deadly tasks crash their workers at any time up to `longest` after their start, and
+    /// `silent` of a hundred workers be away until their leases have lapsed.
+    void set_crash_times(milliseconds longest, int silent)
+    {
+        m_crash_delay = longest;
+        m_silent_crashes = silent;
+    }
     /// Returns the state of a job as the present owner has it.
     job_phase phase_of(std::uint32_t number)
     {
@@ -915,29 +922,46 @@
         }
         worker.m_runs[order.m_key] = run;
         check_capacity(worker);
+        check_starts(order.m_key);
         if (m_deadly.count(order.m_key) != 0) {
-            // The answer to the start arrives before the crash, or never.
-            later(milliseconds{m_random() % 40}, [this, instance = worker.m_instance, order] {
-                crash_under(instance, order.m_key);
+            // The answer to the start arrives before the crash, or never. Some crashes come later.
+            const auto delay = draw(milliseconds{0}, m_crash_delay);
+            auto& started = worker.m_runs[order.m_key];
+            started.m_ends_at = std::max(started.m_ends_at, m_now + delay + milliseconds{1});
+            later(delay, [this, instance = worker.m_instance, order] {
+                crash_under(instance, order.m_key, order.m_run);
             });
         }
     }
 
+    /// Fails if the task starts a third time after it has crashed three workers.
+    void check_starts(const run_key& key)
+    {
+        if (m_crashes_caused[key] >= tolerated_crashes &&
+            ++m_starts_after_crashes[key] > tolerated_starts) {
+            fail("task of " + key.m_job + " starts after " + std::to_string(m_crashes_caused[key]) +
+                 " crashes");
+        }
+    }
+
     /// Crashes the worker, which is back some seconds later, under the same id or a new one.
-    void crash_under(const worker_instance& instance, const run_key& key)
+    void crash_under(const worker_instance& instance, const run_key& key, std::uint32_t run)
     {
         const auto crashed = m_workers.find(instance.m_worker);
         if (crashed == m_workers.end() || !(crashed->second.m_instance == instance) ||
             !crashed->second.m_up) {
             return;
         }
-        const auto crashes = ++m_crashes_caused[key];
-        if (crashes > crashes_allowed) {
-            fail("task of " + key.m_job + " crashed " + std::to_string(crashes) + " workers");
+        const auto found = crashed->second.m_runs.find(key);
+        if (found == crashed->second.m_runs.end() || found->second.m_run != run) {
+            return;
         }
+        ++m_crashes_caused[key];
         go_down(crashed->second);
-        later(milliseconds{500 + m_random() % 3'500},
-              [this, id = instance.m_worker] { bring_back(id, chance(50)); });
+        // Some are away for so long that their leases lapse.
+        const auto down = chance(m_silent_crashes) ? draw(milliseconds{9'000}, milliseconds{14'000})
+                                                   : draw(milliseconds{500}, milliseconds{4'000});
+        later(down, [this, id = instance.m_worker] { bring_back(id, chance(50)); });
     }
 
     /// Ends a worker's present incarnation.
@@ -1063,8 +1087,8 @@
         }
     }
 
-    /// Three crashes, and two more starts.
-    static constexpr std::uint32_t crashes_allowed = 5;
+    static constexpr std::uint32_t tolerated_crashes = 3;
+    static constexpr std::uint32_t tolerated_starts = 2;
 
     std::mt19937_64 m_random;
     time_point m_now{milliseconds{1'000'000}};
@@ -1106,6 +1130,9 @@
     std::uint32_t m_deadly_tasks{0};
     std::set<run_key> m_deadly;
     std::map<run_key, std::uint32_t> m_crashes_caused;
+    std::map<run_key, std::uint32_t> m_starts_after_crashes;
+    milliseconds m_crash_delay{40};
+    int m_silent_crashes{0};
     std::map<run_key, std::uint32_t> m_crashes_under;
     std::uint32_t m_replacements{0};
     /// Former workers whose addresses others have now.
--- a/test/scheduling/job_scheduler_test.cpp
+++ b/test/scheduling/job_scheduler_test.cpp
@@ -95,6 +95,8 @@
     CPPUNIT_TEST(task_that_crashes_its_workers_crashed_server_after_server);
     CPPUNIT_TEST(crash_count_of_a_task_was_forgotten_at_a_takeover);
     CPPUNIT_TEST(recorded_run_that_never_began_was_counted_as_a_crash);
+    CPPUNIT_TEST(task_that_crashes_its_workers_late_was_started_without_end);
+    CPPUNIT_TEST(task_whose_crashed_workers_stay_silent_was_started_without_end);
     CPPUNIT_TEST(neighbours_of_a_task_that_crashes_its_workers_are_completed);
     CPPUNIT_TEST(loss_of_all_workers_at_once_fails_no_job);
     CPPUNIT_TEST(invariants_hold_in_any_history);
@@ -487,6 +489,38 @@
         }
     }
 
+    // Each run would outlive the time in which a crash is blamed on it, and clear the count.
+    void task_that_crashes_its_workers_late_was_started_without_end()
+    {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+            fleet_simulation simulation{seed};
+            simulation.judge_failed_jobs();
+            simulation.set_crash_times(milliseconds{3'000}, 0);
+            simulation.change_owner(false);
+            simulation.set_deadly(1);
+            simulation.submit(1, 0);
+            simulation.pass(milliseconds{60'000});
+            assert_no_violation(simulation);
+            CPPUNIT_ASSERT(simulation.phase_of(1) == job_phase::failed);
+        }
+    }
+
+    // A lapsed lease would hide each crash.
+    void task_whose_crashed_workers_stay_silent_was_started_without_end()
+    {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+            fleet_simulation simulation{seed};
+            simulation.judge_failed_jobs();
+            simulation.set_crash_times(milliseconds{40}, 100);
+            simulation.change_owner(false);
+            simulation.set_deadly(1);
+            simulation.submit(1, 0);
+            simulation.pass(milliseconds{120'000});
+            assert_no_violation(simulation);
+            CPPUNIT_ASSERT(simulation.phase_of(1) == job_phase::failed);
+        }
+    }
+
     // A job would be given up after one crash.
     void recorded_run_that_never_began_was_counted_as_a_crash()
     {
