Blame no start that has not begun, and give up no long-running job

Now it counts only if its channel broke within the crash window; a run that its worker outlived is not blamed, an adopted one neither. A long-running job was given up after two crashes like any other, which stops all its tasks at once (suspected behind an AVAIL); it has no limit of attempts.

--- a/include/peridotrudder/jobs/job.hpp
+++ b/include/peridotrudder/jobs/job.hpp
@@ -187,7 +187,7 @@
              std::uint32_t attempts, std::int64_t now_ms);
 
     /// Counts a crash of the worker of the task's run. The job fails with the crash that makes
-    /// `limit` in a row. Returns the crashes in a row.
+    /// `limit` in a row, unless the task is long-running. Returns the crashes in a row.
     std::uint32_t record_crash(const task_ref& ref, std::uint32_t limit, std::int64_t now_ms);
 
     /// Forgets the task's crashes, after a run that its worker survived.
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -290,7 +290,8 @@
     if (over || m_phase != job_phase::active) {
         return suspect.m_crashes;
     }
-    if (++suspect.m_crashes >= limit) {
+    // A long-running task is started again however it ends.
+    if (++suspect.m_crashes >= limit && !spec().m_steps[ref.m_step].m_long_running) {
         void_run(ref);
         suspect.m_phase = task_phase::failed;
         finish(job_phase::failed, now_ms);
--- a/src/scheduling/crash_suspects.cpp
+++ b/src/scheduling/crash_suspects.cpp
@@ -9,6 +9,12 @@
     return run.m_confirmed_at != time_point{};
 }
 
+/// Returns whether the start ended by its timeout. A crash right after a start ends it at once.
+bool has_timed_out(const worker_run& run)
+{
+    return run.m_unanswered_since && *run.m_unanswered_since > *run.m_ordered_at + crash_window;
+}
+
 } // namespace
 
 bool is_suspect(const worker_run& run, std::uint32_t crashes, time_point last_heard_at)
@@ -17,12 +23,17 @@
     if (run.m_phase == run_phase::recording || run.m_phase == run_phase::ordered) {
         return false;
     }
+    if (has_survived(run, last_heard_at)) {
+        return false;
+    }
     if (!run.m_ordered_at) {
         // A predecessor started the run. A long-running one perhaps long ago: if its worker had
         // survived the start, its task would have no crashes any more.
         return crashes > 0 || !run.m_long_running;
     }
-    return !is_confirmed(run) || last_heard_at <= *run.m_ordered_at + crash_window;
+    // A start that the worker may carry out late has not begun so far.
+    const bool has_begun = is_confirmed(run) || !has_timed_out(run);
+    return has_begun && last_heard_at <= *run.m_ordered_at + crash_window;
 }
 
 bool has_survived(const worker_run& run, time_point last_heard_at)
--- a/test/jobs/job_test.cpp
+++ b/test/jobs/job_test.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(end_of_an_older_run_changes_nothing_unless_it_is_a_success);
     CPPUNIT_TEST(run_after_a_voided_run_has_a_higher_number);
     CPPUNIT_TEST(long_running_task_is_never_done);
+    CPPUNIT_TEST(crashes_of_workers_fail_no_long_running_job);
     CPPUNIT_TEST(one_success_completes_the_whole_gang);
     CPPUNIT_TEST(failures_of_a_gang_count_together);
     CPPUNIT_TEST(checkpoint_of_an_end_is_kept_for_the_next_run);
@@ -126,6 +127,21 @@
         }
     }
 
+    // AVAIL was broken: the job was given up, so all its tasks were stopped at once.
+    void crashes_of_workers_fail_no_long_running_job()
+    {
+        auto step = make_step(2);
+        step.m_long_running = true;
+        auto example = make_job({step});
+        for (std::uint32_t crash = 1; crash <= 5; ++crash) {
+            example.place({0, 0, 0}, some_worker);
+            CPPUNIT_ASSERT_EQUAL(crash, example.record_crash({0, 0, 0}, 2, now_ms));
+            example.void_run({0, 0, 0});
+        }
+        CPPUNIT_ASSERT(example.phase() == job_phase::active);
+        CPPUNIT_ASSERT(example.at({0, 0, 0}).m_phase == task_phase::waiting);
+    }
+
     void one_success_completes_the_whole_gang()
     {
         auto step = make_step(3);
