Deliver simulated orders only at the address that they were sent to

The property of restarts failed in its 596th case since workers of the simulation may return at another address: a task ran twice. The order was sent to the former address 1 to 15 ms before the worker was back elsewhere, and was carried out by the incarnation at the new address, which no network does; the owner had been told rightly that another worker was at the address.

The check of the address stood on the path of late orders only; now both have it. An order that arrives at an address that the worker has left gets no answer.

--- a/test/scheduling/fleet_simulation.hpp
+++ b/test/scheduling/fleet_simulation.hpp
@@ -781,7 +781,7 @@
         if (chance(m_faults.m_late)) {
             later(timeout, [answer] { answer(Answer{}); });
             later(draw(m_least_lateness, m_most_lateness), [this, to, carry_out] {
-                if (to.m_address == report_of(m_workers[to.m_instance.m_worker]).m_address) {
+                if (is_at_address(to)) {
                     carry_out();
                 }
             });
@@ -789,7 +789,7 @@
         }
         const bool answer_lost = chance(m_faults.m_answer_lost);
         later(delay, [this, to, carry_out, answer, answer_lost, delay, timeout] {
-            const auto result = carry_out();
+            const auto result = is_at_address(to) ? carry_out() : Answer{};
             if (answer_lost) {
                 later(timeout, [answer] { answer(Answer{}); });
                 return;
@@ -801,6 +801,12 @@
         });
     }
 
+    /// Returns whether the worker can still be reached where the report says.
+    bool is_at_address(const worker_report& to)
+    {
+        return to.m_address == report_of(m_workers[to.m_instance.m_worker]).m_address;
+    }
+
     simulated_worker* find_up(const worker_report& to)
     {
         auto& worker = m_workers[to.m_instance.m_worker];
