Tell starts that have not begun from starts whose worker crashed

Cause: a start without answer was blamed for a crash however long after it the worker was heard of, without the run.

Change: if the worker was heard of after the window, the start had not begun; if the start timed out instead of breaking its channel, it counts as merely recorded. A predecessor's long-running run that was confirmed is judged by the window, too.

crash_suspects_test: start_that_has_not_begun_is_no_suspect and long_running_adopted_run_that_its_worker_outlived_is_no_suspect fail on the code before.

--- a/src/scheduling/crash_suspects.cpp
+++ b/src/scheduling/crash_suspects.cpp
@@ -20,12 +20,19 @@
     return run.m_confirmed_at != time_point{};
 }
 
-crash_evidence judge_confirmed(const worker_run& run, time_point last_heard_at)
+/// Judges a run of a predecessor. A long-running one may have begun long ago: if its worker had
+/// survived the start, its task would not be suspected any more.
+crash_evidence judge_recorded(const worker_run& run, bool suspected)
+{
+    return suspected || !run.m_long_running ? crash_evidence::recorded : crash_evidence::none;
+}
+
+crash_evidence judge_confirmed(const worker_run& run, bool suspected, time_point last_heard_at)
 {
     // Nothing is known of a predecessor's run before it was listed.
     const auto begun_at = run.m_ordered_at.value_or(run.m_confirmed_at);
     if (last_heard_at <= begun_at + crash_window) {
-        return run.m_ordered_at ? crash_evidence::confirmed : crash_evidence::recorded;
+        return run.m_ordered_at ? crash_evidence::confirmed : judge_recorded(run, suspected);
     }
     // A long-running task is lost with its worker in the course of time without any fault.
     return !run.m_long_running && last_heard_at <= begun_at + late_crash_window
@@ -33,6 +40,18 @@
                : crash_evidence::none;
 }
 
+crash_evidence judge_unanswered(const worker_run& run, time_point last_heard_at)
+{
+    const auto end_of_window = *run.m_ordered_at + crash_window;
+    if (last_heard_at > end_of_window) {
+        // The worker was alive without the run, which it may start late.
+        return crash_evidence::none;
+    }
+    // A crash right after a start breaks its channel, so a start that timed out may not have begun.
+    const bool timed_out = run.m_unanswered_since && *run.m_unanswered_since > end_of_window;
+    return timed_out ? crash_evidence::recorded : crash_evidence::unanswered;
+}
+
 } // namespace
 
 crash_evidence judge_crash(const worker_run& run, bool suspected, time_point last_heard_at)
@@ -41,15 +60,11 @@
     if (run.m_phase == run_phase::recording || run.m_phase == run_phase::ordered) {
         return crash_evidence::none;
     }
-    if (!run.m_ordered_at && (run.m_long_running || !is_confirmed(run))) {
-        // A long-running one may have begun long ago: if its worker had survived the start, its
-        // task would not be suspected any more.
-        return suspected || !run.m_long_running ? crash_evidence::recorded : crash_evidence::none;
-    }
-    if (!is_confirmed(run)) {
-        return crash_evidence::unanswered;
+    if (!run.m_ordered_at && !is_confirmed(run)) {
+        return judge_recorded(run, suspected);
     }
-    return judge_confirmed(run, last_heard_at);
+    return is_confirmed(run) ? judge_confirmed(run, suspected, last_heard_at)
+                             : judge_unanswered(run, last_heard_at);
 }
 
 crash_evidence without_proof_of_crash(crash_evidence evidence, bool suspected)
--- a/test/scheduling/crash_suspects_test.cpp
+++ b/test/scheduling/crash_suspects_test.cpp
@@ -23,6 +23,8 @@
     CPPUNIT_TEST_SUITE(crash_suspects_test);
     CPPUNIT_TEST(run_that_its_worker_outlived_is_no_suspect);
     CPPUNIT_TEST(start_without_outcome_is_no_suspect);
+    CPPUNIT_TEST(start_that_has_not_begun_is_no_suspect);
+    CPPUNIT_TEST(long_running_adopted_run_that_its_worker_outlived_is_no_suspect);
     CPPUNIT_TEST(adopted_run_is_a_suspect_if_it_is_short_or_its_task_was_one);
     CPPUNIT_TEST(two_crashes_give_a_task_up_only_if_both_runs_are_known_to_have_begun);
     CPPUNIT_TEST(late_crash_counts_against_a_short_run_only);
@@ -51,6 +53,32 @@
         CPPUNIT_ASSERT(judge_crash(run, false, start) == crash_evidence::unanswered);
     }
 
+    // LOST was broken: sound jobs were given up for crashes of workers that carry orders out late.
+    void start_that_has_not_begun_is_no_suspect()
+    {
+        auto run = make_confirmed_run();
+        run.m_confirmed_at = {};
+        run.m_phase = run_phase::uncertain;
+        run.m_unanswered_since = start + crash_window;
+        const auto later = start + crash_window + milliseconds{1};
+        CPPUNIT_ASSERT(judge_crash(run, true, start + crash_window) == crash_evidence::unanswered);
+        CPPUNIT_ASSERT(judge_crash(run, true, later) == crash_evidence::none);
+        run.m_unanswered_since = later;
+        CPPUNIT_ASSERT(judge_crash(run, true, start) == crash_evidence::recorded);
+        CPPUNIT_ASSERT(judge_crash(run, true, later) == crash_evidence::none);
+    }
+
+    void long_running_adopted_run_that_its_worker_outlived_is_no_suspect()
+    {
+        auto run = make_confirmed_run();
+        run.m_ordered_at.reset();
+        run.m_long_running = true;
+        const auto end_of_window = run.m_confirmed_at + crash_window;
+        CPPUNIT_ASSERT(judge_crash(run, true, end_of_window) == crash_evidence::recorded);
+        CPPUNIT_ASSERT(judge_crash(run, true, end_of_window + milliseconds{1}) ==
+                       crash_evidence::none);
+    }
+
     void adopted_run_is_a_suspect_if_it_is_short_or_its_task_was_one()
     {
         auto run = make_confirmed_run();
