Give no long-running job up while one of its tasks is at work

Cause: a job is given up for crashes of one task; then all its runs are stopped, also those at work on sound workers.

Ruled out: giving long-running jobs up never.

Change: a long-running job is given up only while no other task of it has outlived its start.

crash_tracker_test, new: tasks_at_work_were_stopped_since_another_crashed_its_workers fails on the code before; a job whose only task crashes three workers is still given up. test_scheduling: 71 tests, 1,000 cases, pass.

--- a/include/peridotrudder/scheduling/crash_tracker.hpp
+++ b/include/peridotrudder/scheduling/crash_tracker.hpp
@@ -47,6 +47,8 @@
         std::vector<run_key> m_runs;
     };
 
+    /// Returns whether the task's job may be given up now.
+    bool may_give_up(const run_key& key);
     /// Returns whether a worker without this run crashed of late, and no start explains that.
     bool crashes_elsewhere(const run_key& key, time_point now);
 
--- a/src/scheduling/crash_tracker.cpp
+++ b/src/scheduling/crash_tracker.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <limits>
 
 namespace peridotrudder {
 
@@ -82,6 +83,22 @@
     });
 }
 
+// Giving a long-running job up also stops those of its tasks that are at work.
+bool crash_tracker::may_give_up(const run_key& key)
+{
+    const auto& target = *m_state->m_job_store.find(key.m_job);
+    if (!target.spec().m_steps[key.m_task.m_step].m_long_running) {
+        return true;
+    }
+    const auto placed = target.placed_refs();
+    return std::none_of(placed.begin(), placed.end(), [this, &key, &target](const auto& ref) {
+        auto* session = m_state->find_worker(target.at(ref).m_placed_on.m_worker);
+        const auto* run = session == nullptr ? nullptr : session->find({key.m_job, ref});
+        return run != nullptr && !(ref == key.m_task) &&
+               has_survived(*run, session->last_heard_at());
+    });
+}
+
 bool crash_tracker::blame(const crash_suspect& suspect, const worker_instance& instance,
                           std::string_view reason, moment now)
 {
@@ -91,7 +108,9 @@
         return false;
     }
     const auto weight = weight_of(suspect.m_evidence, suspect.m_on_trial);
-    const auto total = target->record_crash(key.m_task, weight, suspicion_limit, now.m_unix_ms);
+    const auto limit =
+        may_give_up(key) ? suspicion_limit : std::numeric_limits<std::uint32_t>::max();
+    const auto total = target->record_crash(key.m_task, weight, limit, now.m_unix_ms);
     m_state->changed(key.m_job);
     const auto& heard_after_start = suspect.m_heard_after_start;
     const auto heard = heard_after_start
