Let no simulated order reach a worker at another address

A start was under way to an address when its worker crashed and came back at another one, and the simulation let it begin there. The owner had been told by a 421 from the old address that the worker is gone, and was right. So the fault is the simulation's: an order is carried out by whoever has its address then, and a worker that was not meant refuses it.

--- a/test/scheduling/fleet_simulation.hpp
+++ b/test/scheduling/fleet_simulation.hpp
@@ -751,9 +751,7 @@
               std::function<void(Answer)> answer, milliseconds timeout = milliseconds{700})
     {
         const auto delay = milliseconds{1 + m_random() % 15};
-        const auto& receiver = m_workers[to.m_instance.m_worker];
-        if (m_retired.count(to.m_instance.m_worker) != 0 ||
-            (receiver.m_up && to.m_address != report_of(receiver).m_address)) {
+        if (is_of_another_worker(to)) {
             Answer refused;
             refused.m_result = order_result::other_instance;
             later(delay, [answer, refused] { answer(refused); });
@@ -774,7 +772,7 @@
         if (chance(m_faults.m_late)) {
             later(timeout, [answer] { answer(Answer{}); });
             later(draw(m_least_lateness, m_most_lateness), [this, to, carry_out] {
-                if (to.m_address == report_of(m_workers[to.m_instance.m_worker]).m_address) {
+                if (!is_of_another_worker(to)) {
                     carry_out();
                 }
             });
@@ -782,7 +780,11 @@
         }
         const bool answer_lost = chance(m_faults.m_answer_lost);
         later(delay, [this, to, carry_out, answer, answer_lost, delay, timeout] {
-            const auto result = carry_out();
+            auto result = Answer{};
+            result.m_result = order_result::other_instance;
+            if (!is_of_another_worker(to)) {
+                result = carry_out();
+            }
             if (answer_lost) {
                 later(timeout, [answer] { answer(Answer{}); });
                 return;
@@ -794,6 +796,14 @@
         });
     }
 
+    /// Returns whether another worker has the address by now.
+    bool is_of_another_worker(const worker_report& to)
+    {
+        const auto& worker = m_workers[to.m_instance.m_worker];
+        return m_retired.count(to.m_instance.m_worker) != 0 ||
+               (worker.m_up && to.m_address != report_of(worker).m_address);
+    }
+
     simulated_worker* find_up(const worker_report& to)
     {
         auto& worker = m_workers[to.m_instance.m_worker];
