Bound the time in the record of a VM's order before computing with it

The difference of a damaged record's time and of the present was computed before it was bounded: beyond 64 bits it is undefined, and a time in the distant past blocked the VM for a whole lease.

Ruled out: dropping such records, since any time that was written shows that the VM was ordered.

Change: the recorded time is bounded to the lease before the present; a time that fits no signed number is unreadable, as records of other types are.

--- a/src/planning/vm_fleet.cpp
+++ b/src/planning/vm_fleet.cpp
@@ -1,5 +1,7 @@
 #include "peridotrudder/planning/vm_fleet.hpp"
 
+#include "peridotrudder/base/packed_cbor.hpp"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <set>
@@ -40,17 +42,16 @@
         if (!record.m_value || record.m_key.rfind(vm_prefix, 0) != 0) {
             continue;
         }
-        const auto json = parse_cbor(*record.m_value);
-        if (!json || !json->is_number_integer()) {
+        const auto ordered_ms = from_packed_cbor<std::int64_t>(*record.m_value);
+        if (!ordered_ms) {
             m_hooks.m_decided({"vm_record_unreadable", "", "", record.m_key});
             continue;
         }
         const auto lease = m_options.m_vm_lease + clock_slack;
-        const auto remaining_lease =
-            milliseconds{json->get<std::int64_t>() - now.m_unix_ms} + lease;
         // Clocks differ: whatever time a record has, it blocks the VM for the lease at most.
-        m_predecessor_lease_ends[record.m_key.substr(vm_prefix.size())] =
-            now.m_at + std::clamp(remaining_lease, milliseconds{0}, lease);
+        const auto passed = milliseconds{
+            now.m_unix_ms - std::clamp(*ordered_ms, now.m_unix_ms - lease.count(), now.m_unix_ms)};
+        m_predecessor_lease_ends[record.m_key.substr(vm_prefix.size())] = now.m_at + lease - passed;
     }
 }
 
--- a/test/planning/fleet_planner_test.cpp
+++ b/test/planning/fleet_planner_test.cpp
@@ -203,6 +203,7 @@
     CPPUNIT_TEST(wave_is_spread_over_its_duration_with_a_reserve_for_outages);
     CPPUNIT_TEST(maintenance_that_a_predecessor_did_not_record_counts_as_away);
     CPPUNIT_TEST(work_of_accepted_jobs_at_their_limits_was_negative);
+    CPPUNIT_TEST(record_of_an_order_with_a_time_beyond_any_clock_blocked_its_vm);
     CPPUNIT_TEST(run_ended_because_the_entry_of_its_vm_was_unreadable);
     CPPUNIT_TEST(crash_was_not_seen_while_another_vms_entry_was_unreadable);
     CPPUNIT_TEST(wave_counted_a_vm_with_an_unreadable_entry_as_gone);
@@ -345,6 +346,33 @@
             static_cast<double>(total.m_work_by_chain) / static_cast<double>(total.m_work), 1.0);
     }
 
+    // The difference to the present time exceeded 64 bits.
+    void record_of_an_order_with_a_time_beyond_any_clock_blocked_its_vm()
+    {
+        const auto record = [](const std::string& key, const nlohmann::json& time) {
+            return keyed_record{key, nlohmann::json::to_cbor(time), 0};
+        };
+        std::vector<std::string> logged;
+        vm_fleet_hooks hooks;
+        hooks.m_decided = [&logged](const decision& made) { logged.push_back(made.m_detail); };
+        const auto fleet = vm_fleet::create({}, fence, hooks);
+        const moment now{time_point{milliseconds{1'000'000}}, 1'000'000};
+        fleet->restore({record("vm/m-0", std::numeric_limits<std::int64_t>::min()),
+                        record("vm/m-1", std::numeric_limits<std::int64_t>::max()),
+                        record("vm/m-2", std::numeric_limits<std::uint64_t>::max())},
+                       now);
+        const auto is_blocked = [&fleet](const std::string& id, time_point at) {
+            managed_vm managed;
+            managed.m_listed.m_id = id;
+            return fleet->ordered_by_predecessor(managed, at);
+        };
+        CPPUNIT_ASSERT(!is_blocked("m-0", now.m_at));
+        CPPUNIT_ASSERT(is_blocked("m-1", now.m_at));
+        CPPUNIT_ASSERT(!is_blocked("m-1", now.m_at + milliseconds{10'000}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, logged.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"vm/m-2"}, logged.front());
+    }
+
     // A run whose worker still runs is started a second time.
     void run_ended_because_the_entry_of_its_vm_was_unreadable()
     {
