Bound the number of VMs that a pool requires

Jobs at their limits, or VMs listed with hardly any processor, require more VMs than 32 bits hold; the conversion is undefined, and one VM more than the maximum is none, so that a planner with too much work would move the pool's VMs away.

Change: at most a million VMs are required.

--- a/src/planning/pool_demand.cpp
+++ b/src/planning/pool_demand.cpp
@@ -23,6 +23,8 @@
 /// Limit of a demand of processor that is an estimate, in thousandths of a core: a million VMs with
 /// a thousand cores each.
 constexpr double max_cpu_millis = 1e12;
+/// Limit of the number of VMs that a pool can require.
+constexpr double max_vms = 1'000'000.0;
 /// Share of a VM's processor that tasks of mixed sizes can use.
 constexpr double usable_share = 0.85;
 
@@ -200,9 +202,9 @@
     const auto short_work =
         std::max({load.m_accepted, load.m_forecast, load.m_placed + load.m_waiting});
     const auto cpu = static_cast<double>(load.m_long_running + short_work) / usable_share;
-    const auto by_cpu = static_cast<std::uint32_t>(
-        std::ceil(cpu / static_cast<double>(std::max<std::int64_t>(vm_cpu, 1))));
-    return std::max(by_cpu, load.m_spread_vms);
+    const auto by_cpu = std::ceil(cpu / static_cast<double>(std::max<std::int64_t>(vm_cpu, 1)));
+    return static_cast<std::uint32_t>(
+        std::clamp(by_cpu, std::min(static_cast<double>(load.m_spread_vms), max_vms), max_vms));
 }
 
 } // namespace peridotrudder
--- a/test/planning/pool_demand_test.cpp
+++ b/test/planning/pool_demand_test.cpp
@@ -91,6 +91,7 @@
     CPPUNIT_TEST(demand_follows_a_burst_up_and_down);
     CPPUNIT_TEST(late_job_demands_no_more_than_its_tasks_can_use_at_once);
     CPPUNIT_TEST(work_of_jobs_at_their_limits_was_negative_demand);
+    CPPUNIT_TEST(number_of_vms_beyond_32_bits_wrapped);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -118,6 +119,18 @@
         CPPUNIT_ASSERT(static_cast<double>(load.m_backlog) > 9e21);
     }
 
+    // The conversion of a real number beyond the range is undefined.
+    void number_of_vms_beyond_32_bits_wrapped()
+    {
+        pool_load load;
+        load.m_waiting = 4'294'967'296 * 85 / 100;
+        CPPUNIT_ASSERT(required_vms(load, 1) >= 1'000'000);
+        load.m_waiting = 2'000'000'000'000;
+        CPPUNIT_ASSERT(required_vms(load, 1) >= 1'000'000);
+        load.m_spread_vms = 4'294'967'295;
+        CPPUNIT_ASSERT_EQUAL(1'000'000U, required_vms(load, 16'000));
+    }
+
     void idle_pool_needs_no_vms()
     {
         demand_fixture demand;
