Ignore a list of VMs that names none

An answer of the VM control without its list, such as an empty object, decodes as a list without VMs: every worker counted as ended, and all runs were started a second time.

Ruled out: refusing a page without the list in the decoder, since senders omit what is empty and the last page may be.

Change: a complete list without any VM is treated as one that could not be read; leases still end runs.

--- a/src/planning/vm_fleet.cpp
+++ b/src/planning/vm_fleet.cpp
@@ -131,7 +131,8 @@
             return;
         }
         (*alive)->m_list_in_flight = false;
-        if (list) {
+        // A list without any VM is an answer without the list: the callers' jobs run somewhere.
+        if (list && !list->m_vms.empty()) {
             (*alive)->apply_list(*list, now);
         }
     });
