Judge a crash by the answers of the incarnation that crashed

After a restart, the answers of the next incarnation counted as signs of life of the one that had crashed. A run becomes gone with the second answer, so a start without answer whose worker was back after more than 250 ms was taken as not begun, and nothing was counted: BUDGET. A confirmed start became late evidence, and a long-running suspect was cleared.

Change: a run keeps the time at which the incarnation that got its start was last heard of, until another one lists the run. A run that a predecessor started counts as at work when a long-running job could be given up: right after a takeover no list has shown it yet (AVAIL).

Failed try: blaming a start without outcome once another incarnation answers. Two tests of restarts failed: the new incarnation had refused such starts, and the tasks waited for trials.

--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -266,6 +266,7 @@
             outcome.m_unknown_runs.push_back(entry);
             continue;
         }
+        run->m_former_heard_at.reset();
         if (run->m_phase != run_phase::running) {
             run->m_phase = run_phase::running;
             run->m_confirmed_at = now;
@@ -369,6 +370,7 @@
         run.m_stop_in_flight = false;
         run.m_stop_answered_at.reset();
         run.m_outdated_since = now;
+        run.m_former_heard_at = run.m_former_heard_at.value_or(m_clock_at);
         new_session.reserve(key, run);
     }
     *this = std::move(new_session);
--- a/src/scheduling/crash_suspects.cpp
+++ b/src/scheduling/crash_suspects.cpp
@@ -60,6 +60,10 @@
     if (run.m_phase == run_phase::recording || run.m_phase == run_phase::ordered) {
         return crash_evidence::none;
     }
+    if (run.m_former_heard_at) {
+        // The answers since are those of another incarnation.
+        last_heard_at = *run.m_former_heard_at;
+    }
     if (!run.m_ordered_at && !is_confirmed(run)) {
         return judge_recorded(run, suspected);
     }
@@ -102,7 +106,8 @@
 bool has_survived(const worker_run& run, time_point last_heard_at)
 {
     const auto begun_at = run.m_ordered_at.value_or(run.m_confirmed_at);
-    return run.m_phase == run_phase::running && last_heard_at > begun_at + crash_window;
+    return run.m_phase == run_phase::running && !run.m_former_heard_at &&
+           last_heard_at > begun_at + crash_window;
 }
 
 step_suspects count_suspects(const job& source, std::uint32_t occurrence, std::uint32_t step,
--- a/src/scheduling/crash_tracker.cpp
+++ b/src/scheduling/crash_tracker.cpp
@@ -94,8 +94,10 @@
     return std::none_of(placed.begin(), placed.end(), [this, &key, &target](const auto& ref) {
         auto* session = m_state->find_worker(target.at(ref).m_placed_on.m_worker);
         const auto* run = session == nullptr ? nullptr : session->find({key.m_job, ref});
+        // A predecessor may have started it long ago.
+        const bool adopted = run != nullptr && !run->m_ordered_at;
         return run != nullptr && !(ref == key.m_task) &&
-               has_survived(*run, session->last_heard_at());
+               (adopted || has_survived(*run, session->last_heard_at()));
     });
 }
 
--- a/test/scheduling/crash_suspects_test.cpp
+++ b/test/scheduling/crash_suspects_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(run_that_its_worker_outlived_is_no_suspect);
     CPPUNIT_TEST(start_without_outcome_is_no_suspect);
     CPPUNIT_TEST(start_that_has_not_begun_is_no_suspect);
+    CPPUNIT_TEST(crash_was_judged_by_the_answers_of_the_next_incarnation);
     CPPUNIT_TEST(long_running_adopted_run_that_its_worker_outlived_is_no_suspect);
     CPPUNIT_TEST(adopted_run_is_a_suspect_if_it_is_short_or_its_task_was_one);
     CPPUNIT_TEST(two_crashes_give_a_task_up_only_if_both_runs_are_known_to_have_begun);
@@ -68,6 +69,19 @@
         CPPUNIT_ASSERT(judge_crash(run, true, later) == crash_evidence::none);
     }
 
+    // A task whose worker was back after a quarter of a second was never blamed.
+    void crash_was_judged_by_the_answers_of_the_next_incarnation()
+    {
+        const auto answered_by_next = start + crash_window + milliseconds{400};
+        auto run = make_confirmed_run();
+        run.m_former_heard_at = start + milliseconds{10};
+        CPPUNIT_ASSERT(judge_crash(run, false, answered_by_next) == crash_evidence::confirmed);
+        CPPUNIT_ASSERT(!has_survived(run, answered_by_next));
+        run.m_confirmed_at = {};
+        run.m_phase = run_phase::uncertain;
+        CPPUNIT_ASSERT(judge_crash(run, false, answered_by_next) == crash_evidence::unanswered);
+    }
+
     void long_running_adopted_run_that_its_worker_outlived_is_no_suspect()
     {
         auto run = make_confirmed_run();
--- a/test/scheduling/crash_tracker_test.cpp
+++ b/test/scheduling/crash_tracker_test.cpp
@@ -72,6 +72,7 @@
 class crash_tracker_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(crash_tracker_test);
     CPPUNIT_TEST(tasks_at_work_were_stopped_since_another_crashed_its_workers);
+    CPPUNIT_TEST(tasks_at_work_were_stopped_since_a_successor_had_not_seen_them_yet);
     CPPUNIT_TEST(long_running_job_without_a_task_at_work_is_given_up);
     CPPUNIT_TEST(task_that_has_just_started_is_not_at_work);
     CPPUNIT_TEST_SUITE_END();
@@ -89,6 +90,18 @@
         CPPUNIT_ASSERT(m_fixture.target().at({0, 0, 0}).m_phase == task_phase::waiting);
     }
 
+    // AVAIL would break right after a takeover, when no list has shown the adopted runs.
+    void tasks_at_work_were_stopped_since_a_successor_had_not_seen_them_yet()
+    {
+        crash_tracker tracker{m_fixture.m_state};
+        const auto key = m_fixture.place(1, milliseconds{10});
+        auto* adopted = m_fixture.m_state.find_worker("i-1")->find(key);
+        adopted->m_ordered_at.reset();
+        adopted->m_phase = run_phase::uncertain;
+        m_fixture.blame_first(tracker, 4);
+        CPPUNIT_ASSERT(m_fixture.target().phase() == job_phase::active);
+    }
+
     // A long-running task that crashes each worker would be started without end.
     void long_running_job_without_a_task_at_work_is_given_up()
     {
