--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -66,8 +66,8 @@
     /// Since when the run cannot start any more if it had not started before, on any incarnation:
     /// the start was answered, or had a predecessor's fencing token.
     std::optional<time_point> m_cannot_start_since;
-    /// When the incarnation that the start was sent to was last heard of, if another one answers now
-    /// and has not listed the run.
+    /// When the incarnation that the start was sent to was last heard of, if another one answers
+    /// now and has not listed the run.
     std::optional<time_point> m_former_heard_at;
     /// Since when holds have a higher token than the start, so that an incarnation which has
     /// answered one of them does not carry it out. A later one may.
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -246,8 +246,7 @@
     mark_lost_in_crash(session, crashed, last_heard_at, true, "worker has restarted", now);
 }
 
-bool run_tracker::is_of_other_incarnation(const worker_session& session,
-                                          const run_key& key) const
+bool run_tracker::is_of_other_incarnation(const worker_session& session, const run_key& key) const
 {
     const auto* target = m_state->m_job_store.find(key.m_job);
     return target != nullptr && target->has(key.m_task) &&
