--- a/include/peridotrudder/scheduling/crash_suspects.hpp
+++ b/include/peridotrudder/scheduling/crash_suspects.hpp
@@ -31,8 +31,8 @@
     confirmed,
 };
 
-/// Weight at which a task is given up. Callers bear three crashes and two more starts: three
-/// confirmed crashes reach it, and so do four of any kind.
+/// Weight at which a task is given up. Three confirmed crashes reach it, or four unanswered starts
+/// or recorded runs, or five late crashes; a task may start twice more after three crashes.
 inline constexpr std::uint32_t suspicion_limit = 60;
 
 /// Weight from which a task starts on trial: alone on its worker until it has survived the start.
