--- a/review/2/case.py
+++ b/review/2/case.py
@@ -4,7 +4,7 @@
 import json
 
 from meshed import MeshedSystem
-from machine_rules import check_fences, check_may_miss
+from machine_rules import check_fences, check_max_count, check_may_miss
 from system import PREFIX, TROUBLE, Consumer, main
 
 CLOUD_DOWN_S = 5.0
@@ -12,6 +12,7 @@
 WAVE_S = 25
 BUSY_JOB = "00000000000000a1"
 BUSY_MS = 4000
+MAX_COUNT = 4
 MAY_MISS = 1
 JOB = "00000000000000a2"
 
@@ -35,7 +36,7 @@
     names = sorted(platform.machines, key=lambda name: platform.machines[name].worker is None)
     record(f"operator writes op/wave/1 for {names}, four at once, within {WAVE_S} s")
     platform.store.put("keyed.op", "wave/1", json.dumps(
-        {"wave": 1, "machines": names, "duration-s": WAVE_S, "max-count": 4}).encode())
+        {"wave": 1, "machines": names, "duration-s": WAVE_S, "max-count": MAX_COUNT}).encode())
     await asyncio.sleep(0.5)
     if TROUBLE:
         record(f"{former.name}, the owner, is cut off from the store and from all machines of the "
@@ -48,7 +49,8 @@
         "spec": "{}", "steps": [{"count": 3, "max-per-server": 1, "cpu": 1000, "mem-mb": 256, "estimate-ms": 900,
                                  "long-running": True, "may-miss": MAY_MISS}]})
     await asyncio.sleep(WAVE_S)
-    return check_fences(platform.orders) + check_may_miss(platform, JOB, MAY_MISS)
+    return (check_may_miss(platform, JOB, MAY_MISS) + check_fences(platform.orders) +
+            check_max_count(platform.upkeeps, MAX_COUNT))
 
 
 async def is_completed(caller):
--- a/review/lib/machine_rules.py
+++ b/review/lib/machine_rules.py
@@ -1,5 +1,6 @@
 """The rules on orders to machines, where the platform does not check fence numbers."""
 
+from platform_standin import UPKEEP_S
 
 
 def check_fences(orders):
@@ -22,6 +23,18 @@
             f"{order['machine']} with fence {order['fence']} (answer {order['status']})")
 
 
+def check_max_count(upkeeps, max_count):
+    """LIMIT: an upkeep begins while so many machines of its wave are down for theirs."""
+    broken = []
+    for number, (at, name, wave) in enumerate(upkeeps):
+        down = [other for begun, other, other_wave in upkeeps[:number]
+                if other_wave == wave and at - begun < UPKEEP_S]
+        if len(down) >= max_count:
+            broken.append(f"LIMIT: at {at:.3f} s the upkeep of {name} begins, while {down} are "
+                          f"down for theirs and {max_count} may be")
+    return broken
+
+
 def check_may_miss(platform, job, may_miss):
     """AVAIL: an order to a machine ends a task while so many others were ended by such an order.
 
--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -391,6 +391,8 @@
         self.spare = spare
         self.machines = {}
         self.orders = []
+        # Begun upkeeps: time, machine and wave.
+        self.upkeeps = []
         self.starts = []
         self.ends = []
         self.start_checkpoints = []
@@ -529,5 +531,6 @@
         if machine.state != "up":
             return 409, {"reason": "busy"}
         machine.waves.add(body.get("wave"))
+        self.upkeeps.append((self.record.now(), machine.name, body.get("wave")))
         self.take_down(machine, "upkeep", UPKEEP_S)
         return 200, {}
