--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -16,6 +16,7 @@
 MOVE_S = 1.5
 UPKEEP_S = 2.0
 STOP_S = 0.1
+FAIL_S = 0.1
 HOLD_MAX_MS = 6000
 GANG_MS = 3000
 SAVE_S = 0.5
@@ -236,6 +237,7 @@
         self.joined = None
         self.done = 0.0
         self.stop_at = None
+        self.fails = False
 
 
 class Worker:
@@ -256,6 +258,8 @@
         self.changed = asyncio.Event()
         # Answers starts with 503, and does nothing, while its reports are good.
         self.refuses_starts = False
+        # Fails what it starts, soon after the start, while its reports are good.
+        self.fails_starts = False
         self.beat_at = 0.0
         self.sequence = 0
 
@@ -303,6 +307,7 @@
             return "late"
         self.extend(body)
         self.runs[task] = Run(number, body, time.monotonic())
+        self.runs[task].fails = self.fails_starts
         checkpoint = body.get("checkpoint", "")
         self.platform.event("start", self, task, number,
                             f" checkpoint={checkpoint}" if checkpoint else "")
@@ -360,6 +365,9 @@
             if run.stop_at is not None and now >= run.stop_at:
                 self.end(task, "stopped")
                 continue
+            if run.fails and now - run.started >= FAIL_S:
+                self.end(task, "failed")
+                continue
             if run.work.get("gang") and not self.platform.gang_works(self, task, run):
                 continue
             before = run.done
