--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -127,7 +127,7 @@
 
 
 class Store:
-    """The platform's log. `on_append(node, topic, keys)` is called before an append is answered."""
+    """The platform's log. `on_append(node, topic, keys)` is called when an append was done."""
 
     def __init__(self):
         self.topics = {}
--- a/review/lib/system.py
+++ b/review/lib/system.py
@@ -3,8 +3,8 @@
 import asyncio
 import json
 import os
-import re
 import random
+import re
 import signal
 import socket
 import subprocess
@@ -22,12 +22,8 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
-def seconds_since(since):
-    return time.monotonic() - since
-
-
 class CannotRun(Exception):
-    pass
+    """The case could not be played."""
 
 
 def free_network():
@@ -55,6 +51,8 @@
 
 
 class Node:
+    """A process of the deploy file's role, with its own loopback address and settings file."""
+
     def __init__(self, name, ip, fields, folder, zone, more=""):
         self.name = name
         self.zone = zone
@@ -115,7 +113,7 @@
 
     async def _exchange(self, method, path, body, deadline_ms):
         # The nodes close a channel that is not used for ten seconds.
-        if seconds_since(self._used_at) > IDLE_LIMIT_S:
+        if time.monotonic() - self._used_at > IDLE_LIMIT_S:
             self.close()
         self._used_at = time.monotonic()
         if self._streams is None:
@@ -150,14 +148,11 @@
         self.record = Record(f"{folder}/record.txt")
         # The node that wrote last to the topic of the jobs.
         self.owner = None
-        # Called with a node, a topic and keys, before an append is answered.
-        self.on_append = None
         self._work = tempfile.TemporaryDirectory()
-        network = free_network()
-        self.network = network
-        self.platform_ip = f"{network}.1"
-        self.platform = Platform(self.record, self.platform_ip, 9000, {"quick-svc": in_pool, "spare-svc": in_spare},
-                                 "spare-svc")
+        self.network = free_network()
+        self.platform_ip = f"{self.network}.1"
+        pools = {"quick-svc": in_pool, "spare-svc": in_spare}
+        self.platform = Platform(self.record, self.platform_ip, 9000, pools, "spare-svc")
         self.nodes = []
         for number, zone in enumerate(zones):
             self.add_node(number, zone)
@@ -179,7 +174,8 @@
         self.nodes.append(Node(fields["node"], fields["ip"], fields, self._work.name,
                                zone, self.more_settings(number)))
 
-    def more_settings(self, number):
+    def more_settings(self, number):  # pylint: disable=unused-argument
+        """Returns lines for the section `listen` of a node's settings."""
         return ""
 
     def store_port(self, number):
@@ -237,8 +233,6 @@
     def note_append(self, node, topic, keys):
         if topic == "keyed.jobs" and keys:
             self.owner = node
-        if self.on_append:
-            self.on_append(node, topic, keys)
 
     def stop(self):
         for node in self.nodes:
