--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -13,6 +13,7 @@
 
 STORE_ANSWER_S = 0.004
 BEAT_S = 1.5
+SILENT_BEATS = 3
 MOVE_S = 1.5
 UPKEEP_S = 2.0
 STOP_S = 0.1
@@ -243,10 +244,10 @@
 class Worker:
     """One life of a machine."""
 
-    def __init__(self, platform, machine, number):
+    def __init__(self, platform, machine, identity):
         self.platform = platform
         self.machine = machine
-        self.id = f"w{number:05d}"
+        self.id = identity
         self.born = unix_ms()
         self._start = time.monotonic()
         self.fence = 0
@@ -260,6 +261,8 @@
         self.refuses_starts = False
         # Fails what it starts, soon after the start, while its reports are good.
         self.fails_starts = False
+        # Gives a start no answer, and hands it to this function instead.
+        self.on_start = None
         self.beat_at = 0.0
         self.sequence = 0
 
@@ -276,6 +279,9 @@
         expected = request.headers.get("expect-instance", self.id)
         if expected != self.id:
             return 421, {}
+        if self.on_start and request.path == "/-/run-start":
+            self.on_start(request)
+            return None
         if self.refuses_starts and request.path == "/-/run-start":
             self.platform.record(f"worker {self.id} on {self.machine.name}: refuses "
                                  f"{body['task']} run {body['run']}")
@@ -389,6 +395,8 @@
         self.state = "up"
         self.up_at = 0.0
         self.worker = None
+        # The id of the next worker, if it is to be the one that the last had.
+        self.next_id = None
         self.waves = set()
 
 
@@ -473,7 +481,8 @@
             machine.state = "up"
         if machine.state == "up" and machine.worker is None and machine.pool != self.spare:
             self._workers += 1
-            machine.worker = Worker(self, machine, self._workers)
+            machine.worker = Worker(self, machine, machine.next_id or f"w{self._workers:05d}")
+            machine.next_id = None
         worker = machine.worker
         if worker is None:
             return
@@ -498,6 +507,22 @@
             self.store.put("keyed.servers", machine.worker.id, b"")
             machine.worker = None
 
+    def crash(self, machine, seconds):
+        """The worker goes silent, and starts again under its id. Its entry goes meanwhile."""
+        for task, run in machine.worker.runs.items():
+            self.event("crashed", machine.worker, task, run.number)
+        machine.state = "down"
+        machine.up_at = time.monotonic() + seconds
+        machine.next_id = machine.worker.id
+        left = machine.worker.beat_at + SILENT_BEATS * BEAT_S - time.monotonic()
+        asyncio.get_running_loop().call_later(left, self.drop_entry, machine)
+        machine.worker = None
+
+    def drop_entry(self, machine):
+        if machine.worker is None and machine.next_id:
+            self.record(f"the entry of {machine.next_id} is removed")
+            self.store.put("keyed.servers", machine.next_id, b"")
+
     async def answer_cloud(self, request):
         if request.path == "/-/machines":
             if self.on_cloud and self.on_cloud(None):
