--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,70 +1,83 @@
-"""An owner that is cut off goes on ordering machines, while its successor uses and orders them."""
+"""Channels between machines go silent: the nodes go on using them, and answer no call any more."""
 
 import asyncio
 import json
 
 from meshed import MeshedSystem
-from machine_rules import check_fences, check_max_count, check_may_miss
 from system import PREFIX, TROUBLE, Consumer, main
 
-CLOUD_DOWN_S = 5.0
-CUT_S = 5.5
-WAVE_S = 25
-BUSY_JOB = "00000000000000a1"
-BUSY_MS = 4000
-MAX_COUNT = 4
-MAY_MISS = 1
-JOB = "00000000000000a2"
+STABLE_WINDOW_S = 3.0
+ACK_S = 4.0
+CANCEL_S = 3.0
+STOP_S = 0.2
+DEADLINE_MS = 3000
+JOB = "00000000000000b1"
+ASKED_JOB = "00000000000000b2"
+ZONES = ("nord", "nord", "sued", "sued", "ost", "ost")
 
 
 async def scenario(system):
-    record, platform = system.record, system.platform
-    loop = asyncio.get_running_loop()
-    # A job that needs several machines; the pool keeps them for a while after its end.
-    caller = Consumer(record, system.nodes[0])
-    await caller.call("POST", PREFIX + BUSY_JOB,
-                      {"spec": json.dumps({"ms": BUSY_MS}),
-                       "steps": [{"count": 56, "cpu": 1000, "mem-mb": 256,
-                                  "estimate-ms": BUSY_MS}]})
-    await system.wait_until(30, lambda: is_completed(caller), "the first job did not end")
-    former = system.owner
-    if TROUBLE:
-        record(f"the cloud is down for {CLOUD_DOWN_S} s: it answers all calls with 503")
-        platform.on_cloud = lambda order: (503, {})
-        loop.call_later(CLOUD_DOWN_S, restore, system)
-    # The machines in use come first.
-    names = sorted(platform.machines, key=lambda name: platform.machines[name].worker is None)
-    record(f"operator writes op/wave/1 for {names}, four at once, within {WAVE_S} s")
-    platform.store.put("keyed.op", "wave/1", json.dumps(
-        {"wave": 1, "machines": names, "duration-s": WAVE_S, "max-count": MAX_COUNT}).encode())
-    await asyncio.sleep(0.5)
+    record = system.record
+    # All nodes are ready and stay so, so the platform sends consumers to those of their zone.
+    zone = next(node.zone for node in system.nodes if node.zone != system.owner.zone)
+    nodes = [node for node in system.nodes if node.zone == zone]
+    record(f"the owner is {system.owner.name}; the consumer's zone is {zone}")
+    lasting = {"spec": "{}", "steps": [{"count": 2, "cpu": 1000, "mem-mb": 256,
+                                        "estimate-ms": 900, "long-running": True}]}
+    short = {"spec": json.dumps({"ms": 400}),
+             "steps": [{"count": 2, "cpu": 1000, "mem-mb": 256, "estimate-ms": 400}]}
+    consumers = [Consumer(record, node) for node in nodes]
+    accepted = [await consumers[0].call("POST", PREFIX + JOB, lasting),
+                await consumers[1].call("POST", PREFIX + ASKED_JOB, short)]
+    if [answer[0] for answer in accepted] != [200, 200]:
+        raise RuntimeError("the jobs were not accepted")
+    await asyncio.sleep(3)
+    owner = system.owner
     if TROUBLE:
-        record(f"{former.name}, the owner, is cut off from the store and from all machines of the "
-               f"system for {CUT_S} s")
-        system.cut_off(former)
-        loop.call_later(CUT_S, heal, system)
-    await asyncio.sleep(2)
-    consumer = Consumer(record, next(node for node in system.nodes if node is not former))
-    await consumer.call("POST", PREFIX + JOB, {
-        "spec": "{}", "steps": [{"count": 3, "max-per-server": 1, "cpu": 1000, "mem-mb": 256, "estimate-ms": 900,
-                                 "long-running": True, "may-miss": MAY_MISS}]})
-    await asyncio.sleep(WAVE_S)
-    return (check_may_miss(platform, JOB, MAY_MISS) + check_fences(platform.orders) +
-            check_max_count(platform.upkeeps, MAX_COUNT))
+        count = system.peer_links[owner].silence()
+        record(f"the {count} open channels from other machines to {owner.name} go silent for good")
+    await asyncio.sleep(STABLE_WINDOW_S + 0.5)
+    acknowledged = await cancel(consumers, JOB)
+    await asyncio.sleep(CANCEL_S + STOP_S)
+    return (check_cancelled(system, acknowledged) + await check_known(system, consumers))
 
 
-async def is_completed(caller):
-    return (await caller.call("GET", PREFIX + BUSY_JOB))[1].get("state") == "completed"
+async def cancel(consumers, job):
+    """Sends the cancel, at one node after the other, until it is acknowledged or has waited."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + ACK_S
+    turn = 0
+    while loop.time() < until:
+        status, _ = await consumers[turn % len(consumers)].call("DELETE", PREFIX + job,
+                                                                deadline_ms=DEADLINE_MS)
+        if status in (200, 410):
+            return True
+        turn += 1
+        await asyncio.sleep(0.2)
+    return False
 
 
-def restore(system):
-    system.record("the cloud is back")
-    system.platform.on_cloud = None
+def check_cancelled(system, acknowledged):
+    """UNASKED: a task runs on after its job's cancelling had waited for its acknowledgement."""
+    running = [task for machine in system.platform.machines.values() if machine.worker
+               for task in machine.worker.runs if task.startswith(JOB)]
+    system.record(f"cancel acknowledged: {acknowledged}; tasks of the job at work: {running}")
+    return [f"UNASKED: {task} runs on, {CANCEL_S + STOP_S} s after the cancel of its job "
+            f"{'was acknowledged' if acknowledged else f'had waited {ACK_S} s'}"
+            for task in running]
 
 
-def heal(system):
-    system.record("the cut heals")
-    system.heal()
+async def check_known(system, consumers):
+    """LOST: an accepted job is asked for after the traffic, and gets no answer in time."""
+    states = []
+    for consumer in consumers * 3:
+        status, body = await consumer.call("GET", PREFIX + ASKED_JOB, deadline_ms=DEADLINE_MS)
+        states.append((consumer.node.name, status, body))
+        if status == 200:
+            return []
+    rotation = [node.name for node in system.nodes if await system.ready(node)]
+    system.record(f"ready now: {rotation}")
+    return [f"LOST: no answer for an accepted job from any node of its zone: {states}"]
 
 
-main(MeshedSystem, scenario)
+main(lambda folder: MeshedSystem(folder, ZONES), scenario)
