--- a/review/lib/system.py
+++ b/review/lib/system.py
@@ -151,7 +151,7 @@
         self._work = tempfile.TemporaryDirectory()
         self.network = free_network()
         self.platform_ip = f"{self.network}.1"
-        pools = {"quick-svc": in_pool, "spare-svc": in_spare}
+        pools = {"spare-svc": in_spare, "quick-svc": in_pool}
         self.platform = Platform(self.record, self.platform_ip, 9000, pools, "spare-svc")
         self.nodes = []
         for number, zone in enumerate(zones):
