--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,6 +10,7 @@
 ACK_S = 4.0
 CANCEL_S = 3.0
 STOP_S = 0.2
+FINISH_S = 14.0
 DEADLINE_MS = 3000
 JOB = "00000000000000b1"
 ASKED_JOB = "00000000000000b2"
@@ -39,7 +40,10 @@
     await asyncio.sleep(STABLE_WINDOW_S + 0.5)
     acknowledged = await cancel(consumers, JOB)
     await asyncio.sleep(CANCEL_S + STOP_S)
-    return (check_cancelled(system, acknowledged) + await check_known(system, consumers))
+    broken = check_cancelled(system, acknowledged)
+    # The cancel was the last of the traffic.
+    await asyncio.sleep(FINISH_S - CANCEL_S - STOP_S)
+    return broken + await check_known(system, consumers)
 
 
 async def cancel(consumers, job):
