Give a worker that is met again a higher token than it had

Cause: an owner that forgot an idle worker met it again with the token that it had before. So what was meant for the worker's former incarnation, and was still under way, was not fenced when the next one came under the same id.

Ruled out: a race with the first hold.

Change: the token for workers that are met from then on is above that of each forgotten session. Holds are sent until one with it is answered, as for any new session.

--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -485,9 +485,9 @@
         }
         if (!session.listed() && session.runs().empty()) {
             m_state->log("worker_forgotten", "", session.id(), "");
-            // The worker may have confirmed this token, and may be listed again.
+            // Orders with this token may still be on their way when the worker is listed again.
             auto& first_fence = m_state->m_options.m_fence;
-            first_fence = std::max(first_fence, session.fence());
+            first_fence = std::max(first_fence, session.fence() + 1);
             entry = m_state->m_workers.erase(entry);
             continue;
         }
--- a/test/scheduling/run_tracker_test.cpp
+++ b/test/scheduling/run_tracker_test.cpp
@@ -117,6 +117,7 @@
     CPPUNIT_TEST(run_was_stopped_as_stalled_by_the_answer_of_a_former_incarnation);
     CPPUNIT_TEST(owner_gave_up_since_a_worker_refused_its_own_lower_token);
     CPPUNIT_TEST(task_was_started_beside_a_run_of_it_that_was_being_stopped);
+    CPPUNIT_TEST(worker_met_again_got_the_token_of_orders_that_were_under_way);
     CPPUNIT_TEST_SUITE_END();
 
     owner_fixture m_owner;
@@ -183,6 +184,17 @@
         m_owner.write();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_owner.m_starts.size());
     }
+
+    // Its next incarnation then carried out what was meant for the former one.
+    void worker_met_again_got_the_token_of_orders_that_were_under_way()
+    {
+        m_owner.m_scheduler->worker_unlisted("i-1", m_owner.m_now);
+        m_owner.m_scheduler->tick(m_owner.m_now);
+        const auto token = m_owner.m_holds.back().m_fence;
+        m_owner.m_scheduler->worker_listed(report_of(second_birth_ms), m_owner.m_now);
+        m_owner.m_scheduler->tick(m_owner.m_now);
+        CPPUNIT_ASSERT(m_owner.m_holds.back().m_fence > token);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(run_tracker_test);
