Don't take a worker for ended whose VM names no worker

Callers could see: two runs of one task (TWICE).

Cause: a VM that is listed as up, but without the name of its worker, counted as one with another worker, so the runs of the former one were taken as lost while that worker may still run.

Change: only an entry that names another worker, or a VM that is down, moves or is removed, ends the former one.

--- a/include/peridotrudder/planning/vm_fleet.hpp
+++ b/include/peridotrudder/planning/vm_fleet.hpp
@@ -4,6 +4,7 @@
 /// The VMs as the platform lists them, and the pending orders to them.
 
 #include "peridotrudder/base/loop_port.hpp"
+#include "peridotrudder/machines/vm_fate.hpp"
 #include "peridotrudder/ownership/log_port.hpp"
 #include "peridotrudder/planning/vm_control.hpp"
 #include "peridotrudder/scheduling/scheduler_state.hpp"
@@ -91,8 +92,8 @@
     }
     /// Returns whether the newest list names all VMs: only then is a VM gone that it does not name.
     bool list_complete() const { return m_unreadable_entries == 0; }
-    /// Returns those of the workers that the newest list shows to have ended.
-    std::vector<std::string> ended_workers(const std::vector<std::string>& workers) const;
+    /// Returns those of the workers that the newest list shows to have ended, with their fates.
+    std::map<std::string, vm_fate> ended_workers(const std::vector<std::string>& workers) const;
     /// Returns whether a predecessor's order to the VM may still be pending.
     bool ordered_by_predecessor(const managed_vm& managed, time_point now) const;
     /// Returns whether the VM may get a new order now.
--- a/src/planning/fleet_planner.cpp
+++ b/src/planning/fleet_planner.cpp
@@ -173,7 +173,7 @@
             used.push_back(id);
         }
     }
-    for (const auto& id : m_fleet->ended_workers(used)) {
+    for (const auto& [id, fate] : m_fleet->ended_workers(used)) {
         scheduler.worker_down(id, *m_fleet->newest_list_requested_at(), now);
     }
 }
--- a/src/planning/vm_fleet.cpp
+++ b/src/planning/vm_fleet.cpp
@@ -20,6 +20,12 @@
 /// Maximum difference between the clocks of two nodes.
 constexpr milliseconds clock_slack{300};
 
+/// Returns whether the VM may have a worker that its entry does not name.
+bool may_run_unnamed(const platform_vm& listed)
+{
+    return listed.m_state == platform_vm_state::up && listed.m_worker.empty();
+}
+
 } // namespace
 
 std::unique_ptr<vm_fleet> vm_fleet::create(vm_fleet_options options, std::uint64_t fence,
@@ -178,26 +184,45 @@
     managed.m_listed = listed;
 }
 
-std::vector<std::string> vm_fleet::ended_workers(const std::vector<std::string>& workers) const
+std::map<std::string, vm_fate>
+vm_fleet::ended_workers(const std::vector<std::string>& workers) const
 {
-    std::set<std::string> up;
-    std::set<std::string> seen_ended;
+    std::map<std::string, std::optional<vm_fate>> shown;
+    std::map<std::string, std::optional<vm_fate>> shown_of_former;
     for (const auto& [id, managed] : m_managed_vms) {
-        if (managed.m_listed.m_state != platform_vm_state::down) {
-            up.insert(managed.m_listed.m_worker);
+        const auto& listed = managed.m_listed;
+        const bool down = listed.m_state == platform_vm_state::down;
+        if (!listed.m_worker.empty()) {
+            shown[listed.m_worker] =
+                down && !managed.m_unreadable ? std::optional{vm_fate::down} : std::nullopt;
+        }
+        if (managed.m_unreadable || managed.m_former_worker.empty()) {
+            continue;
         }
-        else if (!managed.m_unreadable) {
-            seen_ended.insert(managed.m_listed.m_worker);
+        auto& fate = shown_of_former[managed.m_former_worker];
+        if (listed.m_worker.empty() && down) {
+            fate = vm_fate::down;
         }
-        if (!managed.m_unreadable) {
-            seen_ended.insert(managed.m_former_worker);
+        else if (!may_run_unnamed(listed)) {
+            fate = vm_fate::gone;
         }
     }
-    std::vector<std::string> ended;
+    std::map<std::string, vm_fate> ended;
     for (const auto& worker : workers) {
-        // The VM of a worker that an incomplete list does not name may be an unreadable entry.
-        if (up.count(worker) == 0 && (list_complete() || seen_ended.count(worker) != 0)) {
-            ended.push_back(worker);
+        const auto named = shown.find(worker);
+        const auto former = shown_of_former.find(worker);
+        std::optional<vm_fate> fate;
+        if (named != shown.end()) {
+            fate = named->second;
+        }
+        else if (former != shown_of_former.end()) {
+            fate = former->second;
+        }
+        else if (list_complete()) {
+            fate = vm_fate::gone;
+        }
+        if (fate) {
+            ended.emplace(worker, *fate);
         }
     }
     return ended;
