Keep a task placed while its start may still be carried out

Cause: a start without an answer is an order with no end. A lapsed lease and a VM that is down are verdicts on the incarnation that was; the owner took them for proof that the start was over, and placed the task elsewhere. The worker's next incarnation knows no token, no run number and no deadline, so it carried the late start out beside the second run. The class: a verdict that belongs to another incarnation.

Ruled out: waiting for the longest delay after every loss (a task whose start was answered would wait as well).

Change: a start is open from its sending until an answer or a list of runs settles it, or for 12 s after it was given up. Lapsed leases and VMs that are down end no run whose start is open; a VM that is gone, or an answered hold under a higher token, does. A run that could begin at the end of that time has the longest lease after it. The job's record tells when its newest run was placed, so a successor doesn't wait for older ones.

--- a/include/peridotrudder/jobs/job.hpp
+++ b/include/peridotrudder/jobs/job.hpp
@@ -6,6 +6,7 @@
 #include "peridotrudder/jobs/job_spec.hpp"
 #include "peridotrudder/jobs/queue_config.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <gsl/span>
 #include <string>
@@ -177,6 +178,12 @@
     std::uint32_t place_gang(std::uint32_t occurrence, std::uint32_t step,
                              gsl::span<const worker_instance> workers);
 
+    /// Notes that runs were given to tasks at a time, in Unix milliseconds.
+    void note_placement(std::int64_t now_ms) { m_placed_ms = std::max(m_placed_ms, now_ms); }
+
+    /// Returns the Unix milliseconds at which the job's newest run was placed; zero if unknown.
+    std::int64_t placed_ms() const { return m_placed_ms; }
+
     /// Reverts a placed task to waiting after a run that certainly never started, or that is
     /// certainly over with an unknown result.
     void void_run(const task_ref& ref);
@@ -214,6 +221,7 @@
     job_header m_header;
     job_phase m_phase{job_phase::active};
     std::int64_t m_ended_ms{0};
+    std::int64_t m_placed_ms{0};
     bool m_begun{false};
     /// By occurrence, then step.
     std::vector<std::vector<std::vector<task>>> m_tasks;
--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -49,6 +49,9 @@
     /// The worker refuses the start after this time, in Unix milliseconds on its own clock; zero if
     /// this owner sent no start to the present incarnation.
     std::int64_t m_start_deadline_ms{0};
+    /// Until when some incarnation of the worker may still carry out the start; absent before it is
+    /// sent, and once an answer or a list of runs has settled it.
+    std::optional<time_point> m_start_open_until;
     /// When the start was given up as unanswered.
     std::optional<time_point> m_unanswered_since;
     /// When the start was sent; absent if a predecessor sent it.
@@ -80,6 +83,14 @@
     /// False while a predecessor may have changed the speed.
     bool m_pace_known{true};
     time_point m_paced_at;
+
+    /// Returns whether an incarnation of the worker may still carry out the start.
+    bool start_is_open(time_point now) const
+    {
+        return m_start_open_until && now < *m_start_open_until;
+    }
+    /// Marks the start as answered, or as seen to be carried out.
+    void settle_start() { m_start_open_until.reset(); }
 };
 
 /// Parameters of the lease protocol.
@@ -100,6 +111,12 @@
     milliseconds m_hold_pause{40};
     /// Time for which a predecessor may go on renewing leases without proof of its ownership.
     milliseconds m_predecessor_grace{5'000};
+    /// Longest time after which an order that was not answered may still be carried out, by
+    /// whichever incarnation of the worker is there then.
+    milliseconds m_longest_order_delay{12'000};
+    /// Time from the record of a predecessor's start until it is certainly sent and timed out,
+    /// with the difference between the two nodes' times of day.
+    milliseconds m_predecessor_start_slack{8'000};
 };
 
 /// What the answer to a hold changed.
@@ -206,6 +223,8 @@
     std::optional<time_point> hold_due() const;
     /// Applies the answer to the hold that was sent at `sent_at`.
     hold_outcome hold_answered(const hold_answer& answer, time_point sent_at, time_point now);
+    /// Notes that the start of a run was sent just now, or may have been sent until now.
+    void open_start(worker_run& run, time_point now) const;
     /// Marks a run whose start was not answered.
     void set_unanswered(worker_run& run, time_point now);
     /// Applies the answer to another order.
@@ -216,6 +235,9 @@
 
     /// Returns when every lease that the worker may have has certainly expired.
     time_point lease_ends_at() const;
+    /// Returns when a run is certainly over if the worker is not heard of until then: a start that
+    /// is open may be carried out by a later incarnation, which then has the longest lease.
+    time_point over_at(const worker_run& run) const;
 
 private:
     static constexpr int silent_after_misses = 2;
--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -42,9 +42,9 @@
     void set_config(fleet_config config);
     void worker_listed(const worker_report& report, moment now);
     void worker_unlisted(std::string_view id, moment now);
-    /// Marks the runs that a worker had at `seen_at` as lost because its VM was down then. Ignored
-    /// if the worker has answered since.
-    void worker_down(std::string_view id, time_point seen_at, moment now);
+    /// Marks the runs that a worker had at `seen_at` as lost because its VM was down then, or gone.
+    /// Ignored if the worker has answered since.
+    void worker_ended(std::string_view id, vm_fate fate, time_point seen_at, moment now);
     /// Adopts the recorded runs. Call once, after the first list of workers.
     void begin(moment now);
     /// Sets the pause between holds to a worker; it is longer while the owner is short of CPU.
--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// Tracks runs from start to end, despite lost answers and lost workers.
 
+#include "peridotrudder/machines/vm_fate.hpp"
 #include "peridotrudder/scheduling/crash_tracker.hpp"
 #include "peridotrudder/scheduling/placement.hpp"
 #include "peridotrudder/scheduling/scheduler_state.hpp"
@@ -36,10 +37,9 @@
     void stop_run(worker_session& session, const run_key& key, time_point now);
     /// Stops all runs of a job.
     void stop_job(const job& target, time_point now);
-    /// Marks those runs as lost that cannot be on the worker any more since its VM was down at
-    /// `seen_at`, which may be the fault of one of its tasks. A start without an answer may still
-    /// be carried out when the worker is back.
-    void mark_lost_with_vm(worker_session& session, time_point seen_at, moment now);
+    /// Marks those runs as lost that cannot be on the worker any more by what the list of VMs
+    /// showed at `seen_at`, which may be the fault of one of its tasks.
+    void mark_lost_with_vm(worker_session& session, vm_fate fate, time_point seen_at, moment now);
 
     /// Sends the holds and repeated stops that are due, and removes workers that are gone.
     void tick(moment now);
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -356,14 +356,15 @@
             }
         }
     }
-    const nlohmann::json record{static_cast<unsigned>(m_phase), m_ended_ms, m_begun,
-                                encode_packed(instances.instances()), std::move(rows)};
+    const nlohmann::json record{static_cast<unsigned>(m_phase),       m_ended_ms,      m_begun,
+                                encode_packed(instances.instances()), std::move(rows), m_placed_ms};
     return nlohmann::json::to_cbor(record);
 }
 
 tl::expected<job, decode_error> job::restore(job_header header, gsl::span<const std::uint8_t> state)
 {
     constexpr std::size_t fields = 5;
+    constexpr std::size_t placed_index = 5;
     const auto record = parse_cbor(state);
     if (!record) {
         return tl::make_unexpected(record.error());
@@ -384,6 +385,10 @@
         if (!instances) {
             return tl::make_unexpected(instances.error());
         }
+        if (record->size() > placed_index) {
+            created.m_placed_ms =
+                std::max<std::int64_t>((*record)[placed_index].get<std::int64_t>(), 0);
+        }
         for (const auto& row : (*record)[4]) {
             const auto stored = from_array(row);
             if (!created.has(stored.m_ref)) {
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -124,10 +124,17 @@
     run.m_stopping = true;
 }
 
+void worker_session::open_start(worker_run& run, time_point now) const
+{
+    run.m_start_open_until = now + m_options.m_longest_order_delay;
+}
+
 void worker_session::set_unanswered(worker_run& run, time_point now)
 {
     run.m_phase = run_phase::uncertain;
     run.m_unanswered_since = now;
+    // The attempt may have left until its timeout.
+    open_start(run, now);
 }
 
 std::int64_t worker_session::clock_estimate(time_point now) const
@@ -267,6 +274,7 @@
             continue;
         }
         run->m_former_heard_at.reset();
+        run->settle_start();
         if (run->m_phase != run_phase::running) {
             run->m_phase = run_phase::running;
             run->m_confirmed_at = now;
@@ -349,6 +357,13 @@
     return std::max(own_lease_ends_at, m_predecessor_lease_ends_at);
 }
 
+time_point worker_session::over_at(const worker_run& run) const
+{
+    const auto lease_end = lease_ends_at();
+    return run.m_start_open_until ? std::max(lease_end, *run.m_start_open_until + longest_lease())
+                                  : lease_end;
+}
+
 std::vector<run_key> worker_session::begin_incarnation(std::int64_t born_ms, time_point now)
 {
     auto new_session = create(m_report, m_fence + 1, m_options, now);
--- a/src/planning/fleet_planner.cpp
+++ b/src/planning/fleet_planner.cpp
@@ -174,7 +174,7 @@
         }
     }
     for (const auto& [id, fate] : m_fleet->ended_workers(used)) {
-        scheduler.worker_down(id, *m_fleet->newest_list_requested_at(), now);
+        scheduler.worker_ended(id, fate, *m_fleet->newest_list_requested_at(), now);
     }
 }
 
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -83,14 +83,14 @@
     }
 }
 
-void job_scheduler::worker_down(std::string_view id, time_point seen_at, moment now)
+void job_scheduler::worker_ended(std::string_view id, vm_fate fate, time_point seen_at, moment now)
 {
     auto* session = m_state.find_worker(id);
     if (session == nullptr || session->last_answered_hold_sent_at() >= seen_at ||
         session->runs().empty()) {
         return;
     }
-    m_runs.mark_lost_with_vm(*session, seen_at, now);
+    m_runs.mark_lost_with_vm(*session, fate, seen_at, now);
     session->set_down();
 }
 
--- a/src/scheduling/run_adoption.cpp
+++ b/src/scheduling/run_adoption.cpp
@@ -3,10 +3,21 @@
 #include "peridotrudder/scheduling/crash_suspects.hpp"
 #include "peridotrudder/scheduling/run_tracker.hpp"
 
+#include <algorithm>
+
 namespace peridotrudder {
 
 namespace {
 
+/// Returns the latest time at which the predecessor may have sent a start of the job.
+time_point newest_start_of(const job& source, milliseconds slack, moment now)
+{
+    // Records of earlier versions have no time.
+    const auto age = source.placed_ms() == 0 ? milliseconds{0}
+                                             : milliseconds{now.m_unix_ms - source.placed_ms()};
+    return now.m_at - std::max(age, milliseconds{0}) + slack;
+}
+
 void adopt(scheduler_state& state, const run_key& key, const job& source, moment now)
 {
     const auto& placed = source.at(key.m_task);
@@ -28,6 +39,8 @@
     run.m_phase = run_phase::uncertain;
     // Orders of the previous owner are rejected once the worker knows this owner's fencing token.
     run.m_cannot_start_since = now.m_at;
+    session.open_start(
+        run, newest_start_of(source, state.m_options.m_lease.m_predecessor_start_slack, now));
     run.m_pace_known = false;
     run.m_on_trial = is_on_trial(placed);
     run.m_stopping = source.phase() != job_phase::active;
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -29,12 +29,14 @@
                     run.m_estimate * stall_estimate_percent / percent_per_whole + stall_time);
 }
 
-std::vector<run_key> keys_of(const std::map<run_key, worker_run>& runs)
+/// Returns the runs that are over if the worker was not heard of.
+std::vector<run_key> runs_over_at(const worker_session& session, time_point now)
 {
     std::vector<run_key> keys;
-    keys.reserve(runs.size());
-    for (const auto& entry : runs) {
-        keys.push_back(entry.first);
+    for (const auto& [key, run] : session.runs()) {
+        if (now >= session.over_at(run)) {
+            keys.push_back(key);
+        }
     }
     return keys;
 }
@@ -90,6 +92,7 @@
     run->m_start_deadline_ms = order.m_deadline_ms;
     run->m_phase = run_phase::ordered;
     run->m_ordered_at = now.m_at;
+    session->open_start(*run, now.m_at);
     session->note_start(now.m_at + crash_window, run->m_on_trial);
     m_state->m_ports.m_start(session->report(), order);
 }
@@ -105,6 +108,7 @@
     session->order_answered(without_former_clock(answer, instance, *session), now.m_at);
     switch (answer.m_result) {
     case order_result::accepted:
+        run->settle_start();
         if (run->m_phase != run_phase::running) {
             run->m_phase = run_phase::running;
             run->m_confirmed_at = now.m_at;
@@ -127,6 +131,7 @@
         // The run may have ended already; the next hold answer shows whether it has.
         run->m_phase = run_phase::uncertain;
         run->m_cannot_start_since = now.m_at;
+        run->settle_start();
         return;
     case order_result::invalid:
         session->hold_back_until(now.m_at + invalid_pause);
@@ -343,19 +348,24 @@
     }
 }
 
-void run_tracker::mark_lost_with_vm(worker_session& session, time_point seen_at, moment now)
+void run_tracker::mark_lost_with_vm(worker_session& session, vm_fate fate, time_point seen_at,
+                                    moment now)
 {
     std::vector<run_key> lost;
     for (const auto& [key, run] : session.runs()) {
         const bool was_running = run.m_phase == run_phase::running && run.m_confirmed_at <= seen_at;
+        const bool settled = run.m_cannot_start_since && *run.m_cannot_start_since <= seen_at;
+        const bool sent_before = !run.m_ordered_at || *run.m_ordered_at <= seen_at;
         const bool cannot_start =
-            (run.m_cannot_start_since && *run.m_cannot_start_since <= seen_at) ||
-            (run.m_stop_answered_at && *run.m_stop_answered_at <= seen_at);
+            run.m_start_open_until
+                ? !run.start_is_open(seen_at) || (fate == vm_fate::gone && sent_before)
+                : settled;
         if (was_running || cannot_start || run.m_phase == run_phase::recording) {
             lost.push_back(key);
         }
     }
-    mark_lost_in_crash(session, lost, session.last_heard_at(), true, "its VM is down", now);
+    mark_lost_in_crash(session, lost, session.last_heard_at(), true,
+                       fate == vm_fate::gone ? "its VM has another worker" : "its VM is down", now);
 }
 
 void run_tracker::mark_lost_in_crash(worker_session& session, const std::vector<run_key>& keys,
@@ -476,12 +486,11 @@
     static const std::map<run_key, worker_run> no_runs;
     for (auto entry = m_state->m_workers.begin(); entry != m_state->m_workers.end();) {
         auto& session = entry->second;
-        const bool unreachable = session.silent() || !session.listed();
-        if (unreachable && !session.runs().empty() && now.m_at >= session.lease_ends_at() &&
-            (session.silent() || session.report().m_port == 0)) {
+        const bool unreachable = session.silent() || session.report().m_port == 0;
+        if (unreachable && !session.runs().empty() && now.m_at >= session.lease_ends_at()) {
             // The worker may have crashed, or only be cut off.
-            mark_lost_in_crash(session, keys_of(session.runs()), session.last_heard_at(), false,
-                               "lease expired", now);
+            mark_lost_in_crash(session, runs_over_at(session, now.m_at), session.last_heard_at(),
+                               false, "lease expired", now);
         }
         if (!session.listed() && session.runs().empty()) {
             m_state->log("worker_forgotten", "", session.id(), "");
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -85,6 +85,7 @@
     const auto instance = chosen.m_session->instance();
     log_first_placement(target, instance.m_worker, now);
     const auto number = target.place(ref, instance);
+    target.note_placement(now.m_unix_ms);
     const run_key key{target.header().m_id, ref};
     auto run = make_run(step, number);
     run.m_on_trial = is_on_trial(target.at(ref));
@@ -127,6 +128,7 @@
     }
     log_first_placement(target, instances.front().m_worker, now);
     const auto number = target.place_gang(occurrence, step, instances);
+    target.note_placement(now.m_unix_ms);
     for (std::uint32_t index = 0; index < count; ++index) {
         const run_key key{target.header().m_id, {occurrence, step, index}};
         auto run = make_run(target.spec().m_steps[step], number);
--- a/test/jobs/job_test.cpp
+++ b/test/jobs/job_test.cpp
@@ -184,6 +184,7 @@
                                    static_cast<std::uint32_t>(action % 3 % 2)};
                 const auto& task = example.at(ref);
                 if (task.m_phase == task_phase::waiting) {
+                    example.note_placement(action);
                     example.place(ref, {"i-" + std::to_string(action % 5), action});
                 }
                 else {
@@ -194,6 +195,7 @@
             const auto again = restored(example);
             RC_ASSERT(again.phase() == example.phase());
             RC_ASSERT(again.placed_tasks() == example.placed_tasks());
+            RC_ASSERT(again.placed_ms() == example.placed_ms());
             RC_ASSERT(again.encode_state() == example.encode_state());
         });
     }
--- a/test/scheduling/fleet_simulation.hpp
+++ b/test/scheduling/fleet_simulation.hpp
@@ -268,7 +268,7 @@
         later(delay, [this, down, asked_at = m_now, epoch = m_epoch] {
             auto* reader = find_owner(epoch);
             for (const auto& id : reader == nullptr ? std::vector<std::string>{} : down) {
-                reader->m_scheduler->worker_down(id, asked_at, now());
+                reader->m_scheduler->worker_ended(id, vm_fate::down, asked_at, now());
             }
         });
     }
--- a/test/scheduling/job_scheduler_test.cpp
+++ b/test/scheduling/job_scheduler_test.cpp
@@ -94,6 +94,7 @@
     CPPUNIT_TEST(ends_of_a_restarted_worker_are_not_forgotten_unread);
     CPPUNIT_TEST(tasks_of_a_restarted_worker_run_again_at_once);
     CPPUNIT_TEST(vm_list_that_is_older_than_a_start_does_not_end_its_run);
+    CPPUNIT_TEST(successor_repeats_long_placed_runs_of_a_vm_that_is_down_at_once);
     CPPUNIT_TEST(start_recorded_before_a_capacity_shrank_is_not_sent_after_it);
     CPPUNIT_TEST(late_hold_prolonged_the_lease_of_a_restarted_worker);
     CPPUNIT_TEST(new_incarnation_was_filled_up_to_the_capacity_of_the_former_one);
@@ -416,6 +417,22 @@
         }
     }
 
+    // Only starts that the predecessor may have sent lately can still be carried out.
+    void successor_repeats_long_placed_runs_of_a_vm_that_is_down_at_once()
+    {
+        fleet_simulation simulation{41};
+        simulation.change_owner(false);
+        simulation.submit_long_running(8, 8);
+        simulation.pass(milliseconds{25'000});
+        simulation.crash(0, milliseconds{10'000}, milliseconds{0}, false);
+        simulation.crash(1, milliseconds{10'000}, milliseconds{0}, false);
+        simulation.change_owner(false);
+        simulation.read_vm_list(milliseconds{10});
+        simulation.pass(milliseconds{1'000});
+        assert_no_violation(simulation);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, simulation.at_work());
+    }
+
     // A start that waited for its record brought a worker over its capacity, which had shrunk.
     void start_recorded_before_a_capacity_shrank_is_not_sent_after_it()
     {
--- a/test/scheduling/run_tracker_test.cpp
+++ b/test/scheduling/run_tracker_test.cpp
@@ -94,6 +94,36 @@
         m_scheduler->tick(m_now);
     }
 
+    /// Submits a job of one task, whose start gets no answer.
+    void start_without_answer()
+    {
+        submit();
+        write();
+        const auto [to, order] = m_starts.at(0);
+        pass(milliseconds{700});
+        m_scheduler->start_answered(to.m_instance, order.m_key, order.m_run, {}, m_now);
+    }
+
+    /// Lets the time pass while no hold is answered.
+    void stay_silent_for(milliseconds time)
+    {
+        constexpr milliseconds step{100};
+        for (milliseconds passed{0}; passed < time; passed += step) {
+            pass(step);
+            const auto holds = m_holds.size();
+            m_scheduler->tick(m_now);
+            if (m_holds.size() > holds) {
+                m_scheduler->hold_answered({"i-1", first_birth_ms}, {}, m_held_at, m_now);
+            }
+        }
+    }
+
+    bool task_is_placed()
+    {
+        const auto* submitted = m_scheduler->mutable_state().m_job_store.find("0123456789abcdef");
+        return submitted->at({0, 0, 0}).m_phase == task_phase::placed;
+    }
+
     /// Sends the hold that is due, if any, and answers it.
     void answer_hold(std::int64_t born_ms)
     {
@@ -117,6 +147,9 @@
     CPPUNIT_TEST(run_was_stopped_as_stalled_by_the_answer_of_a_former_incarnation);
     CPPUNIT_TEST(owner_gave_up_since_a_worker_refused_its_own_lower_token);
     CPPUNIT_TEST(task_was_started_beside_a_run_of_it_that_was_being_stopped);
+    CPPUNIT_TEST(start_without_an_answer_was_given_up_when_its_lease_lapsed);
+    CPPUNIT_TEST(start_without_an_answer_was_given_up_since_its_vm_was_down);
+    CPPUNIT_TEST(start_without_an_answer_is_over_when_its_worker_is_gone_for_good);
     CPPUNIT_TEST(worker_met_again_got_the_token_of_orders_that_were_under_way);
     CPPUNIT_TEST_SUITE_END();
 
@@ -185,6 +218,36 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_owner.m_starts.size());
     }
 
+    // The next incarnation of the worker carried the start out while the task ran elsewhere.
+    void start_without_an_answer_was_given_up_when_its_lease_lapsed()
+    {
+        m_owner.start_without_answer();
+        m_owner.m_scheduler->worker_unlisted("i-1", m_owner.m_now);
+        m_owner.stay_silent_for(lease_options{}.m_longest_order_delay);
+        CPPUNIT_ASSERT(m_owner.task_is_placed());
+        m_owner.stay_silent_for(lease_options{}.m_max_lease + milliseconds{1'000});
+        CPPUNIT_ASSERT(!m_owner.task_is_placed());
+    }
+
+    void start_without_an_answer_was_given_up_since_its_vm_was_down()
+    {
+        m_owner.start_without_answer();
+        m_owner.stay_silent_for(milliseconds{1'000});
+        m_owner.m_scheduler->worker_ended("i-1", vm_fate::down, m_owner.m_now.m_at, m_owner.m_now);
+        CPPUNIT_ASSERT(m_owner.task_is_placed());
+        m_owner.stay_silent_for(lease_options{}.m_longest_order_delay);
+        m_owner.m_scheduler->worker_ended("i-1", vm_fate::down, m_owner.m_now.m_at, m_owner.m_now);
+        CPPUNIT_ASSERT(!m_owner.task_is_placed());
+    }
+
+    void start_without_an_answer_is_over_when_its_worker_is_gone_for_good()
+    {
+        m_owner.start_without_answer();
+        m_owner.stay_silent_for(milliseconds{1'000});
+        m_owner.m_scheduler->worker_ended("i-1", vm_fate::gone, m_owner.m_now.m_at, m_owner.m_now);
+        CPPUNIT_ASSERT(!m_owner.task_is_placed());
+    }
+
     // Its next incarnation then carried out what was meant for the former one.
     void worker_met_again_got_the_token_of_orders_that_were_under_way()
     {
