Count with a restart that only a clock shows, and with renewals for a former incarnation

Callers could see: two runs of one task (TWICE).

Cause: a start with a deadline of the former clock is accepted by the next incarnation, which grants its longest lease; the owner, which had no hold answered since, waited for its own shorter one after a cut. A renewal that was meant for the former incarnation does the same, and after a planned release the grace that covered it was zero.

Before: start_accepted_by_an_unseen_incarnation_outlived_the_lease and late_renewal_meant_for_a_former_incarnation_outlived_the_lease failed; after: 33 of 33 tests of test_machines pass.

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -167,7 +167,8 @@
     /// which incarnation is newer, as a time of day may step back.
     void update(const worker_report& report, time_point now);
     void set_listed(bool listed, time_point now);
-    /// Returns whether the list shows another incarnation than the one that answered last.
+    /// Returns whether the list or a clock shows another incarnation than the one that answered the
+    /// last hold.
     bool restart_suspected() const { return m_restart_suspected_at.has_value(); }
     bool listed() const { return m_listed; }
     /// Returns whether this incarnation of the worker has confirmed its fencing token.
@@ -253,7 +254,12 @@
     /// Resets the session for a new incarnation of the worker. Returns the runs whose start was not
     /// sent; all others may have been started by either incarnation.
     std::vector<run_key> begin_incarnation(std::int64_t born_ms, time_point now);
-    void confirm_incarnation(time_point sent_at);
+    void suspect_restart(time_point now);
+    void confirm_incarnation(time_point sent_at, time_point now);
+    /// Returns whether the incarnation that answered last may show this clock now.
+    bool clock_fits(std::int64_t clock_ms, time_point now) const;
+    /// Counts with renewals that were meant for a former incarnation and reach a later one.
+    void expect_misdirected_renewals(time_point now);
     bool is_former(std::int64_t born_ms) const;
     /// Returns whether the worker is certainly still the incarnation that answered last.
     bool incarnation_is_certain(time_point now) const;
@@ -271,7 +277,8 @@
     bool m_token_confirmed{false};
     /// The report is one of the incarnation that answers: a later one may be of another kind.
     bool m_capacity_known{true};
-    /// Since when the list shows another incarnation than the one that answered last.
+    /// Since when the list, or the clock of an answer, shows another incarnation than the one that
+    /// answered the last hold.
     std::optional<time_point> m_restart_suspected_at;
     /// Birth of the incarnation that the list showed last; zero if none since the last restart.
     std::int64_t m_listed_born_ms{0};
@@ -303,8 +310,9 @@
     std::int64_t m_clock_ms{0};
     time_point m_clock_at;
     std::int64_t m_latest_deadline_ms{0};
-    /// When every lease that a predecessor may have granted has certainly expired.
-    time_point m_predecessor_lease_ends_at;
+    /// When every lease has certainly expired that a predecessor may have granted, or that an order
+    /// to a former incarnation may have granted to this one.
+    time_point m_foreign_lease_ends_at;
 };
 
 } // namespace peridotrudder
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -15,6 +15,9 @@
 constexpr milliseconds longest_retry_pause{500};
 /// Maximum number of ends that a worker lists in one answer. A full list may be incomplete.
 constexpr std::size_t listed_ends_limit = 500;
+/// Two answers that show clocks further apart are of different incarnations: longer than an answer
+/// is under way.
+constexpr milliseconds clock_tolerance{2'000};
 /// A worker can't have crashed, restarted and ended a run since an answer that is no older.
 constexpr milliseconds certain_incarnation_time{500};
 
@@ -31,8 +34,7 @@
     session.m_options = options;
     session.m_created_at = now;
     session.m_next_hold = now;
-    session.m_predecessor_lease_ends_at =
-        now + options.m_predecessor_grace + session.longest_lease();
+    session.m_foreign_lease_ends_at = now + options.m_predecessor_grace + session.longest_lease();
     return session;
 }
 
@@ -59,8 +61,7 @@
     if (reborn) {
         m_report.m_instance.m_born_ms = born_ms;
         if (m_unconfirmed.count(report.m_instance.m_born_ms) == 0) {
-            m_restart_suspected_at = m_restart_suspected_at.value_or(now);
-            m_next_hold = now;
+            suspect_restart(now);
         }
     }
     if (moved) {
@@ -189,6 +190,9 @@
     if (m_clock_known && !silent() && !m_runs.empty()) {
         order.m_deadline_ms = clock_estimate(now) + m_options.m_lease.count();
         extend_lease(*order.m_deadline_ms);
+        if (m_restart_suspected_at) {
+            expect_misdirected_renewals(now);
+        }
     }
     const bool steady =
         m_token_confirmed && !m_restart_suspected_at && m_missed_answers == 0 && !m_runs.empty();
@@ -234,7 +238,7 @@
     if (answer.m_born_ms) {
         m_report.m_instance.m_born_ms = *answer.m_born_ms;
     }
-    confirm_incarnation(sent_at);
+    confirm_incarnation(sent_at, now);
     m_missed_answers = 0;
     m_answered_at = now;
     m_last_answered_hold_sent_at = std::max(m_last_answered_hold_sent_at, sent_at);
@@ -243,7 +247,7 @@
     if (!m_token_confirmed && !outcome.m_restarted) {
         m_token_confirmed = true;
         // The worker now refuses predecessors' tokens, so they can no longer renew leases.
-        m_predecessor_lease_ends_at = std::min(m_predecessor_lease_ends_at, now + longest_lease());
+        m_foreign_lease_ends_at = std::min(m_foreign_lease_ends_at, now + longest_lease());
     }
     update_clock(answer.m_clock_ms, now);
     for (const auto& entry : answer.m_ended) {
@@ -328,9 +332,15 @@
         m_next_hold = std::min(m_next_hold, now);
         return;
     }
-    if (answer.m_clock_ms) {
-        update_clock(*answer.m_clock_ms, now);
+    if (!answer.m_clock_ms) {
+        return;
+    }
+    if (m_clock_known && !clock_fits(*answer.m_clock_ms, now)) {
+        suspect_restart(now);
+        expect_misdirected_renewals(now);
+        return;
     }
+    update_clock(*answer.m_clock_ms, now);
 }
 
 void worker_session::ends_recorded(std::uint64_t number)
@@ -347,14 +357,14 @@
 time_point worker_session::lease_ends_at() const
 {
     if (!m_clock_known) {
-        return m_predecessor_lease_ends_at;
+        return m_foreign_lease_ends_at;
     }
     const auto remaining_ms =
         static_cast<double>(m_latest_deadline_ms - m_clock_ms) / slowest_clock;
     const auto own_lease_ends_at =
         m_clock_at + milliseconds{static_cast<std::int64_t>(std::max(remaining_ms, 0.0))} +
         lease_end_margin;
-    return std::max(own_lease_ends_at, m_predecessor_lease_ends_at);
+    return std::max(own_lease_ends_at, m_foreign_lease_ends_at);
 }
 
 time_point worker_session::over_at(const worker_run& run) const
@@ -371,6 +381,7 @@
     new_session.m_listed = m_listed;
     new_session.m_capacity_known = m_listed_born_ms == born_ms;
     new_session.m_former = m_former;
+    new_session.expect_misdirected_renewals(now);
     // Only a hold shows that a birth is an incarnation's.
     const bool confirmed = m_answered_at != time_point{};
     (confirmed ? new_session.m_former : new_session.m_unconfirmed).insert(instance().m_born_ms);
@@ -392,13 +403,37 @@
     return not_sent;
 }
 
-void worker_session::confirm_incarnation(time_point sent_at)
+void worker_session::suspect_restart(time_point now)
 {
-    // An earlier hold may have been answered before the restart that the list shows.
-    if (m_restart_suspected_at && sent_at >= *m_restart_suspected_at) {
-        m_restart_suspected_at.reset();
+    m_restart_suspected_at = m_restart_suspected_at.value_or(now);
+    m_next_hold = now;
+}
+
+void worker_session::confirm_incarnation(time_point sent_at, time_point now)
+{
+    // An earlier hold may have been answered before the restart that the list or a clock shows.
+    if (!m_restart_suspected_at || sent_at < *m_restart_suspected_at) {
+        return;
+    }
+    m_restart_suspected_at.reset();
+    if (m_listed_born_ms != instance().m_born_ms) {
         m_unconfirmed.insert(m_listed_born_ms);
     }
+    m_foreign_lease_ends_at = std::min(m_foreign_lease_ends_at, now + longest_lease());
+}
+
+bool worker_session::clock_fits(std::int64_t clock_ms, time_point now) const
+{
+    const auto passed = std::chrono::duration_cast<milliseconds>(now - m_clock_at).count();
+    const auto tolerance = clock_tolerance.count();
+    return clock_ms >= clock_estimate(now) - tolerance &&
+           clock_ms <= m_clock_ms + passed + tolerance;
+}
+
+void worker_session::expect_misdirected_renewals(time_point now)
+{
+    m_foreign_lease_ends_at =
+        std::max(m_foreign_lease_ends_at, now + m_options.m_longest_order_delay + longest_lease());
 }
 
 bool worker_session::incarnation_is_certain(time_point now) const
--- a/test/machines/worker_session_test.cpp
+++ b/test/machines/worker_session_test.cpp
@@ -97,6 +97,8 @@
     CPPUNIT_TEST(lease_is_renewed_while_ends_cannot_be_recorded);
     CPPUNIT_TEST(lease_of_a_worker_that_never_answered_includes_the_predecessors_grace);
     CPPUNIT_TEST(answer_to_another_order_does_not_end_a_predecessors_lease);
+    CPPUNIT_TEST(start_accepted_by_an_unseen_incarnation_outlived_the_lease);
+    CPPUNIT_TEST(late_renewal_meant_for_a_former_incarnation_outlived_the_lease);
     CPPUNIT_TEST(new_birth_time_means_a_restart);
     CPPUNIT_TEST(run_listed_by_a_new_incarnation_goes_on);
     CPPUNIT_TEST(start_in_flight_outlives_the_stop_and_the_clock_of_a_former_incarnation);
@@ -395,6 +397,41 @@
         CPPUNIT_ASSERT(session.lease_ends_at() >= start + options.m_max_lease);
     }
 
+    // The deadline was one of the former clock, so the new incarnation granted its longest lease.
+    void start_accepted_by_an_unseen_incarnation_outlived_the_lease()
+    {
+        constexpr std::int64_t former_clock_ms = 400'000;
+        constexpr std::int64_t new_clock_ms = 300;
+        lease_options options;
+        auto session = make_session();
+        confirm(session, start, former_clock_ms);
+        session.reserve(key, make_run(run_phase::ordered));
+        session.start_deadline(start);
+        session.order_answered({order_result::accepted, new_clock_ms}, start);
+        CPPUNIT_ASSERT(session.restart_suspected());
+        CPPUNIT_ASSERT(!session.takes_work(start));
+        CPPUNIT_ASSERT(session.lease_ends_at() >= start + options.m_max_lease);
+        CPPUNIT_ASSERT(session.next_hold(start).has_value());
+    }
+
+    // The grace of a predecessor that released the fleet is zero.
+    void late_renewal_meant_for_a_former_incarnation_outlived_the_lease()
+    {
+        lease_options options;
+        options.m_predecessor_grace = milliseconds{0};
+        auto session = worker_session::create(make_report(), fence, options, start);
+        confirm(session, start);
+        session.reserve(key, make_run(run_phase::running));
+        auto answer = make_answer(0);
+        answer.m_born_ms = 900;
+        answer.m_running.push_back({key, 1, "", 10, 0});
+        session.hold_answered(answer, start, start);
+        CPPUNIT_ASSERT(session.lease_ends_at() >=
+                       start + options.m_longest_order_delay + options.m_max_lease);
+        confirm(session, start, 0, 900);
+        CPPUNIT_ASSERT(session.lease_ends_at() < start + options.m_longest_order_delay);
+    }
+
     void new_birth_time_means_a_restart()
     {
         auto session = make_session();
