Log runs that outlive a lease since their start is open, and count the time at a relay

The line start_open gives the worker, the run and the longest wait, once for each run.

The bound of 12 s for a late order is counted from its sender's timeout. With a relay between, that is up to 1.1 s of transit and a connection later, so the owner counts 14 s from its own timeout.

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -52,6 +52,8 @@
     /// Until when some incarnation of the worker may still carry out the start; absent before it is
     /// sent, and once an answer or a list of runs has settled it.
     std::optional<time_point> m_start_open_until;
+    /// The log tells that the run outlives its worker's lease since its start is open.
+    bool m_open_start_logged{false};
     /// When the start was given up as unanswered.
     std::optional<time_point> m_unanswered_since;
     /// When the start was sent; absent if a predecessor sent it.
@@ -112,8 +114,8 @@
     /// Time for which a predecessor may go on renewing leases without proof of its ownership.
     milliseconds m_predecessor_grace{5'000};
     /// Longest time after which an order that was not answered may still be carried out, by
-    /// whichever incarnation of the worker is there then.
-    milliseconds m_longest_order_delay{12'000};
+    /// whichever incarnation of the worker is there then. Includes the time at a relay.
+    milliseconds m_longest_order_delay{14'000};
     /// Time from the record of a predecessor's start until it is certainly sent and timed out,
     /// with the difference between the two nodes' times of day.
     milliseconds m_predecessor_start_slack{8'000};
--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -63,6 +63,8 @@
     void end_job(const job& target, moment now);
     /// Rules out that a run whose start was not answered still begins.
     void stop_not_begun(worker_session& session, const run_key& key, time_point now);
+    /// Gives up what an unreachable worker had, once it is certainly over.
+    void give_up_unreachable(worker_session& session, moment now);
     void stop_unknown_run(worker_session& session, const running_entry& unknown, time_point now);
     void stop_stalled(worker_session& session, time_point now);
     /// Throttles best-effort runs that slow down latency-sensitive ones, and speeds them up again.
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -29,18 +29,6 @@
                     run.m_estimate * stall_estimate_percent / percent_per_whole + stall_time);
 }
 
-/// Returns the runs that are over if the worker was not heard of.
-std::vector<run_key> runs_over_at(const worker_session& session, time_point now)
-{
-    std::vector<run_key> keys;
-    for (const auto& [key, run] : session.runs()) {
-        if (now >= session.over_at(run)) {
-            keys.push_back(key);
-        }
-    }
-    return keys;
-}
-
 step_key step_of(const run_key& key)
 {
     return {key.m_job, key.m_task.m_occurrence, key.m_task.m_step};
@@ -481,6 +469,25 @@
     }
 }
 
+void run_tracker::give_up_unreachable(worker_session& session, moment now)
+{
+    std::vector<run_key> over;
+    for (const auto& [key, run] : session.runs()) {
+        const auto over_at = session.over_at(run);
+        if (now.m_at >= over_at) {
+            over.push_back(key);
+        }
+        else if (!run.m_open_start_logged) {
+            session.find(key)->m_open_start_logged = true;
+            m_state->log_run(
+                "start_open", key, session.id(),
+                fmt::format("run {}, for {} ms", run.m_run, remaining(now.m_at, over_at).count()));
+        }
+    }
+    // The worker may have crashed, or only be cut off.
+    mark_lost_in_crash(session, over, session.last_heard_at(), false, "lease expired", now);
+}
+
 void run_tracker::tick(moment now)
 {
     static const std::map<run_key, worker_run> no_runs;
@@ -488,9 +495,7 @@
         auto& session = entry->second;
         const bool unreachable = session.silent() || session.report().m_port == 0;
         if (unreachable && !session.runs().empty() && now.m_at >= session.lease_ends_at()) {
-            // The worker may have crashed, or only be cut off.
-            mark_lost_in_crash(session, runs_over_at(session, now.m_at), session.last_heard_at(),
-                               false, "lease expired", now);
+            give_up_unreachable(session, now);
         }
         if (!session.listed() && session.runs().empty()) {
             m_state->log("worker_forgotten", "", session.id(), "");
