--- a/standins/fleet/task_worker.cpp
+++ b/standins/fleet/task_worker.cpp
@@ -236,10 +236,10 @@
     }
 }
 
-void task_worker::kill(std::int64_t now_ms)
+void task_worker::kill(std::int64_t now_ms, const char* outcome)
 {
     for (const auto& [task, active] : m_runs) {
-        emit_event("killed", task, active.m_run, now_ms);
+        emit_event(outcome, task, active.m_run, now_ms);
     }
     m_runs.clear();
     m_waiting_holds.clear();
--- a/standins/fleet/task_worker.hpp
+++ b/standins/fleet/task_worker.hpp
@@ -20,9 +20,11 @@
 /// Something that happened at a worker, for tests that check the scheduler's guarantees.
 struct worker_event {
     std::int64_t m_time_ms{0};
-    /// "start", the outcome of a run ("done", "failed", "stopped", "lapsed", "killed", or "crashed"
-    /// if it crashed its worker), "noted" once the owner has acknowledged a "done", "late" before a
-    /// start that was ordered long ago, or "capacity" when the worker's capacity has changed.
+    /// "start", the outcome of a run ("done", "failed", "stopped", "lapsed", "crashed" if it
+    /// crashed its worker, "lost" if its worker crashed by another cause, or "killed" if its worker
+    /// was ended by a move or maintenance), "noted" once the owner has acknowledged a "done",
+    /// "late" before a start that was ordered long ago, or "capacity" when the worker's capacity
+    /// has changed.
     std::string m_kind;
     std::string m_task;
     /// With "capacity", thousandths of a processor core.
@@ -57,8 +59,8 @@
     /// Ends the runs that are finished or stopped, or all of them when the lease has expired, and
     /// answers the holds that have an ended run to report or whose wait time is over.
     void tick(std::int64_t now_ms);
-    /// Terminates the worker: running tasks are lost, and open holds get no answer.
-    void kill(std::int64_t now_ms);
+    /// Terminates the worker: running tasks end with `outcome`, and open holds get no answer.
+    void kill(std::int64_t now_ms, const char* outcome);
 
 private:
     struct active_run {
--- a/standins/fleet/vm_pools.cpp
+++ b/standins/fleet/vm_pools.cpp
@@ -21,6 +21,11 @@
 constexpr std::int64_t report_interval_ms = 1'500;
 constexpr std::uint32_t vms_per_rack = 4;
 constexpr const char* worker_topic = "keyed.servers";
+/// State of a VM after a crash, which no order of the scheduler causes.
+constexpr const char* crashed_state = "down";
+/// Outcomes of the runs of a worker that ends, see `worker_event`.
+constexpr const char* lost_run = "lost";
+constexpr const char* killed_run = "killed";
 
 constexpr std::uint32_t full_percent = 100;
 /// An entry expires after this many reports that did not come.
@@ -135,7 +140,7 @@
     if (!vm.m_worker) {
         return;
     }
-    vm.m_worker->kill(now_ms);
+    vm.m_worker->kill(now_ms, lost_run);
     vm.m_last_worker_id = vm.m_worker->id();
     vm.m_worker.reset();
     vm.m_restart = restart;
@@ -165,7 +170,7 @@
     vm.m_up_at_ms = now_ms + downtime_ms;
     vm.m_restart.reset();
     if (vm.m_worker) {
-        vm.m_worker->kill(now_ms);
+        vm.m_worker->kill(now_ms, state == crashed_state ? lost_run : killed_run);
         m_log.put(worker_topic, vm.m_worker->id(), std::nullopt);
         vm.m_worker.reset();
     }
@@ -173,7 +178,7 @@
 
 void vm_pools::crash(stand_in_vm& vm, std::int64_t now_ms, std::int64_t down_ms)
 {
-    take_down(vm, "down", now_ms, down_ms);
+    take_down(vm, crashed_state, now_ms, down_ms);
 }
 
 void vm_pools::report(stand_in_vm& vm, std::int64_t now_ms)
