Don't acknowledge an end that may have been successful but can't be read

Callers could see: two runs of one task (TWICE), or a task that isn't started again (LOST).

Cause: an end whose kind could not be read was acknowledged so that the worker would not list it for good. The worker then forgot it, its run was in no list, counted as lost, and the task started again, though the run may have ended `done`. An end without a kind counted as failed. Also, while any row was odd, no run that was not listed counted as lost.

Ruled out: reading such an end as `done` (a job would be shown as completed while a task has not ended so) or as failed (the fault itself).

Change: the decoder tells the task, number and run of such rows. An unclear end stays unacknowledged while its task could start again: its capacity is free, its task stays placed, the worker lists it again, and a list in which it can be read decides. If the worker goes away, the end was never taken note of, so the task may run again. Ends after it are used, but not acknowledged either. It is acknowledged once the task is done, its job is over, or the task is long-running. A list is incomplete only because of rows that don't tell their task. An odd checkpoint no longer makes an end unreadable.

Left: an end whose task, or whose number, can't be read is acknowledged as before; rows of `running` that don't tell their task hide lost runs as long as they stay. While an unclear end stays, later ends of that worker stay unacknowledged.

--- a/include/peridotrudder/machines/worker_orders.hpp
+++ b/include/peridotrudder/machines/worker_orders.hpp
@@ -210,6 +210,22 @@
     }
 };
 
+/// An end whose row tells the task, but not what became of the run or which run it was.
+struct unclear_end {
+    std::uint64_t m_number{0};
+    run_key m_key;
+    /// Zero if it could not be read.
+    std::uint32_t m_run{0};
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("number", self.m_number);
+        archive.field("key", self.m_key);
+        archive.field("run", self.m_run);
+    }
+};
+
 struct hold_answer {
     order_result m_result{order_result::unanswered};
     std::int64_t m_clock_ms{0};
@@ -217,11 +233,14 @@
     std::optional<std::int64_t> m_born_ms;
     std::vector<running_entry> m_running;
     std::vector<ended_entry> m_ended;
-    /// Number of rows that could not be read; absent for none. A run that is in neither list may be
-    /// in one of them.
+    /// Number of rows that could not be read, or only in part; absent for none. A run that is in
+    /// neither list may be in one of those that do not tell their task.
     std::optional<std::uint32_t> m_unreadable;
     /// Highest number of an end whose row could not be read otherwise.
     std::optional<std::uint64_t> m_unreadable_end;
+    /// Those of the unreadable rows that tell their task; absent for none.
+    std::optional<std::vector<unclear_end>> m_unclear_ends;
+    std::optional<std::vector<run_key>> m_unclear_running;
 
     template <typename Archive, typename Self>
     static void describe(Archive& archive, Self& self)
@@ -233,6 +252,8 @@
         archive.field("ended", self.m_ended);
         archive.field("unreadable", self.m_unreadable);
         archive.field("unreadable_end", self.m_unreadable_end);
+        archive.field("unclear_ends", self.m_unclear_ends);
+        archive.field("unclear_running", self.m_unclear_running);
     }
 };
 
--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -127,6 +127,9 @@
     std::vector<ended_entry> m_ended;
     /// Whether the worker listed ends that it had not listed before, readable or not.
     bool m_new_ends{false};
+    /// Ends that may have been successful. They are not acknowledged, so the worker lists them
+    /// again.
+    std::vector<unclear_end> m_unclear_ends;
     /// Runs that are certainly not on the worker and will not be reported as ended.
     std::vector<run_key> m_gone;
     /// Runs whose start was not answered, and that were not on the worker afterwards; they may
@@ -232,7 +235,10 @@
     void order_answered(const order_answer& answer, time_point now);
     /// Marks all ends up to a number as recorded.
     void ends_recorded(std::uint64_t number);
-    std::uint64_t newest_end() const { return m_newest_end; }
+    /// Returns the newest end that may be acknowledged.
+    std::uint64_t newest_end() const;
+    /// Lets an unclear end of the last answer be acknowledged: its task will not start again.
+    void accept_unclear_end(std::uint64_t number) { m_unclear_ends.erase(number); }
 
     /// Returns when every lease that the worker may have has certainly expired.
     time_point lease_ends_at() const;
@@ -266,8 +272,11 @@
     void update_clock(std::int64_t clock_ms, time_point now);
     milliseconds longest_lease() const;
     void extend_lease(std::int64_t deadline_ms);
+    void take_ends(const hold_answer& answer, hold_outcome& outcome);
     void reconcile_runs(const hold_answer& answer, time_point sent_at, time_point now,
                         hold_outcome& outcome);
+    /// Marks runs that are on rows which could not be read otherwise, and returns them.
+    std::set<run_key> note_unclear_rows(const hold_answer& answer, time_point now);
 
     worker_report m_report;
     std::uint64_t m_fence{0};
@@ -302,6 +311,8 @@
     time_point m_hold_sent_at;
     time_point m_next_hold;
     std::uint64_t m_newest_end{0};
+    /// Numbers of the ends that the last answer listed and that must not be acknowledged.
+    std::set<std::uint64_t> m_unclear_ends;
     std::uint64_t m_recorded_end{0};
     std::uint64_t m_acknowledged_end{0};
     std::uint64_t m_end_in_current_hold{0};
--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -46,6 +46,8 @@
 
 private:
     void handle_end(worker_session& session, const ended_entry& ended, moment now);
+    /// Lets an unclear end be acknowledged if its task will not start again.
+    void judge_unclear_end(worker_session& session, const unclear_end& end);
     void update_worker_health(worker_session& session, const job& target, const run_key& key,
                               run_end end, time_point now);
     void mark_run_lost(worker_session& session, const run_key& key, std::string_view reason);
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -1,6 +1,7 @@
 #include "peridotrudder/machines/worker_session.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace peridotrudder {
 
@@ -20,6 +21,17 @@
 constexpr milliseconds clock_tolerance{2'000};
 /// A worker can't have crashed, restarted and ended a run since an answer that is no older.
 constexpr milliseconds certain_incarnation_time{500};
+/// Time between holds to a worker that lists an unclear end; the incarnation stays certain.
+constexpr milliseconds unclear_end_interval{250};
+
+/// Returns whether the answer names the tasks of all runs that are on the worker or have ended.
+bool is_complete(const hold_answer& answer)
+{
+    const auto unclear_ends = answer.m_unclear_ends ? answer.m_unclear_ends->size() : 0;
+    const auto unclear_running = answer.m_unclear_running ? answer.m_unclear_running->size() : 0;
+    return answer.m_ended.size() + unclear_ends < listed_ends_limit &&
+           answer.m_unreadable.value_or(0) <= unclear_ends + unclear_running;
+}
 
 } // namespace
 
@@ -168,11 +180,13 @@
     if (m_hold_in_flight || !needs_hold()) {
         return std::nullopt;
     }
-    // The worker lists ends that are not recorded yet again, without waiting. Meanwhile holds only
-    // serve to renew its lease.
-    return m_newest_end > m_recorded_end
-               ? std::max(m_next_hold, m_hold_sent_at + m_options.m_hold_wait)
-               : m_next_hold;
+    // The worker lists ends that are not acknowledged again, without waiting. Meanwhile holds only
+    // serve to renew its lease, or to acknowledge the ends before an unclear one.
+    if (newest_end() > m_recorded_end) {
+        return std::max(m_next_hold, m_hold_sent_at + m_options.m_hold_wait);
+    }
+    return m_unclear_ends.empty() ? m_next_hold
+                                  : std::max(m_next_hold, m_hold_sent_at + unclear_end_interval);
 }
 
 std::optional<hold_order> worker_session::next_hold(time_point now)
@@ -250,9 +264,17 @@
         m_foreign_lease_ends_at = std::min(m_foreign_lease_ends_at, now + longest_lease());
     }
     update_clock(answer.m_clock_ms, now);
+    take_ends(answer, outcome);
+    reconcile_runs(answer, sent_at, now, outcome);
+    return outcome;
+}
+
+void worker_session::take_ends(const hold_answer& answer, hold_outcome& outcome)
+{
+    const auto were_unclear = std::exchange(m_unclear_ends, {});
     for (const auto& entry : answer.m_ended) {
-        if (entry.m_number > m_newest_end) {
-            m_newest_end = entry.m_number;
+        if (entry.m_number > m_newest_end || were_unclear.count(entry.m_number) != 0) {
+            m_newest_end = std::max(m_newest_end, entry.m_number);
             outcome.m_ended.push_back(entry);
         }
     }
@@ -262,14 +284,45 @@
         m_newest_end = *answer.m_unreadable_end;
         outcome.m_new_ends = true;
     }
-    reconcile_runs(answer, sent_at, now, outcome);
-    return outcome;
+    outcome.m_unclear_ends = answer.m_unclear_ends.value_or(std::vector<unclear_end>{});
+    for (const auto& end : outcome.m_unclear_ends) {
+        m_unclear_ends.insert(end.m_number);
+    }
+}
+
+std::uint64_t worker_session::newest_end() const
+{
+    return m_unclear_ends.empty() ? m_newest_end
+                                  : std::min(m_newest_end, *m_unclear_ends.begin() - 1);
+}
+
+std::set<run_key> worker_session::note_unclear_rows(const hold_answer& answer, time_point now)
+{
+    std::set<run_key> named;
+    if (answer.m_unclear_running) {
+        named.insert(answer.m_unclear_running->begin(), answer.m_unclear_running->end());
+    }
+    for (const auto& end : answer.m_unclear_ends.value_or(std::vector<unclear_end>{})) {
+        auto* run = find(end.m_key);
+        if (run == nullptr || (end.m_run != 0 && end.m_run != run->m_run)) {
+            continue;
+        }
+        named.insert(end.m_key);
+        if (end.m_run == run->m_run) {
+            // Its capacity is free, but its task must not start again.
+            m_used = m_used - std::exchange(run->m_reserved, {});
+            run->m_phase = run_phase::uncertain;
+            run->m_cannot_start_since = run->m_cannot_start_since.value_or(now);
+            run->settle_start();
+        }
+    }
+    return named;
 }
 
 void worker_session::reconcile_runs(const hold_answer& answer, time_point sent_at, time_point now,
                                     hold_outcome& outcome)
 {
-    std::set<run_key> listed;
+    auto listed = note_unclear_rows(answer, now);
     for (const auto& entry : answer.m_running) {
         listed.insert(entry.m_key);
         auto* run = find(entry.m_key);
@@ -290,7 +343,7 @@
         }
         run->m_load = entry.m_load;
     }
-    if (answer.m_ended.size() >= listed_ends_limit || answer.m_unreadable) {
+    if (!is_complete(answer)) {
         // A run that is not named may be on a row that is not there or cannot be read.
         return;
     }
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -187,6 +187,7 @@
     }
     const bool was_silent = session->silent();
     const auto last_heard_at = session->last_heard_at();
+    const auto newest_end = session->newest_end();
     const auto outcome = session->hold_answered(answer, sent_at, now.m_at);
     if (session->silent() != was_silent) {
         m_state->log(was_silent ? "worker_answers" : "worker_silent", "", session->id(),
@@ -213,6 +214,9 @@
     for (const auto& item : outcome.m_ended) {
         handle_end(*session, item, now);
     }
+    for (const auto& item : outcome.m_unclear_ends) {
+        judge_unclear_end(*session, item);
+    }
     mark_gone(*session, outcome, last_heard_at, now);
     for (const auto& item : outcome.m_not_begun) {
         stop_not_begun(*session, item, now.m_at);
@@ -220,7 +224,7 @@
     for (const auto& item : outcome.m_unknown_runs) {
         stop_unknown_run(*session, item, now.m_at);
     }
-    if (outcome.m_new_ends) {
+    if (outcome.m_new_ends || session->newest_end() > newest_end) {
         m_state->m_effects.emplace_back(ends_effect{session->instance(), session->newest_end()});
     }
     if (answer.m_result == order_result::accepted && !session->restart_suspected()) {
@@ -293,6 +297,21 @@
     }
 }
 
+void run_tracker::judge_unclear_end(worker_session& session, const unclear_end& end)
+{
+    const auto* target = m_state->m_job_store.find(end.m_key.m_job);
+    const auto& ref = end.m_key.m_task;
+    const bool may_start_again = target != nullptr && target->has(ref) &&
+                                 target->phase() == job_phase::active &&
+                                 target->at(ref).m_phase != task_phase::done &&
+                                 !target->spec().m_steps[ref.m_step].m_long_running;
+    if (!may_start_again) {
+        session.accept_unclear_end(end.m_number);
+        return;
+    }
+    m_state->log_run("end_unclear", end.m_key, session.id(), fmt::format("run {}", end.m_run));
+}
+
 void run_tracker::end_job(const job& target, moment now)
 {
     const auto& header = target.header();
--- a/test/machines/worker_session_test.cpp
+++ b/test/machines/worker_session_test.cpp
@@ -88,6 +88,8 @@
     CPPUNIT_TEST(run_confirmed_before_a_hold_and_not_listed_is_gone);
     CPPUNIT_TEST(run_on_a_row_that_could_not_be_read_was_gone);
     CPPUNIT_TEST(end_that_could_not_be_read_was_listed_for_good);
+    CPPUNIT_TEST(end_that_may_have_been_successful_was_acknowledged);
+    CPPUNIT_TEST(row_that_stayed_odd_hid_that_other_runs_were_lost);
     CPPUNIT_TEST(run_without_an_answer_is_not_gone_before_its_stop_is_answered);
     CPPUNIT_TEST(adopted_run_not_listed_by_the_first_hold_under_the_new_token_is_gone);
     CPPUNIT_TEST(run_unknown_to_the_owner_is_reported);
@@ -228,6 +230,63 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, session.newest_end());
     }
 
+    // Its run then counted as lost, and the task started again.
+    void end_that_may_have_been_successful_was_acknowledged()
+    {
+        auto session = make_session();
+        confirm(session, start);
+        session.reserve(key, make_run(run_phase::running));
+        session.find(key)->m_confirmed_at = start;
+        auto now = start + milliseconds{2'000};
+        CPPUNIT_ASSERT(session.next_hold(now).has_value());
+        auto answer = make_answer(2'000);
+        answer.m_unreadable = 1;
+        answer.m_unreadable_end = 1;
+        answer.m_unclear_ends = {{1, key, 1}};
+        const auto first = session.hold_answered(answer, now, now);
+        CPPUNIT_ASSERT(first.m_gone.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.m_unclear_ends.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, session.newest_end());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("its capacity is free", std::int64_t{16'000},
+                                     session.room().m_cpu_millis);
+        now += milliseconds{2'000};
+        answer.m_ended.push_back({2, unknown_key, 1, run_end::done, ""});
+        const auto second = session.hold_answered(answer, now, now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.m_ended.size());
+        CPPUNIT_ASSERT(second.m_gone.empty());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("a later end would acknowledge it", std::uint64_t{0},
+                                     session.newest_end());
+        now += milliseconds{2'000};
+        auto readable = make_answer(6'000);
+        readable.m_ended = {{1, key, 1, run_end::done, ""}, {2, unknown_key, 1, run_end::done, ""}};
+        const auto third = session.hold_answered(readable, now, now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, third.m_ended.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, third.m_ended[0].m_number);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, session.newest_end());
+    }
+
+    void row_that_stayed_odd_hid_that_other_runs_were_lost()
+    {
+        auto session = make_session();
+        confirm(session, start);
+        const run_key lost{"0123456789abcdef", {0, 0, 1}};
+        for (const auto& each : {key, lost}) {
+            session.reserve(each, make_run(run_phase::running));
+            session.find(each)->m_confirmed_at = start;
+        }
+        const auto now = start + milliseconds{2'000};
+        CPPUNIT_ASSERT(session.next_hold(now).has_value());
+        auto answer = make_answer(2'000);
+        answer.m_unreadable = 1;
+        answer.m_unclear_running = {{key}};
+        const auto gone = session.hold_answered(answer, now, now).m_gone;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, gone.size());
+        CPPUNIT_ASSERT(lost == gone[0]);
+        answer.m_unreadable = 2;
+        CPPUNIT_ASSERT_MESSAGE("a row without a task may be any run's",
+                               session.hold_answered(answer, now, now).m_gone.empty());
+    }
+
     void run_confirmed_before_a_hold_and_not_listed_is_gone()
     {
         auto session = make_session();
--- a/test/platform/odd_entries_test.cpp
+++ b/test/platform/odd_entries_test.cpp
@@ -81,6 +81,9 @@
     CPPUNIT_TEST(record_without_content_stopped_the_follower);
     CPPUNIT_TEST(one_odd_key_made_the_list_of_records_unreadable);
     CPPUNIT_TEST(one_odd_row_made_the_answer_of_a_worker_unreadable);
+    CPPUNIT_TEST(end_of_an_unknown_kind_was_lost);
+    CPPUNIT_TEST(end_with_an_odd_checkpoint_could_not_be_read);
+    CPPUNIT_TEST(odd_row_of_a_running_task_did_not_tell_its_task);
     CPPUNIT_TEST(deeply_nested_entry_named_a_worker);
     CPPUNIT_TEST(deeply_nested_configuration_ended_the_process);
     CPPUNIT_TEST(one_odd_vm_made_the_list_of_vms_unreadable);
@@ -322,6 +325,48 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{58}, unknown_end.m_unreadable_end.value_or(0));
     }
 
+    // The run may have ended successfully, so its task must not start again.
+    void end_of_an_unknown_kind_was_lost()
+    {
+        const std::string ended = R"([58,"5c0e7a21d94b36f8.0.1.9",1,"done",""])";
+        const std::string task = R"([58,"5c0e7a21d94b36f8.0.1.9",)";
+        for (const std::string rest :
+             {R"(1,"asleep",""])", R"(1,7,""])", R"(1,null,""])", "1]", R"(1,[],""])"}) {
+            const auto answer = decode_hold_answer(status_ok, with(hold_body, ended, task + rest));
+            CPPUNIT_ASSERT_MESSAGE(rest, answer.m_ended.empty());
+            CPPUNIT_ASSERT_MESSAGE(rest, answer.m_unclear_ends.has_value());
+            const auto& end = answer.m_unclear_ends->at(0);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{58}, end.m_number);
+            CPPUNIT_ASSERT(end.m_key == run_key({"5c0e7a21d94b36f8", {0, 1, 9}}));
+            CPPUNIT_ASSERT_EQUAL(1U, end.m_run);
+        }
+        const auto unknown_run =
+            decode_hold_answer(status_ok, with(hold_body, ended, task + R"(-1,"done",""])"));
+        CPPUNIT_ASSERT(unknown_run.m_unclear_ends.has_value());
+        CPPUNIT_ASSERT_EQUAL(0U, unknown_run.m_unclear_ends->at(0).m_run);
+        CPPUNIT_ASSERT(!decode_hold_answer(status_ok, hold_body).m_unclear_ends);
+    }
+
+    void end_with_an_odd_checkpoint_could_not_be_read()
+    {
+        const auto answer =
+            decode_hold_answer(status_ok, with(hold_body, R"("done",""])", R"("failed",7])"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, answer.m_ended.size());
+        CPPUNIT_ASSERT(run_end::failed == answer.m_ended[0].m_run_end);
+        CPPUNIT_ASSERT_EQUAL(std::string{}, answer.m_ended[0].m_checkpoint);
+    }
+
+    // Such a row hid that other runs were lost.
+    void odd_row_of_a_running_task_did_not_tell_its_task()
+    {
+        const auto answer =
+            decode_hold_answer(status_ok, with(hold_body, R"(2,"c",41,7])", R"(-2,"c",41,7])"));
+        CPPUNIT_ASSERT(answer.m_unclear_running.has_value());
+        CPPUNIT_ASSERT(answer.m_unclear_running->at(0) ==
+                       run_key({"5c0e7a21d94b36f8", {0, 1, 17}}));
+        CPPUNIT_ASSERT(!decode_hold_answer(status_ok, hold_body).m_unclear_running);
+    }
+
     void deeply_nested_entry_named_a_worker()
     {
         for (const std::size_t levels : {40, 10'000, 120'000}) {
--- a/test/scheduling/run_tracker_test.cpp
+++ b/test/scheduling/run_tracker_test.cpp
@@ -150,6 +150,7 @@
     CPPUNIT_TEST(start_without_an_answer_was_given_up_when_its_lease_lapsed);
     CPPUNIT_TEST(start_without_an_answer_was_given_up_since_its_vm_was_down);
     CPPUNIT_TEST(start_without_an_answer_is_over_when_its_worker_is_gone_for_good);
+    CPPUNIT_TEST(task_was_started_again_after_an_end_that_may_have_been_successful);
     CPPUNIT_TEST(worker_met_again_got_the_token_of_orders_that_were_under_way);
     CPPUNIT_TEST_SUITE_END();
 
@@ -248,6 +249,45 @@
         CPPUNIT_ASSERT(!m_owner.task_is_placed());
     }
 
+    // The end was acknowledged, and its run counted as lost.
+    void task_was_started_again_after_an_end_that_may_have_been_successful()
+    {
+        m_owner.submit();
+        m_owner.write();
+        const auto [to, order] = m_owner.m_starts.at(0);
+        m_owner.m_scheduler->start_answered(to.m_instance, order.m_key, order.m_run,
+                                            {order_result::accepted, std::nullopt}, m_owner.m_now);
+        const auto list_end = [this, &order = order] {
+            m_owner.pass(milliseconds{300});
+            m_owner.m_scheduler->tick(m_owner.m_now);
+            hold_answer answer;
+            answer.m_result = order_result::accepted;
+            answer.m_born_ms = first_birth_ms;
+            answer.m_clock_ms = m_owner.m_now.m_unix_ms;
+            if (m_owner.m_holds.back().m_last_end == 0) {
+                answer.m_unreadable = 1;
+                answer.m_unreadable_end = 1;
+                answer.m_unclear_ends = {{1, order.m_key, order.m_run}};
+            }
+            m_owner.m_scheduler->hold_answered({"i-1", first_birth_ms}, answer, m_owner.m_held_at,
+                                               m_owner.m_now);
+            m_owner.write();
+        };
+        for (int listed = 0; listed < 4; ++listed) {
+            list_end();
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, m_owner.m_holds.back().m_last_end);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_owner.m_starts.size());
+            CPPUNIT_ASSERT(m_owner.task_is_placed());
+        }
+        const job_call cancel{call_kind::cancel, "host", "/queue/0123456789abcdef", std::nullopt};
+        m_owner.m_scheduler->take_call(2, cancel, m_owner.m_now);
+        m_owner.write();
+        list_end();
+        list_end();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("the task can't start again", std::uint64_t{1},
+                                     m_owner.m_holds.back().m_last_end);
+    }
+
     // Its next incarnation then carried out what was meant for the former one.
     void worker_met_again_got_the_token_of_orders_that_were_under_way()
     {
