Take only the capacity of the incarnation that answers

Callers could see: a worker filled beyond its capacity (LIMIT), or a start on a worker that drains (DRAIN).

Cause: once a hold had not confirmed the birth of an entry, the entry counted like one of the incarnation that answers, so that a late entry of an incarnation that this owner never heard of gave the worker its capacity, its labels and its state. An entry without a birth had birth zero, which the first answer replaced by the birth of the incarnation that was there.

Ruled out: ignoring such entries (entry_with_a_birth_that_holds_do_not_confirm_still_tells_the_workers_state guards against that).

Change: the report of the incarnation that answers is kept; an entry of another one can lower its capacity, end its intake of work and move its address, and is used in full once a hold has shown that incarnation.

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -166,8 +166,8 @@
 
     /// Applies a report, unless it is known to be a former incarnation's. If it shows an unknown
     /// incarnation, the worker gets no work until the answer to a hold has shown which one is
-    /// there; after that it counts like one of the incarnation that answers. Births don't tell
-    /// which incarnation is newer, as a time of day may step back.
+    /// there; after that it can only take from what the incarnation that answers is known to have.
+    /// Births don't tell which incarnation is newer, as a time of day may step back.
     void update(const worker_report& report, time_point now);
     void set_listed(bool listed, time_point now);
     /// Returns whether the list or a clock shows another incarnation than the one that answered the
@@ -260,6 +260,8 @@
     /// Resets the session for a new incarnation of the worker. Returns the runs whose start was not
     /// sent; all others may have been started by either incarnation.
     std::vector<run_key> begin_incarnation(std::int64_t born_ms, time_point now);
+    /// Applies a report of an unknown incarnation.
+    void note_other_incarnation(const worker_report& report, time_point now);
     void suspect_restart(time_point now);
     void confirm_incarnation(time_point sent_at, time_point now);
     /// Returns whether the incarnation that answered last may show this clock now.
@@ -291,6 +293,8 @@
     std::optional<time_point> m_restart_suspected_at;
     /// Birth of the incarnation that the list showed last; zero if none since the last restart.
     std::int64_t m_listed_born_ms{0};
+    /// Newest report of an incarnation that has not answered.
+    std::optional<worker_report> m_other_report;
     /// Births of former incarnations.
     std::set<std::int64_t> m_former;
     /// Births that the list showed, and that holds did not confirm.
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -24,6 +24,13 @@
 /// Time between holds to a worker that lists an unclear end; the incarnation stays certain.
 constexpr milliseconds unclear_end_interval{250};
 
+resources smaller(const resources& left, const resources& right)
+{
+    return {std::min(left.m_cpu_millis, right.m_cpu_millis),
+            std::min(left.m_memory_mb, right.m_memory_mb),
+            std::min(left.m_accelerators, right.m_accelerators)};
+}
+
 /// Returns whether the answer names the tasks of all runs that are on the worker or have ended.
 bool is_complete(const hold_answer& answer)
 {
@@ -66,15 +73,13 @@
     m_listed_born_ms = report.m_instance.m_born_ms;
     const bool reborn =
         instance().m_born_ms != 0 && report.m_instance.m_born_ms != instance().m_born_ms;
-    const auto born_ms = instance().m_born_ms;
     const bool moved = report.m_address != m_report.m_address || report.m_port != m_report.m_port;
-    m_report = report;
-    m_capacity_known = m_capacity_known || !reborn;
     if (reborn) {
-        m_report.m_instance.m_born_ms = born_ms;
-        if (m_unconfirmed.count(report.m_instance.m_born_ms) == 0) {
-            suspect_restart(now);
-        }
+        note_other_incarnation(report, now);
+    }
+    else {
+        m_report = report;
+        m_capacity_known = true;
     }
     if (moved) {
         m_missed_answers = 0;
@@ -82,6 +87,26 @@
     }
 }
 
+void worker_session::note_other_incarnation(const worker_report& report, time_point now)
+{
+    m_other_report = report;
+    auto applied = report;
+    applied.m_instance = m_report.m_instance;
+    if (m_capacity_known) {
+        // The report may be a former incarnation's that arrives late: what it has more, and that it
+        // does not drain, says nothing about the one that answers.
+        applied = m_report;
+        applied.m_address = report.m_address;
+        applied.m_port = report.m_port;
+        applied.m_capacity = smaller(m_report.m_capacity, report.m_capacity);
+        applied.m_draining = m_report.m_draining || report.m_draining;
+    }
+    m_report = applied;
+    if (m_unconfirmed.count(report.m_instance.m_born_ms) == 0) {
+        suspect_restart(now);
+    }
+}
+
 void worker_session::set_listed(bool listed, time_point now)
 {
     m_listed = listed;
@@ -429,10 +454,11 @@
 
 std::vector<run_key> worker_session::begin_incarnation(std::int64_t born_ms, time_point now)
 {
-    auto new_session = create(m_report, m_fence + 1, m_options, now);
+    const bool is_listed = m_listed_born_ms == born_ms && m_other_report;
+    auto new_session = create(is_listed ? *m_other_report : m_report, m_fence + 1, m_options, now);
     new_session.m_report.m_instance.m_born_ms = born_ms;
     new_session.m_listed = m_listed;
-    new_session.m_capacity_known = m_listed_born_ms == born_ms;
+    new_session.m_capacity_known = is_listed;
     new_session.m_former = m_former;
     new_session.expect_misdirected_renewals(now);
     // Only a hold shows that a birth is an incarnation's.
--- a/test/machines/worker_session_test.cpp
+++ b/test/machines/worker_session_test.cpp
@@ -109,6 +109,9 @@
     CPPUNIT_TEST(later_incarnation_may_have_an_earlier_birth);
     CPPUNIT_TEST(listed_incarnation_that_a_later_hold_does_not_show_is_a_former_one);
     CPPUNIT_TEST(entry_with_a_birth_that_holds_do_not_confirm_still_tells_the_workers_state);
+    CPPUNIT_TEST(late_entry_of_an_unknown_incarnation_gave_the_worker_its_capacity);
+    CPPUNIT_TEST(late_entry_of_an_unknown_incarnation_ended_the_draining);
+    CPPUNIT_TEST(incarnation_that_is_listed_before_it_answers_has_its_own_capacity);
     CPPUNIT_TEST(report_of_an_earlier_incarnation_changes_nothing);
     CPPUNIT_TEST_SUITE_END();
 
@@ -617,6 +620,50 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t{500}, session.instance().m_born_ms);
     }
 
+    // It was filled beyond its own capacity.
+    void late_entry_of_an_unknown_incarnation_gave_the_worker_its_capacity()
+    {
+        auto session = make_session();
+        confirm(session, start);
+        auto late = make_report(300);
+        late.m_capacity = {32'000, 64'000, 4};
+        session.update(late, start + milliseconds{10});
+        confirm(session, start + milliseconds{50}, 50);
+        CPPUNIT_ASSERT(session.takes_work(start + milliseconds{50}));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{16'000}, session.room().m_cpu_millis);
+        session.update(late, start + milliseconds{60});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{16'000}, session.room().m_cpu_millis);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{32'000}, session.room().m_memory_mb);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, session.room().m_accelerators);
+    }
+
+    void late_entry_of_an_unknown_incarnation_ended_the_draining()
+    {
+        auto session = make_session();
+        confirm(session, start);
+        auto draining = make_report();
+        draining.m_draining = true;
+        session.update(draining, start);
+        session.update(make_report(300), start + milliseconds{10});
+        confirm(session, start + milliseconds{50}, 50);
+        CPPUNIT_ASSERT(!session.takes_work(start + milliseconds{50}));
+        session.update(make_report(), start + milliseconds{60});
+        CPPUNIT_ASSERT(session.takes_work(start + milliseconds{60}));
+    }
+
+    void incarnation_that_is_listed_before_it_answers_has_its_own_capacity()
+    {
+        auto session = make_session();
+        confirm(session, start);
+        auto larger = make_report(900);
+        larger.m_capacity.m_cpu_millis = 32'000;
+        session.update(larger, start + milliseconds{10});
+        const auto later = start + milliseconds{50};
+        confirm(session, later, 5, 900);
+        assert_takes_work_after_a_higher_token(session, later, 900);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{32'000}, session.room().m_cpu_millis);
+    }
+
     void report_of_an_earlier_incarnation_changes_nothing()
     {
         auto session = worker_session::create(make_report(400), fence, {}, start);
--- a/test/platform/odd_entries_test.cpp
+++ b/test/platform/odd_entries_test.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(address_that_is_no_host_and_port_was_used);
     CPPUNIT_TEST(entry_with_an_absurd_number_was_used);
     CPPUNIT_TEST(times_beyond_any_clock_overflowed);
+    CPPUNIT_TEST(entry_without_a_birth_told_of_the_incarnation_that_answers);
     CPPUNIT_TEST(real_number_beyond_the_range_was_converted);
     CPPUNIT_TEST(record_without_content_stopped_the_follower);
     CPPUNIT_TEST(one_odd_key_made_the_list_of_records_unreadable);
@@ -219,6 +220,15 @@
                  .m_answered);
     }
 
+    // The worker was given the capacity of such an entry.
+    void entry_without_a_birth_told_of_the_incarnation_that_answers()
+    {
+        assert_refused({{R"(,"born":77)", ""},
+                        {"\"born\":77", "\"born\":null"},
+                        {"\"born\":77", "\"born\":0"},
+                        {"\"born\":77", "\"born\":\"77\""}});
+    }
+
     // The conversion of a real number beyond the range of an integer is undefined.
     void real_number_beyond_the_range_was_converted()
     {
