--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -129,6 +129,9 @@
     std::vector<ended_entry> m_ended;
     /// Whether the worker listed ends that it had not listed before, readable or not.
     bool m_new_ends{false};
+    /// Ends that may have been successful. They are not acknowledged, so the worker lists them
+    /// again.
+    std::vector<unclear_end> m_unclear_ends;
     /// Runs that are certainly not on the worker and will not be reported as ended.
     std::vector<run_key> m_gone;
     /// Runs whose start was not answered, and that were not on the worker afterwards; they may
@@ -165,8 +168,8 @@
 
     /// Applies a report, unless it is known to be a former incarnation's. If it shows an unknown
     /// incarnation, the worker gets no work until the answer to a hold has shown which one is
-    /// there; after that it counts like one of the incarnation that answers. Births don't tell
-    /// which incarnation is newer, as a time of day may step back.
+    /// there; after that it can only take from what the incarnation that answers is known to have.
+    /// Births don't tell which incarnation is newer, as a time of day may step back.
     void update(const worker_report& report, time_point now);
     void set_listed(bool listed, time_point now);
     /// Returns whether the list or a clock shows another incarnation than the one that answered the
@@ -234,7 +237,10 @@
     void order_answered(const order_answer& answer, time_point now);
     /// Marks all ends up to a number as recorded.
     void ends_recorded(std::uint64_t number);
-    std::uint64_t newest_end() const { return m_newest_end; }
+    /// Returns the newest end that may be acknowledged.
+    std::uint64_t newest_end() const;
+    /// Lets an unclear end of the last answer be acknowledged: its task will not start again.
+    void accept_unclear_end(std::uint64_t number) { m_unclear_ends.erase(number); }
 
     /// Returns when every lease that the worker may have has certainly expired.
     time_point lease_ends_at() const;
@@ -256,6 +262,8 @@
     /// Resets the session for a new incarnation of the worker. Returns the runs whose start was not
     /// sent; all others may have been started by either incarnation.
     std::vector<run_key> begin_incarnation(std::int64_t born_ms, time_point now);
+    /// Applies a report of an unknown incarnation.
+    void note_other_incarnation(const worker_report& report, time_point now);
     void suspect_restart(time_point now);
     void confirm_incarnation(time_point sent_at, time_point now);
     /// Returns whether the incarnation that answered last may show this clock now.
@@ -268,8 +276,11 @@
     void update_clock(std::int64_t clock_ms, time_point now);
     milliseconds longest_lease() const;
     void extend_lease(std::int64_t deadline_ms);
+    void take_ends(const hold_answer& answer, hold_outcome& outcome);
     void reconcile_runs(const hold_answer& answer, time_point sent_at, time_point now,
                         hold_outcome& outcome);
+    /// Marks runs that are on rows which could not be read otherwise, and returns them.
+    std::set<run_key> note_unclear_rows(const hold_answer& answer, time_point now);
 
     worker_report m_report;
     std::uint64_t m_fence{0};
@@ -284,6 +295,8 @@
     std::optional<time_point> m_restart_suspected_at;
     /// Birth of the incarnation that the list showed last; zero if none since the last restart.
     std::int64_t m_listed_born_ms{0};
+    /// Newest report of an incarnation that has not answered.
+    std::optional<worker_report> m_other_report;
     /// Births of former incarnations.
     std::set<std::int64_t> m_former;
     /// Births that the list showed, and that holds did not confirm.
@@ -304,6 +317,8 @@
     time_point m_hold_sent_at;
     time_point m_next_hold;
     std::uint64_t m_newest_end{0};
+    /// Numbers of the ends that the last answer listed and that must not be acknowledged.
+    std::set<std::uint64_t> m_unclear_ends;
     std::uint64_t m_recorded_end{0};
     std::uint64_t m_acknowledged_end{0};
     std::uint64_t m_end_in_current_hold{0};
