Know each run that is to be stopped, and keep gangs from starting beside it

Callers could see: two runs of one task (TWICE), or a worker beyond its capacity (LIMIT).

Cause: a run that this owner doesn't know was kept as one worker's name by task, and as the session's run of that task. So a second one on another worker replaced the first; one on the same worker used no capacity, and was forgotten when the start of the known run beside it was refused; and the placement of gangs didn't ask at all, and overwrote the reservation.

Change: an unknown run is known until its worker has ended it, on each worker; a session reserves capacity for one beside another run of its task until a complete list leaves it out, or the lease has lapsed. A gang waits until none of its members has one.

Left: an unknown run of a job that is not known any more uses no capacity; a successor learns of unknown runs by lists only.

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -213,6 +213,15 @@
     void reserve(const run_key& key, const worker_run& run);
     /// Frees the capacity of a run.
     void release(const run_key& key);
+    /// Reserves capacity for a run that the worker has beside another one of the same task, until
+    /// the worker lists it no more.
+    void reserve_beside(const run_key& key, std::uint32_t number, const resources& reserved);
+    /// Returns whether the worker has a run of the task beside the one that `find` returns, if any.
+    bool has_run_beside(const run_key& key) const;
+    /// Frees the capacity of all runs beside others, which are certainly over.
+    void release_all_beside();
+    /// Returns whether no run uses capacity of the worker, or may do so.
+    bool empty() const { return m_runs.empty() && m_beside.empty(); }
 
     /// Returns the deadline of a start in Unix milliseconds on the worker's clock, and extends the
     /// lease until then.
@@ -266,6 +275,7 @@
     void update_clock(std::int64_t clock_ms, time_point now);
     milliseconds longest_lease() const;
     void extend_lease(std::int64_t deadline_ms);
+    void release_beside(const run_key& key, std::uint32_t number);
     void reconcile_runs(const hold_answer& answer, time_point sent_at, time_point now,
                         hold_outcome& outcome);
 
@@ -293,6 +303,8 @@
     time_point m_trial_until;
     time_point m_calm_from;
     std::map<run_key, worker_run> m_runs;
+    /// What runs use that are there beside others of their tasks, by task and number.
+    std::map<std::pair<run_key, std::uint32_t>, resources> m_beside;
     resources m_used;
     std::uint32_t m_long_running_runs{0};
     std::int64_t m_best_effort_cpu_millis{0};
--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -114,7 +114,7 @@
     /// By pool; no entry before the first measurement.
     std::map<std::string, pool_outlook> m_outlooks;
     /// Workers that run a task without the owner's doing, and are to stop it.
-    std::map<run_key, std::string> m_strangers;
+    std::map<run_key, std::set<std::string>> m_strangers;
     /// Worker on which a task failed last.
     std::map<run_key, std::string> m_failed_on;
     /// Effects to carry out once the next batch is written.
--- a/include/peridotrudder/scheduling/task_placer.hpp
+++ b/include/peridotrudder/scheduling/task_placer.hpp
@@ -33,6 +33,9 @@
     bool place_job(const waiting_job& waiting, std::vector<candidate>& candidates, moment now);
     bool place_step(const waiting_job& waiting, std::uint32_t occurrence, std::uint32_t step,
                     std::vector<candidate>& candidates, moment now);
+    /// Returns whether a worker still has a run that it is to stop, of one of the step's tasks from
+    /// `first` on.
+    bool has_stranger_of_step(const run_key& first, std::uint32_t count) const;
     bool place_gang(const waiting_job& waiting, std::uint32_t occurrence, std::uint32_t step,
                     std::vector<candidate>& candidates, moment now);
     placement_request make_placement_request(const waiting_job& waiting, const task_ref& ref) const;
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -119,6 +119,37 @@
     }
 }
 
+void worker_session::reserve_beside(const run_key& key, std::uint32_t number,
+                                    const resources& reserved)
+{
+    if (m_beside.emplace(std::pair{key, number}, reserved).second) {
+        m_used = m_used + reserved;
+    }
+}
+
+bool worker_session::has_run_beside(const run_key& key) const
+{
+    const auto first = m_beside.lower_bound({key, 0});
+    return first != m_beside.end() && first->first.first == key;
+}
+
+void worker_session::release_all_beside()
+{
+    for (const auto& [run, reserved] : m_beside) {
+        m_used = m_used - reserved;
+    }
+    m_beside.clear();
+}
+
+void worker_session::release_beside(const run_key& key, std::uint32_t number)
+{
+    const auto position = m_beside.find({key, number});
+    if (position != m_beside.end()) {
+        m_used = m_used - position->second;
+        m_beside.erase(position);
+    }
+}
+
 void worker_session::set_stopping(worker_run& run)
 {
     m_stopping_runs += run.m_stopping ? 0 : 1;
@@ -159,7 +190,7 @@
 bool worker_session::needs_hold() const
 {
     const bool has_ends_to_confirm = m_recorded_end > m_acknowledged_end;
-    return !m_token_confirmed || !m_runs.empty() || has_ends_to_confirm || m_missed_answers > 0 ||
+    return !m_token_confirmed || !empty() || has_ends_to_confirm || m_missed_answers > 0 ||
            m_restart_suspected_at;
 }
 
@@ -272,6 +303,8 @@
     std::set<run_key> listed;
     for (const auto& entry : answer.m_running) {
         listed.insert(entry.m_key);
+        // Reserved again as an unknown run, beside the other one or alone.
+        release_beside(entry.m_key, entry.m_run);
         auto* run = find(entry.m_key);
         if (run == nullptr || run->m_run != entry.m_run) {
             outcome.m_unknown_runs.push_back(entry);
@@ -294,6 +327,7 @@
         // A run that is not named may be on a row that is not there or cannot be read.
         return;
     }
+    release_all_beside();
     for (const auto& entry : answer.m_ended) {
         listed.insert(entry.m_key);
     }
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -427,16 +427,18 @@
     m_state->log("stranger_stopped", unknown.m_key.m_job, session.id(),
                  fmt::format("run {}", unknown.m_run));
     const auto* target = m_state->m_job_store.find(unknown.m_key.m_job);
-    if (target != nullptr && target->has(unknown.m_key.m_task) &&
-        session.find(unknown.m_key) == nullptr) {
+    if (target != nullptr && target->has(unknown.m_key.m_task)) {
         // The run occupies capacity until it has ended.
         auto run = make_run(target->spec().m_steps[unknown.m_key.m_task.m_step], unknown.m_run);
-        run.m_phase = run_phase::running;
-        run.m_confirmed_at = now;
-        session.reserve(unknown.m_key, run);
-        m_state->m_strangers.insert_or_assign(unknown.m_key, session.id());
-        stop_run(session, unknown.m_key, now);
-        return;
+        m_state->m_strangers[unknown.m_key].insert(session.id());
+        if (session.find(unknown.m_key) == nullptr) {
+            run.m_phase = run_phase::running;
+            run.m_confirmed_at = now;
+            session.reserve(unknown.m_key, run);
+            stop_run(session, unknown.m_key, now);
+            return;
+        }
+        session.reserve_beside(unknown.m_key, unknown.m_run, run.m_reserved);
     }
     m_state->m_ports.m_stop(session.report(), {unknown.m_key, unknown.m_run, session.fence()});
 }
@@ -487,12 +489,13 @@
     for (auto entry = m_state->m_workers.begin(); entry != m_state->m_workers.end();) {
         auto& session = entry->second;
         const bool unreachable = session.silent() || session.report().m_port == 0;
-        if (unreachable && !session.runs().empty() && now.m_at >= session.lease_ends_at()) {
+        if (unreachable && !session.empty() && now.m_at >= session.lease_ends_at()) {
             // The worker may have crashed, or only be cut off.
             mark_lost_in_crash(session, runs_over_at(session, now.m_at), session.last_heard_at(),
                                false, "lease expired", now);
+            session.release_all_beside();
         }
-        if (!session.listed() && session.runs().empty()) {
+        if (!session.listed() && session.empty()) {
             m_state->log("worker_forgotten", "", session.id(), "");
             // Orders with this token may still be on their way when the worker is listed again.
             auto& first_fence = m_state->m_options.m_fence;
--- a/src/scheduling/scheduler_state.cpp
+++ b/src/scheduling/scheduler_state.cpp
@@ -42,8 +42,14 @@
     if (stranger == m_strangers.end()) {
         return false;
     }
-    auto* session = find_worker(stranger->second);
-    if (session != nullptr && session->find(key) != nullptr) {
+    auto& workers = stranger->second;
+    for (auto id = workers.begin(); id != workers.end();) {
+        auto* session = find_worker(*id);
+        const bool is_there =
+            session != nullptr && (session->find(key) != nullptr || session->has_run_beside(key));
+        id = is_there ? std::next(id) : workers.erase(id);
+    }
+    if (!workers.empty()) {
         return true;
     }
     m_strangers.erase(stranger);
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -95,6 +95,18 @@
     m_state->m_effects.emplace_back(start_effect{instance, key, number});
 }
 
+bool task_placer::has_stranger_of_step(const run_key& first, std::uint32_t count) const
+{
+    for (std::uint32_t index = 0; index < count; ++index) {
+        auto key = first;
+        key.m_task.m_index = index;
+        if (m_state->has_stranger(key)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool task_placer::place_gang(const waiting_job& waiting, std::uint32_t occurrence,
                              std::uint32_t step, std::vector<candidate>& candidates, moment now)
 {
@@ -103,6 +115,10 @@
     if (target.waiting(occurrence, step) != count) {
         return true;
     }
+    const run_key first{target.header().m_id, {occurrence, step, 0}};
+    if (has_stranger_of_step(first, count)) {
+        return false;
+    }
     // All or nothing: capacity is reserved member by member and released if one does not fit.
     std::vector<candidate*> chosen;
     for (std::uint32_t index = 0; index < count; ++index) {
--- a/test/scheduling/run_tracker_test.cpp
+++ b/test/scheduling/run_tracker_test.cpp
@@ -8,11 +8,12 @@
 
 constexpr std::int64_t first_birth_ms = 500;
 constexpr std::int64_t second_birth_ms = 900;
+const std::string job_id{"0123456789abcdef"};
 
-worker_report report_of(std::int64_t born_ms)
+worker_report report_of(std::int64_t born_ms, const std::string& id = "i-1")
 {
     worker_report report;
-    report.m_instance = {"i-1", born_ms};
+    report.m_instance = {id, born_ms};
     report.m_pool = "pool";
     report.m_address = "10.0.0.1";
     report.m_port = 80;
@@ -20,7 +21,7 @@
     return report;
 }
 
-/// An owner with one worker, whose answers the test gives.
+/// An owner with one worker, or more, whose answers the test gives.
 struct owner_fixture {
     std::vector<std::pair<worker_report, start_order>> m_starts;
     std::vector<stop_order> m_stops;
@@ -67,11 +68,12 @@
         m_now.m_unix_ms += time.count();
     }
 
-    void submit()
+    void submit(std::uint32_t count = 1, bool gang = false)
     {
-        job_call call{call_kind::submit, "host", "/queue/0123456789abcdef", job_spec{}};
+        job_call call{call_kind::submit, "host", "/queue/" + job_id, job_spec{}};
         step_spec step;
-        step.m_count = 1;
+        step.m_count = count;
+        step.m_gang = gang;
         step.m_task_resources.m_cpu_millis = 1'000;
         step.m_estimate = milliseconds{100};
         call.m_spec->m_steps.push_back(step);
@@ -120,22 +122,63 @@
 
     bool task_is_placed()
     {
-        const auto* submitted = m_scheduler->mutable_state().m_job_store.find("0123456789abcdef");
+        const auto* submitted = m_scheduler->mutable_state().m_job_store.find(job_id);
         return submitted->at({0, 0, 0}).m_phase == task_phase::placed;
     }
 
-    /// Sends the hold that is due, if any, and answers it.
+    /// Sends the hold that is due, if any, and answers it with all runs that were started.
     void answer_hold(std::int64_t born_ms)
+    {
+        std::vector<running_entry> running;
+        for (const auto& [to, order] : m_starts) {
+            running.push_back({order.m_key, order.m_run, "", 10, 0});
+        }
+        answer_hold_with(running, {}, born_ms);
+    }
+
+    /// Sends the hold that is due, if any, and answers it with these lists.
+    void answer_hold_with(std::vector<running_entry> running, std::vector<ended_entry> ended,
+                          std::int64_t born_ms = first_birth_ms, const std::string& id = "i-1")
     {
         m_scheduler->tick(m_now);
         hold_answer answer;
         answer.m_result = order_result::accepted;
         answer.m_born_ms = born_ms;
         answer.m_clock_ms = m_now.m_unix_ms;
-        for (const auto& [to, order] : m_starts) {
-            answer.m_running.push_back({order.m_key, order.m_run, "", 10, 0});
-        }
-        m_scheduler->hold_answered({"i-1", first_birth_ms}, answer, m_held_at, m_now);
+        answer.m_running = std::move(running);
+        answer.m_ended = std::move(ended);
+        m_scheduler->hold_answered({id, first_birth_ms}, answer, m_held_at, m_now);
+    }
+
+    void add_second_worker()
+    {
+        m_scheduler->worker_listed(report_of(first_birth_ms, "i-2"), m_now);
+        answer_hold_with({}, {}, first_birth_ms, "i-2");
+        pass(milliseconds{200});
+    }
+
+    std::size_t count_starts_after_write()
+    {
+        write();
+        return m_starts.size();
+    }
+
+    std::int64_t used_cpu_millis(const std::string& id)
+    {
+        return m_scheduler->mutable_state().find_worker(id)->used().m_cpu_millis;
+    }
+
+    /// Lets the worker list a run that was not started, and later its end. Returns how many starts
+    /// were sent before the end.
+    std::size_t list_unknown_run(const run_key& key)
+    {
+        answer_hold_with({{key, 7, "", 10, 0}}, {});
+        write();
+        const auto starts = m_starts.size();
+        pass(milliseconds{200});
+        answer_hold_with({}, {{1, key, 7, run_end::stopped, ""}});
+        write();
+        return starts;
     }
 };
 
@@ -147,6 +190,11 @@
     CPPUNIT_TEST(run_was_stopped_as_stalled_by_the_answer_of_a_former_incarnation);
     CPPUNIT_TEST(owner_gave_up_since_a_worker_refused_its_own_lower_token);
     CPPUNIT_TEST(task_was_started_beside_a_run_of_it_that_was_being_stopped);
+    CPPUNIT_TEST(gang_was_started_beside_a_run_of_it_that_was_being_stopped);
+    CPPUNIT_TEST(unknown_run_was_forgotten_when_another_worker_listed_one_too);
+    CPPUNIT_TEST(unknown_run_beside_another_of_its_task_used_no_capacity);
+    CPPUNIT_TEST(task_was_placed_beside_an_unknown_run_when_its_start_was_refused);
+    CPPUNIT_TEST(unknown_run_beside_another_is_over_when_the_lease_has_lapsed);
     CPPUNIT_TEST(start_without_an_answer_was_given_up_when_its_lease_lapsed);
     CPPUNIT_TEST(start_without_an_answer_was_given_up_since_its_vm_was_down);
     CPPUNIT_TEST(start_without_an_answer_is_over_when_its_worker_is_gone_for_good);
@@ -196,28 +244,79 @@
     void task_was_started_beside_a_run_of_it_that_was_being_stopped()
     {
         m_owner.submit();
-        m_owner.m_scheduler->tick(m_owner.m_now);
-        const run_key key{"0123456789abcdef", {0, 0, 0}};
-        hold_answer answer;
-        answer.m_result = order_result::accepted;
-        answer.m_born_ms = first_birth_ms;
-        answer.m_clock_ms = m_owner.m_now.m_unix_ms;
-        answer.m_running.push_back({key, 7, "", 10, 0});
-        m_owner.m_scheduler->hold_answered({"i-1", first_birth_ms}, answer, m_owner.m_held_at,
-                                           m_owner.m_now);
-        m_owner.write();
+        const auto starts_before_the_end = m_owner.list_unknown_run({job_id, {0, 0, 0}});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_owner.m_stops.size());
-        CPPUNIT_ASSERT(m_owner.m_starts.empty());
-        answer.m_running.clear();
-        answer.m_ended.push_back({1, key, 7, run_end::stopped, ""});
-        m_owner.pass(milliseconds{200});
-        m_owner.m_scheduler->tick(m_owner.m_now);
-        m_owner.m_scheduler->hold_answered({"i-1", first_birth_ms}, answer, m_owner.m_held_at,
-                                           m_owner.m_now);
-        m_owner.write();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, starts_before_the_end);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_owner.m_starts.size());
     }
 
+    // The new run of the member took over the capacity of the one that was still there.
+    void gang_was_started_beside_a_run_of_it_that_was_being_stopped()
+    {
+        m_owner.submit(2, true);
+        const auto starts_before_the_end = m_owner.list_unknown_run({job_id, {0, 0, 1}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_owner.m_stops.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, starts_before_the_end);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_owner.m_starts.size());
+    }
+
+    void unknown_run_was_forgotten_when_another_worker_listed_one_too()
+    {
+        const run_key key{job_id, {0, 0, 0}};
+        m_owner.add_second_worker();
+        m_owner.submit();
+        m_owner.answer_hold_with({{key, 7, "", 10, 0}}, {});
+        m_owner.answer_hold_with({{key, 8, "", 10, 0}}, {}, first_birth_ms, "i-2");
+        m_owner.pass(milliseconds{200});
+        m_owner.answer_hold_with({}, {{1, key, 8, run_end::stopped, ""}}, first_birth_ms, "i-2");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_owner.count_starts_after_write());
+        m_owner.answer_hold_with({}, {{1, key, 7, run_end::stopped, ""}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_owner.count_starts_after_write());
+    }
+
+    void unknown_run_beside_another_of_its_task_used_no_capacity()
+    {
+        const run_key key{job_id, {0, 0, 0}};
+        m_owner.submit();
+        m_owner.answer_hold_with({{key, 7, "", 10, 0}, {key, 8, "", 10, 0}}, {});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{2'000}, m_owner.used_cpu_millis("i-1"));
+        m_owner.pass(milliseconds{200});
+        m_owner.answer_hold_with({{key, 8, "", 10, 0}}, {{1, key, 7, run_end::stopped, ""}});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1'000}, m_owner.used_cpu_millis("i-1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_owner.count_starts_after_write());
+        m_owner.pass(milliseconds{200});
+        m_owner.answer_hold_with({}, {{2, key, 8, run_end::stopped, ""}});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, m_owner.used_cpu_millis("i-1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_owner.count_starts_after_write());
+    }
+
+    void task_was_placed_beside_an_unknown_run_when_its_start_was_refused()
+    {
+        m_owner.add_second_worker();
+        m_owner.submit();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_owner.count_starts_after_write());
+        const auto [to, order] = m_owner.m_starts.at(0);
+        const auto& worker = to.m_instance.m_worker;
+        m_owner.answer_hold_with({{order.m_key, 7, "", 10, 0}}, {}, first_birth_ms, worker);
+        m_owner.m_scheduler->start_answered(to.m_instance, order.m_key, order.m_run,
+                                            {order_result::no_room, std::nullopt}, m_owner.m_now);
+        CPPUNIT_ASSERT(!m_owner.task_is_placed());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_owner.count_starts_after_write());
+        m_owner.pass(milliseconds{200});
+        m_owner.answer_hold_with({}, {}, first_birth_ms, worker);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_owner.count_starts_after_write());
+    }
+
+    void unknown_run_beside_another_is_over_when_the_lease_has_lapsed()
+    {
+        const run_key key{job_id, {0, 0, 0}};
+        m_owner.submit();
+        m_owner.answer_hold_with({{key, 7, "", 10, 0}, {key, 8, "", 10, 0}}, {});
+        m_owner.stay_silent_for(lease_options{}.m_predecessor_grace + lease_options{}.m_max_lease +
+                                milliseconds{1'000});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, m_owner.used_cpu_millis("i-1"));
+    }
+
     // The next incarnation of the worker carried the start out while the task ran elsewhere.
     void start_without_an_answer_was_given_up_when_its_lease_lapsed()
     {
