--- a/test/platform/worker_service_test.cpp
+++ b/test/platform/worker_service_test.cpp
@@ -1,13 +1,39 @@
 #include "platform/worker_service.hpp"
 
+#include <asio.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <future>
+#include <thread>
+
 namespace peridotrudder::platform {
 
+namespace {
+
+/// Reads one request, and answers it if `answered`. Returns false if the connection ends before.
+bool take_request(asio::ip::tcp::socket& socket, bool answered)
+{
+    asio::error_code error;
+    asio::streambuf buffer;
+    // The body arrives with the headers, or soon after them.
+    const auto length = asio::read_until(socket, buffer, '}', error);
+    if (error || length == 0) {
+        return false;
+    }
+    if (answered) {
+        const std::string_view answer{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"};
+        asio::write(socket, asio::buffer(answer));
+    }
+    return true;
+}
+
+} // namespace
+
 class worker_service_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(worker_service_test);
     CPPUNIT_TEST(order_counts_as_not_sent_only_without_a_connection);
     CPPUNIT_TEST(refusal_of_a_repeated_order_does_not_count_as_not_carried_out);
+    CPPUNIT_TEST(start_on_a_connection_that_breaks_was_sent_a_second_time);
     CPPUNIT_TEST_SUITE_END();
 
     static order_result result_of(std::uint32_t status, std::string body, bool repeated)
@@ -51,6 +77,48 @@
         CPPUNIT_ASSERT(order_result::obsolete == result_of(409, R"({"reason":"old"})", true));
         CPPUNIT_ASSERT(order_result::other_instance == result_of(421, "{}", true));
     }
+
+    // The answer to the second copy settled the start, and the first was carried out later.
+    void start_on_a_connection_that_breaks_was_sent_a_second_time()
+    {
+        asio::io_context context;
+        asio::ip::tcp::acceptor acceptor{
+            context, {asio::ip::make_address("127.0.0.1"), asio::ip::port_type{0}}};
+        worker_report to;
+        to.m_instance = {"i-1", 1};
+        to.m_address = "127.0.0.1";
+        to.m_port = acceptor.local_endpoint().port();
+        std::thread worker{[&] {
+            asio::ip::tcp::socket first{context};
+            acceptor.accept(first);
+            take_request(first, true);
+            take_request(first, false);
+            first.close();
+            bool taken = false;
+            while (!taken) {
+                asio::ip::tcp::socket next{context};
+                acceptor.accept(next);
+                taken = take_request(next, true);
+            }
+        }};
+        const auto client = http_client::create();
+        worker_client workers{*client};
+        const auto start = [&workers, &to] {
+            std::promise<order_result> promise;
+            auto future = promise.get_future();
+            workers.start(to, {}, [&promise](const order_answer& answer) {
+                promise.set_value(answer.m_result);
+            });
+            return future.get();
+        };
+        const auto first = start();
+        const auto second = start();
+        const auto third = second == order_result::unanswered ? start() : second;
+        worker.join();
+        CPPUNIT_ASSERT(order_result::accepted == first);
+        CPPUNIT_ASSERT(order_result::unanswered == second);
+        CPPUNIT_ASSERT(order_result::accepted == third);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(worker_service_test);
