Apply answers only in the session that sent the order

Callers could see: the owner resigns, so that nothing starts until a successor has loaded; or two runs of one task (TWICE).

Cause: an answer named the worker only. A worker that was forgotten and met again, in the same incarnation, was a new session with a higher token for the owner; the answer to a hold of before was taken for that of the present one. If the worker had seen the new token in between, its refusal of the old one looked like a new owner's; and an acceptance of the old token confirmed the new one, with which starts under the old one are no longer waited for. Starts and stops whose run was given up and listed again did the same.

Change: orders and their answers go with the token that they were sent with. Answers of an earlier session change nothing; a refusal, a clock or a stop counts only if the order had the present token, which also tells apart two incarnations with the same birth.

Ruled out: starts of an earlier session whose run the worker doesn't list again: they are found by the run's number, which no session has twice.

--- a/bench/scheduler_bench.cpp
+++ b/bench/scheduler_bench.cpp
@@ -143,7 +143,8 @@
             ++m_starts;
             m_workers[start.m_instance.m_worker].m_runs[start.m_order.m_key] = {start.m_order.m_run,
                                                                                 m_now + run_time};
-            m_scheduler->start_answered(start.m_instance, start.m_order.m_key, start.m_order.m_run,
+            m_scheduler->start_answered({start.m_instance, start.m_order.m_fence},
+                                        start.m_order.m_key, start.m_order.m_run,
                                         {order_result::accepted, now().m_unix_ms}, now());
         }
     }
@@ -186,8 +187,9 @@
                 answer.m_running.push_back({key, run.first, "", 50, 0});
             }
             answer.m_ended = ended;
+            const order_target target{{id, 1}, worker.m_hold->m_fence};
             worker.m_hold.reset();
-            m_scheduler->hold_answered({id, 1}, answer, worker.m_hold_received_at, now());
+            m_scheduler->hold_answered(target, answer, worker.m_hold_received_at, now());
         }
     }
 
--- a/include/peridotrudder/machines/worker_orders.hpp
+++ b/include/peridotrudder/machines/worker_orders.hpp
@@ -126,6 +126,12 @@
     }
 };
 
+/// To whom an order was sent. An answer is applied only to what the sender knew of the worker then.
+struct order_target {
+    worker_instance m_instance;
+    std::uint64_t m_fence{0};
+};
+
 /// Result of an order.
 enum class order_result {
     accepted,
--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -155,6 +155,9 @@
 
     /// Returns the fencing token that orders to the worker carry.
     std::uint64_t fence() const { return m_fence; }
+    /// Returns the lowest fencing token of this session's orders. Orders with a lower one were sent
+    /// in an earlier session, before the worker was forgotten.
+    std::uint64_t first_fence() const { return m_first_fence; }
     const worker_report& report() const { return m_report; }
     const worker_instance& instance() const { return m_report.m_instance; }
     const std::string& id() const { return m_report.m_instance.m_worker; }
@@ -281,6 +284,7 @@
 
     worker_report m_report;
     std::uint64_t m_fence{0};
+    std::uint64_t m_first_fence{0};
     lease_options m_options;
     time_point m_created_at;
     bool m_listed{true};
--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -60,12 +60,12 @@
     /// Handles a call. Its answer is sent through `m_answer` with the same token.
     void take_call(std::uint64_t token, const job_call& call, moment now);
 
-    void start_answered(const worker_instance& instance, const run_key& key, std::uint32_t run,
+    void start_answered(const order_target& target, const run_key& key, std::uint32_t run,
                         const order_answer& answer, moment now);
-    void stop_answered(const worker_instance& instance, const run_key& key, std::uint32_t run,
+    void stop_answered(const order_target& target, const run_key& key, std::uint32_t run,
                        const order_answer& answer, moment now);
-    void hold_answered(const worker_instance& instance, const hold_answer& answer,
-                       time_point sent_at, moment now);
+    void hold_answered(const order_target& target, const hold_answer& answer, time_point sent_at,
+                       moment now);
     /// Handles the answer to the most recent policy request.
     void policy_answered(const policy_answer& answer, moment now);
     void tick(moment now);
--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -26,12 +26,12 @@
 
     /// Sends a recorded start, unless the job has ended or the worker cannot take it any more.
     void send_start(const start_effect& start, moment now);
-    void start_answered(const worker_instance& instance, const run_key& key, std::uint32_t run,
+    void start_answered(const order_target& target, const run_key& key, std::uint32_t run,
                         const order_answer& answer, moment now);
-    void stop_answered(const worker_instance& instance, const run_key& key, std::uint32_t run,
+    void stop_answered(const order_target& target, const run_key& key, std::uint32_t run,
                        const order_answer& answer, moment now);
-    void hold_answered(const worker_instance& instance, const hold_answer& answer,
-                       time_point sent_at, moment now);
+    void hold_answered(const order_target& target, const hold_answer& answer, time_point sent_at,
+                       moment now);
 
     /// Orders a worker to stop a run.
     void stop_run(worker_session& session, const run_key& key, time_point now);
@@ -67,8 +67,10 @@
     void stop_stalled(worker_session& session, time_point now);
     /// Throttles best-effort runs that slow down latency-sensitive ones, and speeds them up again.
     void pace_best_effort(worker_session& session, time_point now);
+    /// Returns the worker if the order was sent in its present session, or null.
+    worker_session* find_receiver(const order_target& target);
     /// Another owner has taken over if an order to the worker's present incarnation was fenced.
-    void depose_unless_former(const worker_session& session, const worker_instance& sent_to);
+    void depose_unless_former(const worker_session& session, const order_target& target);
 
     scheduler_state* m_state;
     crash_tracker m_crashes;
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -31,6 +31,7 @@
     // A worker that is only known from records has no address yet.
     session.m_capacity_known = session.m_report.m_port != 0;
     session.m_fence = fence;
+    session.m_first_fence = fence;
     session.m_options = options;
     session.m_created_at = now;
     session.m_next_hold = now;
@@ -412,6 +413,7 @@
 {
     auto new_session = create(m_report, m_fence + 1, m_options, now);
     new_session.m_report.m_instance.m_born_ms = born_ms;
+    new_session.m_first_fence = m_first_fence;
     new_session.m_listed = m_listed;
     new_session.m_capacity_known = m_listed_born_ms == born_ms;
     new_session.m_former = m_former;
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -380,14 +380,14 @@
     scheduler_ports ports;
     const std::weak_ptr<fleet_owner*> self = m_self;
     ports.m_start = [this, self](const worker_report& to, const start_order& order) {
-        const auto instance = to.m_instance;
+        const order_target target{to.m_instance, order.m_fence};
         const auto key = order.m_key;
         const auto run = order.m_run;
         const auto sent_at = m_ports.m_loop.m_now().m_at;
-        const auto answered = [self, instance, key, run, sent_at](const order_answer& answer) {
+        const auto answered = [self, target, key, run, sent_at](const order_answer& answer) {
             with_scheduler(self, [&](job_scheduler& scheduler, moment now) {
                 (*self.lock())->m_ports.m_measured("start", remaining(sent_at, now.m_at));
-                scheduler.start_answered(instance, key, run, answer, now);
+                scheduler.start_answered(target, key, run, answer, now);
             });
         };
         if (!has_proof_within(m_options.m_start_proof_max_age)) {
@@ -399,12 +399,12 @@
         m_ports.m_workers.m_start(to, order, answered);
     };
     ports.m_stop = [this, self](const worker_report& to, const stop_order& order) {
-        const auto instance = to.m_instance;
+        const order_target target{to.m_instance, order.m_fence};
         const auto key = order.m_key;
         const auto run = order.m_run;
-        m_ports.m_workers.m_stop(to, order, [self, instance, key, run](const order_answer& answer) {
+        m_ports.m_workers.m_stop(to, order, [self, target, key, run](const order_answer& answer) {
             with_scheduler(self, [&](job_scheduler& scheduler, moment now) {
-                scheduler.stop_answered(instance, key, run, answer, now);
+                scheduler.stop_answered(target, key, run, answer, now);
             });
         });
     };
@@ -412,16 +412,16 @@
         m_ports.m_workers.m_pace(to, order, [](const order_answer& /*answer*/) {});
     };
     ports.m_hold = [this, self](const worker_report& to, const hold_order& order) {
-        const auto instance = to.m_instance;
+        const order_target target{to.m_instance, order.m_fence};
         const auto sent_at = m_ports.m_loop.m_now().m_at;
         auto sent = order;
         if (!has_proof_within(m_options.m_lease_proof_max_age)) {
             // Without a deadline the hold only reads: a successor may count the lease as expired.
             sent.m_deadline_ms.reset();
         }
-        m_ports.m_workers.m_hold(to, sent, [self, instance, sent_at](const hold_answer& answer) {
+        m_ports.m_workers.m_hold(to, sent, [self, target, sent_at](const hold_answer& answer) {
             with_scheduler(self, [&](job_scheduler& scheduler, moment now) {
-                scheduler.hold_answered(instance, answer, sent_at, now);
+                scheduler.hold_answered(target, answer, sent_at, now);
             });
         });
     };
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -261,22 +261,22 @@
     m_state.m_ports.m_answer(token, answer);
 }
 
-void job_scheduler::start_answered(const worker_instance& instance, const run_key& key,
+void job_scheduler::start_answered(const order_target& target, const run_key& key,
                                    std::uint32_t run, const order_answer& answer, moment now)
 {
-    m_runs.start_answered(instance, key, run, answer, now);
+    m_runs.start_answered(target, key, run, answer, now);
 }
 
-void job_scheduler::stop_answered(const worker_instance& instance, const run_key& key,
-                                  std::uint32_t run, const order_answer& answer, moment now)
+void job_scheduler::stop_answered(const order_target& target, const run_key& key, std::uint32_t run,
+                                  const order_answer& answer, moment now)
 {
-    m_runs.stop_answered(instance, key, run, answer, now);
+    m_runs.stop_answered(target, key, run, answer, now);
 }
 
-void job_scheduler::hold_answered(const worker_instance& instance, const hold_answer& answer,
+void job_scheduler::hold_answered(const order_target& target, const hold_answer& answer,
                                   time_point sent_at, moment now)
 {
-    m_runs.hold_answered(instance, answer, sent_at, now);
+    m_runs.hold_answered(target, answer, sent_at, now);
 }
 
 void job_scheduler::policy_answered(const policy_answer& answer, moment now)
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -46,11 +46,18 @@
     return {key.m_job, key.m_task.m_occurrence, key.m_task.m_step};
 }
 
+/// Returns whether an order was meant for the incarnation that answers now. The token tells apart
+/// two that seem to have the same birth.
+bool is_present(const order_target& target, const worker_session& session)
+{
+    return session.instance() == target.m_instance && session.fence() == target.m_fence;
+}
+
 /// Returns the answer without its clock if it was sent to a former incarnation.
-order_answer without_former_clock(order_answer answer, const worker_instance& sent_to,
+order_answer without_former_clock(order_answer answer, const order_target& target,
                                   const worker_session& session)
 {
-    if (!(session.instance() == sent_to)) {
+    if (!is_present(target, session)) {
         answer.m_clock_ms.reset();
     }
     return answer;
@@ -97,15 +104,15 @@
     m_state->m_ports.m_start(session->report(), order);
 }
 
-void run_tracker::start_answered(const worker_instance& instance, const run_key& key,
+void run_tracker::start_answered(const order_target& target, const run_key& key,
                                  std::uint32_t number, const order_answer& answer, moment now)
 {
-    auto* session = m_state->find_worker(instance.m_worker);
+    auto* session = find_receiver(target);
     auto* run = session == nullptr ? nullptr : session->find(key);
     if (run == nullptr || run->m_run != number) {
         return;
     }
-    session->order_answered(without_former_clock(answer, instance, *session), now.m_at);
+    session->order_answered(without_former_clock(answer, target, *session), now.m_at);
     switch (answer.m_result) {
     case order_result::accepted:
         run->settle_start();
@@ -116,14 +123,13 @@
         }
         return;
     case order_result::fenced:
-        depose_unless_former(*session, instance);
+        depose_unless_former(*session, target);
         return;
     case order_result::unanswered:
         if (run->m_phase == run_phase::ordered) {
             // Usually only the answer is lost. A stop would end a run that is under way, so the
             // worker's next list decides.
-            m_state->log_run("start_unanswered", key, instance.m_worker,
-                             fmt::format("run {}", number));
+            m_state->log_run("start_unanswered", key, session->id(), fmt::format("run {}", number));
             session->set_unanswered(*run, now.m_at);
         }
         return;
@@ -141,7 +147,7 @@
         session->hold_back_until(now.m_at + unhealthy_pause);
         break;
     case order_result::bad_ticket:
-        m_state->m_tickets.reject(step_of(key), instance);
+        m_state->m_tickets.reject(step_of(key), target.m_instance);
         break;
     case order_result::too_late:
     case order_result::other_instance:
@@ -153,37 +159,38 @@
     }
 }
 
-void run_tracker::stop_answered(const worker_instance& instance, const run_key& key,
+void run_tracker::stop_answered(const order_target& target, const run_key& key,
                                 std::uint32_t number, const order_answer& answer, moment now)
 {
-    auto* session = m_state->find_worker(instance.m_worker);
+    auto* session = find_receiver(target);
     auto* run = session == nullptr ? nullptr : session->find(key);
     if (run == nullptr || run->m_run != number) {
         return;
     }
-    session->order_answered(without_former_clock(answer, instance, *session), now.m_at);
+    session->order_answered(without_former_clock(answer, target, *session), now.m_at);
     run->m_stop_in_flight = false;
     if (answer.m_result == order_result::fenced) {
-        depose_unless_former(*session, instance);
+        depose_unless_former(*session, target);
         return;
     }
     const bool answered =
         answer.m_result == order_result::accepted || answer.m_result == order_result::obsolete;
     // The answer to a stop that was sent before a restart may be the former incarnation's.
-    if (answered && session->instance() == instance) {
+    if (answered && is_present(target, *session)) {
         run->m_stop_answered_at = now.m_at;
     }
 }
 
-void run_tracker::hold_answered(const worker_instance& instance, const hold_answer& answer,
+void run_tracker::hold_answered(const order_target& target, const hold_answer& answer,
                                 time_point sent_at, moment now)
 {
-    auto* session = m_state->find_worker(instance.m_worker);
-    if (session == nullptr) {
+    auto* session = find_receiver(target);
+    // The hold that shows a restart ends the wait for its answer, so an older one was given up.
+    if (session == nullptr || target.m_fence < session->fence()) {
         return;
     }
     if (answer.m_result == order_result::fenced) {
-        depose_unless_former(*session, instance);
+        depose_unless_former(*session, target);
     }
     const bool was_silent = session->silent();
     const auto last_heard_at = session->last_heard_at();
@@ -192,7 +199,7 @@
         m_state->log(was_silent ? "worker_answers" : "worker_silent", "", session->id(),
                      std::string{to_string(answer.m_result)});
     }
-    if (answer.m_result == order_result::other_instance && session->instance() == instance) {
+    if (answer.m_result == order_result::other_instance && is_present(target, *session)) {
         // The worker may live on at an address that this owner has not read yet, with runs that a
         // predecessor started there.
         std::vector<run_key> lost;
@@ -522,11 +529,16 @@
     }
 }
 
-void run_tracker::depose_unless_former(const worker_session& session,
-                                       const worker_instance& sent_to)
+worker_session* run_tracker::find_receiver(const order_target& target)
+{
+    auto* session = m_state->find_worker(target.m_instance.m_worker);
+    return session != nullptr && target.m_fence >= session->first_fence() ? session : nullptr;
+}
+
+void run_tracker::depose_unless_former(const worker_session& session, const order_target& target)
 {
     // Orders to former incarnations had this owner's own lower tokens.
-    if (session.instance() == sent_to && !m_state->m_deposed) {
+    if (is_present(target, session) && !m_state->m_deposed) {
         m_state->m_deposed = true;
         m_state->m_ports.m_deposed();
     }
--- a/test/planning/fleet_planner_test.cpp
+++ b/test/planning/fleet_planner_test.cpp
@@ -118,11 +118,11 @@
             hold_answer answer;
             answer.m_result = order_result::accepted;
             answer.m_born_ms = 1;
-            for (const auto& [key, run] :
-                 m_scheduler->mutable_state().find_instance(instance)->runs()) {
+            const auto& session = *m_scheduler->mutable_state().find_instance(instance);
+            for (const auto& [key, run] : session.runs()) {
                 answer.m_running.push_back({key, run.m_run, "", 100, 0});
             }
-            m_scheduler->hold_answered(instance, answer, m_now.m_at, m_now);
+            m_scheduler->hold_answered({instance, session.fence()}, answer, m_now.m_at, m_now);
         }
     }
 
--- a/test/scheduling/fleet_simulation.hpp
+++ b/test/scheduling/fleet_simulation.hpp
@@ -686,8 +686,9 @@
                 [this, to, sent_to, order] { return carry_out_start(to, sent_to, order); },
                 [this, epoch, to, order](const order_answer& answer) {
                     if (auto* receiver = find_owner(epoch)) {
-                        receiver->m_scheduler->start_answered(to.m_instance, order.m_key,
-                                                              order.m_run, answer, now());
+                        receiver->m_scheduler->start_answered({to.m_instance, order.m_fence},
+                                                              order.m_key, order.m_run, answer,
+                                                              now());
                     }
                 });
         };
@@ -696,8 +697,9 @@
                 epoch, to, [this, to, order] { return carry_out_stop(to, order); },
                 [this, epoch, to, order](const order_answer& answer) {
                     if (auto* receiver = find_owner(epoch)) {
-                        receiver->m_scheduler->stop_answered(to.m_instance, order.m_key,
-                                                             order.m_run, answer, now());
+                        receiver->m_scheduler->stop_answered({to.m_instance, order.m_fence},
+                                                             order.m_key, order.m_run, answer,
+                                                             now());
                     }
                 });
         };
@@ -729,9 +731,10 @@
                     }
                     return carry_out_hold(to, order);
                 },
-                [this, epoch, to, sent_at = m_now](const hold_answer& answer) {
+                [this, epoch, target = order_target{to.m_instance, order.m_fence},
+                 sent_at = m_now](const hold_answer& answer) {
                     if (auto* receiver = find_owner(epoch)) {
-                        receiver->m_scheduler->hold_answered(to.m_instance, answer, sent_at, now());
+                        receiver->m_scheduler->hold_answered(target, answer, sent_at, now());
                     }
                 },
                 hold_timeout);
--- a/test/scheduling/run_tracker_test.cpp
+++ b/test/scheduling/run_tracker_test.cpp
@@ -88,7 +88,7 @@
         submit();
         write();
         const auto [to, order] = m_starts.at(0);
-        m_scheduler->start_answered(to.m_instance, order.m_key, order.m_run,
+        m_scheduler->start_answered({to.m_instance, order.m_fence}, order.m_key, order.m_run,
                                     {order_result::accepted, std::nullopt}, m_now);
         pass(milliseconds{100});
         answer_hold(first_birth_ms);
@@ -103,7 +103,8 @@
         write();
         const auto [to, order] = m_starts.at(0);
         pass(milliseconds{700});
-        m_scheduler->start_answered(to.m_instance, order.m_key, order.m_run, {}, m_now);
+        m_scheduler->start_answered({to.m_instance, order.m_fence}, order.m_key, order.m_run, {},
+                                    m_now);
     }
 
     /// Lets the time pass while no hold is answered.
@@ -115,7 +116,8 @@
             const auto holds = m_holds.size();
             m_scheduler->tick(m_now);
             if (m_holds.size() > holds) {
-                m_scheduler->hold_answered({"i-1", first_birth_ms}, {}, m_held_at, m_now);
+                m_scheduler->hold_answered({{"i-1", first_birth_ms}, m_holds.back().m_fence}, {},
+                                           m_held_at, m_now);
             }
         }
     }
@@ -147,7 +149,56 @@
         answer.m_clock_ms = m_now.m_unix_ms;
         answer.m_running = std::move(running);
         answer.m_ended = std::move(ended);
-        m_scheduler->hold_answered({id, first_birth_ms}, answer, m_held_at, m_now);
+        m_scheduler->hold_answered({{id, first_birth_ms}, m_holds.back().m_fence}, answer,
+                                   m_held_at, m_now);
+    }
+
+    void answer_start(const worker_report& to, const start_order& order, order_result result)
+    {
+        m_scheduler->start_answered({to.m_instance, order.m_fence}, order.m_key, order.m_run,
+                                    {result, std::nullopt}, m_now);
+    }
+
+    void answer_stop(const worker_report& to, const stop_order& order, order_result result)
+    {
+        m_scheduler->stop_answered({to.m_instance, order.m_fence}, order.m_key, order.m_run,
+                                   {result, std::nullopt}, m_now);
+    }
+
+    /// Answers a hold that was sent some time ago.
+    void answer_late(const hold_order& hold, const hold_answer& answer)
+    {
+        m_scheduler->hold_answered({{"i-1", first_birth_ms}, hold.m_fence}, answer, m_held_at,
+                                   m_now);
+    }
+
+    /// Forgets the worker, and meets it again in the same incarnation.
+    void meet_again()
+    {
+        m_scheduler->worker_unlisted("i-1", m_now);
+        m_scheduler->tick(m_now);
+        m_scheduler->worker_listed(report_of(first_birth_ms), m_now);
+        m_scheduler->tick(m_now);
+    }
+
+    /// Sends a hold, and meets the worker again before its answer. Returns the hold.
+    hold_order send_hold_in_an_earlier_session()
+    {
+        meet_again();
+        const auto hold = m_holds.back();
+        meet_again();
+        return hold;
+    }
+
+    /// Submits a job whose start gets no answer, gives the worker up, and meets it again with the
+    /// run. Returns the start.
+    std::pair<worker_report, start_order> meet_again_with_a_run()
+    {
+        submit();
+        write();
+        m_scheduler->worker_ended("i-1", vm_fate::gone, m_now.m_at, m_now);
+        meet_again();
+        return m_starts.at(0);
     }
 
     void add_second_worker()
@@ -199,6 +250,10 @@
     CPPUNIT_TEST(start_without_an_answer_was_given_up_since_its_vm_was_down);
     CPPUNIT_TEST(start_without_an_answer_is_over_when_its_worker_is_gone_for_good);
     CPPUNIT_TEST(worker_met_again_got_the_token_of_orders_that_were_under_way);
+    CPPUNIT_TEST(answer_to_a_hold_of_an_earlier_session_made_the_owner_resign);
+    CPPUNIT_TEST(answer_to_a_hold_of_an_earlier_session_confirmed_the_present_token);
+    CPPUNIT_TEST(answer_to_a_start_of_an_earlier_session_made_the_owner_resign);
+    CPPUNIT_TEST(answer_to_a_stop_of_an_earlier_session_made_the_owner_resign);
     CPPUNIT_TEST_SUITE_END();
 
     owner_fixture m_owner;
@@ -230,13 +285,15 @@
         m_owner.m_scheduler->tick(m_owner.m_now);
         CPPUNIT_ASSERT(m_owner.m_holds.back().m_fence > token);
         const auto& [to, order] = m_owner.m_starts.at(0);
-        m_owner.m_scheduler->start_answered(to.m_instance, order.m_key, order.m_run,
-                                            {order_result::fenced, std::nullopt}, m_owner.m_now);
+        m_owner.m_scheduler->start_answered({to.m_instance, order.m_fence}, order.m_key,
+                                            order.m_run, {order_result::fenced, std::nullopt},
+                                            m_owner.m_now);
         CPPUNIT_ASSERT(!m_owner.m_deposed);
         hold_answer fenced;
         fenced.m_result = order_result::fenced;
-        m_owner.m_scheduler->hold_answered({"i-1", second_birth_ms}, fenced, m_owner.m_held_at,
-                                           m_owner.m_now);
+        m_owner.m_scheduler->hold_answered(
+            {{"i-1", second_birth_ms}, m_owner.m_holds.back().m_fence}, fenced, m_owner.m_held_at,
+            m_owner.m_now);
         CPPUNIT_ASSERT(m_owner.m_deposed);
     }
 
@@ -298,8 +355,9 @@
         const auto [to, order] = m_owner.m_starts.at(0);
         const auto& worker = to.m_instance.m_worker;
         m_owner.answer_hold_with({{order.m_key, 7, "", 10, 0}}, {}, first_birth_ms, worker);
-        m_owner.m_scheduler->start_answered(to.m_instance, order.m_key, order.m_run,
-                                            {order_result::no_room, std::nullopt}, m_owner.m_now);
+        m_owner.m_scheduler->start_answered({to.m_instance, order.m_fence}, order.m_key,
+                                            order.m_run, {order_result::no_room, std::nullopt},
+                                            m_owner.m_now);
         CPPUNIT_ASSERT(!m_owner.task_is_placed());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_owner.count_starts_after_write());
         m_owner.pass(milliseconds{200});
@@ -357,6 +415,56 @@
         m_owner.m_scheduler->tick(m_owner.m_now);
         CPPUNIT_ASSERT(m_owner.m_holds.back().m_fence > token);
     }
+
+    void answer_to_a_hold_of_an_earlier_session_made_the_owner_resign()
+    {
+        const auto earlier = m_owner.send_hold_in_an_earlier_session();
+        hold_answer fenced;
+        fenced.m_result = order_result::fenced;
+        m_owner.answer_late(earlier, fenced);
+        CPPUNIT_ASSERT(!m_owner.m_deposed);
+        m_owner.answer_late(m_owner.m_holds.back(), fenced);
+        CPPUNIT_ASSERT(m_owner.m_deposed);
+    }
+
+    // What was still under way with the earlier token could then be carried out.
+    void answer_to_a_hold_of_an_earlier_session_confirmed_the_present_token()
+    {
+        const auto earlier = m_owner.send_hold_in_an_earlier_session();
+        hold_answer accepted;
+        accepted.m_result = order_result::accepted;
+        accepted.m_born_ms = first_birth_ms;
+        m_owner.answer_late(earlier, accepted);
+        const auto* session = m_owner.m_scheduler->mutable_state().find_worker("i-1");
+        CPPUNIT_ASSERT(!session->token_confirmed());
+        m_owner.answer_late(m_owner.m_holds.back(), accepted);
+        CPPUNIT_ASSERT(session->token_confirmed());
+    }
+
+    // The worker listed the run again, and had seen the token of the present session.
+    void answer_to_a_start_of_an_earlier_session_made_the_owner_resign()
+    {
+        const auto [to, order] = m_owner.meet_again_with_a_run();
+        m_owner.answer_hold_with({{order.m_key, order.m_run, "", 10, 0}}, {});
+        m_owner.answer_start(to, order, order_result::fenced);
+        CPPUNIT_ASSERT(!m_owner.m_deposed);
+    }
+
+    void answer_to_a_stop_of_an_earlier_session_made_the_owner_resign()
+    {
+        const auto [to, order] = m_owner.meet_again_with_a_run();
+        m_owner.answer_hold_with({{order.m_key, order.m_run, "", 10, 0}}, {});
+        const auto earlier = m_owner.m_stops.back();
+        m_owner.m_scheduler->worker_ended("i-1", vm_fate::gone, m_owner.m_now.m_at, m_owner.m_now);
+        m_owner.pass(milliseconds{200});
+        m_owner.answer_hold_with({}, {});
+        m_owner.meet_again();
+        m_owner.answer_hold_with({{order.m_key, order.m_run, "", 10, 0}}, {});
+        m_owner.answer_stop(to, earlier, order_result::fenced);
+        CPPUNIT_ASSERT(!m_owner.m_deposed);
+        m_owner.answer_stop(to, m_owner.m_stops.back(), order_result::fenced);
+        CPPUNIT_ASSERT(m_owner.m_deposed);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(run_tracker_test);
