Give relayed orders a deadline on the relay's own clock

Callers could see: two runs of one task (TWICE).

Cause: a relay judged the time that a message had been on its way against the fastest message of the same owner. The first message set that measure, so one that was held up for seconds (a paused relay, a link that stood still) was carried out, after the owner had given its orders up.

Change: the message carries a deadline on the relay's steady clock. Each answer of a relay tells its clock, which is a lower bound of it from then on; the owner takes 4 % of drift off and adds its timeout of 1.1 s. Late orders are answered as not sent, which the owner may act on at once.

Tests: the fixture answers the questions for clocks; the two tests of the former measure now use deadlines (same times), and the one on drift plays owner and relay with two clocks, 2 % apart each way, for 300 s.

--- a/include/peridotrudder/node/order_relay.hpp
+++ b/include/peridotrudder/node/order_relay.hpp
@@ -31,6 +31,10 @@
     milliseconds m_answer_timeout{1'100};
     /// Time for which a lost relay is not used.
     milliseconds m_relay_backoff{3'000};
+    /// Age from which on a relay is asked for its clock.
+    milliseconds m_clock_age{1'000};
+    /// Time after which it is asked again.
+    milliseconds m_clock_retry{100};
 };
 
 struct relay_ports {
@@ -47,8 +51,9 @@
 /// For a fleet whose HTTP calls need more processor time than one node has: the owner makes the
 /// decisions, and other nodes make the calls. All orders to a worker go through the same node while
 /// the relays stay. An order that a lost relay may have sent counts as unanswered; fencing tokens,
-/// deadlines and run numbers protect workers against its late orders, as against any others. Not
-/// thread-safe; runs on the loop.
+/// deadlines and run numbers protect workers against its late orders, as against any others. Orders
+/// have a deadline on the relay's steady clock, so a relay gets none before it has told its clock.
+/// Not thread-safe; runs on the loop.
 ///
 ///     auto relay = order_distributor::create(options, epoch, ports);
 ///     relay->select_relays(agent.linked_nodes(), own_cpu_millis, workers);
@@ -94,10 +99,21 @@
                  std::function<void(const relayed_answer&)> answered);
     void flush(const std::string& relay);
     void drop_relay(const std::string& relay, std::string_view reason);
+    /// Returns a time that the relay's steady clock has certainly reached.
+    std::int64_t clock_of(const std::string& relay, time_point now) const;
+    /// Asks relays for their clocks that have not told them lately.
+    void ask_clocks(time_point now);
+
+    struct relay_clock {
+        std::int64_t m_clock_ms{0};
+        time_point m_at;
+    };
 
     relay_options m_options;
     relay_ports m_ports;
     std::vector<std::string> m_relays;
+    std::map<std::string, relay_clock> m_clocks;
+    std::map<std::string, time_point> m_clock_asked_at;
     /// Lost relays, with the time from which they may be used again.
     std::map<std::string, time_point> m_backoff_until;
     std::map<std::string, std::vector<relayed_order>> m_batches;
@@ -110,8 +126,9 @@
 /// The relay's side: forwards an owner's orders to workers, and returns the answers.
 ///
 /// Orders that were on their way for so long that the owner has given them up are dropped: after a
-/// pause of the relay they would reach workers that a successor has judged by then. The time on the
-/// way counts from that of the fastest message of the same peer. Not thread-safe; runs on the loop.
+/// pause of the relay they would reach workers that a successor has judged by then. Their deadline
+/// is on the relay's own clock, so the first message of an owner is judged as any other. Not
+/// thread-safe; runs on the loop.
 class order_forwarder {
 public:
     static std::unique_ptr<order_forwarder> create(relay_options options, relay_ports ports);
@@ -121,21 +138,14 @@
 private:
     order_forwarder(relay_options options, relay_ports ports);
 
-    /// Returns how much longer the message was on its way than the fastest one of the peer.
-    milliseconds delay_of(const std::string& from, const relayed_orders& message);
     void carry(const std::string& from, const relayed_order& order);
     void answer(const std::string& to, relayed_answer answer);
     void flush(const std::string& to);
 
-    relay_options m_options;
-    struct peer_clock {
-        /// Difference between the two steady clocks, plus the time of the fastest message.
-        milliseconds m_difference;
-        time_point m_at;
-    };
+    std::int64_t clock_ms() const;
 
+    relay_options m_options;
     relay_ports m_ports;
-    std::map<std::string, peer_clock> m_clocks;
     std::map<std::string, std::vector<relayed_answer>> m_batches;
     /// Held weakly by pending calls, which do nothing once the forwarder is destroyed.
     std::shared_ptr<order_forwarder*> m_self;
--- a/include/peridotrudder/ownership/node_messages.hpp
+++ b/include/peridotrudder/ownership/node_messages.hpp
@@ -143,14 +143,15 @@
 
 struct relayed_orders {
     static constexpr std::string_view kind = "orders";
-    /// Milliseconds on the owner's steady clock, whose origin the relay does not know.
-    std::int64_t m_sent_at_ms{0};
+    /// Milliseconds on the relay's steady clock from which on the orders are void.
+    std::int64_t m_deadline_ms{0};
+    /// None to ask for the relay's clock only.
     std::vector<relayed_order> m_orders;
 
     template <typename Archive, typename Self>
     static void describe(Archive& archive, Self& self)
     {
-        archive.field("sent_at_ms", self.m_sent_at_ms);
+        archive.field("deadline_ms", self.m_deadline_ms);
         archive.field("orders", self.m_orders);
     }
 };
@@ -172,11 +173,14 @@
 
 struct relayed_answers {
     static constexpr std::string_view kind = "order_answers";
+    /// Milliseconds on the relay's steady clock, whose origin the owner does not know.
+    std::int64_t m_clock_ms{0};
     std::vector<relayed_answer> m_answers;
 
     template <typename Archive, typename Self>
     static void describe(Archive& archive, Self& self)
     {
+        archive.field("clock_ms", self.m_clock_ms);
         archive.field("answers", self.m_answers);
     }
 };
--- a/src/node/order_relay.cpp
+++ b/src/node/order_relay.cpp
@@ -18,8 +18,9 @@
 /// An epoch has room for this many bits of order numbers.
 constexpr unsigned bits_of_number_in_epoch = 32;
 
-/// Two steady clocks may run apart by one millisecond in so many.
-constexpr int steady_millis_per_drift = 25;
+/// Lower bound of the rate of a relay's steady clock relative to the owner's.
+constexpr int slowest_rate_percent = 96;
+constexpr int percent_per_whole = 100;
 
 milliseconds steady_millis(time_point time)
 {
@@ -67,6 +68,21 @@
     return answer;
 }
 
+/// Returns the answer to an order that was dropped.
+relayed_answer not_sent(const relayed_order& order)
+{
+    relayed_answer answer;
+    answer.m_number = order.m_number;
+    if (order.m_hold) {
+        answer.m_hold.emplace();
+        answer.m_hold->m_result = order_result::not_sent;
+    }
+    else {
+        answer.m_order = order_answer{order_result::not_sent, std::nullopt};
+    }
+    return answer;
+}
+
 } // namespace
 
 std::unique_ptr<order_distributor> order_distributor::create(relay_options options,
@@ -185,12 +201,38 @@
 std::string order_distributor::relay_for(std::string_view worker) const
 {
     // Rendezvous hashing: the loss of a relay moves only its own workers.
-    const auto best = std::max_element(m_relays.begin(), m_relays.end(),
-                                       [worker](const auto& left, const auto& right) {
-                                           return placement_hash(worker, placement_hash(left)) <
-                                                  placement_hash(worker, placement_hash(right));
-                                       });
-    return best == m_relays.end() ? std::string{} : *best;
+    std::string best;
+    for (const auto& relay : m_relays) {
+        const bool better = best.empty() || placement_hash(worker, placement_hash(best)) <
+                                                placement_hash(worker, placement_hash(relay));
+        if (better && m_clocks.count(relay) != 0) {
+            best = relay;
+        }
+    }
+    return best;
+}
+
+std::int64_t order_distributor::clock_of(const std::string& relay, time_point now) const
+{
+    const auto& known = m_clocks.at(relay);
+    const auto passed = remaining(known.m_at, now) * slowest_rate_percent / percent_per_whole;
+    return known.m_clock_ms + passed.count();
+}
+
+void order_distributor::ask_clocks(time_point now)
+{
+    for (const auto& relay : m_relays) {
+        const auto known = m_clocks.find(relay);
+        const auto asked = m_clock_asked_at.find(relay);
+        const bool recent =
+            known != m_clocks.end() && now - known->second.m_at < m_options.m_clock_age;
+        const bool waits =
+            asked != m_clock_asked_at.end() && now - asked->second < m_options.m_clock_retry;
+        if (!recent && !waits) {
+            m_clock_asked_at[relay] = now;
+            m_ports.m_send(relay, relayed_orders{});
+        }
+    }
 }
 
 void order_distributor::enqueue(const std::string& relay, relayed_order order, milliseconds timeout,
@@ -208,10 +250,15 @@
 
 void order_distributor::flush(const std::string& relay)
 {
+    if (m_clocks.count(relay) == 0) {
+        // The relay was dropped, and its batch with it.
+        return;
+    }
+    const auto deadline_ms =
+        clock_of(relay, m_ports.m_loop.m_now().m_at) + m_options.m_answer_timeout.count();
     bool left = true;
     send_batches(m_batches, relay, [&](std::vector<relayed_order> orders) {
-        const auto sent_at_ms = steady_millis(m_ports.m_loop.m_now().m_at).count();
-        left = m_ports.m_send(relay, relayed_orders{sent_at_ms, std::move(orders)}) && left;
+        left = m_ports.m_send(relay, relayed_orders{deadline_ms, std::move(orders)}) && left;
     });
     if (!left) {
         drop_relay(relay, "no link");
@@ -231,6 +278,7 @@
     m_relays.erase(std::remove(m_relays.begin(), m_relays.end(), relay), m_relays.end());
     m_backoff_until[relay] = m_ports.m_loop.m_now().m_at + m_options.m_relay_backoff;
     m_batches.erase(relay);
+    m_clocks.erase(relay);
     std::vector<std::function<void(const relayed_answer&)>> unanswered;
     for (auto pending = m_pending.begin(); pending != m_pending.end();) {
         if (pending->second.m_relay != relay) {
@@ -247,6 +295,12 @@
 
 void order_distributor::handle_answers(const std::string& from, const relayed_answers& message)
 {
+    const auto now = m_ports.m_loop.m_now().m_at;
+    const auto known = m_clocks.find(from);
+    // An answer that was long on its way tells less than an earlier one.
+    if (known == m_clocks.end() || message.m_clock_ms >= clock_of(from, now)) {
+        m_clocks[from] = {message.m_clock_ms, now};
+    }
     for (const auto& answer : message.m_answers) {
         const auto found = m_pending.find(answer.m_number);
         if (found == m_pending.end() || found->second.m_relay != from) {
@@ -270,6 +324,7 @@
     for (const auto& relay : silent) {
         drop_relay(relay, "no answer");
     }
+    ask_clocks(now);
 }
 
 std::unique_ptr<order_forwarder> order_forwarder::create(relay_options options, relay_ports ports)
@@ -286,11 +341,17 @@
 
 void order_forwarder::handle_orders(const std::string& from, const relayed_orders& message)
 {
-    const auto delay = delay_of(from, message);
-    if (delay >= m_options.m_answer_timeout) {
-        m_ports.m_log_event(
-            "orders_dropped",
-            fmt::format("{} of {}, {} ms old", message.m_orders.size(), from, delay.count()));
+    if (message.m_orders.empty()) {
+        m_ports.m_send(from, relayed_answers{clock_ms(), {}});
+        return;
+    }
+    const auto late_ms = clock_ms() - message.m_deadline_ms;
+    if (late_ms >= 0) {
+        m_ports.m_log_event("orders_dropped", fmt::format("{} of {}, {} ms late",
+                                                          message.m_orders.size(), from, late_ms));
+        for (const auto& order : message.m_orders) {
+            answer(from, not_sent(order));
+        }
         return;
     }
     for (const auto& order : message.m_orders) {
@@ -298,14 +359,9 @@
     }
 }
 
-milliseconds order_forwarder::delay_of(const std::string& from, const relayed_orders& message)
+std::int64_t order_forwarder::clock_ms() const
 {
-    const auto now = m_ports.m_loop.m_now().m_at;
-    const auto difference = steady_millis(now) - milliseconds{message.m_sent_at_ms};
-    auto& known = m_clocks.emplace(from, peer_clock{difference, now}).first->second;
-    const auto drift = remaining(known.m_at, now) / steady_millis_per_drift;
-    known = {std::min(known.m_difference + drift, difference), now};
-    return difference - known.m_difference;
+    return steady_millis(m_ports.m_loop.m_now().m_at).count();
 }
 
 void order_forwarder::carry(const std::string& from, const relayed_order& order)
@@ -353,7 +409,7 @@
 {
     // If the link is gone, the answers are dropped: the owner counts the orders as unanswered.
     send_batches(m_batches, to, [&](std::vector<relayed_answer> answers) {
-        m_ports.m_send(to, relayed_answers{std::move(answers)});
+        m_ports.m_send(to, relayed_answers{clock_ms(), std::move(answers)});
     });
 }
 
--- a/test/node/order_relay_test.cpp
+++ b/test/node/order_relay_test.cpp
@@ -3,6 +3,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 
+#include <utility>
+
 namespace peridotrudder {
 
 namespace {
@@ -131,6 +133,9 @@
     CPPUNIT_TEST(answer_to_an_order_of_an_earlier_epoch_is_not_taken_for_another_orders);
     CPPUNIT_TEST(a_relay_sends_every_kind_of_order_and_returns_the_answers_together);
     CPPUNIT_TEST(a_relay_that_was_paused_carried_out_orders_that_the_owner_had_given_up);
+    CPPUNIT_TEST(a_relay_gets_no_orders_before_it_has_told_its_clock);
+    CPPUNIT_TEST(answer_that_was_held_up_does_not_make_later_orders_late);
+    CPPUNIT_TEST(first_message_of_an_owner_was_never_late);
     CPPUNIT_TEST(a_relay_with_a_slower_clock_carries_out_all_orders);
     CPPUNIT_TEST_SUITE_END();
 
@@ -140,9 +145,34 @@
     {
         auto made = order_distributor::create({}, epoch, m_fixture.ports());
         made->select_relays(relay_fixture::nodes(6, 3), own_cpu, workers);
+        tell_clocks(*made);
         return made;
     }
 
+    /// Answers the distributor's questions for the clocks of its relays.
+    void tell_clocks(order_distributor& relay)
+    {
+        auto sent = std::exchange(m_fixture.m_sent, {});
+        relay.tick();
+        const auto carrier = order_forwarder::create({}, m_fixture.ports());
+        exchange(m_fixture, *carrier, m_fixture, relay);
+        m_fixture.m_sent = std::move(sent);
+    }
+
+    /// Takes the messages from the owner to its relays, which all are `carrier`, and the answers
+    /// back.
+    static void exchange(relay_fixture& owner_side, order_forwarder& carrier,
+                         relay_fixture& relay_side, order_distributor& relay)
+    {
+        for (const auto& [peer, message] : std::exchange(owner_side.m_sent, {})) {
+            carrier.handle_orders(peer, std::get<relayed_orders>(message));
+        }
+        relay_side.pass(relay_options{}.m_batch_delay);
+        for (const auto& [peer, message] : std::exchange(relay_side.m_sent, {})) {
+            relay.handle_answers(peer, std::get<relayed_answers>(message));
+        }
+    }
+
     /// Answers all orders sent to a peer so far.
     void answer_all(order_distributor& relay, const std::string& from, const order_answer& with)
     {
@@ -319,7 +349,7 @@
                                 [&](const order_answer&) { ++answers; });
         m_fixture.pass(milliseconds{5});
         CPPUNIT_ASSERT_EQUAL(peer, m_fixture.m_sent.at(1).first);
-        present->handle_answers(peer, {{{number, order_answer{}, std::nullopt}}});
+        present->handle_answers(peer, {0, {{number, order_answer{}, std::nullopt}}});
 
         CPPUNIT_ASSERT_EQUAL(0, answers);
     }
@@ -340,6 +370,7 @@
         message.m_orders[1].m_stop = stop_order{};
         message.m_orders[2].m_pace = pace_order{};
         message.m_orders[3].m_hold = hold_order{};
+        message.m_deadline_ms = 1'001'100;
 
         carrier->handle_orders("owner-i", message);
         m_fixture.pass(relay_options{}.m_batch_delay);
@@ -361,46 +392,105 @@
     void a_relay_that_was_paused_carried_out_orders_that_the_owner_had_given_up()
     {
         const auto carrier = order_forwarder::create({}, m_fixture.ports());
-        auto message = message_with_a_start(70'000);
+        auto message = message_with_a_start(1'001'100);
         carrier->handle_orders("owner-i", message);
         m_fixture.pass(milliseconds{1'000});
-        message.m_sent_at_ms += 1'000;
+        message.m_deadline_ms += 1'000;
         carrier->handle_orders("owner-i", message);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fixture.m_direct.size());
-        message.m_sent_at_ms += 100;
+        message.m_deadline_ms += 100;
         m_fixture.pass(milliseconds{2'300});
         carrier->handle_orders("owner-i", message);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fixture.m_direct.size());
-        message.m_sent_at_ms += 2'200;
+        message.m_deadline_ms += 2'200;
         carrier->handle_orders("owner-i", message);
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_fixture.m_direct.size());
     }
 
+    void a_relay_gets_no_orders_before_it_has_told_its_clock()
+    {
+        const auto relay = order_distributor::create({}, 1, m_fixture.ports());
+        relay->select_relays(relay_fixture::nodes(6, 3), own_cpu, large_fleet);
+        relay->port().m_start(worker_named("w-1"), start_of(0), [](const order_answer&) {});
+        m_fixture.pass(milliseconds{5});
+        CPPUNIT_ASSERT(m_fixture.m_sent.empty());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("sent by the owner", std::size_t{1},
+                                     m_fixture.m_direct.size());
+        tell_clocks(*relay);
+        relay->port().m_start(worker_named("w-1"), start_of(1), [](const order_answer&) {});
+        m_fixture.pass(milliseconds{5});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.m_sent.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.m_direct.size());
+    }
+
+    // The clock of such an answer lies behind, so that orders in time would have been dropped.
+    void answer_that_was_held_up_does_not_make_later_orders_late()
+    {
+        const auto relay = make_relay(large_fleet);
+        m_fixture.pass(milliseconds{900});
+        for (const auto& peer : relay->relays()) {
+            relay->handle_answers(peer, {999'000, {}});
+        }
+        const auto carrier = order_forwarder::create({}, m_fixture.ports());
+        relay->port().m_start(worker_named("w-1"), start_of(0), [](const order_answer&) {});
+        m_fixture.pass(milliseconds{5});
+        exchange(m_fixture, *carrier, m_fixture, *relay);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.m_direct.size());
+    }
+
+    // Orders that were held up before any other message reached workers that were judged by then.
+    void first_message_of_an_owner_was_never_late()
+    {
+        const auto relay = make_relay(large_fleet);
+        auto result = order_result::accepted;
+        relay->port().m_start(worker_named("w-1"), start_of(0),
+                              [&](const order_answer& answer) { result = answer.m_result; });
+        m_fixture.pass(milliseconds{5});
+        const auto [peer, message] = m_fixture.m_sent.at(0);
+        m_fixture.m_sent.clear();
+        m_fixture.pass(relay_options{}.m_answer_timeout);
+        const auto carrier = order_forwarder::create({}, m_fixture.ports());
+        carrier->handle_orders(peer, std::get<relayed_orders>(message));
+        m_fixture.pass(milliseconds{5});
+        CPPUNIT_ASSERT(m_fixture.m_direct.empty());
+        relay->handle_answers(peer, std::get<relayed_answers>(m_fixture.m_sent.at(0).second));
+        CPPUNIT_ASSERT(order_result::not_sent == result);
+    }
+
     // The difference between the clocks grows without bound; it is no delay.
     void a_relay_with_a_slower_clock_carries_out_all_orders()
     {
         for (const std::int64_t owner_ms : {980, 1'020}) {
-            m_fixture.m_direct.clear();
-            const auto carrier = order_forwarder::create({}, m_fixture.ports());
-            auto message = message_with_a_start(70'000);
-            for (int second = 0; second < 300; ++second) {
-                carrier->handle_orders("owner-i", message);
-                message.m_sent_at_ms += owner_ms;
-                m_fixture.pass(milliseconds{1'000});
+            relay_fixture owner_side;
+            relay_fixture relay_side;
+            relay_side.pass(milliseconds{70'000});
+            const auto carrier = order_forwarder::create({}, relay_side.ports());
+            const auto relay = order_distributor::create({}, 1, owner_side.ports());
+            relay->select_relays(relay_fixture::nodes(6, 3), own_cpu, large_fleet);
+            for (std::uint32_t second = 0; second < 300; ++second) {
+                relay->tick();
+                exchange(owner_side, *carrier, relay_side, *relay);
+                relay->port().m_start(worker_named("w-1"), start_of(second),
+                                      [](const order_answer&) {});
+                owner_side.pass(relay_options{}.m_batch_delay);
+                exchange(owner_side, *carrier, relay_side, *relay);
+                owner_side.pass(milliseconds{owner_ms});
+                relay_side.pass(milliseconds{1'000});
             }
-            CPPUNIT_ASSERT_EQUAL(std::size_t{300}, m_fixture.m_direct.size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{300}, relay_side.m_direct.size());
+            CPPUNIT_ASSERT(owner_side.m_direct.empty());
         }
     }
 
 private:
-    static relayed_orders message_with_a_start(std::int64_t sent_at_ms)
+    static relayed_orders message_with_a_start(std::int64_t deadline_ms)
     {
         relayed_order order;
         order.m_instance = {"w-1", 17};
         order.m_address = "10.0.0.2";
         order.m_port = 90;
         order.m_start = start_of(0);
-        return {sent_at_ms, {order}};
+        return {deadline_ms, {order}};
     }
 };
 
