Log unclear ends with the other doubts about runs

The line `end_unclear` competed with routine ones for the budget of lines, so it could be missing where a task waits for its end. It is one of the events that tell of a run in doubt now, and stands in the table of events.

--- a/src/node/decision_log.cpp
+++ b/src/node/decision_log.cpp
@@ -13,7 +13,7 @@
 /// ran twice shows in these lines only.
 log_budget::kind_set doubtful_run_events()
 {
-    return {"run_lost", "run_stalled", "start_unanswered", "stranger_stopped"};
+    return {"run_lost", "run_stalled", "start_unanswered", "stranger_stopped", "end_unclear"};
 }
 
 bool is_served(call_status status)
