--- a/test/late_starts/start_histories.hpp
+++ b/test/late_starts/start_histories.hpp
@@ -295,7 +295,7 @@
         time_point m_due;
         std::uint64_t m_epoch{0};
         answered_order m_to{answered_order::hold};
-        worker_instance m_instance;
+        order_target m_target;
         std::uint32_t m_run{0};
         order_answer m_order_answer;
         hold_answer m_hold_answer;
@@ -475,14 +475,14 @@
 
     // Orders and their answers.
 
-    answer make_answer(answered_order to, const worker_report& report, std::uint32_t run,
+    answer make_answer(answered_order to, const order_target& target, std::uint32_t run,
                        milliseconds delay) const
     {
         answer made;
         made.m_due = m_now + delay;
         made.m_epoch = m_epoch;
         made.m_to = to;
-        made.m_instance = report.m_instance;
+        made.m_target = target;
         made.m_run = run;
         made.m_sent_at = m_now;
         return made;
@@ -504,10 +504,12 @@
             m_late.push_back({index, m_now, receiver.m_incarnation, false, order, {}});
         }
         if (held_up || answer_lost) {
-            m_answers.push_back(make_answer(answered_order::start, to, order.m_run, order_timeout));
+            m_answers.push_back(make_answer(answered_order::start, {to.m_instance, order.m_fence},
+                                            order.m_run, order_timeout));
         }
         if (!held_up) {
-            auto made = make_answer(answered_order::start, to, order.m_run, tick_time);
+            auto made = make_answer(answered_order::start, {to.m_instance, order.m_fence},
+                                    order.m_run, tick_time);
             made.m_order_answer = carry_out_start(receiver, order);
             if (!answer_lost) {
                 m_answers.push_back(made);
@@ -519,10 +521,12 @@
     {
         auto& receiver = m_workers[index_of(to.m_instance)];
         if (!reaches(receiver)) {
-            m_answers.push_back(make_answer(answered_order::stop, to, order.m_run, order_timeout));
+            m_answers.push_back(make_answer(answered_order::stop, {to.m_instance, order.m_fence},
+                                            order.m_run, order_timeout));
             return;
         }
-        auto made = make_answer(answered_order::stop, to, order.m_run, tick_time);
+        auto made = make_answer(answered_order::stop, {to.m_instance, order.m_fence}, order.m_run,
+                                tick_time);
         made.m_order_answer = carry_out_stop(receiver, order);
         m_answers.push_back(made);
     }
@@ -540,10 +544,11 @@
             m_late.push_back({index, m_now, receiver.m_incarnation, false, {}, order});
         }
         if (held_up || !reaches(receiver)) {
-            m_answers.push_back(make_answer(answered_order::hold, to, 0, hold_timeout));
+            m_answers.push_back(
+                make_answer(answered_order::hold, {to.m_instance, order.m_fence}, 0, hold_timeout));
             return;
         }
-        auto made = make_answer(answered_order::hold, to, 0, tick_time);
+        auto made = make_answer(answered_order::hold, {to.m_instance, order.m_fence}, 0, tick_time);
         made.m_hold_answer = carry_out_hold(receiver, order);
         m_answers.push_back(made);
     }
@@ -570,13 +575,13 @@
     {
         switch (one.m_to) {
         case answered_order::start:
-            m_owner->start_answered(one.m_instance, task(), one.m_run, one.m_order_answer, now());
+            m_owner->start_answered(one.m_target, task(), one.m_run, one.m_order_answer, now());
             return;
         case answered_order::stop:
-            m_owner->stop_answered(one.m_instance, task(), one.m_run, one.m_order_answer, now());
+            m_owner->stop_answered(one.m_target, task(), one.m_run, one.m_order_answer, now());
             return;
         case answered_order::hold:
-            m_owner->hold_answered(one.m_instance, one.m_hold_answer, one.m_sent_at, now());
+            m_owner->hold_answered(one.m_target, one.m_hold_answer, one.m_sent_at, now());
             return;
         }
     }
--- a/test/scheduling/run_tracker_test.cpp
+++ b/test/scheduling/run_tracker_test.cpp
@@ -412,8 +412,9 @@
         m_owner.submit();
         m_owner.write();
         const auto [to, order] = m_owner.m_starts.at(0);
-        m_owner.m_scheduler->start_answered(to.m_instance, order.m_key, order.m_run,
-                                            {order_result::accepted, std::nullopt}, m_owner.m_now);
+        m_owner.m_scheduler->start_answered({to.m_instance, order.m_fence}, order.m_key,
+                                            order.m_run, {order_result::accepted, std::nullopt},
+                                            m_owner.m_now);
         const auto list_end = [this, &order = order] {
             m_owner.pass(milliseconds{300});
             m_owner.m_scheduler->tick(m_owner.m_now);
@@ -426,8 +427,9 @@
                 answer.m_unreadable_end = 1;
                 answer.m_unclear_ends = {{1, order.m_key, order.m_run}};
             }
-            m_owner.m_scheduler->hold_answered({"i-1", first_birth_ms}, answer, m_owner.m_held_at,
-                                               m_owner.m_now);
+            m_owner.m_scheduler->hold_answered(
+                {{"i-1", first_birth_ms}, m_owner.m_holds.back().m_fence}, answer,
+                m_owner.m_held_at, m_owner.m_now);
             m_owner.write();
         };
         for (int listed = 0; listed < 4; ++listed) {
