A successor doesn't take a worker for gone whose VM names none

Cause: only an owner that saw a VM name its worker knew whose VM it was; to a successor, a worker that a complete list doesn't name was gone.

Change: such a worker is gone only if no VM of its pool could be its: one that is up and names none proves nothing, one that is down means down. VMs of the spare pool have no workers and don't count. Of two VMs that name one worker, the one that is up counts.

--- a/include/peridotrudder/planning/vm_fleet.hpp
+++ b/include/peridotrudder/planning/vm_fleet.hpp
@@ -92,8 +92,11 @@
     }
     /// Returns whether the newest list names all VMs: only then is a VM gone that it does not name.
     bool list_complete() const { return m_unreadable_entries == 0; }
-    /// Returns those of the workers that the newest list shows to have ended, with their fates.
-    std::map<std::string, vm_fate> ended_workers(const std::vector<std::string>& workers) const;
+    /// Returns those of the workers that the newest list shows to have ended, with their fates. The
+    /// workers are given with their pools, which are empty if not known. VMs of `spare_pool` have
+    /// no workers.
+    std::map<std::string, vm_fate> ended_workers(const std::map<std::string, std::string>& workers,
+                                                 const std::string& spare_pool) const;
     /// Returns whether a predecessor's order to the VM may still be pending.
     bool ordered_by_predecessor(const managed_vm& managed, time_point now) const;
     /// Returns whether the VM may get a new order now.
@@ -114,6 +117,10 @@
     void written();
 
 private:
+    /// Returns what a worker's absence from the list tells, if anything: its VM may be one whose
+    /// entry names no worker.
+    std::optional<vm_fate> fate_of_unnamed(const std::string& pool,
+                                           const std::string& spare_pool) const;
     vm_fleet(vm_fleet_options options, std::uint64_t fence, vm_fleet_hooks hooks);
 
     void read_list(time_point now);
--- a/src/planning/fleet_planner.cpp
+++ b/src/planning/fleet_planner.cpp
@@ -167,13 +167,13 @@
 {
     // The list shows a crash long before the leases expire. A worker that is on no listed VM, or on
     // one that is down, has ended.
-    std::vector<std::string> used;
+    std::map<std::string, std::string> used;
     for (const auto& [id, session] : scheduler.state().m_workers) {
         if (!session.runs().empty()) {
-            used.push_back(id);
+            used.emplace(id, session.report().m_pool);
         }
     }
-    for (const auto& [id, fate] : m_fleet->ended_workers(used)) {
+    for (const auto& [id, fate] : m_fleet->ended_workers(used, m_spare_pool)) {
         scheduler.worker_ended(id, fate, *m_fleet->newest_list_requested_at(), now);
     }
 }
--- a/src/planning/vm_fleet.cpp
+++ b/src/planning/vm_fleet.cpp
@@ -184,8 +184,30 @@
     managed.m_listed = listed;
 }
 
+std::optional<vm_fate> vm_fleet::fate_of_unnamed(const std::string& pool,
+                                                 const std::string& spare_pool) const
+{
+    if (!list_complete()) {
+        return std::nullopt;
+    }
+    auto fate = vm_fate::gone;
+    for (const auto& [id, managed] : m_managed_vms) {
+        const auto& listed = managed.m_listed;
+        const bool other_pool = pool.empty() ? listed.m_pool == spare_pool : listed.m_pool != pool;
+        if (!listed.m_worker.empty() || other_pool) {
+            continue;
+        }
+        if (may_run_unnamed(listed)) {
+            return std::nullopt;
+        }
+        fate = listed.m_state == platform_vm_state::down ? vm_fate::down : fate;
+    }
+    return fate;
+}
+
 std::map<std::string, vm_fate>
-vm_fleet::ended_workers(const std::vector<std::string>& workers) const
+vm_fleet::ended_workers(const std::map<std::string, std::string>& workers,
+                        const std::string& spare_pool) const
 {
     std::map<std::string, std::optional<vm_fate>> shown;
     std::map<std::string, std::optional<vm_fate>> shown_of_former;
@@ -193,8 +215,11 @@
         const auto& listed = managed.m_listed;
         const bool down = listed.m_state == platform_vm_state::down;
         if (!listed.m_worker.empty()) {
-            shown[listed.m_worker] =
+            const auto fate =
                 down && !managed.m_unreadable ? std::optional{vm_fate::down} : std::nullopt;
+            // Of two VMs that name one worker, the one that is up counts.
+            const auto known = shown.emplace(listed.m_worker, fate).first;
+            known->second = fate ? known->second : std::nullopt;
         }
         if (managed.m_unreadable || managed.m_former_worker.empty()) {
             continue;
@@ -208,7 +233,7 @@
         }
     }
     std::map<std::string, vm_fate> ended;
-    for (const auto& worker : workers) {
+    for (const auto& [worker, pool] : workers) {
         const auto named = shown.find(worker);
         const auto former = shown_of_former.find(worker);
         std::optional<vm_fate> fate;
@@ -218,8 +243,8 @@
         else if (former != shown_of_former.end()) {
             fate = former->second;
         }
-        else if (list_complete()) {
-            fate = vm_fate::gone;
+        else {
+            fate = fate_of_unnamed(pool, spare_pool);
         }
         if (fate) {
             ended.emplace(worker, *fate);
--- a/test/planning/fleet_planner_test.cpp
+++ b/test/planning/fleet_planner_test.cpp
@@ -206,6 +206,8 @@
     CPPUNIT_TEST(record_of_an_order_with_a_time_beyond_any_clock_blocked_its_vm);
     CPPUNIT_TEST(run_ended_because_the_entry_of_its_vm_was_unreadable);
     CPPUNIT_TEST(run_ended_since_the_entry_of_its_vm_named_no_worker);
+    CPPUNIT_TEST(successor_ended_a_run_whose_vm_is_up_and_names_no_worker);
+    CPPUNIT_TEST(run_ended_since_a_second_vm_that_was_down_named_its_worker);
     CPPUNIT_TEST(list_without_any_vm_ended_all_runs);
     CPPUNIT_TEST(crash_was_not_seen_while_another_vms_entry_was_unreadable);
     CPPUNIT_TEST(wave_counted_a_vm_with_an_unreadable_entry_as_gone);
@@ -405,6 +407,33 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.run_count("i-0"));
     }
 
+    // The successor had not seen which worker the VM had before.
+    void successor_ended_a_run_whose_vm_is_up_and_names_no_worker()
+    {
+        fleet_fixture fleet;
+        fleet.m_listed_vms.front().m_worker.clear();
+        fleet.run_long_running_job();
+        fleet.advance(milliseconds{2'500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.run_count("i-0"));
+        // VMs of the spare pool never name a worker.
+        fleet.m_listed_vms.front().m_worker = "i-new";
+        fleet.m_listed_vms.back().m_worker.clear();
+        fleet.advance(milliseconds{2'500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.run_count("i-0"));
+    }
+
+    // An odd entry names the worker of another VM.
+    void run_ended_since_a_second_vm_that_was_down_named_its_worker()
+    {
+        fleet_fixture fleet;
+        fleet.run_long_running_job();
+        fleet.advance(milliseconds{1'500});
+        fleet.m_listed_vms.back().m_worker = "i-0";
+        fleet.m_listed_vms.back().m_state = platform_vm_state::down;
+        fleet.advance(milliseconds{2'500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.run_count("i-0"));
+    }
+
     // An answer without the list looks like a fleet without VMs.
     void list_without_any_vm_ended_all_runs()
     {
