--- a/include/peridotrudder/scheduling/crash_tracker.hpp
+++ b/include/peridotrudder/scheduling/crash_tracker.hpp
@@ -49,6 +49,8 @@
 
     /// Returns whether the task's job may be given up now.
     bool may_give_up(const run_key& key);
+    /// Drops crashes that say nothing any more.
+    void forget_old_crashes(time_point now);
     /// Returns whether a worker without this run crashed of late, and no start explains that.
     bool crashes_elsewhere(const run_key& key, time_point now);
 
--- a/src/scheduling/crash_tracker.cpp
+++ b/src/scheduling/crash_tracker.cpp
@@ -68,16 +68,22 @@
                suspect.m_evidence == crash_evidence::unanswered;
     });
     if (crash_is_certain && !explained) {
+        forget_old_crashes(now);
         m_unexplained.push_back({now, keys});
     }
     return found;
 }
 
-bool crash_tracker::crashes_elsewhere(const run_key& key, time_point now)
+void crash_tracker::forget_old_crashes(time_point now)
 {
     while (!m_unexplained.empty() && now - m_unexplained.front().m_at > unexplained_time) {
         m_unexplained.pop_front();
     }
+}
+
+bool crash_tracker::crashes_elsewhere(const run_key& key, time_point now)
+{
+    forget_old_crashes(now);
     return std::any_of(m_unexplained.begin(), m_unexplained.end(), [&key](const auto& crash) {
         return std::find(crash.m_runs.begin(), crash.m_runs.end(), key) == crash.m_runs.end();
     });
