Don't send a start long after its placement

Callers could see: two runs of one task (TWICE).

Cause: the record tells when a run was placed, and a successor reckons from it until when the start may have been sent. But an append that the store holds up for many seconds, with no other node taking over, was followed by a start that was as much later than its record tells.

Change: a start that is placed more than 3 s ago is not sent; its task is placed anew, with a new record.

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -42,6 +42,7 @@
     /// Processor that a best-effort task would use, in thousandths of a core; zero for other tasks.
     std::int64_t m_best_effort_cpu_millis{0};
     run_phase m_phase{run_phase::recording};
+    time_point m_placed_at;
     bool m_long_running{false};
     bool m_best_effort{false};
     milliseconds m_latency_target{0};
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -15,6 +15,8 @@
 /// Time for which a worker that rejected an order gets no new work.
 constexpr milliseconds unhealthy_pause{500};
 constexpr milliseconds invalid_pause{1'000};
+/// Time from the placement of a run after which its start is not sent any more.
+constexpr milliseconds longest_placement_age{3'000};
 /// A run without progress for this long counts as stalled.
 constexpr milliseconds stall_time{1'200};
 /// Progress is reported in whole percent, so a long run may take several percent of its estimate
@@ -65,7 +67,9 @@
     const bool runnable = target->phase() == job_phase::active && !run->m_stopping;
     // The worker's capacity may have shrunk while the start was being recorded.
     const bool has_room = fits(resources{}, session->room());
-    if (!runnable || !has_room || !session->takes_work(now.m_at)) {
+    // A successor reckons by the record's time until when the start may have been sent.
+    const bool recent = now.m_at - run->m_placed_at <= longest_placement_age;
+    if (!runnable || !has_room || !recent || !session->takes_work(now.m_at)) {
         mark_run_lost(*session, start.m_key, "not sent");
         return;
     }
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -88,6 +88,7 @@
     target.note_placement(now.m_unix_ms);
     const run_key key{target.header().m_id, ref};
     auto run = make_run(step, number);
+    run.m_placed_at = now.m_at;
     run.m_on_trial = is_on_trial(target.at(ref));
     chosen.m_session->reserve(key, run);
     chosen.m_session->note_start(now.m_at + crash_window, run.m_on_trial);
@@ -148,6 +149,7 @@
     for (std::uint32_t index = 0; index < count; ++index) {
         const run_key key{target.header().m_id, {occurrence, step, index}};
         auto run = make_run(target.spec().m_steps[step], number);
+        run.m_placed_at = now.m_at;
         run.m_on_trial = is_on_trial(target.at(key.m_task));
         chosen[index]->m_session->reserve(key, run);
         chosen[index]->m_session->note_start(now.m_at + crash_window, run.m_on_trial);
