Let the record tell which starts are settled

Cause: the record had one time for a job's newest run, so one new run opened the starts of all adopted runs of the job, also of those that had been at work for minutes.

Change: the record has a bit for each task whose start was answered or whose run was seen; it is written with the job's next change, and costs a byte for eight tasks. A successor takes only the others for open. Earlier versions ignore the field; their records count as open as before.

--- a/include/peridotrudder/jobs/job.hpp
+++ b/include/peridotrudder/jobs/job.hpp
@@ -80,6 +80,8 @@
     std::uint32_t m_suspicion{0};
     /// Worker of the run, while the task is placed.
     worker_instance m_placed_on;
+    /// The start of the run was answered, or the run was seen on its worker.
+    bool m_start_settled{false};
     /// State to resume from; empty for none.
     std::string m_checkpoint;
 };
@@ -184,6 +186,10 @@
     /// Returns the Unix milliseconds at which the job's newest run was placed; zero if unknown.
     std::int64_t placed_ms() const { return m_placed_ms; }
 
+    /// Notes that the start of a run was answered, or that the run was seen on its worker. Goes
+    /// into the record with the job's next change.
+    void settle_start(const task_ref& ref, std::uint32_t run);
+
     /// Reverts a placed task to waiting after a run that certainly never started, or that is
     /// certainly over with an unknown result.
     void void_run(const task_ref& ref);
--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -133,6 +133,8 @@
     /// Ends that may have been successful. They are not acknowledged, so the worker lists them
     /// again.
     std::vector<unclear_end> m_unclear_ends;
+    /// Runs that the worker lists and whose starts were open.
+    std::vector<run_key> m_begun;
     /// Runs that are certainly not on the worker and will not be reported as ended.
     std::vector<run_key> m_gone;
     /// Runs whose start was not answered, and that were not on the worker afterwards; they may
--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -45,6 +45,8 @@
     void tick(moment now);
 
 private:
+    /// Lets the job's next record tell a successor that the start of the run is not open.
+    void note_settled_start(const run_key& key, std::uint32_t run);
     void handle_end(worker_session& session, const ended_entry& ended, moment now);
     /// Lets an unclear end be acknowledged if its task will not start again.
     void judge_unclear_end(worker_session& session, const unclear_end& end);
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -89,6 +89,43 @@
     std::vector<worker_instance> m_instances;
 };
 
+/// Bits, eight in a byte; those beyond the end are false.
+class bit_list {
+public:
+    static bit_list from_json(const nlohmann::json& stored)
+    {
+        bit_list bits;
+        bits.m_bytes = stored.get_ref<const nlohmann::json::binary_t&>();
+        bits.m_size = bits.m_bytes.size() * bits_per_byte;
+        return bits;
+    }
+
+    void push_back(bool bit)
+    {
+        if (m_size % bits_per_byte == 0) {
+            m_bytes.push_back(0);
+        }
+        if (bit) {
+            m_bytes.back() |= static_cast<std::uint8_t>(1U << m_size % bits_per_byte);
+        }
+        ++m_size;
+    }
+
+    bool at(std::size_t index) const
+    {
+        return index < m_size &&
+               (m_bytes[index / bits_per_byte] >> index % bits_per_byte & 1U) != 0;
+    }
+
+    nlohmann::json to_json() const { return nlohmann::json::binary(m_bytes); }
+
+private:
+    static constexpr std::size_t bits_per_byte = 8;
+
+    std::vector<std::uint8_t> m_bytes;
+    std::size_t m_size{0};
+};
+
 } // namespace
 
 job job::create(job_header header)
@@ -183,6 +220,7 @@
     }
     placed.m_phase = task_phase::placed;
     placed.m_placed_on = worker;
+    placed.m_start_settled = false;
     m_begun = true;
     return ++placed.m_run;
 }
@@ -202,6 +240,12 @@
     return run + 1;
 }
 
+void job::settle_start(const task_ref& ref, std::uint32_t run)
+{
+    auto& entry = find(ref);
+    entry.m_start_settled = entry.m_start_settled || entry.m_run == run;
+}
+
 void job::void_run(const task_ref& ref)
 {
     auto& entry = find(ref);
@@ -337,6 +381,7 @@
 std::vector<std::uint8_t> job::encode_state() const
 {
     instance_table instances;
+    bit_list settled;
     auto rows = nlohmann::json::array();
     for (std::uint32_t occurrence = 0; occurrence < m_tasks.size(); ++occurrence) {
         for (std::uint32_t step = 0; step < m_tasks[occurrence].size(); ++step) {
@@ -353,11 +398,17 @@
                     stored.m_instance = instances.index_of(member.m_placed_on);
                 }
                 rows.push_back(to_array(stored));
+                settled.push_back(member.m_phase == task_phase::placed && member.m_start_settled);
             }
         }
     }
-    const nlohmann::json record{static_cast<unsigned>(m_phase),       m_ended_ms,      m_begun,
-                                encode_packed(instances.instances()), std::move(rows), m_placed_ms};
+    const nlohmann::json record{static_cast<unsigned>(m_phase),
+                                m_ended_ms,
+                                m_begun,
+                                encode_packed(instances.instances()),
+                                std::move(rows),
+                                m_placed_ms,
+                                settled.to_json()};
     return nlohmann::json::to_cbor(record);
 }
 
@@ -365,6 +416,7 @@
 {
     constexpr std::size_t fields = 5;
     constexpr std::size_t placed_index = 5;
+    constexpr std::size_t settled_index = 6;
     const auto record = parse_cbor(state);
     if (!record) {
         return tl::make_unexpected(record.error());
@@ -389,6 +441,10 @@
             created.m_placed_ms =
                 std::max<std::int64_t>((*record)[placed_index].get<std::int64_t>(), 0);
         }
+        const auto settled = record->size() > settled_index
+                                 ? bit_list::from_json((*record)[settled_index])
+                                 : bit_list{};
+        std::size_t row_number = 0;
         for (const auto& row : (*record)[4]) {
             const auto stored = from_array(row);
             if (!created.has(stored.m_ref)) {
@@ -403,6 +459,8 @@
             if (stored.m_instance) {
                 entry.m_placed_on = instances->at(*stored.m_instance);
             }
+            entry.m_start_settled = settled.at(row_number);
+            ++row_number;
         }
     }
     catch (const internal::decode_exception& exception) {
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -390,7 +390,10 @@
             continue;
         }
         run->m_former_heard_at.reset();
-        run->settle_start();
+        if (run->m_start_open_until) {
+            run->settle_start();
+            outcome.m_begun.push_back(entry.m_key);
+        }
         if (run->m_phase != run_phase::running) {
             run->m_phase = run_phase::running;
             run->m_confirmed_at = now;
--- a/src/scheduling/run_adoption.cpp
+++ b/src/scheduling/run_adoption.cpp
@@ -39,8 +39,10 @@
     run.m_phase = run_phase::uncertain;
     // Orders of the previous owner are rejected once the worker knows this owner's fencing token.
     run.m_cannot_start_since = now.m_at;
-    session.open_start(
-        run, newest_start_of(source, state.m_options.m_lease.m_predecessor_start_slack, now));
+    if (!placed.m_start_settled) {
+        session.open_start(
+            run, newest_start_of(source, state.m_options.m_lease.m_predecessor_start_slack, now));
+    }
     run.m_pace_known = false;
     run.m_on_trial = is_on_trial(placed);
     run.m_stopping = source.phase() != job_phase::active;
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -108,6 +108,7 @@
     switch (answer.m_result) {
     case order_result::accepted:
         run->settle_start();
+        note_settled_start(key, number);
         if (run->m_phase != run_phase::running) {
             run->m_phase = run_phase::running;
             run->m_confirmed_at = now.m_at;
@@ -210,6 +211,9 @@
         m_state->log("worker_restarted", "", session->id(),
                      fmt::format("born {}", session->instance().m_born_ms));
     }
+    for (const auto& key : outcome.m_begun) {
+        note_settled_start(key, session->find(key)->m_run);
+    }
     for (const auto& item : outcome.m_ended) {
         handle_end(*session, item, now);
     }
@@ -261,6 +265,14 @@
            !(target->at(key.m_task).m_placed_on == session.instance());
 }
 
+void run_tracker::note_settled_start(const run_key& key, std::uint32_t run)
+{
+    auto* target = m_state->m_job_store.find(key.m_job);
+    if (target != nullptr && target->has(key.m_task)) {
+        target->settle_start(key.m_task, run);
+    }
+}
+
 void run_tracker::handle_end(worker_session& session, const ended_entry& ended, moment now)
 {
     const auto* run = session.find(ended.m_key);
