Soak: orders that the next life of a worker carries out

Change: the stand-in delays orders to a VM (POST /late-orders) by 2 to 11.5 s, without an answer, and gives them to whichever worker has the id then; that checks its fence, run numbers and deadline on its own clock, nothing else. A restart under the old id may show the VM as down, with the entry gone at once and back some seconds after the worker. Kind `late_restart`: two to four VMs get such orders for 0.2 to 1.5 s before the restart and through it, some twice in series, with a killed node in three of ten; 30 % of the jobs run for 6 s. Kind `late_copies`: the same, but the connections of these orders close at once, so that the client repeats them. The oracle allows a start by the delay that the ledger tells instead of a fixed 6.5 s for LIMIT (never less for UNASKED than before); TWICE is counted as before.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,6 +11,9 @@
 DEADLY_SHARE = 0.025
 CRASH_MS = (20, 150, 900)
 LONGEST_CRASH_MS = 3000
+# Long enough that a task is still running when an order for an earlier run of it is carried out.
+SLOW_SHARE = 0.3
+SLOW_MS = 6000
 
 
 class Job:
@@ -84,12 +87,14 @@
 class Callers:
     """All callers of a soak run. `jobs` holds their jobs by id, for the checks.
 
-    `deadly_rng` draws the jobs whose tasks crash their workers; there are none without it.
+    `deadly_rng` draws the jobs whose tasks crash their workers, and `slow_rng` those whose tasks
+    run for SLOW_MS; there are none without it.
     """
 
-    def __init__(self, rng, ports, deadly_rng=None):
+    def __init__(self, rng, ports, deadly_rng=None, slow_rng=None):
         self._rng = rng
         self._deadly_rng = deadly_rng
+        self._slow_rng = slow_rng
         self._connections = [Connection(port) for port in ports]
         self.jobs = {}
 
@@ -112,6 +117,9 @@
         if self._deadly_rng is not None and self._deadly_rng.random() < DEADLY_SHARE:
             spec = {"ms": LONGEST_CRASH_MS, "crashes": self._deadly_rng.choice(CRASH_MS)}
             steps = [{**steps[0], "count": 1}]
+        elif self._slow_rng is not None and self._slow_rng.random() < SLOW_SHARE:
+            spec = {"ms": SLOW_MS}
+            steps = [{**steps[0], "cpu": 500, "estimate-ms": SLOW_MS}]
         return Job(job_id, prefix, {"spec": json.dumps(spec), "steps": steps})
 
     async def submit(self, long_running=False):
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -6,9 +6,10 @@
 # A capacity that has shrunk counts after the stable window and a heartbeat.
 SHRUNK_S = 4.5
 # No task of a cancelled job starts after CANCEL_S, except by orders that workers carry out late, up
-# to 6 s later.
+# to 6 s later, or later still as the ledger tells.
 CANCEL_S = 3.0
 LATE_ORDER_S = 6.5
+LATE_SLACK_S = 0.5
 VISIBLE_S = 3.0
 ATTEMPTS = 4
 # A task may be given up after GIVE_UP_CRASHES workers have crashed under it, by whatever cause;
@@ -30,7 +31,8 @@
         self._running = {}
         self._capacity = {}
         self._used = {}
-        self._late = set()
+        # Delays of starts that were carried out late.
+        self._late = {}
         self._crashes = {}
         # Workers that crashed under each task, with the times of their start.
         self._crashed_under = {}
@@ -52,7 +54,8 @@
                 self._capacity.setdefault(event["worker"], []).append(
                     (event["at_ms"] / 1000, event["run"]))
             elif event["what"] == "late":
-                self._late.add((event["worker"], event["task"], event["run"]))
+                self._late[event["worker"], event["task"], event["run"]] = \
+                    (event["at_ms"] - event["born"]) / 1000
             elif event["what"] == "noted":
                 self._recorded_successes.setdefault(event["task"], event["at_ms"])
             else:
@@ -72,7 +75,8 @@
             self.fail(f"TWICE: {task} starts after its success was recorded")
         self._check_order(job, task, int(step))
         at = event["at_ms"] / 1000
-        if job.cancelled_at is not None and at > job.cancelled_at + CANCEL_S + LATE_ORDER_S:
+        late_s = max(LATE_ORDER_S, self._delay(event))
+        if job.cancelled_at is not None and at > job.cancelled_at + CANCEL_S + late_s:
             self.fail(f"UNASKED: {task} starts {at - job.cancelled_at:.1f} s after cancellation")
         self._running[task] = (worker, event["run"])
         self._check_capacity(event, job.body["steps"][int(step)]["cpu"])
@@ -83,12 +87,16 @@
         run = (event["task"], event["run"])
         runs = self._used.setdefault(worker, {})
         runs[run] = cpu
-        late = (worker, *run) in self._late
-        capacity = self._capacity_since(worker, at - SHRUNK_S - (LATE_ORDER_S if late else 0))
+        capacity = self._capacity_since(worker, at - SHRUNK_S - self._delay(event))
         if sum(runs.values()) > capacity:
             self.fail(f"LIMIT: {worker} uses {sum(runs.values())} of {capacity} thousandths of a "
                       f"core with {event['task']}")
 
+    def _delay(self, event):
+        """Returns how late the worker may have carried out a start."""
+        run = (event["worker"], event["task"], event["run"])
+        return self._late[run] + LATE_SLACK_S if run in self._late else 0
+
     def _capacity_since(self, worker, since):
         """Returns the largest capacity that the worker has had since a time."""
         counted = [WORKER_CPU]
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -74,8 +74,10 @@
     system = System(folder, options.build, options.base_port, nodes, cores)
     caller_rng, fault_rng = random.Random(rng.random()), random.Random(rng.random())
     worker_rng, deadly_rng = random.Random(rng.random()), random.Random(rng.random())
+    slow_rng = random.Random(rng.random())
     callers = Callers(caller_rng, system.caller_ports,
-                      deadly_rng if "deadly" in options.worker_kinds else None)
+                      deadly_rng if "deadly" in options.worker_kinds else None,
+                      slow_rng if {"late_restart", "late_copies"} & options.worker_kinds else None)
     return (system, callers, Faults(fault_rng, system),
             WorkerFaults(worker_rng, system, options.worker_kinds))
 
--- a/soak/worker_faults.py
+++ b/soak/worker_faults.py
@@ -113,6 +113,39 @@
         await asyncio.gather(*(self._restart(vm, values, refuses, gap_s * place)
                                for place, (vm, values) in enumerate(drawn)))
 
+    async def late_restart(self, duration_s):
+        """Restarts workers under their ids, some twice, which then carry out the orders of before."""
+        await self._restart_some_late(duration_s, closes=False)
+
+    async def late_copies(self, duration_s):
+        """The same, but the connections of late orders close, so that clients repeat them."""
+        await self._restart_some_late(duration_s, closes=True)
+
+    async def _restart_some_late(self, duration_s, closes):
+        vms = self._rng.sample(range(len(self._system.worker_links)), self._rng.choice([2, 3, 4]))
+        drawn = [(vm, [self._draw_late_restart(duration_s)
+                       for _ in range(self._rng.choice([1, 1, 2]))]) for vm in vms]
+        if self._rng.random() < 0.3:
+            await self.node_kill(duration_s)
+        await asyncio.gather(*(self._restart_late(vm, restarts, closes) for vm, restarts in drawn))
+
+    def _draw_late_restart(self, duration_s):
+        """Returns the time with late orders before a restart, how connections end, and the rest."""
+        return self._rng.uniform(0.2, 1.5), self._rng.random() < 0.5, {
+            "down_ms": int(1000 * duration_s * self._rng.choice([0.1, 0.5, 1, 2])),
+            "vm_is_down": self._rng.random() < 0.6,
+            "late_percent": self._rng.choice([40, 80, 100]),
+            "entry_delay_ms": self._rng.choice([0, 1500, 5000]),
+            "born_shift_ms": 0, "keeps_id": True}
+
+    async def _restart_late(self, vm, restarts, closes):
+        for before_s, refuses, values in restarts:
+            await self._system.change_worker(
+                "late-orders", vm, percent=values["late_percent"], closes=closes)
+            await asyncio.sleep(before_s)
+            await self._restart(vm, values, refuses, 0)
+        await self._system.change_worker("late-orders", vm, percent=0)
+
     async def _restart(self, vm, values, refuses, delay_s):
         await asyncio.sleep(delay_s)
         link = self._system.worker_links[vm]
@@ -144,4 +177,5 @@
 
 # Kinds with their weights. "deadly" is a kind of job instead of a fault, see `Callers`.
 WORKER_KINDS = {"refuse": 2, "break_starts": 3, "cut_some_nodes": 2, "silence": 1, "restart": 3,
-                "shrink": 2, "odd_entry": 2, "break_appends": 1, "break_peers": 1}
+                "shrink": 2, "odd_entry": 2, "break_appends": 1, "break_peers": 1, "late_restart": 3,
+                "late_copies": 1}
--- a/standins/fleet/fleet_main.cpp
+++ b/standins/fleet/fleet_main.cpp
@@ -194,11 +194,16 @@
     void answer_order(stand_in_vm& vm, const http_request& request, http_responder respond)
     {
         constexpr std::uint32_t misdirected = 421;
+        const auto expected = peridotrudder::find_header(request.m_headers, "Expect-Instance");
+        if (vm.m_late_orders_percent > 0 && occurs(vm.m_late_orders_percent)) {
+            carry_out_under_id(vm, std::string{expected}, request,
+                               vm.m_late_orders_close ? nullptr : std::move(respond));
+            return;
+        }
         if (!vm.m_worker) {
             // No worker runs on the VM: no answer, as from a VM that is switched off.
             return;
         }
-        const auto expected = peridotrudder::find_header(request.m_headers, "Expect-Instance");
         if (expected != vm.m_worker->id()) {
             respond(json_response(misdirected, "{}"));
             return;
@@ -215,21 +220,44 @@
         const auto delay =
             min_delay_ms + static_cast<std::int64_t>(m_random() % std::uint64_t{delay_spread_ms});
         // The worker has the order, so a restart loses it, also if the worker keeps its id.
-        run_after(delay, [this, &vm, request, started_at_ms = vm.m_worker->started_at_ms()] {
+        run_after(delay, [this, &vm, request, came_at_ms = unix_ms(),
+                          started_at_ms = vm.m_worker->started_at_ms()] {
             if (vm.m_worker && vm.m_worker->started_at_ms() == started_at_ms) {
-                record_late_start(*vm.m_worker, request);
-                vm.m_worker->answer(request, unix_ms(), [](const http_response&) {});
+                carry_out_late(*vm.m_worker, request, came_at_ms);
+            }
+        });
+    }
+
+    /// Lets whichever worker has the id some seconds later carry out an order, also if it has
+    /// restarted since. The connection closes with the last copy of `respond`, without an answer.
+    void carry_out_under_id(stand_in_vm& vm, const std::string& id, const http_request& request,
+                            http_responder respond)
+    {
+        constexpr std::int64_t min_delay_ms = 2'000;
+        constexpr std::int64_t delay_spread_ms = 9'500;
+        const auto delay =
+            min_delay_ms + static_cast<std::int64_t>(m_random() % std::uint64_t{delay_spread_ms});
+        run_after(delay, [this, &vm, id, request, came_at_ms = unix_ms(),
+                          unanswered = std::move(respond)] {
+            if (vm.m_worker && vm.m_worker->id() == id) {
+                carry_out_late(*vm.m_worker, request, came_at_ms);
             }
         });
     }
 
-    void record_late_start(const task_worker& worker, const http_request& request)
+    void carry_out_late(task_worker& worker, const http_request& request, std::int64_t came_at_ms)
+    {
+        record_late_start(worker, request, came_at_ms);
+        worker.answer(request, unix_ms(), [](const http_response&) {});
+    }
+
+    void record_late_start(const task_worker& worker, const http_request& request,
+                           std::int64_t came_at_ms)
     {
         const auto body = json::parse(request.m_body, nullptr, false);
         if (request.m_path == "/-/run-start" && body.is_object()) {
             record_event({unix_ms(), "late", body.value("task", std::string{}),
-                          body.value("run", std::uint64_t{0}), worker.id(),
-                          worker.started_at_ms()});
+                          body.value("run", std::uint64_t{0}), worker.id(), came_at_ms});
         }
     }
 
@@ -286,7 +314,11 @@
                             {body.value("down_ms", std::int64_t{0}),
                              body.value("entry_delay_ms", std::int64_t{0}),
                              body.value("born_shift_ms", std::int64_t{0}),
-                             body.value("keeps_id", false)});
+                             body.value("keeps_id", false), body.value("vm_is_down", false)});
+        }
+        if (path == "/late-orders") {
+            vm.m_late_orders_percent = body.value("percent", 0U);
+            vm.m_late_orders_close = body.value("closes", false);
         }
         if (path == "/capacity") {
             m_pools.set_capacity(vm, unix_ms(), body.value("percent", 100U));
--- a/standins/fleet/task_worker.hpp
+++ b/standins/fleet/task_worker.hpp
@@ -30,6 +30,7 @@
     /// With "capacity", thousandths of a processor core.
     std::uint64_t m_run{0};
     std::string m_worker;
+    /// Time of the worker's start; with "late", time at which the order came.
     std::int64_t m_started_at_ms{0};
 };
 
--- a/standins/fleet/vm_pools.cpp
+++ b/standins/fleet/vm_pools.cpp
@@ -147,6 +147,17 @@
     vm.m_restart_at_ms = now_ms + restart.m_down_ms;
     m_silent_entries[vm.m_last_worker_id] =
         vm.m_reported_at_ms + missed_reports * report_interval_ms;
+    if (restart.m_vm_is_down) {
+        hide(vm);
+    }
+}
+
+void vm_pools::hide(stand_in_vm& vm)
+{
+    vm.m_state = crashed_state;
+    vm.m_up_at_ms = vm.m_restart_at_ms;
+    m_silent_entries.erase(vm.m_last_worker_id);
+    m_log.put(worker_topic, vm.m_last_worker_id, std::nullopt);
 }
 
 void vm_pools::set_capacity(stand_in_vm& vm, std::int64_t now_ms, std::uint32_t percent)
--- a/standins/fleet/vm_pools.hpp
+++ b/standins/fleet/vm_pools.hpp
@@ -24,6 +24,8 @@
     /// Added to the time of its start that the worker publishes.
     std::int64_t m_born_shift_ms{0};
     bool m_keeps_id{false};
+    /// Whether the VM is shown as down meanwhile, and the entry goes at once.
+    bool m_vm_is_down{false};
 };
 
 /// A VM and the worker that currently runs on it.
@@ -46,6 +48,11 @@
     std::int64_t m_restart_at_ms{0};
     /// Share of the VM's full capacity that its worker has.
     std::uint32_t m_capacity_percent{100};
+    /// Percentage of orders that get no answer, and that are carried out seconds later by the
+    /// worker that then has the id that they name.
+    std::uint32_t m_late_orders_percent{0};
+    /// Whether the connection of such an order is closed at once, so that its client may repeat it.
+    bool m_late_orders_close{false};
     std::uint32_t m_crashes{0};
     std::uint64_t m_reports{0};
     std::int64_t m_reported_at_ms{0};
@@ -86,6 +93,8 @@
 
 private:
     void start_worker(stand_in_vm& vm, std::int64_t now_ms);
+    /// Shows the VM of a worker that restarts as down, without its worker's entry.
+    void hide(stand_in_vm& vm);
     void take_down(stand_in_vm& vm, const std::string& state, std::int64_t now_ms,
                    std::int64_t downtime_ms);
     void report(stand_in_vm& vm, std::int64_t now_ms);
--- a/test/standins/vm_pools_test.cpp
+++ b/test/standins/vm_pools_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(a_move_kills_the_worker_and_starts_another_in_the_new_pool);
     CPPUNIT_TEST(a_crash_removes_the_worker_record_and_the_vm_comes_back_with_a_new_worker);
     CPPUNIT_TEST(a_restarted_worker_keeps_its_id_and_writes_its_entry_late);
+    CPPUNIT_TEST(a_worker_restarts_under_its_id_while_its_vm_is_shown_as_down);
     CPPUNIT_TEST(the_entry_of_a_silent_worker_expires);
     CPPUNIT_TEST(a_worker_that_a_task_has_crashed_comes_back);
     CPPUNIT_TEST(runs_are_lost_in_a_crash_but_killed_by_a_move);
@@ -125,6 +126,24 @@
         CPPUNIT_ASSERT_EQUAL(1, entry_of(id)["sequence"].get<int>());
     }
 
+    void a_worker_restarts_under_its_id_while_its_vm_is_shown_as_down()
+    {
+        m_pools.tick(0);
+        const auto id = worker_id_on("m-0000");
+
+        m_pools.restart(first_vm(), 100, {1'000, 500, 0, true, true});
+        CPPUNIT_ASSERT_EQUAL(std::string{"down"}, first_vm().m_state);
+        CPPUNIT_ASSERT(entry_of(id).is_null());
+        m_pools.tick(1'099);
+        CPPUNIT_ASSERT_EQUAL(std::string{}, worker_id_on("m-0000"));
+        m_pools.tick(1'100);
+        CPPUNIT_ASSERT_EQUAL(std::string{"up"}, first_vm().m_state);
+        CPPUNIT_ASSERT_EQUAL(id, worker_id_on("m-0000"));
+        CPPUNIT_ASSERT(entry_of(id).is_null());
+        m_pools.tick(1'600);
+        CPPUNIT_ASSERT(!entry_of(id).is_null());
+    }
+
     void the_entry_of_a_silent_worker_expires()
     {
         m_pools.tick(0);
