A successor doesn't take a worker for gone while a VM without a known worker is down

Callers could see: two runs of one task side by side.

Trace (17:50:xx):

Cause: only an owner that saw the VM name its worker knows whose VM is down. For a successor no entry names the worker, and a complete list that does not name a worker meant "gone for good", which voids open starts.

Change: while a VM is down whose worker this owner has never seen, a worker that no VM names counts as down, not as gone: its open start keeps the task placed until the start is over. Runs at work are lost as before.

Left: a VM that is up but names no worker, after a takeover, still means gone: pools of spare VMs have such entries always, so it can't be told apart here.

--- a/src/planning/vm_fleet.cpp
+++ b/src/planning/vm_fleet.cpp
@@ -207,6 +207,13 @@
             fate = vm_fate::gone;
         }
     }
+    // Nobody tells a successor which worker a VM had that is down.
+    const bool unknown_is_down =
+        std::any_of(m_managed_vms.begin(), m_managed_vms.end(), [](const auto& entry) {
+            const auto& managed = entry.second;
+            return managed.m_listed.m_state == platform_vm_state::down &&
+                   managed.m_listed.m_worker.empty() && managed.m_former_worker.empty();
+        });
     std::map<std::string, vm_fate> ended;
     for (const auto& worker : workers) {
         const auto named = shown.find(worker);
@@ -219,7 +226,7 @@
             fate = former->second;
         }
         else if (list_complete()) {
-            fate = vm_fate::gone;
+            fate = unknown_is_down ? vm_fate::down : vm_fate::gone;
         }
         if (fate) {
             ended.emplace(worker, *fate);
--- a/test/planning/fleet_planner_test.cpp
+++ b/test/planning/fleet_planner_test.cpp
@@ -75,6 +75,13 @@
 
     /// Starts two long-running tasks, of which one may be missing, on the first two VMs.
     void run_long_running_job()
+    {
+        order_long_running_job();
+        list_runs();
+    }
+
+    /// Does the same, but the starts get no answer.
+    void order_long_running_job()
     {
         for (int index = 0; index < 2; ++index) {
             worker_report worker;
@@ -95,7 +102,6 @@
         call.m_spec->m_steps.push_back(step);
         m_scheduler->take_call(1, call, m_now);
         m_scheduler->written(m_scheduler->take_batch(m_now), m_now);
-        list_runs();
     }
 
     /// Submits a job of tasks of one core each, which wait because no worker is known.
@@ -206,6 +212,7 @@
     CPPUNIT_TEST(record_of_an_order_with_a_time_beyond_any_clock_blocked_its_vm);
     CPPUNIT_TEST(run_ended_because_the_entry_of_its_vm_was_unreadable);
     CPPUNIT_TEST(run_ended_since_the_entry_of_its_vm_named_no_worker);
+    CPPUNIT_TEST(successor_took_a_worker_for_gone_whose_vm_was_down);
     CPPUNIT_TEST(list_without_any_vm_ended_all_runs);
     CPPUNIT_TEST(crash_was_not_seen_while_another_vms_entry_was_unreadable);
     CPPUNIT_TEST(wave_counted_a_vm_with_an_unreadable_entry_as_gone);
@@ -405,6 +412,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.run_count("i-0"));
     }
 
+    // The worker came back under its id and carried out the start, while the task ran elsewhere.
+    void successor_took_a_worker_for_gone_whose_vm_was_down()
+    {
+        fleet_fixture fleet;
+        fleet.m_listed_vms.front().m_worker.clear();
+        fleet.m_listed_vms.front().m_state = platform_vm_state::down;
+        fleet.order_long_running_job();
+        fleet.advance(milliseconds{2'500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.run_count("i-0"));
+        fleet.m_listed_vms.front().m_worker = "i-new";
+        fleet.advance(milliseconds{2'500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.run_count("i-0"));
+    }
+
     // An answer without the list looks like a fleet without VMs.
     void list_without_any_vm_ended_all_runs()
     {
