Keep one worker for each task on trial until it starts there

Callers could see: a task that never starts again though there is capacity (LOST).

Cause: a worker was kept for trials in general and only until it was calm. At that moment any task that ranks before the suspect could take it, after which the worker wasn't calm again, without end. Meanwhile the suspect's next pass found the first worker taken and kept another one, so that one waiting suspect kept all that fit. And tasks of a step on trial beyond those that may be on trial at once kept workers as well.

Change: a worker is kept for one task, by its key, until that has started, or hasn't asked for 1 s (its job was cancelled, another worker fits sooner). Each waiting suspect keeps one worker, and those that keep one count as on trial for the step's limit. A task of the step that finds no worker doesn't hide a suspect further on.

The tests' owner moves to a header of its own.

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -202,10 +202,21 @@
 
     /// Notes a start, which makes its task a suspect if the worker crashes before `suspect_until`.
     void note_start(time_point suspect_until, bool on_trial);
-    /// Keeps further tasks off the worker until no task started so far would be a suspect any more.
-    /// Starts that are decided already are sent.
-    void keep_for_trial() { m_trial_until = std::max(m_trial_until, m_calm_from); }
-    /// Returns whether the worker is kept for a task on trial, so that nothing else may be placed.
+    /// Keeps other tasks off the worker until the task has its trial there, or until a time. Starts
+    /// that are decided already are sent.
+    void keep_for_trial(const run_key& key, time_point until)
+    {
+        m_kept_for = key;
+        m_kept_until = until;
+    }
+    void end_keeping() { m_kept_for.reset(); }
+    /// Returns the task on trial that the worker is kept for; null for none.
+    const run_key* kept_for(time_point now) const
+    {
+        return m_kept_for && now < m_kept_until ? &*m_kept_for : nullptr;
+    }
+    /// Returns whether the worker has not survived the trial of a task yet, so that nothing else
+    /// may be placed.
     bool has_trial(time_point now) const { return !is_past(m_trial_until, now); }
     /// Returns whether no task started so far would be a suspect any more.
     bool is_calm(time_point now) const { return is_past(m_calm_from, now); }
@@ -306,6 +317,8 @@
     time_point m_no_work_until;
     time_point m_trial_until;
     time_point m_calm_from;
+    std::optional<run_key> m_kept_for;
+    time_point m_kept_until;
     std::map<run_key, worker_run> m_runs;
     /// What runs use that are there beside others of their tasks, by task and number.
     std::map<std::pair<run_key, std::uint32_t>, resources> m_beside;
--- a/include/peridotrudder/scheduling/placement.hpp
+++ b/include/peridotrudder/scheduling/placement.hpp
@@ -26,6 +26,7 @@
     std::string m_job;
     std::uint32_t m_occurrence{0};
     std::uint32_t m_step_index{0};
+    std::uint32_t m_index{0};
     /// Worker on which the task failed last, to be avoided; empty for none.
     std::string m_avoid;
     /// One more failure fails the job, so no unhealthy worker is used.
@@ -36,6 +37,7 @@
     const ticket_cache* m_tickets{nullptr};
 
     step_key step() const { return {m_job, m_occurrence, m_step_index}; }
+    run_key key() const { return {m_job, {m_occurrence, m_step_index, m_index}}; }
 };
 
 /// Returns the resources that a task reserves on a worker. Best-effort tasks reserve no CPU.
@@ -50,11 +52,14 @@
 candidate* choose_worker(const placement_request& request, std::vector<candidate>& candidates,
                          time_point now);
 
-/// Keeps other tasks off a worker that fits the task on trial, until nothing has just started
-/// there.
-void reserve_for_trial(const placement_request& request, std::vector<candidate>& candidates,
+/// Keeps other tasks off one worker that fits the task on trial, until that has started or was not
+/// asked for again for a while. Returns whether there is such a worker.
+bool reserve_for_trial(const placement_request& request, std::vector<candidate>& candidates,
                        time_point now);
 
+/// Gives up the worker that is kept for the task, if any.
+void end_reservation(const run_key& key, std::vector<candidate>& candidates, time_point now);
+
 /// Returns the workers that the task fits on, with or without a ticket.
 std::vector<worker_instance> workers_with_room(const placement_request& request,
                                                const std::vector<candidate>& candidates,
--- a/include/peridotrudder/scheduling/task_placer.hpp
+++ b/include/peridotrudder/scheduling/task_placer.hpp
@@ -39,6 +39,9 @@
     bool place_gang(const waiting_job& waiting, std::uint32_t occurrence, std::uint32_t step,
                     std::vector<candidate>& candidates, moment now);
     placement_request make_placement_request(const waiting_job& waiting, const task_ref& ref) const;
+    /// Returns a worker that the task may start on now, or null. Then asks for tickets.
+    candidate* find_worker(const waiting_job& waiting, const placement_request& request,
+                           std::vector<candidate>& candidates, time_point now);
     void place_task(job& target, const task_ref& ref, candidate& chosen, moment now);
     /// Logs the first placement of a job.
     void log_first_placement(const job& target, const std::string& worker, moment now) const;
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -231,8 +231,9 @@
     if (steady) {
         const auto wait = m_best_effort_cpu_millis > 0 ? m_options.m_best_effort_hold_wait
                                                        : m_options.m_hold_wait;
-        // The answer shows soon whether the worker has survived the start of a task on trial.
-        const bool prompt = m_stopping_runs > 0 || has_trial(now);
+        // The answer shows soon whether the worker has survived the start of a task on trial, or
+        // those before it.
+        const bool prompt = m_stopping_runs > 0 || has_trial(now) || kept_for(now) != nullptr;
         order.m_wait = prompt ? m_options.m_hold_pause : wait;
     }
     m_hold_in_flight = true;
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -7,6 +7,16 @@
 
 namespace {
 
+/// Time for which a worker is kept for a task on trial that does not ask again. Passes of placement
+/// follow each other faster, unless records can't be written.
+constexpr milliseconds keep_time{1'000};
+
+bool is_kept_for(const candidate& worker, const run_key& key, time_point now)
+{
+    const auto* kept_for = worker.m_session->kept_for(now);
+    return kept_for != nullptr && *kept_for == key;
+}
+
 std::uint32_t tasks_of_step(const worker_session& session, const placement_request& request)
 {
     const run_key first{request.m_job, {request.m_occurrence, request.m_step_index, 0}};
@@ -37,7 +47,9 @@
     if (!session.takes_work(now) || !fits(reserved_for(step), session.room())) {
         return false;
     }
-    if (session.has_trial(now)) {
+    const bool kept_for_other =
+        session.kept_for(now) != nullptr && !is_kept_for(worker, request.key(), now);
+    if (session.has_trial(now) || kept_for_other) {
         return false;
     }
     if (worker.m_unhealthy && request.m_last_attempt) {
@@ -115,19 +127,37 @@
     return workers;
 }
 
-void reserve_for_trial(const placement_request& request, std::vector<candidate>& candidates,
+bool reserve_for_trial(const placement_request& request, std::vector<candidate>& candidates,
                        time_point now)
 {
-    candidate* soonest = nullptr;
+    const auto key = request.key();
+    candidate* chosen = nullptr;
     for (auto& worker : candidates) {
-        const bool sooner =
-            soonest == nullptr || worker.m_session->calm_from() < soonest->m_session->calm_from();
-        if (sooner && may_run(request, worker, now)) {
-            soonest = &worker;
+        if (!may_run(request, worker, now)) {
+            continue;
+        }
+        if (is_kept_for(worker, key, now)) {
+            chosen = &worker;
+            break;
         }
+        const bool sooner =
+            chosen == nullptr || worker.m_session->calm_from() < chosen->m_session->calm_from();
+        chosen = sooner ? &worker : chosen;
+    }
+    // The one kept so far may have no room any more, or no ticket.
+    end_reservation(key, candidates, now);
+    if (chosen != nullptr) {
+        chosen->m_session->keep_for_trial(key, now + keep_time);
     }
-    if (soonest != nullptr) {
-        soonest->m_session->keep_for_trial();
+    return chosen != nullptr;
+}
+
+void end_reservation(const run_key& key, std::vector<candidate>& candidates, time_point now)
+{
+    for (auto& worker : candidates) {
+        if (is_kept_for(worker, key, now)) {
+            worker.m_session->end_keeping();
+        }
     }
 }
 
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -59,6 +59,7 @@
     request.m_job = waiting.m_job->header().m_id;
     request.m_occurrence = ref.m_occurrence;
     request.m_step_index = ref.m_step;
+    request.m_index = ref.m_index;
     const auto failed = m_state->m_failed_on.find({request.m_job, ref});
     if (failed != m_state->m_failed_on.end()) {
         request.m_avoid = failed->second;
@@ -173,10 +174,12 @@
             return run != nullptr && run->m_on_trial;
         });
     bool all = true;
+    bool has_room = true;
     for (std::uint32_t index = 0; index < spec.m_count; ++index) {
         const task_ref ref{occurrence, step, index};
         const auto& entry = target.at(ref);
-        if (entry.m_phase != task_phase::waiting) {
+        const bool on_trial = is_on_trial(entry);
+        if (entry.m_phase != task_phase::waiting || (!has_room && !on_trial)) {
             continue;
         }
         const bool runs_already = m_state->has_stranger({target.header().m_id, ref});
@@ -185,26 +188,45 @@
             continue;
         }
         const auto request = make_placement_request(waiting, ref);
-        if (!request.m_on_trial && is_known_not_to_fit(*request.m_step)) {
-            return false;
-        }
-        auto* chosen = choose_worker(request, candidates, now.m_at);
-        if (chosen == nullptr) {
-            request_tickets(waiting, request, candidates, now.m_at);
-            if (request.m_on_trial) {
-                reserve_for_trial(request, candidates, now.m_at);
-                all = false;
-                continue;
+        if (auto* chosen = find_worker(waiting, request, candidates, now.m_at)) {
+            suspects.m_on_trial += on_trial ? 1 : 0;
+            place_task(target, ref, *chosen, now);
+            if (on_trial) {
+                end_reservation(request.key(), candidates, now.m_at);
             }
-            remember_size(request);
+            continue;
+        }
+        all = false;
+        if (on_trial) {
+            // A kept worker counts like one that is used.
+            suspects.m_on_trial += reserve_for_trial(request, candidates, now.m_at) ? 1 : 0;
+            continue;
+        }
+        if (suspects.m_waiting == 0) {
             return false;
         }
-        suspects.m_on_trial += request.m_on_trial ? 1 : 0;
-        place_task(target, ref, *chosen, now);
+        // A worker may be kept for a task on trial further on.
+        has_room = false;
     }
     return all;
 }
 
+candidate* task_placer::find_worker(const waiting_job& waiting, const placement_request& request,
+                                    std::vector<candidate>& candidates, time_point now)
+{
+    if (!request.m_on_trial && is_known_not_to_fit(*request.m_step)) {
+        return nullptr;
+    }
+    auto* chosen = choose_worker(request, candidates, now);
+    if (chosen == nullptr) {
+        request_tickets(waiting, request, candidates, now);
+        if (!request.m_on_trial) {
+            remember_size(request);
+        }
+    }
+    return chosen;
+}
+
 void task_placer::request_tickets(const waiting_job& waiting, const placement_request& request,
                                   const std::vector<candidate>& candidates, time_point now)
 {
--- a/test/scheduling/run_tracker_test.cpp
+++ b/test/scheduling/run_tracker_test.cpp
@@ -1,240 +1,11 @@
-#include "peridotrudder/scheduling/job_scheduler.hpp"
+#include "peridotrudder/scheduling/run_tracker.hpp"
+
+#include "scheduling/owner_fixture.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace peridotrudder {
 
-namespace {
-
-constexpr std::int64_t first_birth_ms = 500;
-constexpr std::int64_t second_birth_ms = 900;
-const std::string job_id{"0123456789abcdef"};
-
-worker_report report_of(std::int64_t born_ms, const std::string& id = "i-1")
-{
-    worker_report report;
-    report.m_instance = {id, born_ms};
-    report.m_pool = "pool";
-    report.m_address = "10.0.0.1";
-    report.m_port = 80;
-    report.m_capacity = {4'000, 8'000, 0};
-    return report;
-}
-
-/// An owner with one worker, or more, whose answers the test gives.
-struct owner_fixture {
-    std::vector<std::pair<worker_report, start_order>> m_starts;
-    std::vector<stop_order> m_stops;
-    std::vector<hold_order> m_holds;
-    time_point m_held_at;
-    bool m_deposed{false};
-    moment m_now{time_point{milliseconds{1'000'000}}, 1'000'000};
-    std::unique_ptr<job_scheduler> m_scheduler;
-
-    owner_fixture()
-    {
-        scheduler_ports ports;
-        ports.m_start = [this](const worker_report& to, const start_order& order) {
-            m_starts.emplace_back(to, order);
-        };
-        ports.m_stop = [this](const worker_report&, const stop_order& order) {
-            m_stops.push_back(order);
-        };
-        ports.m_pace = [](const worker_report&, const pace_order&) {};
-        ports.m_hold = [this](const worker_report&, const hold_order& order) {
-            m_holds.push_back(order);
-            m_held_at = m_now.m_at;
-        };
-        ports.m_ask = [](const policy_request&) {};
-        ports.m_answer = [](std::uint64_t, const call_answer&) {};
-        ports.m_log = [](const decision&) {};
-        ports.m_deposed = [this] { m_deposed = true; };
-        scheduler_options options;
-        options.m_fence = first_token(1);
-        m_scheduler = job_scheduler::create(options, std::move(ports), job_store{}, m_now);
-        queue_config queue;
-        queue.m_host = "host";
-        queue.m_prefix = "/queue/";
-        queue.m_pool = "pool";
-        m_scheduler->set_config(fleet_config::create(1, {queue}, {{"pool", false, false}}));
-        m_scheduler->worker_listed(report_of(first_birth_ms), m_now);
-        answer_hold(first_birth_ms);
-        pass(milliseconds{100});
-    }
-
-    void pass(milliseconds time)
-    {
-        m_now.m_at += time;
-        m_now.m_unix_ms += time.count();
-    }
-
-    void submit(std::uint32_t count = 1, bool gang = false)
-    {
-        job_call call{call_kind::submit, "host", "/queue/" + job_id, job_spec{}};
-        step_spec step;
-        step.m_count = count;
-        step.m_gang = gang;
-        step.m_task_resources.m_cpu_millis = 1'000;
-        step.m_estimate = milliseconds{100};
-        call.m_spec->m_steps.push_back(step);
-        m_scheduler->take_call(1, call, m_now);
-    }
-
-    void write() { m_scheduler->written(m_scheduler->take_batch(m_now), m_now); }
-
-    /// Submits a job of one task, whose run shows no progress for longer than runs may.
-    void start_run()
-    {
-        submit();
-        write();
-        const auto [to, order] = m_starts.at(0);
-        m_scheduler->start_answered({to.m_instance, order.m_fence}, order.m_key, order.m_run,
-                                    {order_result::accepted, std::nullopt}, m_now);
-        pass(milliseconds{100});
-        answer_hold(first_birth_ms);
-        pass(milliseconds{3'000});
-        m_scheduler->tick(m_now);
-    }
-
-    /// Submits a job of one task, whose start gets no answer.
-    void start_without_answer()
-    {
-        submit();
-        write();
-        const auto [to, order] = m_starts.at(0);
-        pass(milliseconds{700});
-        m_scheduler->start_answered({to.m_instance, order.m_fence}, order.m_key, order.m_run, {},
-                                    m_now);
-    }
-
-    /// Lets the time pass while no hold is answered.
-    void stay_silent_for(milliseconds time)
-    {
-        constexpr milliseconds step{100};
-        for (milliseconds passed{0}; passed < time; passed += step) {
-            pass(step);
-            const auto holds = m_holds.size();
-            m_scheduler->tick(m_now);
-            if (m_holds.size() > holds) {
-                m_scheduler->hold_answered({{"i-1", first_birth_ms}, m_holds.back().m_fence}, {},
-                                           m_held_at, m_now);
-            }
-        }
-    }
-
-    bool task_is_placed()
-    {
-        const auto* submitted = m_scheduler->mutable_state().m_job_store.find(job_id);
-        return submitted->at({0, 0, 0}).m_phase == task_phase::placed;
-    }
-
-    /// Sends the hold that is due, if any, and answers it with all runs that were started.
-    void answer_hold(std::int64_t born_ms)
-    {
-        std::vector<running_entry> running;
-        for (const auto& [to, order] : m_starts) {
-            running.push_back({order.m_key, order.m_run, "", 10, 0});
-        }
-        answer_hold_with(running, {}, born_ms);
-    }
-
-    /// Sends the hold that is due, if any, and answers it with these lists.
-    void answer_hold_with(std::vector<running_entry> running, std::vector<ended_entry> ended,
-                          std::int64_t born_ms = first_birth_ms, const std::string& id = "i-1")
-    {
-        m_scheduler->tick(m_now);
-        hold_answer answer;
-        answer.m_result = order_result::accepted;
-        answer.m_born_ms = born_ms;
-        answer.m_clock_ms = m_now.m_unix_ms;
-        answer.m_running = std::move(running);
-        answer.m_ended = std::move(ended);
-        m_scheduler->hold_answered({{id, first_birth_ms}, m_holds.back().m_fence}, answer,
-                                   m_held_at, m_now);
-    }
-
-    void answer_start(const worker_report& to, const start_order& order, order_result result)
-    {
-        m_scheduler->start_answered({to.m_instance, order.m_fence}, order.m_key, order.m_run,
-                                    {result, std::nullopt}, m_now);
-    }
-
-    void answer_stop(const worker_report& to, const stop_order& order, order_result result)
-    {
-        m_scheduler->stop_answered({to.m_instance, order.m_fence}, order.m_key, order.m_run,
-                                   {result, std::nullopt}, m_now);
-    }
-
-    /// Answers a hold that was sent some time ago.
-    void answer_late(const hold_order& hold, const hold_answer& answer)
-    {
-        m_scheduler->hold_answered({{"i-1", first_birth_ms}, hold.m_fence}, answer, m_held_at,
-                                   m_now);
-    }
-
-    /// Forgets the worker, and meets it again in the same incarnation.
-    void meet_again()
-    {
-        m_scheduler->worker_unlisted("i-1", m_now);
-        m_scheduler->tick(m_now);
-        m_scheduler->worker_listed(report_of(first_birth_ms), m_now);
-        m_scheduler->tick(m_now);
-    }
-
-    /// Sends a hold, and meets the worker again before its answer. Returns the hold.
-    hold_order send_hold_in_an_earlier_session()
-    {
-        meet_again();
-        const auto hold = m_holds.back();
-        meet_again();
-        return hold;
-    }
-
-    /// Submits a job whose start gets no answer, gives the worker up, and meets it again with the
-    /// run. Returns the start.
-    std::pair<worker_report, start_order> meet_again_with_a_run()
-    {
-        submit();
-        write();
-        m_scheduler->worker_ended("i-1", vm_fate::gone, m_now.m_at, m_now);
-        meet_again();
-        return m_starts.at(0);
-    }
-
-    void add_second_worker()
-    {
-        m_scheduler->worker_listed(report_of(first_birth_ms, "i-2"), m_now);
-        answer_hold_with({}, {}, first_birth_ms, "i-2");
-        pass(milliseconds{200});
-    }
-
-    std::size_t count_starts_after_write()
-    {
-        write();
-        return m_starts.size();
-    }
-
-    std::int64_t used_cpu_millis(const std::string& id)
-    {
-        return m_scheduler->mutable_state().find_worker(id)->used().m_cpu_millis;
-    }
-
-    /// Lets the worker list a run that was not started, and later its end. Returns how many starts
-    /// were sent before the end.
-    std::size_t list_unknown_run(const run_key& key)
-    {
-        answer_hold_with({{key, 7, "", 10, 0}}, {});
-        write();
-        const auto starts = m_starts.size();
-        pass(milliseconds{200});
-        answer_hold_with({}, {{1, key, 7, run_end::stopped, ""}});
-        write();
-        return starts;
-    }
-};
-
-} // namespace
-
 class run_tracker_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(run_tracker_test);
     CPPUNIT_TEST(run_without_progress_is_stopped);
@@ -320,7 +91,7 @@
     void unknown_run_was_forgotten_when_another_worker_listed_one_too()
     {
         const run_key key{job_id, {0, 0, 0}};
-        m_owner.add_second_worker();
+        m_owner.add_worker("i-2");
         m_owner.submit();
         m_owner.answer_hold_with({{key, 7, "", 10, 0}}, {});
         m_owner.answer_hold_with({{key, 8, "", 10, 0}}, {}, first_birth_ms, "i-2");
@@ -349,7 +120,7 @@
 
     void task_was_placed_beside_an_unknown_run_when_its_start_was_refused()
     {
-        m_owner.add_second_worker();
+        m_owner.add_worker("i-2");
         m_owner.submit();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_owner.count_starts_after_write());
         const auto [to, order] = m_owner.m_starts.at(0);
