--- a/test/scheduling/job_scheduler_test.cpp
+++ b/test/scheduling/job_scheduler_test.cpp
@@ -96,6 +96,7 @@
     CPPUNIT_TEST(vm_list_that_is_older_than_a_start_does_not_end_its_run);
     CPPUNIT_TEST(successor_repeats_long_placed_runs_of_a_vm_that_is_down_at_once);
     CPPUNIT_TEST(start_recorded_before_a_capacity_shrank_is_not_sent_after_it);
+    CPPUNIT_TEST(late_starts_of_a_cancelled_job_are_stopped);
     CPPUNIT_TEST(late_hold_prolonged_the_lease_of_a_restarted_worker);
     CPPUNIT_TEST(new_incarnation_was_filled_up_to_the_capacity_of_the_former_one);
     CPPUNIT_TEST(runs_of_a_worker_at_another_address_were_given_up_by_an_old_address);
@@ -454,6 +455,34 @@
         }
     }
 
+    // The worker is back just before the starts arrive, which it then carries out.
+    void late_starts_of_a_cancelled_job_are_stopped()
+    {
+        std::size_t late_starts = 0;
+        for (std::uint64_t seed = 300; seed < 340; ++seed) {
+            fleet_simulation simulation{seed};
+            simulation.change_owner(false);
+            simulation.pass(milliseconds{3'000});
+            simulation.set_lateness(milliseconds{2'000}, milliseconds{2'500});
+            simulation.set_faults({0, 0, 100});
+            simulation.submit_long_running(8, 8);
+            simulation.pass(short_time);
+            simulation.set_faults({});
+            simulation.cancel(0);
+            simulation.pass(short_time);
+            simulation.crash(0, milliseconds{1'900}, milliseconds{500}, false);
+            simulation.crash(1, milliseconds{1'900}, milliseconds{500}, false);
+            if (seed % 2 == 0) {
+                simulation.change_owner(false);
+            }
+            simulation.pass(milliseconds{12'000});
+            assert_no_violation(simulation);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, simulation.at_work());
+            late_starts += simulation.starts();
+        }
+        CPPUNIT_ASSERT(late_starts > 0);
+    }
+
     // The deadline of a late hold was one of the former incarnation's clock, so it granted the
     // longest lease.
     void late_hold_prolonged_the_lease_of_a_restarted_worker()
