--- a/test/planning/fleet_planner_test.cpp
+++ b/test/planning/fleet_planner_test.cpp
@@ -425,171 +425,172 @@
         // VMs of the spare pool never name a worker.
         fleet.m_listed_vms.front().m_worker = "i-new";
         fleet.m_listed_vms.back().m_worker.clear();
-        // The worker came back under its id and carried out the start, while the task ran
-        // elsewhere.
-        void successor_took_a_worker_for_gone_whose_vm_was_down()
-        {
-            fleet_fixture fleet;
-            fleet.m_listed_vms.front().m_worker.clear();
-            fleet.m_listed_vms.front().m_state = platform_vm_state::down;
-            fleet.order_long_running_job();
-            fleet.advance(milliseconds{2'500});
-            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.run_count("i-0"));
-            fleet.m_listed_vms.front().m_worker = "i-new";
-            fleet.advance(milliseconds{2'500});
-            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.run_count("i-0"));
-        }
+        fleet.advance(milliseconds{2'500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.run_count("i-0"));
+    }
 
-        // An odd entry names the worker of another VM.
-        void run_ended_since_a_second_vm_that_was_down_named_its_worker()
-        {
-            fleet_fixture fleet;
-            fleet.run_long_running_job();
-            fleet.advance(milliseconds{1'500});
-            fleet.m_listed_vms.back().m_worker = "i-0";
-            fleet.m_listed_vms.back().m_state = platform_vm_state::down;
-            fleet.advance(milliseconds{2'500});
-            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.run_count("i-0"));
-        }
+    // The worker came back under its id and carried out the start, while the task ran elsewhere.
+    void successor_took_a_worker_for_gone_whose_vm_was_down()
+    {
+        fleet_fixture fleet;
+        fleet.m_listed_vms.front().m_worker.clear();
+        fleet.m_listed_vms.front().m_state = platform_vm_state::down;
+        fleet.order_long_running_job();
+        fleet.advance(milliseconds{2'500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.run_count("i-0"));
+        fleet.m_listed_vms.front().m_worker = "i-new";
+        fleet.advance(milliseconds{2'500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.run_count("i-0"));
+    }
+
+    // An odd entry names the worker of another VM.
+    void run_ended_since_a_second_vm_that_was_down_named_its_worker()
+    {
+        fleet_fixture fleet;
+        fleet.run_long_running_job();
+        fleet.advance(milliseconds{1'500});
+        fleet.m_listed_vms.back().m_worker = "i-0";
+        fleet.m_listed_vms.back().m_state = platform_vm_state::down;
+        fleet.advance(milliseconds{2'500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.run_count("i-0"));
+    }
+
+    // An answer without the list looks like a fleet without VMs.
+    void list_without_any_vm_ended_all_runs()
+    {
+        fleet_fixture fleet;
+        fleet.run_long_running_job();
+        fleet.advance(milliseconds{1'500});
+        fleet.m_listed_vms.clear();
+        fleet.advance(milliseconds{2'500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.run_count("i-0"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.run_count("i-1"));
+    }
 
-        // An answer without the list looks like a fleet without VMs.
-        void list_without_any_vm_ended_all_runs()
-        {
+    // An odd entry that stays must not delay what the entries of the other VMs show.
+    void crash_was_not_seen_while_another_vms_entry_was_unreadable()
+    {
+        for (const bool replaced : {false, true}) {
             fleet_fixture fleet;
             fleet.run_long_running_job();
             fleet.advance(milliseconds{1'500});
-            fleet.m_listed_vms.clear();
+            fleet.make_unreadable("m-1");
+            auto& crashed = fleet.m_listed_vms.front();
+            crashed.m_worker = replaced ? "i-new" : crashed.m_worker;
+            crashed.m_state = replaced ? platform_vm_state::up : platform_vm_state::down;
             fleet.advance(milliseconds{2'500});
-            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.run_count("i-0"));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.run_count("i-0"));
             CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.run_count("i-1"));
         }
+    }
 
-        // An odd entry that stays must not delay what the entries of the other VMs show.
-        void crash_was_not_seen_while_another_vms_entry_was_unreadable()
-        {
-            for (const bool replaced : {false, true}) {
-                fleet_fixture fleet;
-                fleet.run_long_running_job();
-                fleet.advance(milliseconds{1'500});
-                fleet.make_unreadable("m-1");
-                auto& crashed = fleet.m_listed_vms.front();
-                crashed.m_worker = replaced ? "i-new" : crashed.m_worker;
-                crashed.m_state = replaced ? platform_vm_state::up : platform_vm_state::down;
-                fleet.advance(milliseconds{2'500});
-                CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.run_count("i-0"));
-                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.run_count("i-1"));
-            }
-        }
-
-        void wave_counted_a_vm_with_an_unreadable_entry_as_gone()
-        {
-            fleet_fixture fleet;
-            fleet.make_unreadable("m-8");
-            fleet.m_planner->declare(make_wave(2), "wave/1", fleet.m_now);
-            for (int round = 0; round < 40; ++round) {
-                fleet.advance(milliseconds{500});
-                fleet.complete_orders();
-            }
-            CPPUNIT_ASSERT_EQUAL(std::size_t{4}, fleet.maintenance_order_count());
-            CPPUNIT_ASSERT(!fleet.m_reported_waves.back().second);
+    void wave_counted_a_vm_with_an_unreadable_entry_as_gone()
+    {
+        fleet_fixture fleet;
+        fleet.make_unreadable("m-8");
+        fleet.m_planner->declare(make_wave(2), "wave/1", fleet.m_now);
+        for (int round = 0; round < 40; ++round) {
+            fleet.advance(milliseconds{500});
+            fleet.complete_orders();
         }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, fleet.maintenance_order_count());
+        CPPUNIT_ASSERT(!fleet.m_reported_waves.back().second);
+    }
 
-        // The entry before the maintenance says that the VM is up.
-        void wave_counted_a_vm_with_an_unreadable_entry_as_back()
-        {
-            fleet_fixture fleet;
-            fleet.m_planner->declare(make_wave(1), "wave/1", fleet.m_now);
-            fleet.advance(milliseconds{2'000});
-            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.maintenance_order_count());
-            const auto maintained =
-                std::find_if(fleet.m_orders.begin(), fleet.m_orders.end(),
-                             [](const auto& order) { return order.m_pool.empty(); });
-            fleet.make_unreadable(maintained->m_vm_id);
-            for (int round = 0; round < 40; ++round) {
-                fleet.complete_orders();
-                fleet.advance(milliseconds{500});
-            }
-            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.maintenance_order_count());
+    // The entry before the maintenance says that the VM is up.
+    void wave_counted_a_vm_with_an_unreadable_entry_as_back()
+    {
+        fleet_fixture fleet;
+        fleet.m_planner->declare(make_wave(1), "wave/1", fleet.m_now);
+        fleet.advance(milliseconds{2'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.maintenance_order_count());
+        const auto maintained =
+            std::find_if(fleet.m_orders.begin(), fleet.m_orders.end(),
+                         [](const auto& order) { return order.m_pool.empty(); });
+        fleet.make_unreadable(maintained->m_vm_id);
+        for (int round = 0; round < 40; ++round) {
+            fleet.complete_orders();
+            fleet.advance(milliseconds{500});
         }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.maintenance_order_count());
+    }
 
-        void maintenance_that_a_predecessor_did_not_record_counts_as_away()
-        {
-            // The predecessor recorded and sent the orders, but not the wave's progress after them.
-            fleet_fixture before;
-            before.m_planner->declare(make_wave(2), "wave/1", before.m_now);
-            const auto records = before.advance(milliseconds{1'000});
-            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, before.maintenance_order_count());
-            fleet_fixture after{records, before.m_now};
-            after.m_planner->declare(make_wave(2), "wave/1", after.m_now);
-            after.advance(milliseconds{1'000});
-            CPPUNIT_ASSERT_EQUAL_MESSAGE("the VMs may go down at any moment", std::size_t{0},
-                                         after.maintenance_order_count());
-            for (auto& listed : after.m_listed_vms) {
-                for (const auto& order : before.m_orders) {
-                    if (order.m_vm_id == listed.m_id) {
-                        listed.m_state = platform_vm_state::upkeep;
-                    }
+    void maintenance_that_a_predecessor_did_not_record_counts_as_away()
+    {
+        // The predecessor recorded and sent the orders, but not the wave's progress after them.
+        fleet_fixture before;
+        before.m_planner->declare(make_wave(2), "wave/1", before.m_now);
+        const auto records = before.advance(milliseconds{1'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, before.maintenance_order_count());
+        fleet_fixture after{records, before.m_now};
+        after.m_planner->declare(make_wave(2), "wave/1", after.m_now);
+        after.advance(milliseconds{1'000});
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("the VMs may go down at any moment", std::size_t{0},
+                                     after.maintenance_order_count());
+        for (auto& listed : after.m_listed_vms) {
+            for (const auto& order : before.m_orders) {
+                if (order.m_vm_id == listed.m_id) {
+                    listed.m_state = platform_vm_state::upkeep;
                 }
             }
-            after.advance(milliseconds{5'000});
-            CPPUNIT_ASSERT_EQUAL_MESSAGE("the list shows the VMs as down", std::size_t{0},
-                                         after.maintenance_order_count());
         }
+        after.advance(milliseconds{5'000});
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("the list shows the VMs as down", std::size_t{0},
+                                     after.maintenance_order_count());
+    }
 
-        void successor_moves_no_task_while_its_predecessors_stops_may_be_pending()
-        {
-            fleet_fixture fleet;
-            fleet.run_long_running_job();
-            fleet.m_planner->declare(make_wave(5), "wave/1", fleet.m_now);
+    void successor_moves_no_task_while_its_predecessors_stops_may_be_pending()
+    {
+        fleet_fixture fleet;
+        fleet.run_long_running_job();
+        fleet.m_planner->declare(make_wave(5), "wave/1", fleet.m_now);
 
-            // A run that the predecessor ordered to stop is listed as running until it has ended.
-            fleet.advance(milliseconds{900});
-            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.m_stops.size());
+        // A run that the predecessor ordered to stop is listed as running until it has ended.
+        fleet.advance(milliseconds{900});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.m_stops.size());
 
-            fleet.advance(milliseconds{1'000});
-            CPPUNIT_ASSERT_EQUAL_MESSAGE("one task at a time", std::size_t{1},
-                                         fleet.m_stops.size());
-        }
+        fleet.advance(milliseconds{1'000});
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("one task at a time", std::size_t{1}, fleet.m_stops.size());
+    }
 
-        void wave_is_spread_over_its_duration_with_a_reserve_for_outages()
-        {
-            // 172 VMs in 25 s, each away for 4 s including the drain, with a reserve for a 4 s
-            // outage.
-            constexpr std::int64_t cycle_ms = 4'000;
-            constexpr std::int64_t outage_ms = 4'000;
-            wave_state wave;
-            wave.m_wave.m_duration = milliseconds{25'000};
-            std::size_t remaining = 172;
-            const auto first = vms_to_drain(wave, remaining, 0);
-            CPPUNIT_ASSERT_MESSAGE("few VMs are drained at once", first < remaining / 2);
-            std::int64_t now_ms = 0;
-            while (remaining > 0) {
-                remaining -=
-                    std::min<std::size_t>(remaining, vms_to_drain(wave, remaining, now_ms));
-                now_ms += cycle_ms;
-            }
-            CPPUNIT_ASSERT_MESSAGE("the wave ends in time",
-                                   now_ms + cycle_ms + outage_ms <= wave.m_wave.m_duration.count());
+    void wave_is_spread_over_its_duration_with_a_reserve_for_outages()
+    {
+        // 172 VMs in 25 s, each away for 4 s including the drain, with a reserve for a 4 s
+        // outage.
+        constexpr std::int64_t cycle_ms = 4'000;
+        constexpr std::int64_t outage_ms = 4'000;
+        wave_state wave;
+        wave.m_wave.m_duration = milliseconds{25'000};
+        std::size_t remaining = 172;
+        const auto first = vms_to_drain(wave, remaining, 0);
+        CPPUNIT_ASSERT_MESSAGE("few VMs are drained at once", first < remaining / 2);
+        std::int64_t now_ms = 0;
+        while (remaining > 0) {
+            remaining -= std::min<std::size_t>(remaining, vms_to_drain(wave, remaining, now_ms));
+            now_ms += cycle_ms;
         }
+        CPPUNIT_ASSERT_MESSAGE("the wave ends in time",
+                               now_ms + cycle_ms + outage_ms <= wave.m_wave.m_duration.count());
+    }
 
-        void successor_restores_the_progress_of_a_wave()
-        {
-            fleet_fixture before;
-            before.m_planner->declare(make_wave(5), "wave/1", before.m_now);
-            auto records = before.advance(milliseconds{1'000});
-            before.complete_orders();
-            for (auto& record : before.advance(milliseconds{200})) {
-                records.push_back(std::move(record));
-            }
-            CPPUNIT_ASSERT_EQUAL(std::size_t{5}, before.maintenance_order_count());
-            fleet_fixture after{records, before.m_now};
-            after.m_planner->declare(make_wave(5), "wave/1", after.m_now);
-            after.advance(milliseconds{6'000});
-            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, after.maintenance_order_count());
-            CPPUNIT_ASSERT(after.m_reported_waves.back().second);
+    void successor_restores_the_progress_of_a_wave()
+    {
+        fleet_fixture before;
+        before.m_planner->declare(make_wave(5), "wave/1", before.m_now);
+        auto records = before.advance(milliseconds{1'000});
+        before.complete_orders();
+        for (auto& record : before.advance(milliseconds{200})) {
+            records.push_back(std::move(record));
         }
-    };
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, before.maintenance_order_count());
+        fleet_fixture after{records, before.m_now};
+        after.m_planner->declare(make_wave(5), "wave/1", after.m_now);
+        after.advance(milliseconds{6'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, after.maintenance_order_count());
+        CPPUNIT_ASSERT(after.m_reported_waves.back().second);
+    }
+};
 
-    CPPUNIT_TEST_SUITE_REGISTRATION(fleet_planner_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(fleet_planner_test);
 
 } // namespace peridotrudder
