Count no answer for a worker that was seen down after its hold was sent

Callers could see: a task waits for 4.5 s and more although its run is known to be over, and starts are sent to a worker that is down.

Cause: the list of VMs showed the worker down, and its runs were given up. An answer that its former incarnation had given before then made the worker answer again: its token counted as confirmed, it got work, and the runs in its list were held to be unknown ones that are to be stopped.

Change: an accepted hold that was sent before the list was asked for counts as unanswered; the next one decides.

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -180,8 +180,10 @@
     bool silent() const { return m_missed_answers >= silent_after_misses; }
     /// Returns when the newest hold that was answered had been sent.
     time_point last_answered_hold_sent_at() const { return m_last_answered_hold_sent_at; }
-    /// Marks the worker as down: it gets no work until it answers again.
-    void set_down();
+    /// Marks the worker as seen down at a time: it gets no work until it answers a later hold.
+    void set_down(time_point seen_at);
+    /// Returns whether the worker was seen down after a time.
+    bool seen_down_since(time_point time) const { return time < m_down_seen_at; }
     /// Returns whether the worker may be given new work.
     bool takes_work(time_point now) const;
     /// Returns when the worker's last answer arrived.
@@ -314,6 +316,7 @@
     int m_missed_answers{0};
     time_point m_last_answered_hold_sent_at;
     time_point m_answered_at;
+    time_point m_down_seen_at;
     time_point m_no_work_until;
     time_point m_trial_until;
     time_point m_calm_from;
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -77,8 +77,9 @@
     m_next_hold = std::min(m_next_hold, now);
 }
 
-void worker_session::set_down()
+void worker_session::set_down(time_point seen_at)
 {
+    m_down_seen_at = seen_at;
     m_missed_answers = std::max(m_missed_answers, silent_after_misses);
     m_token_confirmed = false;
 }
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -91,7 +91,7 @@
         return;
     }
     m_runs.mark_lost_with_vm(*session, fate, seen_at, now);
-    session->set_down();
+    session->set_down(seen_at);
 }
 
 void job_scheduler::begin(moment now)
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -192,6 +192,11 @@
     if (answer.m_result == order_result::fenced) {
         depose_unless_former(*session, target);
     }
+    if (answer.m_result == order_result::accepted && session->seen_down_since(sent_at)) {
+        // The incarnation that was there before may have answered.
+        session->hold_answered({}, sent_at, now.m_at);
+        return;
+    }
     const bool was_silent = session->silent();
     const auto last_heard_at = session->last_heard_at();
     const auto outcome = session->hold_answered(answer, sent_at, now.m_at);
--- a/test/scheduling/run_tracker_test.cpp
+++ b/test/scheduling/run_tracker_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(start_without_an_answer_was_given_up_when_its_lease_lapsed);
     CPPUNIT_TEST(start_without_an_answer_was_given_up_since_its_vm_was_down);
     CPPUNIT_TEST(start_without_an_answer_is_over_when_its_worker_is_gone_for_good);
+    CPPUNIT_TEST(worker_that_is_down_got_work_by_an_answer_from_before);
     CPPUNIT_TEST(worker_met_again_got_the_token_of_orders_that_were_under_way);
     CPPUNIT_TEST(answer_to_a_hold_of_an_earlier_session_made_the_owner_resign);
     CPPUNIT_TEST(answer_to_a_hold_of_an_earlier_session_confirmed_the_present_token);
@@ -176,6 +177,32 @@
         CPPUNIT_ASSERT(!m_owner.task_is_placed());
     }
 
+    // The answer was the former incarnation's, and the task waited until its lease had lapsed.
+    void worker_that_is_down_got_work_by_an_answer_from_before()
+    {
+        m_owner.start_run();
+        m_owner.answer_hold(first_birth_ms);
+        m_owner.pass(milliseconds{200});
+        m_owner.m_scheduler->tick(m_owner.m_now);
+        const auto hold = m_owner.m_holds.back();
+        m_owner.pass(milliseconds{10});
+        m_owner.m_scheduler->worker_ended("i-1", vm_fate::down, m_owner.m_now.m_at, m_owner.m_now);
+        hold_answer answer;
+        answer.m_result = order_result::accepted;
+        answer.m_born_ms = first_birth_ms;
+        answer.m_clock_ms = m_owner.m_now.m_unix_ms;
+        answer.m_running = m_owner.running_on("i-1");
+        m_owner.answer_late(hold, answer);
+        const auto* session = m_owner.m_scheduler->mutable_state().find_worker("i-1");
+        CPPUNIT_ASSERT(!session->takes_work(m_owner.m_now.m_at));
+        CPPUNIT_ASSERT(session->empty());
+        m_owner.pass(milliseconds{1'000});
+        m_owner.answer_hold_with({}, {}, second_birth_ms);
+        m_owner.pass(milliseconds{200});
+        m_owner.answer_hold_with({}, {}, second_birth_ms);
+        CPPUNIT_ASSERT(session->token_confirmed());
+    }
+
     // Its next incarnation then carried out what was meant for the former one.
     void worker_met_again_got_the_token_of_orders_that_were_under_way()
     {
