--- a/test/jobs/job_test.cpp
+++ b/test/jobs/job_test.cpp
@@ -187,6 +187,9 @@
                     example.note_placement(action);
                     example.place(ref, {"i-" + std::to_string(action % 5), action});
                 }
+                else if (action % 3 == 0) {
+                    example.settle_start(ref, task.m_run);
+                }
                 else {
                     example.end(ref, task.m_run, static_cast<run_end>(action % 6),
                                 action % 4 == 0 ? "c" : "", attempts, now_ms);
@@ -197,6 +200,12 @@
             RC_ASSERT(again.placed_tasks() == example.placed_tasks());
             RC_ASSERT(again.placed_ms() == example.placed_ms());
             RC_ASSERT(again.encode_state() == example.encode_state());
+            for (std::uint32_t index = 0; index < 2; ++index) {
+                const auto& before = example.at({0, index, index});
+                const auto& after = again.at({0, index, index});
+                RC_ASSERT(before.m_phase != task_phase::placed ||
+                          before.m_start_settled == after.m_start_settled);
+            }
         });
     }
 
--- a/test/scheduling/job_scheduler_test.cpp
+++ b/test/scheduling/job_scheduler_test.cpp
@@ -95,6 +95,7 @@
     CPPUNIT_TEST(tasks_of_a_restarted_worker_run_again_at_once);
     CPPUNIT_TEST(vm_list_that_is_older_than_a_start_does_not_end_its_run);
     CPPUNIT_TEST(successor_repeats_long_placed_runs_of_a_vm_that_is_down_at_once);
+    CPPUNIT_TEST(settled_runs_waited_since_another_task_of_their_job_was_placed);
     CPPUNIT_TEST(start_recorded_before_a_capacity_shrank_is_not_sent_after_it);
     CPPUNIT_TEST(late_starts_of_a_cancelled_job_are_stopped);
     CPPUNIT_TEST(late_hold_prolonged_the_lease_of_a_restarted_worker);
@@ -435,6 +436,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{8}, simulation.at_work());
     }
 
+    // One time for all tasks of a job opened the starts of all its runs at a takeover.
+    void settled_runs_waited_since_another_task_of_their_job_was_placed()
+    {
+        fleet_simulation simulation{42};
+        simulation.change_owner(false);
+        simulation.submit_long_running(16, 16);
+        simulation.pass(milliseconds{3'000});
+        simulation.crash(0, milliseconds{10}, milliseconds{0}, false);
+        simulation.pass(milliseconds{1'500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{16}, simulation.at_work());
+        simulation.crash(1, milliseconds{10'000}, milliseconds{0}, false);
+        simulation.change_owner(false);
+        simulation.read_vm_list(milliseconds{10});
+        simulation.pass(milliseconds{1'500});
+        assert_no_violation(simulation);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{16}, simulation.at_work());
+    }
+
     // A start that waited for its record brought a worker over its capacity, which had shrunk.
     void start_recorded_before_a_capacity_shrank_is_not_sent_after_it()
     {
--- a/test/scheduling/run_tracker_test.cpp
+++ b/test/scheduling/run_tracker_test.cpp
@@ -21,6 +21,9 @@
     CPPUNIT_TEST(start_without_an_answer_was_given_up_since_its_vm_was_down);
     CPPUNIT_TEST(start_without_an_answer_is_over_when_its_worker_is_gone_for_good);
     CPPUNIT_TEST(task_was_started_again_after_an_end_that_may_have_been_successful);
+    CPPUNIT_TEST(worker_that_is_down_got_work_by_an_answer_from_before);
+    CPPUNIT_TEST(start_was_sent_long_after_its_record_tells);
+    CPPUNIT_TEST(crash_was_counted_again_by_each_list_of_vms);
     CPPUNIT_TEST(worker_met_again_got_the_token_of_orders_that_were_under_way);
     CPPUNIT_TEST(answer_to_a_hold_of_an_earlier_session_made_the_owner_resign);
     CPPUNIT_TEST(answer_to_a_hold_of_an_earlier_session_confirmed_the_present_token);
@@ -218,6 +221,32 @@
                                      m_owner.m_holds.back().m_last_end);
     }
 
+    // The answer was the former incarnation's, and the task waited until its lease had lapsed.
+    void worker_that_is_down_got_work_by_an_answer_from_before()
+    {
+        m_owner.start_run();
+        m_owner.answer_hold(first_birth_ms);
+        m_owner.pass(milliseconds{200});
+        m_owner.m_scheduler->tick(m_owner.m_now);
+        const auto hold = m_owner.m_holds.back();
+        m_owner.pass(milliseconds{10});
+        m_owner.m_scheduler->worker_ended("i-1", vm_fate::down, m_owner.m_now.m_at, m_owner.m_now);
+        hold_answer answer;
+        answer.m_result = order_result::accepted;
+        answer.m_born_ms = first_birth_ms;
+        answer.m_clock_ms = m_owner.m_now.m_unix_ms;
+        answer.m_running = m_owner.running_on("i-1");
+        m_owner.answer_late(hold, answer);
+        const auto* session = m_owner.m_scheduler->mutable_state().find_worker("i-1");
+        CPPUNIT_ASSERT(!session->takes_work(m_owner.m_now.m_at));
+        CPPUNIT_ASSERT(session->empty());
+        m_owner.pass(milliseconds{1'000});
+        m_owner.answer_hold_with({}, {}, second_birth_ms);
+        m_owner.pass(milliseconds{200});
+        m_owner.answer_hold_with({}, {}, second_birth_ms);
+        CPPUNIT_ASSERT(session->token_confirmed());
+    }
+
     // Its next incarnation then carried out what was meant for the former one.
     void worker_met_again_got_the_token_of_orders_that_were_under_way()
     {
@@ -278,6 +307,49 @@
         m_owner.answer_stop(to, m_owner.m_stops.back(), order_result::fenced);
         CPPUNIT_ASSERT(m_owner.m_deposed);
     }
+
+    // A successor counted the time for which the start is open from the record.
+    void start_was_sent_long_after_its_record_tells()
+    {
+        m_owner.submit();
+        const auto batch = m_owner.m_scheduler->take_batch(m_owner.m_now);
+        m_owner.pass(milliseconds{5'000});
+        m_owner.m_scheduler->written(batch, m_owner.m_now);
+        CPPUNIT_ASSERT(m_owner.m_starts.empty());
+        CPPUNIT_ASSERT(!m_owner.task_is_placed());
+        m_owner.write();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_owner.m_starts.size());
+    }
+
+    // Crashes that no start explains lower the weight of those that a task on trial causes.
+    void crash_was_counted_again_by_each_list_of_vms()
+    {
+        m_owner.start_without_answer();
+        m_owner.stay_silent_for(milliseconds{1'000});
+        m_owner.add_worker("i-2");
+        step_spec step;
+        step.m_count = 1;
+        step.m_task_resources.m_cpu_millis = 1'000;
+        step.m_estimate = milliseconds{100};
+        const std::string deadly{"00000000000000aa"};
+        m_owner.submit_step(deadly, step);
+        for (int crash = 0; crash < 2; ++crash) {
+            m_owner.m_scheduler->worker_ended("i-1", vm_fate::down, m_owner.m_now.m_at,
+                                              m_owner.m_now);
+            m_owner.write();
+            const auto [to, order] = m_owner.m_starts.back();
+            CPPUNIT_ASSERT_EQUAL(deadly, order.m_key.m_job);
+            m_owner.answer_start(to, order, order_result::accepted);
+            m_owner.pass(milliseconds{10});
+            m_owner.m_scheduler->worker_ended("i-2", vm_fate::down, m_owner.m_now.m_at,
+                                              m_owner.m_now);
+            m_owner.pass(milliseconds{4'000});
+            m_owner.answer_hold_with({}, {}, first_birth_ms, "i-2");
+            m_owner.pass(milliseconds{100});
+        }
+        const auto* given_up = m_owner.m_scheduler->mutable_state().m_job_store.find(deadly);
+        CPPUNIT_ASSERT(given_up->phase() == job_phase::failed);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(run_tracker_test);
