Count the deadline of relayed orders from when they were given, not sent

Callers could see: two runs of one task (TWICE).

Cause: the owner gathers orders for 4 ms and gave them their deadline when the batch left. An owner that was frozen in between sent orders of many seconds ago as fresh ones, after a successor had judged their workers.

Before: orders_of_an_owner_that_was_paused_before_it_sent_them_were_in_time failed (1 of 43 tests of test_node); after: 43 of 43 pass.

--- a/include/peridotrudder/node/order_relay.hpp
+++ b/include/peridotrudder/node/order_relay.hpp
@@ -117,6 +117,8 @@
     /// Lost relays, with the time from which they may be used again.
     std::map<std::string, time_point> m_backoff_until;
     std::map<std::string, std::vector<relayed_order>> m_batches;
+    /// When the first order of each batch was added, from which its deadline counts.
+    std::map<std::string, time_point> m_batch_began_at;
     std::map<std::uint64_t, pending_order> m_pending;
     std::uint64_t m_next_number;
     /// Held weakly by pending timers, which do nothing once the distributor is destroyed.
--- a/src/node/order_relay.cpp
+++ b/src/node/order_relay.cpp
@@ -243,6 +243,7 @@
     auto& gathered = m_batches[relay];
     gathered.push_back(std::move(order));
     if (gathered.size() == 1) {
+        m_batch_began_at[relay] = m_ports.m_loop.m_now().m_at;
         run_later(m_ports.m_loop, m_options.m_batch_delay, m_self,
                   [relay](order_distributor& self) { self.flush(relay); });
     }
@@ -255,7 +256,7 @@
         return;
     }
     const auto deadline_ms =
-        clock_of(relay, m_ports.m_loop.m_now().m_at) + m_options.m_answer_timeout.count();
+        clock_of(relay, m_batch_began_at[relay]) + m_options.m_answer_timeout.count();
     bool left = true;
     send_batches(m_batches, relay, [&](std::vector<relayed_order> orders) {
         left = m_ports.m_send(relay, relayed_orders{deadline_ms, std::move(orders)}) && left;
--- a/test/node/order_relay_test.cpp
+++ b/test/node/order_relay_test.cpp
@@ -136,6 +136,7 @@
     CPPUNIT_TEST(a_relay_gets_no_orders_before_it_has_told_its_clock);
     CPPUNIT_TEST(answer_that_was_held_up_does_not_make_later_orders_late);
     CPPUNIT_TEST(first_message_of_an_owner_was_never_late);
+    CPPUNIT_TEST(orders_of_an_owner_that_was_paused_before_it_sent_them_were_in_time);
     CPPUNIT_TEST(a_relay_with_a_slower_clock_carries_out_all_orders);
     CPPUNIT_TEST_SUITE_END();
 
@@ -457,6 +458,17 @@
         CPPUNIT_ASSERT(order_result::not_sent == result);
     }
 
+    // A successor had judged the workers by then.
+    void orders_of_an_owner_that_was_paused_before_it_sent_them_were_in_time()
+    {
+        const auto relay = make_relay(large_fleet);
+        relay->port().m_start(worker_named("w-1"), start_of(0), [](const order_answer&) {});
+        m_fixture.pass(relay_options{}.m_answer_timeout);
+        const auto carrier = order_forwarder::create({}, m_fixture.ports());
+        exchange(m_fixture, *carrier, m_fixture, *relay);
+        CPPUNIT_ASSERT(m_fixture.m_direct.empty());
+    }
+
     // The difference between the clocks grows without bound; it is no delay.
     void a_relay_with_a_slower_clock_carries_out_all_orders()
     {
