--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -69,8 +69,9 @@
     time_point m_stop_sent_at;
     /// When the present incarnation answered the stop: it refuses the start from then on.
     std::optional<time_point> m_stop_answered_at;
-    /// Since when the run cannot start any more if it had not started before, on any incarnation:
-    /// the start was answered, or had a predecessor's fencing token.
+    /// Since when the incarnation that answers cannot start the run any more if it had not before:
+    /// the start was answered, or had a predecessor's fencing token. A later incarnation may, while
+    /// the start is open.
     std::optional<time_point> m_cannot_start_since;
     /// When the incarnation that the start was sent to was last heard of, if another one answers
     /// now and has not listed the run.
@@ -117,8 +118,8 @@
     /// Longest time after which an order that was not answered may still be carried out, by
     /// whichever incarnation of the worker is there then. Includes the time at a relay.
     milliseconds m_longest_order_delay{14'000};
-    /// Time from the record of a predecessor's start until it is certainly sent and timed out,
-    /// with the difference between the two nodes' times of day.
+    /// Time from the placement of a predecessor's run until its start is certainly sent and timed
+    /// out, with the difference between the two nodes' times of day.
     milliseconds m_predecessor_start_slack{8'000};
 };
 
--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -17,9 +17,9 @@
 ///
 /// A task gets another run only when its current one is certainly over: the worker reports its end;
 /// the worker does not list it and no order in flight can still start it on the incarnation that
-/// answers; its VM was down after the start was confirmed; or every lease of a silent worker has
-/// expired. A later incarnation under the same id does not know the stops and deadlines of an
-/// earlier one.
+/// answers; its VM was down after the start was confirmed, or has another worker; or every lease of
+/// a silent worker has expired. A later incarnation under the same id does not know the stops and
+/// deadlines of an earlier one, so an open start keeps its task placed beyond leases and VMs.
 class run_tracker {
 public:
     explicit run_tracker(scheduler_state& state) : m_state{&state}, m_crashes{state} {}
