--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -95,7 +95,8 @@
     static bit_list from_json(const nlohmann::json& stored)
     {
         bit_list bits;
-        bits.m_bytes = stored.get_ref<const nlohmann::json::binary_t&>();
+        const auto& bytes = stored.get_ref<const nlohmann::json::binary_t&>();
+        bits.m_bytes.assign(bytes.begin(), bytes.end());
         bits.m_size = bits.m_bytes.size() * bits_per_byte;
         return bits;
     }
