Ask a worker on whose list ruled a start out, while that may still come

Cause: the owner stopped asking a worker that it had nothing to wait for at, so the next incarnation learnt the token with its entry only, up to seconds later.

Change: while a start may still come that a worker's list ruled out, the worker is not forgotten and gets a hold each 250 ms, listed or not. So the next incarnation knows the token within half a second, if it can be reached.

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -245,6 +245,11 @@
     bool has_run_beside(const run_key& key) const;
     /// Frees the capacity of all runs beside others, which are certainly over.
     void release_all_beside();
+    /// Keeps sending holds until a time, also without runs: a later incarnation that answers one of
+    /// them refuses the starts of this one that may still be under way.
+    void watch_until(time_point until);
+    void end_watch(time_point now);
+    bool watched() const { return m_watched_until.has_value(); }
     /// Returns whether no run uses capacity of the worker, or may do so.
     bool empty() const { return m_runs.empty() && m_beside.empty(); }
 
@@ -349,6 +354,7 @@
     std::int64_t m_best_effort_cpu_millis{0};
     std::uint32_t m_stopping_runs{0};
 
+    std::optional<time_point> m_watched_until;
     bool m_hold_in_flight{false};
     time_point m_hold_sent_at;
     time_point m_next_hold;
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds certain_incarnation_time{500};
 /// Time between holds to a worker that lists an unclear end; the incarnation stays certain.
 constexpr milliseconds unclear_end_interval{250};
+/// Time between holds to a worker without runs that is watched.
+constexpr milliseconds watch_interval{250};
 
 resources smaller(const resources& left, const resources& right)
 {
@@ -189,6 +191,18 @@
     }
 }
 
+void worker_session::watch_until(time_point until)
+{
+    m_watched_until = std::max(m_watched_until.value_or(until), until);
+}
+
+void worker_session::end_watch(time_point now)
+{
+    if (m_watched_until && now >= *m_watched_until) {
+        m_watched_until.reset();
+    }
+}
+
 void worker_session::set_stopping(worker_run& run)
 {
     m_stopping_runs += run.m_stopping ? 0 : 1;
@@ -230,7 +244,7 @@
 {
     const bool has_ends_to_confirm = m_recorded_end > m_acknowledged_end;
     return !m_token_confirmed || !empty() || has_ends_to_confirm || m_missed_answers > 0 ||
-           m_restart_suspected_at;
+           m_restart_suspected_at || watched();
 }
 
 std::optional<time_point> worker_session::hold_due() const
@@ -243,6 +257,10 @@
     if (newest_end() > m_recorded_end) {
         return std::max(m_next_hold, m_hold_sent_at + m_options.m_hold_wait);
     }
+    const bool only_watched = watched() && empty() && m_token_confirmed && !m_restart_suspected_at;
+    if (only_watched && m_missed_answers == 0) {
+        return std::max(m_next_hold, m_hold_sent_at + watch_interval);
+    }
     return m_unclear_ends.empty() ? m_next_hold
                                   : std::max(m_next_hold, m_hold_sent_at + unclear_end_interval);
 }
@@ -501,6 +519,7 @@
     new_session.m_listed = m_listed;
     new_session.m_capacity_known = is_listed;
     new_session.m_former = m_former;
+    new_session.m_watched_until = m_watched_until;
     new_session.expect_misdirected_renewals(now);
     // Only a hold shows that a birth is an incarnation's.
     const bool confirmed = m_answered_at != time_point{};
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -208,8 +208,10 @@
                 lost.push_back(key);
             }
         }
-        mark_lost_in_crash(*session, lost, session->last_heard_at(), true,
-                           "address belongs to another worker", now);
+        if (!lost.empty() || !session->watched()) {
+            mark_lost_in_crash(*session, lost, session->last_heard_at(), true,
+                               "address belongs to another worker", now);
+        }
         return;
     }
     if (outcome.m_restarted) {
@@ -249,6 +251,9 @@
 {
     std::vector<run_key> crashed;
     for (const auto& key : outcome.m_gone) {
+        if (const auto open_until = session.find(key)->m_start_open_until) {
+            session.watch_until(*open_until);
+        }
         // The outcome of the start, or this owner, may have come only after the restart.
         if (outcome.m_restarted || is_of_other_incarnation(session, key)) {
             crashed.push_back(key);
@@ -551,7 +556,8 @@
         if (unreachable && !session.empty() && now.m_at >= session.lease_ends_at()) {
             give_up_unreachable(session, now);
         }
-        if (!session.listed() && session.empty()) {
+        session.end_watch(now.m_at);
+        if (!session.listed() && session.empty() && !session.watched()) {
             m_state->log("worker_forgotten", "", session.id(), "");
             // Orders with this token may still be on their way when the worker is listed again.
             auto& first_fence = m_state->m_options.m_fence;
--- a/test/scheduling/run_tracker_test.cpp
+++ b/test/scheduling/run_tracker_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(task_was_started_again_after_an_end_that_may_have_been_successful);
     CPPUNIT_TEST(worker_that_is_down_got_work_by_an_answer_from_before);
     CPPUNIT_TEST(start_was_sent_long_after_its_record_tells);
+    CPPUNIT_TEST(worker_whose_list_ruled_a_start_out_was_not_asked_after_its_next_restart);
     CPPUNIT_TEST(crash_was_counted_again_by_each_list_of_vms);
     CPPUNIT_TEST(worker_met_again_got_the_token_of_orders_that_were_under_way);
     CPPUNIT_TEST(answer_to_a_hold_of_an_earlier_session_made_the_owner_resign);
@@ -308,6 +309,25 @@
         CPPUNIT_ASSERT(m_owner.m_deposed);
     }
 
+    // The next incarnation got the late start long before its entry showed that it was there.
+    void worker_whose_list_ruled_a_start_out_was_not_asked_after_its_next_restart()
+    {
+        m_owner.start_without_answer();
+        const auto token = m_owner.m_starts.back().second.m_fence;
+        m_owner.pass(milliseconds{2'000});
+        m_owner.answer_hold_with({}, {}, second_birth_ms);
+        m_owner.answer_hold_with({}, {}, second_birth_ms);
+        CPPUNIT_ASSERT(!m_owner.task_is_placed());
+        m_owner.m_scheduler->worker_unlisted("i-1", m_owner.m_now);
+        m_owner.pass(milliseconds{300});
+        const auto holds = m_owner.m_holds.size();
+        m_owner.m_scheduler->tick(m_owner.m_now);
+        CPPUNIT_ASSERT_EQUAL(holds + 1, m_owner.m_holds.size());
+        CPPUNIT_ASSERT(m_owner.m_holds.back().m_fence > token);
+        m_owner.stay_silent_for(lease_options{}.m_longest_order_delay);
+        CPPUNIT_ASSERT(m_owner.m_scheduler->mutable_state().find_worker("i-1") == nullptr);
+    }
+
     // A successor counted the time for which the start is open from the record.
     void start_was_sent_long_after_its_record_tells()
     {
