Ping the links between nodes, and replace one that went silent

Cause: a link counted as open until TCP reported its end. A node hears the owner on the connection that the owner opened and sends calls on its own, so heartbeats say nothing of the path of calls. Ruled out: an old list of peers (nothing restarts in the case, and new connections by the same proxy work), a slow owner (it answers its own callers).

Change: each process pings the links that it opened, those in use about once a second and idle ones every 10 s, closes one that doesn't answer within a second (with a reset, so that nothing arrives late) and opens a new one. The peer closes the former connection when a new one is accepted. A link that timed out is no proof that the owner's process ended, so it starts no election. Calls that hung are sent again when either direction has been replaced. That is safe: they are idempotent by the job's id, and the owner now takes a call that is still open once. The log tells each change of 'owner reachable' with its cause, and each link that timed out.

--- a/include/peridotrudder/links/peer_mesh.hpp
+++ b/include/peridotrudder/links/peer_mesh.hpp
@@ -40,8 +40,19 @@
 using peer_handler =
     std::function<bool(const std::string& from, gsl::span<const std::uint8_t> frame)>;
 
-/// Called when the link to a peer opens or closes; runs on the mesh's loop.
-using link_handler = std::function<void(const std::string& peer, bool open)>;
+enum class link_change {
+    /// The link that this process opened can be used.
+    opened,
+    /// The peer, or its host, closed the link.
+    closed,
+    /// The link did not answer a keep-alive ping and was closed; the peer may be alive.
+    timed_out,
+    /// The peer has opened a link to this process, which replaces its former one.
+    accepted,
+};
+
+/// Called when a link changes; runs on the mesh's loop.
+using link_handler = std::function<void(const std::string& peer, link_change change)>;
 
 /// Bytes and messages that the mesh has sent and received.
 struct peer_traffic {
@@ -55,7 +66,8 @@
 /// Maintains one link to each peer and sends frames over it, in order and at most once each.
 ///
 /// Each pair of entries has two connections: every entry sends on the one that it opened and
-/// receives on the one that it accepted. A message is lost when its link breaks; the
+/// receives on the one that it accepted. Each pings the one that it opened, so that a connection
+/// that goes silent without a reset is replaced. A message is lost when its link breaks; the
 /// protocols above resend what they need. A process rejects links that were meant for another
 /// incarnation. Thread-safe if it runs on its own thread; on a given loop, `send` must be called
 /// from the thread that runs the loop.
--- a/include/peridotrudder/node/call_transport.hpp
+++ b/include/peridotrudder/node/call_transport.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <tuple>
 
 namespace peridotrudder {
 
@@ -29,7 +30,8 @@
 
     /// Sends a call of this process to the owner. Returns whether it was sent.
     bool send(std::uint64_t number, const job_call& call, const std::string& owner);
-    /// Receives a peer's call to the owner in this process.
+    /// Receives a peer's call to the owner in this process. A copy of a call that is still open is
+    /// not passed on: the same answer is sent for both.
     void take(const std::string& from, const forwarded_job_call& message);
     /// Receives the owner's answer to a call of this process.
     void take(const forwarded_job_answer& message);
@@ -44,6 +46,11 @@
     struct call_origin {
         std::string m_peer;
         std::uint64_t m_number{0};
+
+        friend bool operator<(const call_origin& left, const call_origin& right)
+        {
+            return std::tie(left.m_peer, left.m_number) < std::tie(right.m_peer, right.m_number);
+        }
     };
 
     bool deliver_to_owner(const call_origin& origin, const job_call& call);
@@ -53,6 +60,8 @@
     transport_ports m_ports;
     /// Calls that the owner has accepted and not answered, by token.
     std::map<std::uint64_t, call_origin> m_open_calls;
+    /// Number of copies received of each open call. The origin counts the answers to its copies.
+    std::map<call_origin, int> m_copies;
     std::uint64_t m_next_token{1};
 };
 
--- a/include/peridotrudder/ownership/cluster_agent.hpp
+++ b/include/peridotrudder/ownership/cluster_agent.hpp
@@ -84,7 +84,10 @@
     void tick();
     /// Handles a peer's message; returns whether it was addressed to the agent.
     bool receive(const std::string& from, const node_message& message);
-    void link_changed(const std::string& peer, bool open);
+    void link_opened(const std::string& peer);
+    /// The link to a peer has ended. If it was `broken` by the peer's host, the peer may have ended
+    /// too; a link that timed out says nothing of the peer.
+    void link_closed(const std::string& peer, bool broken);
 
     /// Sets for how long the owner's writes to the log have failed.
     void set_failing(milliseconds time) { m_failing_for = time; }
@@ -120,6 +123,7 @@
     void probe_for_resignation(time_point now);
     void remove_unreachable_nodes(time_point now);
     void update_reachability();
+    std::string unreachable_cause() const;
     milliseconds stagger() const;
     void yield_to_larger_node(moment now);
 
--- a/include/peridotrudder/ownership/owner_election.hpp
+++ b/include/peridotrudder/ownership/owner_election.hpp
@@ -101,6 +101,10 @@
 
     /// Returns whether there is an owner that this node does not suspect.
     bool hears_owner(time_point now) const;
+    /// Returns whether the owner of the newest claim is known to have ended or resigned.
+    bool owner_has_gone() const { return m_owner_gone; }
+    /// Returns the time since the owner's last heartbeat, or since its claim was learnt.
+    milliseconds heartbeat_age(time_point now) const { return remaining(m_last_heartbeat_at, now); }
     /// Returns the next step. A claim that did not succeed is returned again later.
     election_step tick(time_point now);
 
--- a/src/links/peer_mesh.cpp
+++ b/src/links/peer_mesh.cpp
@@ -1,6 +1,7 @@
 #include "peridotrudder/links/peer_mesh.hpp"
 
 #include "peridotrudder/base/hash.hpp"
+#include "peridotrudder/links/link_keepalive.hpp"
 
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
@@ -24,7 +25,11 @@
 using ws_server = websocketpp::server<websocketpp::config::asio>;
 using ws_client = websocketpp::client<websocketpp::config::asio_client>;
 
-constexpr milliseconds reconnect_interval{200};
+/// Interval at which missing links are opened and open ones are checked.
+constexpr milliseconds check_interval{200};
+/// Check intervals after which a link from a peer is closed that carried nothing, not even the
+/// pings of an idle link.
+constexpr int accepted_silence_limit = 150;
 constexpr long connect_timeout_ms = 2'000;
 /// Frames are dropped while a link has more unsent bytes than this, since its peer does not read.
 constexpr std::size_t max_buffered_bytes = 33'554'432;
@@ -35,10 +40,23 @@
 struct outgoing_link {
     peer_endpoint m_endpoint;
     connection_hdl m_connection;
+    link_keepalive m_keepalive;
     bool m_open{false};
     bool m_connecting{false};
 };
 
+/// A link that a peer opened.
+struct accepted_link {
+    connection_hdl m_connection;
+    /// Check intervals since the last message or ping.
+    int m_silent_intervals{0};
+};
+
+bool same_connection(const connection_hdl& left, const connection_hdl& right)
+{
+    return !left.owner_before(right) && !right.owner_before(left);
+}
+
 } // namespace
 
 class peer_mesh::implementation {
@@ -51,7 +69,7 @@
           m_on_link{std::move(on_link)},
           m_own_context{loop == nullptr ? std::make_unique<asio::io_context>() : nullptr},
           m_context{loop == nullptr ? *m_own_context : *loop},
-          m_reconnect{m_context}
+          m_check_timer{m_context}
     {
         set_up_server();
         set_up_client();
@@ -80,7 +98,7 @@
                                                m_options.m_port};
         m_server.listen(endpoint);
         m_server.start_accept();
-        schedule_reconnect();
+        schedule_check();
         if (m_own_context) {
             m_thread = std::thread{[this] { m_context.run(); }};
         }
@@ -101,6 +119,7 @@
                 return false;
             }
             connection = found->second.m_connection;
+            found->second.m_keepalive.used();
         }
         // websocketpp does not lock its count of buffered bytes, so only the mesh's thread may
         // access a link.
@@ -155,9 +174,16 @@
         m_server.set_reuse_addr(true);
         m_server.set_max_message_size(m_options.m_max_message_bytes);
         m_server.set_validate_handler([this](const connection_hdl& hdl) { return is_peer(hdl); });
+        m_server.set_open_handler([this](const connection_hdl& hdl) { accept(hdl); });
+        m_server.set_close_handler([this](const connection_hdl& hdl) { forget_accepted(hdl); });
         m_server.set_message_handler([this](const connection_hdl& hdl, const auto& message) {
             receive(hdl, message->get_payload());
         });
+        m_server.set_ping_handler(
+            [this](const connection_hdl& hdl, const std::string& /*payload*/) {
+                mark_accepted_alive(opener_of(hdl), hdl);
+                return true;
+            });
     }
 
     void set_up_client()
@@ -179,19 +205,62 @@
         return names_itself && is_for_this_process && equal_secrets(authorization, expected);
     }
 
+    /// Returns the incarnation of the peer that opened a link to this process.
+    std::string opener_of(const connection_hdl& hdl)
+    {
+        return m_server.get_con_from_hdl(hdl)->get_request_header(incarnation_header);
+    }
+
+    void accept(const connection_hdl& hdl)
+    {
+        const auto peer = opener_of(hdl);
+        auto& link = m_accepted[peer];
+        const auto replaced = std::exchange(link, {hdl, 0}).m_connection;
+        // A peer uses only the link that it opened last.
+        reset(m_server, replaced);
+        notify_link(peer, link_change::accepted);
+    }
+
+    void forget_accepted(const connection_hdl& hdl)
+    {
+        const auto found = m_accepted.find(opener_of(hdl));
+        if (found != m_accepted.end() && same_connection(found->second.m_connection, hdl)) {
+            m_accepted.erase(found);
+        }
+    }
+
+    void mark_accepted_alive(const std::string& peer, const connection_hdl& hdl)
+    {
+        const auto found = m_accepted.find(peer);
+        if (found != m_accepted.end() && same_connection(found->second.m_connection, hdl)) {
+            found->second.m_silent_intervals = 0;
+        }
+    }
+
     void receive(const connection_hdl& hdl, const std::string& payload)
     {
         ++m_received_messages;
         m_received_bytes += payload.size();
+        const auto peer = opener_of(hdl);
+        mark_accepted_alive(peer, hdl);
+        mark_used(peer);
         // The payload is CBOR; websocketpp passes its bytes as characters.
         const auto* data = reinterpret_cast<const std::uint8_t*>(payload.data());
-        const auto connection = m_server.get_con_from_hdl(hdl);
-        if (!m_handler(connection->get_request_header(incarnation_header),
-                       {data, payload.size()})) {
+        if (!m_handler(peer, {data, payload.size()})) {
             ++m_rejected_messages;
         }
     }
 
+    /// The peer that sends may also expect messages: the link to it must not be dead unnoticed.
+    void mark_used(const std::string& peer)
+    {
+        const std::lock_guard<std::mutex> lock{m_mutex};
+        const auto found = m_links.find(peer);
+        if (found != m_links.end()) {
+            found->second.m_keepalive.used();
+        }
+    }
+
     void replace_peers(const std::vector<peer_endpoint>& peers)
     {
         std::vector<connection_hdl> closed;
@@ -219,17 +288,73 @@
         connect_missing();
     }
 
-    void schedule_reconnect()
+    void schedule_check()
     {
-        m_reconnect.expires_after(reconnect_interval);
-        m_reconnect.async_wait([this](const asio::error_code& error) {
+        m_check_timer.expires_after(check_interval);
+        m_check_timer.async_wait([this](const asio::error_code& error) {
             if (!error) {
+                check_opened_links();
+                check_accepted_links();
                 connect_missing();
-                schedule_reconnect();
+                schedule_check();
             }
         });
     }
 
+    void check_opened_links()
+    {
+        std::vector<connection_hdl> pinged;
+        std::vector<std::pair<std::string, connection_hdl>> dead;
+        {
+            const std::lock_guard<std::mutex> lock{m_mutex};
+            for (auto& [incarnation, link] : m_links) {
+                const auto step = link.m_open ? link.m_keepalive.check() : keepalive_step::none;
+                if (step == keepalive_step::ping) {
+                    pinged.push_back(link.m_connection);
+                }
+                if (step == keepalive_step::close) {
+                    link.m_open = false;
+                    dead.emplace_back(incarnation, link.m_connection);
+                }
+            }
+        }
+        for (const auto& connection : pinged) {
+            websocketpp::lib::error_code ignored;
+            m_client.ping(connection, "", ignored);
+        }
+        for (const auto& [incarnation, connection] : dead) {
+            reset(m_client, connection);
+            notify_link(incarnation, link_change::timed_out);
+        }
+    }
+
+    void check_accepted_links()
+    {
+        for (auto link = m_accepted.begin(); link != m_accepted.end();) {
+            if (++link->second.m_silent_intervals < accepted_silence_limit) {
+                ++link;
+                continue;
+            }
+            reset(m_server, link->second.m_connection);
+            link = m_accepted.erase(link);
+        }
+    }
+
+    /// Closes a connection at once. What it has not delivered is dropped, so that none of it
+    /// arrives after what the next connection carries.
+    template <typename Endpoint>
+    static void reset(Endpoint& endpoint, const connection_hdl& hdl)
+    {
+        websocketpp::lib::error_code error;
+        const auto connection = endpoint.get_con_from_hdl(hdl, error);
+        if (error) {
+            return;
+        }
+        asio::error_code ignored;
+        connection->get_raw_socket().set_option(asio::socket_base::linger{true, 0}, ignored);
+        connection->terminate(make_error_code(websocketpp::error::general));
+    }
+
     void connect_missing()
     {
         std::vector<peer_endpoint> missing;
@@ -253,7 +378,7 @@
         const auto connection =
             m_client.get_connection(fmt::format("ws://{}:{}/", peer.m_address, peer.m_port), error);
         if (error) {
-            mark_closed(peer.m_incarnation);
+            mark_failed(peer.m_incarnation);
             return;
         }
         connection->append_header("Authorization",
@@ -265,10 +390,14 @@
             disable_nagle(m_client.get_con_from_hdl(hdl));
             mark_open(incarnation, std::move(hdl));
         });
+        connection->set_pong_handler(
+            [this, incarnation](const connection_hdl& hdl, const std::string& /*payload*/) {
+                mark_answered(incarnation, hdl);
+            });
         connection->set_fail_handler(
-            [this, incarnation](const connection_hdl& /*hdl*/) { mark_closed(incarnation); });
+            [this, incarnation](const connection_hdl& /*hdl*/) { mark_failed(incarnation); });
         connection->set_close_handler(
-            [this, incarnation](const connection_hdl& /*hdl*/) { mark_closed(incarnation); });
+            [this, incarnation](const connection_hdl& hdl) { mark_closed(incarnation, hdl); });
         m_client.connect(connection);
     }
 
@@ -281,34 +410,50 @@
                 return;
             }
             found->second.m_connection = std::move(hdl);
+            found->second.m_keepalive = {};
             found->second.m_open = true;
             found->second.m_connecting = false;
         }
-        notify_link(incarnation, true);
+        notify_link(incarnation, link_change::opened);
+    }
+
+    void mark_answered(const std::string& incarnation, const connection_hdl& hdl)
+    {
+        const std::lock_guard<std::mutex> lock{m_mutex};
+        const auto found = m_links.find(incarnation);
+        if (found != m_links.end() && same_connection(found->second.m_connection, hdl)) {
+            found->second.m_keepalive.answered();
+        }
+    }
+
+    void mark_failed(const std::string& incarnation)
+    {
+        const std::lock_guard<std::mutex> lock{m_mutex};
+        const auto found = m_links.find(incarnation);
+        if (found != m_links.end()) {
+            found->second.m_connecting = false;
+        }
     }
 
-    void mark_closed(const std::string& incarnation)
+    void mark_closed(const std::string& incarnation, const connection_hdl& hdl)
     {
-        bool was_open = false;
         {
             const std::lock_guard<std::mutex> lock{m_mutex};
             const auto found = m_links.find(incarnation);
-            if (found == m_links.end()) {
+            // The end of a former connection changes nothing.
+            if (found == m_links.end() || !found->second.m_open ||
+                !same_connection(found->second.m_connection, hdl)) {
                 return;
             }
-            was_open = found->second.m_open;
             found->second.m_open = false;
-            found->second.m_connecting = false;
-        }
-        if (was_open) {
-            notify_link(incarnation, false);
         }
+        notify_link(incarnation, link_change::closed);
     }
 
-    void notify_link(const std::string& incarnation, bool open)
+    void notify_link(const std::string& incarnation, link_change change)
     {
         if (m_on_link) {
-            m_on_link(incarnation, open);
+            m_on_link(incarnation, change);
         }
     }
 
@@ -317,11 +462,13 @@
     link_handler m_on_link;
     std::unique_ptr<asio::io_context> m_own_context;
     asio::io_context& m_context;
-    asio::steady_timer m_reconnect;
+    asio::steady_timer m_check_timer;
     ws_server m_server;
     ws_client m_client;
     std::mutex m_mutex;
     std::map<std::string, outgoing_link> m_links;
+    /// By the incarnation of the peer that opened the link; used on the mesh's loop only.
+    std::map<std::string, accepted_link> m_accepted;
     std::atomic<std::uint64_t> m_sent_messages{0};
     std::atomic<std::uint64_t> m_sent_bytes{0};
     std::atomic<std::uint64_t> m_received_messages{0};
--- a/src/node/call_transport.cpp
+++ b/src/node/call_transport.cpp
@@ -38,11 +38,15 @@
 
 bool call_transport::deliver_to_owner(const call_origin& origin, const job_call& call)
 {
+    if (++m_copies[origin] > 1) {
+        return true;
+    }
     // Inserted first, because the owner may answer during the call.
     const auto token = m_next_token++;
     m_open_calls[token] = origin;
     if (!m_ports.m_take(token, call)) {
         m_open_calls.erase(token);
+        m_copies.erase(origin);
         return false;
     }
     return true;
@@ -56,13 +60,18 @@
     }
     const auto origin = std::move(found->second);
     m_open_calls.erase(found);
-    reply(origin, answer);
+    const auto copies = m_copies[origin];
+    m_copies.erase(origin);
+    for (int copy = 0; copy < copies; ++copy) {
+        reply(origin, answer);
+    }
 }
 
 void call_transport::end_open_calls()
 {
     const auto taken = std::move(m_open_calls);
     m_open_calls.clear();
+    m_copies.clear();
     for (const auto& [token, origin] : taken) {
         reply(origin, {call_status::owner_ended, {}, 0, milliseconds{0}});
     }
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -180,15 +180,29 @@
             [this](const std::string& from, gsl::span<const std::uint8_t> frame) {
                 return receive(from, frame);
             },
-            [this](const std::string& peer, bool open) {
-                m_agent->link_changed(peer, open);
-                if (m_distributor && !open) {
-                    m_distributor->link_lost(peer);
-                }
-                if (open && peer == m_agent->reachable_owner()) {
-                    m_router.owner_changed(now());
-                }
-            });
+            [this](const std::string& peer, link_change change) { handle_link(peer, change); });
+    }
+
+    void handle_link(const std::string& peer, link_change change)
+    {
+        if (change == link_change::timed_out) {
+            log_event(log_level::warning, "link_timed_out", {{"peer", peer}});
+        }
+        if (change == link_change::opened) {
+            m_agent->link_opened(peer);
+        }
+        if (change == link_change::closed || change == link_change::timed_out) {
+            m_agent->link_closed(peer, change == link_change::closed);
+            if (m_distributor) {
+                m_distributor->link_lost(peer);
+            }
+        }
+        // On a link that was replaced, a call may have been lost in one direction and its answer
+        // in the other.
+        const bool replaced = change == link_change::opened || change == link_change::accepted;
+        if (replaced && peer == m_agent->reachable_owner()) {
+            m_router.owner_changed(now());
+        }
     }
 
     static time_point now() { return read_clocks().m_at; }
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -232,13 +232,25 @@
     }
     m_owner_reachable = reachable;
     if (reachable) {
+        m_ports.m_log_event("owner_reachable", m_election.claim().m_owner);
         m_ports.m_owner_reachable();
     }
     else {
+        m_ports.m_log_event("owner_unreachable", unreachable_cause());
         m_ports.m_owner_unreachable();
     }
 }
 
+std::string cluster_agent::unreachable_cause() const
+{
+    const auto& claim = m_election.claim();
+    const auto now = m_ports.m_loop.m_now().m_at;
+    const bool linked = m_open_links.count(claim.m_owner) != 0;
+    return fmt::format("{} epoch {}: {}{}, heartbeat {} ms ago", claim.m_owner, claim.m_epoch,
+                       linked ? "linked" : "no link", m_election.owner_has_gone() ? ", gone" : "",
+                       m_election.heartbeat_age(now).count());
+}
+
 std::string cluster_agent::reachable_owner() const
 {
     if (owns()) {
@@ -408,16 +420,19 @@
     update_reachability();
 }
 
-void cluster_agent::link_changed(const std::string& peer, bool open)
+void cluster_agent::link_opened(const std::string& peer)
 {
-    if (open) {
-        m_open_links.insert(peer);
-        if (owns()) {
-            m_ports.m_send(peer, owner_heartbeat{m_election.claim()});
-        }
+    m_open_links.insert(peer);
+    if (owns()) {
+        m_ports.m_send(peer, owner_heartbeat{m_election.claim()});
     }
-    else {
-        m_open_links.erase(peer);
+    tick();
+}
+
+void cluster_agent::link_closed(const std::string& peer, bool broken)
+{
+    m_open_links.erase(peer);
+    if (broken) {
         m_election.link_broken(peer, m_ports.m_loop.m_now().m_at);
     }
     tick();
--- a/test/node/call_transport_test.cpp
+++ b/test/node/call_transport_test.cpp
@@ -55,6 +55,7 @@
     CPPUNIT_TEST(nothing_is_sent_without_an_owner);
     CPPUNIT_TEST(a_peers_call_is_answered_by_its_own_number);
     CPPUNIT_TEST(a_peers_call_to_a_process_that_is_not_the_owner_is_refused);
+    CPPUNIT_TEST(a_call_that_is_sent_again_while_open_is_passed_on_once);
     CPPUNIT_TEST(all_open_calls_are_answered_once_when_the_owner_ends);
     CPPUNIT_TEST_SUITE_END();
 
@@ -107,6 +108,22 @@
         CPPUNIT_ASSERT(m_fixture.replied(0) == call_status::not_owner);
     }
 
+    // A call that hung on a silent link was given to the owner twice.
+    void a_call_that_is_sent_again_while_open_is_passed_on_once()
+    {
+        m_fixture.m_owns = true;
+        m_fixture.m_transport.take("a", forwarded_job_call{5, a_call});
+        m_fixture.m_transport.take("a", forwarded_job_call{5, a_call});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.m_tokens.size());
+
+        m_fixture.m_transport.answer(m_fixture.m_tokens.at(0), done);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("an answer for each copy", std::size_t{2},
+                                     m_fixture.m_sent.size());
+        m_fixture.m_transport.take("a", forwarded_job_call{5, a_call});
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("the answer may be lost", std::size_t{2},
+                                     m_fixture.m_tokens.size());
+    }
+
     void all_open_calls_are_answered_once_when_the_owner_ends()
     {
         m_fixture.m_owns = true;
