Give up a host's idle connections when a call on a used one times out

When the connections to the log or to a worker go silent, each idle one of the pool cost the time limit of a call: 0.7 s for an order, 1.5 s for an append or a hold, up to four of them for a worker, which is longer than its lease.

Cause: libcurl closes the connection whose call has timed out and takes the next idle one of its pool, which is as silent.

Change: the client follows which connections are idle. When a call on a used connection times out, the idle ones to the same address are shut down; libcurl drops them when it would take them. Calls in progress are left alone. The follower of ownership claims waits 1.2 s instead of 1.5 s for a change, so that its read ends within the time in which a silent connection has to be replaced.

Measured: http_client_test, five idle connections silent: the call after the first timeout timed out, too, before, and is answered now.

--- a/src/links/http_client.cpp
+++ b/src/links/http_client.cpp
@@ -75,8 +75,8 @@
             waiting.swap(m_waiting);
         }
         for (auto& waiting_entry : waiting) {
-            auto started =
-                std::make_unique<transfer>(std::move(waiting_entry.m_call), m_handles.take());
+            auto started = std::make_unique<transfer>(std::move(waiting_entry.m_call),
+                                                      m_handles.take(), &m_idle);
             CURL* handle = started->handle();
             m_running.emplace(
                 handle, running_call{std::move(started), std::move(waiting_entry.m_callback)});
@@ -94,6 +94,7 @@
             // Removing the handle invalidates the message, so its members are copied first.
             CURL* handle = message->easy_handle;
             const CURLcode code = message->data.result;
+            m_idle.ended(handle, code);
             curl_multi_remove_handle(m_multi.get(), handle);
             auto node = m_running.extract(handle);
             auto& call = node.mapped();
@@ -115,6 +116,7 @@
         }
     }
 
+    internal::idle_connections m_idle;
     internal::multi_handle m_multi;
     internal::handle_pool m_handles;
     std::atomic<bool> m_stopping{false};
@@ -155,7 +157,7 @@
 {
     internal::initialize_library();
     internal::handle_pool handles;
-    transfer single{call, handles.take()};
+    transfer single{call, handles.take(), nullptr};
     const CURLcode code = curl_easy_perform(single.handle());
     return single.result(code);
 }
--- a/src/links/http_loop_client.cpp
+++ b/src/links/http_loop_client.cpp
@@ -65,7 +65,7 @@
 
     void send(http_call call, http_callback callback) override
     {
-        auto started = std::make_unique<transfer>(std::move(call), m_handles.take());
+        auto started = std::make_unique<transfer>(std::move(call), m_handles.take(), &m_idle);
         CURL* handle = started->handle();
         m_running.emplace(handle, running_call{std::move(started), std::move(callback)});
         curl_multi_add_handle(m_multi.get(), handle);
@@ -184,6 +184,7 @@
             }
             CURL* handle = message->easy_handle;
             const CURLcode code = message->data.result;
+            m_idle.ended(handle, code);
             curl_multi_remove_handle(m_multi.get(), handle);
             auto node = m_running.extract(handle);
             auto& call = node.mapped();
@@ -195,6 +196,7 @@
 
     asio::io_context& m_loop;
     asio::steady_timer m_timer;
+    idle_connections m_idle;
     multi_handle m_multi;
     handle_pool m_handles;
     std::map<curl_socket_t, std::shared_ptr<watched_socket>> m_sockets;
--- a/src/links/http_transfer.hpp
+++ b/src/links/http_transfer.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// A call in progress in libcurl; shared by both clients.
 
+#include "links/idle_connections.hpp"
 #include "peridotrudder/links/http_client.hpp"
 
 #include <curl/curl.h>
@@ -78,13 +79,18 @@
 /// A call in progress: its easy handle and all data that the handle refers to.
 class transfer {
 public:
-    transfer(http_call call, easy_handle handle)
+    /// `idle` follows the call's connection; null if it is not used again.
+    transfer(http_call call, easy_handle handle, idle_connections* idle)
         : m_call{std::move(call)},
-          m_easy{std::move(handle)}
+          m_easy{std::move(handle)},
+          m_idle{idle}
     {
         set_request();
         set_limits();
         set_receivers();
+        if (m_idle != nullptr) {
+            m_idle->follow(this->handle());
+        }
     }
 
     CURL* handle() const { return m_easy.get(); }
@@ -184,10 +190,13 @@
     }
 
     /// Called each time the request is about to be sent on a connection.
-    static int on_attempt(void* self, char* /*remote_address*/, char* /*local_address*/,
-                          int /*remote_port*/, int /*local_port*/)
+    static int on_attempt(void* self, char* remote_address, char* /*local_address*/,
+                          int remote_port, int local_port)
     {
         auto& sent = *static_cast<transfer*>(self);
+        if (sent.m_idle != nullptr) {
+            sent.m_idle->taken(remote_address, remote_port, local_port);
+        }
         ++sent.m_attempts;
         const bool permitted = sent.m_attempts == 1 || sent.m_call.m_may_be_repeated;
         return permitted ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
@@ -273,6 +282,7 @@
 
     http_call m_call;
     easy_handle m_easy;
+    idle_connections* m_idle;
     header_list m_headers;
     http_response m_response;
     int m_attempts{0};
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -14,7 +14,8 @@
 constexpr std::string_view node_prefix = "node/";
 /// Timeout of appends to the cluster's topic.
 constexpr milliseconds append_timeout{800};
-constexpr milliseconds follow_wait{1'500};
+/// With the time limit of a read, less than the time in which a silent connection must be replaced.
+constexpr milliseconds follow_wait{1'200};
 constexpr milliseconds probe_interval{100};
 /// An owner writes to its journal more often than this.
 constexpr milliseconds journal_silence{1'200};
--- a/test/links/http_client_test.cpp
+++ b/test/links/http_client_test.cpp
@@ -1,5 +1,6 @@
 #include "peridotrudder/links/http_client.hpp"
 #include "peridotrudder/links/http_server.hpp"
+#include "test/links/silencing_proxy.hpp"
 
 #include <asio.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -112,6 +113,8 @@
     CPPUNIT_TEST(answer_with_another_request_id_is_rejected);
     CPPUNIT_TEST(answer_longer_than_the_limit_is_rejected);
     CPPUNIT_TEST(body_longer_than_the_server_limit_is_rejected);
+    CPPUNIT_TEST(one_timeout_on_a_silent_connection_is_enough);
+    CPPUNIT_TEST(calls_in_progress_outlast_the_timeout_of_another_call);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -240,7 +243,85 @@
         CPPUNIT_ASSERT_EQUAL(0, handled.load());
     }
 
+    // Each idle connection that had gone silent cost one more timeout.
+    void one_timeout_on_a_silent_connection_is_enough()
+    {
+        const auto server = serve([](const http_request&, const http_responder& respond) {
+            respond(json_response(200, "{}"));
+        });
+        silencing_proxy proxy{server_port};
+        asio::io_context loop;
+        const auto client = http_client::create_on(loop);
+        auto call = make_call(fmt::format("http://127.0.0.1:{}/", proxy.port()));
+        call.m_timeout = milliseconds{300};
+        CPPUNIT_ASSERT_EQUAL(5, count_answered(loop, *client, call, 5));
+        proxy.silence_open_connections();
+        CPPUNIT_ASSERT_EQUAL(0, count_answered(loop, *client, call, 1));
+        CPPUNIT_ASSERT_EQUAL(1, count_answered(loop, *client, call, 1));
+    }
+
+    void calls_in_progress_outlast_the_timeout_of_another_call()
+    {
+        std::atomic<int> received{0};
+        http_responder kept;
+        const auto server = serve([&](const http_request& request, const http_responder& respond) {
+            if (request.m_path == "/slow") {
+                ++received;
+                kept = respond;
+                return;
+            }
+            if (request.m_path != "/never") {
+                respond(json_response(200, "{}"));
+            }
+        });
+        asio::io_context loop;
+        const auto client = http_client::create_on(loop);
+        const auto url = fmt::format("http://127.0.0.1:{}", server_port);
+        count_answered(loop, *client, make_call(url + "/"), 3);
+        int answered = 0;
+        client->send(make_call(url + "/slow"),
+                     [&answered](const http_result& result) { answered += result ? 1 : 0; });
+        auto never = make_call(url + "/never");
+        never.m_timeout = milliseconds{300};
+        bool timed_out = false;
+        client->send(never, [&timed_out](const http_result& result) { timed_out = !result; });
+        loop.restart();
+        while (!timed_out) {
+            loop.run_one();
+        }
+        kept(json_response(200, "{}"));
+        loop.restart();
+        loop.run();
+        CPPUNIT_ASSERT_EQUAL(1, answered);
+    }
+
 private:
+    static constexpr std::uint16_t server_port = 17'991;
+
+    static std::unique_ptr<http_server> serve(http_handler handler)
+    {
+        http_server_options options;
+        options.m_address = "127.0.0.1";
+        options.m_port = server_port;
+        auto server = http_server::create(options, std::move(handler));
+        CPPUNIT_ASSERT(server.has_value());
+        return std::move(*server);
+    }
+
+    /// Sends copies of a call at once; returns how many are answered.
+    static int count_answered(asio::io_context& loop, http_client& client, const http_call& call,
+                              int copies)
+    {
+        int answered = 0;
+        for (int copy = 0; copy < copies; ++copy) {
+            client.send(call,
+                        [&answered](const http_result& result) { answered += result ? 1 : 0; });
+        }
+        loop.restart();
+        loop.run();
+        return answered;
+    }
+
     static http_call make_call(std::string url)
     {
         http_call call;
