Close links that peers left behind without a use after free

Cause: 30 s after a node had been removed without closing its links, each node closed the one that it had accepted from it. Without TLS websocketpp calls the close handler during terminate(), which erased the entry that the loop was about to erase.

Change: the loop collects the connections and closes them after it; their close handler alone erases them.

Measured: peer_mesh_test ends with SIGSEGV before, with a peer that is gone and a check interval of 2 ms, and passes now.

--- a/include/peridotrudder/links/peer_mesh.hpp
+++ b/include/peridotrudder/links/peer_mesh.hpp
@@ -26,6 +26,8 @@
     /// Secret shared by all entries.
     std::string m_cluster_token;
     std::size_t m_max_message_bytes{16'777'216};
+    /// Interval at which missing links are opened and open ones are checked.
+    milliseconds m_check_interval{200};
 };
 
 /// Where a peer listens.
--- a/src/links/peer_mesh.cpp
+++ b/src/links/peer_mesh.cpp
@@ -25,8 +25,6 @@
 using ws_server = websocketpp::server<websocketpp::config::asio>;
 using ws_client = websocketpp::client<websocketpp::config::asio_client>;
 
-/// Interval at which missing links are opened and open ones are checked.
-constexpr milliseconds check_interval{200};
 /// Check intervals after which a link from a peer is closed that carried nothing, not even the
 /// pings of an idle link.
 constexpr int accepted_silence_limit = 150;
@@ -290,7 +288,7 @@
 
     void schedule_check()
     {
-        m_check_timer.expires_after(check_interval);
+        m_check_timer.expires_after(m_options.m_check_interval);
         m_check_timer.async_wait([this](const asio::error_code& error) {
             if (!error) {
                 check_opened_links();
@@ -330,13 +328,15 @@
 
     void check_accepted_links()
     {
-        for (auto link = m_accepted.begin(); link != m_accepted.end();) {
-            if (++link->second.m_silent_intervals < accepted_silence_limit) {
-                ++link;
-                continue;
+        std::vector<connection_hdl> silent;
+        for (auto& [peer, link] : m_accepted) {
+            if (++link.m_silent_intervals >= accepted_silence_limit) {
+                silent.push_back(link.m_connection);
             }
-            reset(m_server, link->second.m_connection);
-            link = m_accepted.erase(link);
+        }
+        for (const auto& connection : silent) {
+            // Its close handler removes it from the accepted links.
+            reset(m_server, connection);
         }
     }
 
--- a/test/links/peer_mesh_test.cpp
+++ b/test/links/peer_mesh_test.cpp
@@ -16,9 +16,12 @@
 
 /// A process with a mesh, on a thread of its own.
 struct mesh_process {
-    mesh_process(std::string name, std::uint16_t port) : m_name{std::move(name)}, m_port{port}
+    mesh_process(std::string name, std::uint16_t port,
+                 milliseconds check_interval = milliseconds{200})
+        : m_name{std::move(name)}
     {
         peer_mesh_options options;
+        options.m_check_interval = check_interval;
         options.m_address = "127.0.0.1";
         options.m_port = port;
         options.m_self = m_name;
@@ -38,7 +41,6 @@
     }
 
     std::string m_name;
-    std::uint16_t m_port;
     std::atomic<int> m_received{0};
     std::unique_ptr<peer_mesh> m_mesh;
 };
@@ -65,6 +67,8 @@
     CPPUNIT_TEST(a_frame_reaches_its_peer);
     CPPUNIT_TEST(a_silent_link_is_replaced_in_each_direction);
     CPPUNIT_TEST(a_silent_link_on_which_only_the_peer_sends_back_is_replaced);
+    CPPUNIT_TEST(a_link_from_a_peer_that_is_gone_is_closed);
+    CPPUNIT_TEST(links_that_are_reset_while_they_are_opened_and_used_are_replaced);
     CPPUNIT_TEST_SUITE_END();
 
     /// Two processes, the left of which reaches the right one by a proxy.
@@ -115,6 +119,37 @@
         std::this_thread::sleep_for(std::chrono::milliseconds{200});
         CPPUNIT_ASSERT_EQUAL(before + 1, m_pair->m_right.m_received.load());
     }
+
+    // Closing a link from a peer that was gone ended the process (SIGSEGV).
+    void a_link_from_a_peer_that_is_gone_is_closed()
+    {
+        constexpr milliseconds short_interval{2};
+        mesh_process checking{"checking", first_port + 2, short_interval};
+        silencing_proxy to_checking{first_port + 2};
+        {
+            mesh_process gone{"gone", first_port + 3};
+            gone.connect_to(checking, to_checking.port());
+            CPPUNIT_ASSERT(passes_in_time(gone, checking));
+            to_checking.silence_open_connections();
+        }
+        std::this_thread::sleep_for(std::chrono::seconds{1});
+        m_pair->m_left.connect_to(checking, first_port + 2);
+        CPPUNIT_ASSERT(passes_in_time(m_pair->m_left, checking));
+    }
+
+    void links_that_are_reset_while_they_are_opened_and_used_are_replaced()
+    {
+        silencing_proxy to_left{first_port};
+        m_pair->m_right.connect_to(m_pair->m_left, to_left.port());
+        for (int round = 0; round < 60; ++round) {
+            m_pair->m_to_right.reset_open_connections();
+            to_left.reset_open_connections();
+            m_pair->m_left.m_mesh->send("right", {1});
+            std::this_thread::sleep_for(std::chrono::milliseconds{10 * (round % 7)});
+        }
+        CPPUNIT_ASSERT(passes_in_time(m_pair->m_left, m_pair->m_right));
+        CPPUNIT_ASSERT(passes_in_time(m_pair->m_right, m_pair->m_left));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(peer_mesh_test);
--- a/test/links/silencing_proxy.hpp
+++ b/test/links/silencing_proxy.hpp
@@ -37,14 +37,18 @@
 
     void silence_open_connections()
     {
-        std::promise<void> silenced;
-        asio::post(m_context, [this, &silenced] {
-            for (const auto& open : m_channels) {
-                open->m_silent = true;
+        for_each_open([](channel& open) { open.m_silent = true; });
+    }
+
+    void reset_open_connections()
+    {
+        for_each_open([](channel& open) {
+            for (auto* socket : {&open.m_near, &open.m_far}) {
+                asio::error_code ignored;
+                socket->set_option(asio::socket_base::linger{true, 0}, ignored);
+                socket->close(ignored);
             }
-            silenced.set_value();
         });
-        silenced.get_future().wait();
     }
 
 private:
@@ -60,6 +64,19 @@
         bool m_silent{false};
     };
 
+    template <typename Action>
+    void for_each_open(Action action)
+    {
+        std::promise<void> done;
+        asio::post(m_context, [&] {
+            for (const auto& open : m_channels) {
+                action(*open);
+            }
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
     void accept()
     {
         auto opened = std::make_shared<channel>(m_context);
