Count a failed run of a gang once

Cause: the failures of all members were added up, so one run counted as often as members of it listed a failure. Ruled out: ends read again after a takeover (none in the case), and crash evidence (no line in the log).

Change: a failed run is counted at the member that lists it first, with the number of the run, which the job's record keeps; other members, and a successor, find it there. Whether a gang makes its last attempt is judged by its failures too.

--- a/include/peridotrudder/jobs/job.hpp
+++ b/include/peridotrudder/jobs/job.hpp
@@ -75,7 +75,10 @@
     task_phase m_phase{task_phase::waiting};
     /// Number of the newest run; runs are numbered from one.
     std::uint32_t m_run{0};
+    /// Failed runs. A failed run of a gang is counted at one of its members.
     std::uint32_t m_failures{0};
+    /// Number of the gang's run that was counted last at this member; zero for none.
+    std::uint32_t m_counted_gang_run{0};
     /// Weight of the crashes of workers that its runs may have caused, since its last success.
     std::uint32_t m_suspicion{0};
     /// Worker of the run, while the task is placed.
@@ -166,6 +169,8 @@
     std::uint32_t waiting(std::uint32_t occurrence, std::uint32_t step) const;
     /// Returns how many tasks of the step are not done.
     std::uint32_t open_tasks(std::uint32_t occurrence, std::uint32_t step) const;
+    /// Returns how many runs of the task, or of its gang, have failed.
+    std::uint32_t failures(const task_ref& ref) const;
     std::uint32_t placed_tasks() const { return m_placed; }
     /// Returns the tasks that have a run.
     std::vector<task_ref> placed_refs() const;
@@ -220,6 +225,7 @@
 private:
     task& find(const task_ref& ref);
     void finish_task(const task_ref& ref, task& finished, std::int64_t now_ms);
+    void count_failure(const task_ref& ref);
     void fail_task(const task_ref& ref, std::uint32_t attempts, std::int64_t now_ms);
     void finish(job_phase phase, std::int64_t now_ms);
     void recount();
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -1,6 +1,7 @@
 #include "peridotrudder/jobs/job.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 namespace peridotrudder {
 
@@ -16,6 +17,7 @@
     std::optional<std::uint32_t> m_instance;
     std::string m_checkpoint;
     std::uint32_t m_suspicion{0};
+    std::uint32_t m_counted_gang_run{0};
 };
 
 nlohmann::json to_array(const stored_task& stored)
@@ -23,7 +25,8 @@
     auto row = nlohmann::json::array({stored.m_ref.m_occurrence, stored.m_ref.m_step,
                                       stored.m_ref.m_index, static_cast<unsigned>(stored.m_phase),
                                       stored.m_run, stored.m_failures});
-    const bool is_suspected = stored.m_suspicion != 0;
+    const bool has_counted_run = stored.m_counted_gang_run != 0;
+    const bool is_suspected = has_counted_run || stored.m_suspicion != 0;
     const bool has_checkpoint = is_suspected || !stored.m_checkpoint.empty();
     if (stored.m_instance || has_checkpoint) {
         row.push_back(stored.m_instance ? nlohmann::json(*stored.m_instance) : nlohmann::json{});
@@ -34,6 +37,9 @@
     if (is_suspected) {
         row.push_back(stored.m_suspicion);
     }
+    if (has_counted_run) {
+        row.push_back(stored.m_counted_gang_run);
+    }
     return row;
 }
 
@@ -49,6 +55,7 @@
     constexpr std::size_t instance_position = 6;
     constexpr std::size_t checkpoint_index = 7;
     constexpr std::size_t suspicion_index = 8;
+    constexpr std::size_t counted_run_index = 9;
     stored_task stored;
     stored.m_ref = {number_at(row, 0), number_at(row, 1), number_at(row, 2)};
     const auto phase = number_at(row, 3);
@@ -67,6 +74,9 @@
     if (row.size() > suspicion_index) {
         stored.m_suspicion = number_at(row, suspicion_index);
     }
+    if (row.size() > counted_run_index) {
+        stored.m_counted_gang_run = number_at(row, counted_run_index);
+    }
     return stored;
 }
 
@@ -194,6 +204,17 @@
     return m_open.at(occurrence).at(step);
 }
 
+std::uint32_t job::failures(const task_ref& ref) const
+{
+    if (!spec().m_steps[ref.m_step].m_gang) {
+        return at(ref).m_failures;
+    }
+    const auto members = tasks(ref.m_occurrence, ref.m_step);
+    return std::accumulate(
+        members.begin(), members.end(), std::uint32_t{0},
+        [](std::uint32_t sum, const task& member) { return sum + member.m_failures; });
+}
+
 std::vector<task_ref> job::placed_refs() const
 {
     std::vector<task_ref> placed;
@@ -279,7 +300,7 @@
         ended.m_checkpoint = checkpoint;
     }
     if (kind == run_end::failed && !long_running) {
-        ++ended.m_failures;
+        count_failure(ref);
         fail_task(ref, attempts, now_ms);
     }
     return true;
@@ -311,19 +332,28 @@
     }
 }
 
-void job::fail_task(const task_ref& ref, std::uint32_t attempts, std::int64_t now_ms)
+void job::count_failure(const task_ref& ref)
 {
-    auto& failed_task = find(ref);
-    std::uint32_t failures = failed_task.m_failures;
+    auto& failed = find(ref);
     if (spec().m_steps[ref.m_step].m_gang) {
-        // A gang fails as a unit, so the failures of all members are added up.
-        failures = 0;
-        for (const auto& member : m_tasks[ref.m_occurrence][ref.m_step]) {
-            failures += member.m_failures;
+        // Any number of members, on any workers, may list that the same run failed.
+        const auto members = tasks(ref.m_occurrence, ref.m_step);
+        const bool is_counted =
+            std::any_of(members.begin(), members.end(), [&failed](const task& member) {
+                return member.m_counted_gang_run == failed.m_run;
+            });
+        if (is_counted) {
+            return;
         }
+        failed.m_counted_gang_run = failed.m_run;
     }
-    if (failures >= attempts) {
-        failed_task.m_phase = task_phase::failed;
+    ++failed.m_failures;
+}
+
+void job::fail_task(const task_ref& ref, std::uint32_t attempts, std::int64_t now_ms)
+{
+    if (failures(ref) >= attempts) {
+        find(ref).m_phase = task_phase::failed;
         finish(job_phase::failed, now_ms);
     }
 }
@@ -392,9 +422,14 @@
                 if (member.m_run == 0 && member.m_phase == task_phase::waiting) {
                     continue;
                 }
-                stored_task stored{{occurrence, step, index}, member.m_phase, member.m_run,
-                                   member.m_failures,         std::nullopt,   member.m_checkpoint,
-                                   member.m_suspicion};
+                stored_task stored{{occurrence, step, index},
+                                   member.m_phase,
+                                   member.m_run,
+                                   member.m_failures,
+                                   std::nullopt,
+                                   member.m_checkpoint,
+                                   member.m_suspicion,
+                                   member.m_counted_gang_run};
                 if (member.m_phase == task_phase::placed) {
                     stored.m_instance = instances.index_of(member.m_placed_on);
                 }
@@ -457,6 +492,7 @@
             entry.m_failures = stored.m_failures;
             entry.m_checkpoint = stored.m_checkpoint;
             entry.m_suspicion = stored.m_suspicion;
+            entry.m_counted_gang_run = stored.m_counted_gang_run;
             if (stored.m_instance) {
                 entry.m_placed_on = instances->at(*stored.m_instance);
             }
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -65,7 +65,7 @@
         request.m_avoid = failed->second;
     }
     request.m_last_attempt = !request.m_step->m_long_running &&
-                             waiting.m_job->at(ref).m_failures + 1 >= waiting.m_queue->m_attempts;
+                             waiting.m_job->failures(ref) + 1 >= waiting.m_queue->m_attempts;
     request.m_on_trial = is_on_trial(waiting.m_job->at(ref));
     request.m_tickets = waiting.m_queue->m_policy ? &m_state->m_tickets : nullptr;
     return request;
--- a/test/jobs/job_test.cpp
+++ b/test/jobs/job_test.cpp
@@ -30,6 +30,20 @@
     return step;
 }
 
+job make_gang(std::uint32_t members)
+{
+    auto step = make_step(members);
+    step.m_gang = true;
+    return make_job({step});
+}
+
+/// Places all members; returns the number of their run.
+std::uint32_t place_members(job& gang)
+{
+    const std::vector<worker_instance> where(gang.tasks(0, 0).size(), some_worker);
+    return gang.place_gang(0, 0, where);
+}
+
 job restored(const job& source)
 {
     const auto state = source.encode_state();
@@ -38,6 +52,34 @@
     return std::move(*read);
 }
 
+/// Ends a run of all members, in a drawn order and with takeovers; lists may repeat an end. Returns
+/// whether a member failed.
+bool end_members(job& gang, std::uint32_t members, std::uint32_t run)
+{
+    bool failed = false;
+    std::vector<std::uint32_t> listed;
+    for (std::uint32_t index = 0; index < members; ++index) {
+        listed.push_back(index);
+    }
+    while (!listed.empty()) {
+        const auto position = *rc::gen::inRange<std::size_t>(0, listed.size());
+        const task_ref ref{0, 0, listed[position]};
+        const auto end =
+            *rc::gen::element(run_end::failed, run_end::gang_broken, run_end::lease_expired);
+        // The end that is known first stands.
+        failed = failed || (end == run_end::failed && gang.at(ref).m_phase == task_phase::placed);
+        gang.end(ref, run, end, "", attempts, now_ms);
+        if (*rc::gen::arbitrary<bool>()) {
+            gang = restored(gang);
+        }
+        const bool is_repeated = *rc::gen::arbitrary<bool>();
+        if (!is_repeated) {
+            listed.erase(listed.begin() + static_cast<std::ptrdiff_t>(position));
+        }
+    }
+    return failed;
+}
+
 } // namespace
 
 class job_test : public CppUnit::TestFixture {
@@ -50,6 +92,9 @@
     CPPUNIT_TEST(long_running_task_is_never_done);
     CPPUNIT_TEST(one_success_completes_the_whole_gang);
     CPPUNIT_TEST(failures_of_a_gang_count_together);
+    CPPUNIT_TEST(one_failed_run_of_a_gang_is_one_attempt_whoever_lists_it);
+    CPPUNIT_TEST(one_failed_run_of_a_gang_is_one_attempt_across_a_takeover);
+    CPPUNIT_TEST(gang_fails_after_its_attempts_in_any_history);
     CPPUNIT_TEST(checkpoint_of_an_end_is_kept_for_the_next_run);
     CPPUNIT_TEST(cancelled_job_stays_cancelled);
     CPPUNIT_TEST(state_is_restored_from_its_record);
@@ -152,6 +197,49 @@
         CPPUNIT_ASSERT(example.phase() == job_phase::failed);
     }
 
+    // One worker that failed all members of a gang used up all attempts of its job.
+    void one_failed_run_of_a_gang_is_one_attempt_whoever_lists_it()
+    {
+        auto example = make_gang(attempts);
+        for (std::uint32_t run = 1; run <= attempts; ++run) {
+            CPPUNIT_ASSERT(example.phase() == job_phase::active);
+            place_members(example);
+            for (std::uint32_t index = 0; index < attempts; ++index) {
+                example.end({0, 0, index}, run, run_end::failed, "", attempts, now_ms);
+            }
+        }
+        CPPUNIT_ASSERT(example.phase() == job_phase::failed);
+    }
+
+    // The successor did not know that the run which other members list had been counted.
+    void one_failed_run_of_a_gang_is_one_attempt_across_a_takeover()
+    {
+        auto example = make_gang(attempts);
+        place_members(example);
+        for (std::uint32_t index = 0; index < attempts; ++index) {
+            example.end({0, 0, index}, 1, run_end::failed, "", attempts, now_ms);
+            example = restored(example);
+        }
+        CPPUNIT_ASSERT(example.phase() == job_phase::active);
+        CPPUNIT_ASSERT_EQUAL(1U, example.failures({0, 0, 0}));
+    }
+
+    // One failed run of a gang counted as often as members of it listed the failure.
+    void gang_fails_after_its_attempts_in_any_history()
+    {
+        assert_property("a gang fails with the run that uses up its attempts", [] {
+            const auto members = *rc::gen::inRange<std::uint32_t>(1, 6);
+            auto example = make_gang(members);
+            std::uint32_t failed_runs = 0;
+            while (failed_runs < attempts) {
+                RC_ASSERT(example.phase() == job_phase::active);
+                const auto run = place_members(example);
+                failed_runs += end_members(example, members, run) ? 1 : 0;
+            }
+            RC_ASSERT(example.phase() == job_phase::failed);
+        });
+    }
+
     void checkpoint_of_an_end_is_kept_for_the_next_run()
     {
         auto example = make_job({make_step(1)});
