Count a job as waiting until a worker has started a run of it

Cause: a job was marked as begun when a run was decided, and kept the mark when the start was refused or never sent. Ruled out: a node with an old view of the owner (all nodes agreed).

Change: a job has begun once a start was answered as taken, or a run was seen in a worker's list, or its end was. The visible state is 'running' while a task is placed or after it has begun; a job whose only start was refused is 'queued' again.

Measured: job_whose_starts_were_refused_has_not_begun failed before and passes. A first try made 'running' depend on the mark alone; query_returns_the_recorded_state rightly failed, as the mark isn't recorded at once.

--- a/include/peridotrudder/jobs/job.hpp
+++ b/include/peridotrudder/jobs/job.hpp
@@ -153,7 +153,7 @@
     job_phase phase() const { return m_phase; }
     /// Unix milliseconds at which the job ended; zero while it is active.
     std::int64_t ended_ms() const { return m_ended_ms; }
-    /// Returns whether a run of the job was ever ordered.
+    /// Returns whether a worker is known to have started a run of the job.
     bool begun() const { return m_begun; }
 
     std::uint32_t occurrences() const { return static_cast<std::uint32_t>(m_tasks.size()); }
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -243,7 +243,6 @@
     placed.m_phase = task_phase::placed;
     placed.m_placed_on = worker;
     placed.m_start_settled = false;
-    m_begun = true;
     return ++placed.m_run;
 }
 
@@ -266,6 +265,7 @@
 {
     auto& entry = find(ref);
     entry.m_start_settled = entry.m_start_settled || entry.m_run == run;
+    m_begun = m_begun || entry.m_start_settled;
 }
 
 void job::void_run(const task_ref& ref)
@@ -285,6 +285,8 @@
     if (ended.m_phase == task_phase::done || ended.m_phase == task_phase::failed) {
         return false;
     }
+    // A worker lists only the ends of runs that it has started.
+    m_begun = true;
     const bool long_running = spec().m_steps[ref.m_step].m_long_running;
     if (kind == run_end::done && !long_running) {
         finish_task(ref, ended, now_ms);
@@ -497,6 +499,7 @@
                 entry.m_placed_on = instances->at(*stored.m_instance);
             }
             entry.m_start_settled = settled.at(row_number);
+            created.m_begun = created.m_begun || entry.m_start_settled;
             ++row_number;
         }
     }
--- a/src/scheduling/job_call.cpp
+++ b/src/scheduling/job_call.cpp
@@ -14,7 +14,9 @@
     case job_phase::active:
         break;
     }
-    return source.begun() ? job_state::running : job_state::queued;
+    // A start may be known only to this process, whereas placed tasks are in the job's record.
+    const bool runs = source.begun() || source.placed_tasks() > 0;
+    return runs ? job_state::running : job_state::queued;
 }
 
 } // namespace peridotrudder
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -74,7 +74,7 @@
 void task_placer::log_first_placement(const job& target, const std::string& worker,
                                       moment now) const
 {
-    if (!target.begun()) {
+    if (target.placed_ms() == 0) {
         m_state->log_timed("job_begun", target.header().m_id, worker, "",
                            milliseconds{now.m_unix_ms - target.due_ms(0)});
     }
--- a/test/jobs/job_test.cpp
+++ b/test/jobs/job_test.cpp
@@ -94,6 +94,7 @@
     CPPUNIT_TEST(failures_of_a_gang_count_together);
     CPPUNIT_TEST(one_failed_run_of_a_gang_is_one_attempt_whoever_lists_it);
     CPPUNIT_TEST(one_failed_run_of_a_gang_is_one_attempt_across_a_takeover);
+    CPPUNIT_TEST(job_whose_starts_were_refused_has_not_begun);
     CPPUNIT_TEST(gang_fails_after_its_attempts_in_any_history);
     CPPUNIT_TEST(checkpoint_of_an_end_is_kept_for_the_next_run);
     CPPUNIT_TEST(cancelled_job_stays_cancelled);
@@ -224,6 +225,23 @@
         CPPUNIT_ASSERT_EQUAL(1U, example.failures({0, 0, 0}));
     }
 
+    // Jobs whose starts were refused were left out of the number of waiting jobs.
+    void job_whose_starts_were_refused_has_not_begun()
+    {
+        auto example = make_job({make_step(2)});
+        example.place({0, 0, 0}, some_worker);
+        example.void_run({0, 0, 0});
+        CPPUNIT_ASSERT(!example.begun());
+        CPPUNIT_ASSERT(!restored(example).begun());
+
+        const auto run = example.place({0, 0, 0}, some_worker);
+        example.settle_start({0, 0, 0}, run);
+        CPPUNIT_ASSERT(example.begun());
+        CPPUNIT_ASSERT(restored(example).begun());
+        example.void_run({0, 0, 0});
+        CPPUNIT_ASSERT_MESSAGE("it has run", example.begun());
+    }
+
     // One failed run of a gang counted as often as members of it listed the failure.
     void gang_fails_after_its_attempts_in_any_history()
     {
