Soak: an operator, gangs, and a check of every node at the end

An operator adds and drops routes in series and asks every node for them over connections that stay open: no node of one incarnation goes back behind a version that it has shown (2 s of slack, as for slowed nodes), and 2 s after the last change each node shows it. At the end of every run each node must serve a cancel within 3 s, over its old connection and over a new one, or the run fails with LOST. Gangs of five fail their first run; a gang may be shown as failed after four failed runs, and is completed with one member.

Invalid changes aren't drawn: the store accepts only valid ones.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -14,6 +14,9 @@
 # Long enough that a task is still running when an order for an earlier run of it is carried out.
 SLOW_SHARE = 0.3
 SLOW_MS = 6000
+# Each member of a gang fails its first run, so that several list the failure of one run.
+GANG_SHARE = 0.15
+GANG_MEMBERS = 5
 
 
 class Job:
@@ -38,6 +41,10 @@
     def long_running(self):
         return any(step.get("long-running") for step in self.body["steps"])
 
+    @property
+    def gang(self):
+        return any(step.get("gang") for step in self.body["steps"])
+
     @property
     def certainly_refused(self):
         return self.refused_tries > 0 and self.unknown_tries + self.open_tries == 0 \
@@ -88,13 +95,14 @@
     """All callers of a soak run. `jobs` holds their jobs by id, for the checks.
 
     `deadly_rng` draws the jobs whose tasks crash their workers, and `slow_rng` those whose tasks
-    run for SLOW_MS; there are none without it.
+    run for SLOW_MS; there are none without it. `gang_rng` draws the gangs.
     """
 
-    def __init__(self, rng, ports, deadly_rng=None, slow_rng=None):
+    def __init__(self, rng, ports, deadly_rng=None, slow_rng=None, gang_rng=None):
         self._rng = rng
         self._deadly_rng = deadly_rng
         self._slow_rng = slow_rng
+        self._gang_rng = gang_rng
         self._connections = [Connection(port) for port in ports]
         self.jobs = {}
 
@@ -120,6 +128,9 @@
         elif self._slow_rng is not None and self._slow_rng.random() < SLOW_SHARE:
             spec = {"ms": SLOW_MS}
             steps = [{**steps[0], "cpu": 500, "estimate-ms": SLOW_MS}]
+        elif self._gang_rng is not None and self._gang_rng.random() < GANG_SHARE:
+            spec = {"ms": run_ms, "fails": 1}
+            steps = [{**steps[0], "cpu": 500, "count": GANG_MEMBERS, "gang": True}]
         return Job(job_id, prefix, {"spec": json.dumps(spec), "steps": steps})
 
     async def submit(self, long_running=False):
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -54,6 +54,7 @@
         self.command = command
         self.log_path = log_path
         self.paused = False
+        self.starts = 0
         self._allowed = set()
         self._child = None
 
@@ -61,6 +62,7 @@
         with open(self.log_path, "ab") as log:
             self._child = subprocess.Popen(self.command, stdout=log, stderr=log)
         self.paused = False
+        self.starts += 1
         self._allowed = set()
 
     @property
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -18,6 +18,7 @@
 
 from callers import Callers
 from faults import Faults
+from operator_checks import Operator
 from oracle import Oracle
 from system import System
 from worker_faults import WORKER_KINDS, WorkerFaults
@@ -31,7 +32,7 @@
 NODE_COUNTS = (3, 4, 5)
 # With the lowest value the owner is too small for the fleet, and other nodes relay its orders.
 NODE_CORES = ("0.5", "0.02")
-ALL_WORKER_KINDS = (*WORKER_KINDS, "deadly")
+ALL_WORKER_KINDS = (*WORKER_KINDS, "deadly", "gangs", "operator")
 
 
 async def watch(system, oracle, finished):
@@ -77,7 +78,8 @@
     slow_rng = random.Random(rng.random())
     callers = Callers(caller_rng, system.caller_ports,
                       deadly_rng if "deadly" in options.worker_kinds else None,
-                      slow_rng if {"late_restart", "late_copies"} & options.worker_kinds else None)
+                      slow_rng if {"late_restart", "late_copies"} & options.worker_kinds else None,
+                      random.Random(rng.random()) if "gangs" in options.worker_kinds else None)
     return (system, callers, Faults(fault_rng, system),
             WorkerFaults(worker_rng, system, options.worker_kinds))
 
@@ -96,23 +98,29 @@
 async def play(options, folder):
     system, callers, faults, worker_faults = draw_run(options, folder)
     oracle = Oracle(callers.jobs)
+    operator = Operator(random.Random(options.seed), system, oracle)
     finished = asyncio.Event()
     try:
         await system.start()
         watcher = asyncio.ensure_future(watch(system, oracle, finished))
         until = time.time() + WARM_UP_S + options.seconds
         load = asyncio.ensure_future(callers.run_load(until, options.jobs_per_s))
+        changes = asyncio.ensure_future(
+            operator.run(until if "operator" in options.worker_kinds else 0))
         await asyncio.sleep(WARM_UP_S)
         await inject(faults, worker_faults, options.seconds)
         await system.heal()
         await load
+        await changes
         await settle(callers, oracle)
+        await operator.check_at_the_end()
         finished.set()
         await watcher
         if oracle.violations:
             await write_ledger(system, folder)
     finally:
         callers.close()
+        operator.close()
         await system.stop()
     return oracle, faults.done + worker_faults.done
 
--- a/soak/system.py
+++ b/soak/system.py
@@ -20,6 +20,7 @@
         self._folder = folder
         self._base = base_port
         self._version = 0
+        self._more_routes = []
         self._restarting = {}
         self._switches = Connection(base_port)
         vm_count = VMS_PER_POOL * (len(POOLS) + 1)
@@ -78,18 +79,33 @@
         """Writes an entry among those of the workers; empty content deletes it."""
         await self.switch(f"/entry?key={worker_id}", content)
 
-    async def configure(self):
-        """Declares the next configuration version, which changes only a timeout."""
-        self._version += 7
+    def next_version(self):
+        """Returns the version that the next call of `configure` declares."""
+        return self._version + 7
+
+    async def configure(self, more_routes=None):
+        """Declares the next configuration version, with `more_routes` beside those of the pools.
+
+        By default the further routes stay, and only a timeout changes.
+        """
+        self._version = self.next_version()
+        self._more_routes = self._more_routes if more_routes is None else more_routes
         routes = [{"name": name, "host": "soak.example", "path-prefix": f"/{name}/",
                    "kind": "unsafe", "timeout-ms": 3000 + self._version, "attempts": 4,
                    "target-duration-ms": 600, "stretch": 1.6, "priority": 0,
-                   "service": "quick" if name == "stay" else name}
-                  for name in (*POOLS, "stay")]
+                   "service": name if name in POOLS else "quick"}
+                  for name in (*POOLS, "stay", *self._more_routes)]
         services = [{"name": name, "spare": name == "spare"} for name in (*POOLS, "spare")]
         await self.switch("/operator?key=config", {
             "version": self._version, "routes": routes, "services": services, "limits": {}})
 
+    async def is_ready(self, number):
+        """Asks a node whether load balancers may use it."""
+        connection = Connection(self.caller_ports[number] + 1)
+        status, _ = await connection.call("GET", "/-/ready")
+        connection.close()
+        return status == 200
+
     async def ledger(self, first):
         status, events = await self._switches.call("GET", f"/ledger?from={first}")
         return events if status == 200 else []
--- a/soak/worker_faults.py
+++ b/soak/worker_faults.py
@@ -175,7 +175,8 @@
         await self._system.put_entry(key, b"")
 
 
-# Kinds with their weights. "deadly" is a kind of job instead of a fault, see `Callers`.
+# Kinds with their weights. "deadly" and "gangs" are kinds of jobs instead of faults, see `Callers`;
+# "operator" changes routes in series, see `Operator`.
 WORKER_KINDS = {"refuse": 2, "break_starts": 3, "cut_some_nodes": 2, "silence": 1, "restart": 3,
                 "shrink": 2, "odd_entry": 2, "break_appends": 1, "break_peers": 1, "late_restart": 3,
                 "late_copies": 1}
