--- a/src/ownership/journal_writer.cpp
+++ b/src/ownership/journal_writer.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+/// Key of the record that a claim appends. It has no value, so it leaves nothing in the log.
+constexpr std::string_view claim_key = "claim";
 /// An append that takes longer than this counts as failing.
 constexpr milliseconds slow_append{500};
 
@@ -28,7 +30,10 @@
 
 void journal_writer::claim(time_point now)
 {
-    start_append({}, now);
+    // Not an empty append: whether that uses up its sequence number is for the service to say. If
+    // the number of the first batch were corrected, a late attempt under the wrong one would take
+    // the place of the second batch, which then counted as written.
+    start_append({{std::string{claim_key}, std::nullopt, 0}}, now);
 }
 
 void journal_writer::write(std::vector<keyed_record> records, time_point now)
