--- a/soak/operator_checks.py
+++ b/soak/operator_checks.py
@@ -20,8 +20,7 @@
 class Operator:
     """Changes the routes in series and asks every node for them, over connections that stay open.
 
-    Each route has a name of its own, is added once and dropped once. `changes` holds the versions
-    at which that happened: [added, dropped or None].
+    Each route has a name of its own, is added once and dropped once.
     """
 
     def __init__(self, rng, system, oracle):
@@ -29,6 +28,7 @@
         self._system = system
         self._oracle = oracle
         self._connections = [Connection(port) for port in system.caller_ports]
+        # By name: the versions that added and dropped the route; the latter is None until then.
         self._routes = {}
         # By incarnation of a node: versions that it has shown, with the times of the answers.
         self._shown = {}
