Log what the cluster's topic says of the nodes, and of this one

Without a change of logic. The logs couldn't tell whether the topic still has a node's record, who deleted it, and whether a registration or a claim was written. Each is a line now; two gauges tell the registered nodes from the open links.

--- a/include/peridotrudder/ownership/cluster_agent.hpp
+++ b/include/peridotrudder/ownership/cluster_agent.hpp
@@ -4,6 +4,7 @@
 /// A node's view of the cluster: its members, the owner of the fleet, and changes of both.
 
 #include "peridotrudder/base/loop_port.hpp"
+#include "peridotrudder/ownership/member_list.hpp"
 #include "peridotrudder/ownership/node_messages.hpp"
 #include "peridotrudder/ownership/owner_election.hpp"
 #include "peridotrudder/ownership/topic_follower.hpp"
@@ -18,29 +19,6 @@
 
 namespace peridotrudder {
 
-/// A node's registration.
-struct node_record {
-    std::string m_name;
-    std::string m_incarnation;
-    std::string m_address;
-    std::uint16_t m_port{0};
-    /// Unix milliseconds of the process's start.
-    std::int64_t m_started_ms{0};
-    /// Processor capacity of the node, in thousandths of a core.
-    std::uint32_t m_cpu_millis{0};
-
-    template <typename Archive, typename Self>
-    static void describe(Archive& archive, Self& self)
-    {
-        archive.field("name", self.m_name);
-        archive.field("incarnation", self.m_incarnation);
-        archive.field("address", self.m_address);
-        archive.field("port", self.m_port);
-        archive.field("started_ms", self.m_started_ms);
-        archive.field("cpu_millis", self.m_cpu_millis);
-    }
-};
-
 struct agent_options {
     node_record m_self;
     /// Topic of ownership claims and node registrations.
@@ -71,7 +49,7 @@
     /// The owner can be reached: calls may be sent to it.
     std::function<void()> m_owner_reachable;
     std::function<void()> m_owner_unreachable;
-    std::function<void(std::string_view event, std::string detail)> m_log_event;
+    event_log m_log_event;
 };
 
 /// Registers the node, follows claims and registrations in the log, takes part in elections, and
@@ -104,13 +82,16 @@
     std::uint64_t epoch() const { return m_election.claim().m_epoch; }
     /// Returns the other nodes to which this one has an open link.
     std::vector<node_record> linked_nodes() const;
+    /// Returns the number of registered nodes, and that of open links to other nodes.
+    std::size_t registered_nodes() const { return m_members.nodes().size(); }
+    std::size_t open_links() const { return m_open_links.size(); }
 
 private:
     cluster_agent(agent_options options, agent_ports ports);
 
     void take_records(const std::vector<keyed_record>& records, bool snapshot);
     void take_owner_record(const keyed_record& record);
-    void take_node_record(const keyed_record& record);
+    void report_own_record(bool snapshot) const;
     void update_peers();
     void check_owner_node();
     void register_self();
@@ -138,7 +119,7 @@
     agent_ports m_ports;
     owner_election m_election;
     std::unique_ptr<topic_follower> m_follower;
-    std::map<std::string, node_record> m_nodes;
+    member_list m_members;
     std::map<std::string, time_point> m_unreachable_since;
     std::set<std::string> m_open_links;
     std::uint64_t m_topic_end{0};
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -325,6 +325,8 @@
         metrics.set_gauge("owned_epoch",
                           m_agent->owns() ? static_cast<double>(m_agent->epoch()) : 0.0);
         metrics.set_gauge("owner_reachable", m_agent->reachable_owner().empty() ? 0.0 : 1.0);
+        metrics.set_gauge("registered_nodes", static_cast<double>(m_agent->registered_nodes()));
+        metrics.set_gauge("open_links", static_cast<double>(m_agent->open_links()));
         metrics.set_gauge("waiting_calls", static_cast<double>(m_router.waiting()));
         metrics.set_gauge("lost_log_lines", static_cast<double>(lost_log_lines()));
         metrics.set_gauge(
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr std::string_view owner_key = "owner";
-constexpr std::string_view node_prefix = "node/";
 /// Timeout of appends to the cluster's topic.
 constexpr milliseconds append_timeout{800};
 /// With the time limit of a read, less than the time in which a silent connection must be replaced.
@@ -36,6 +35,7 @@
     : m_options{std::move(options)},
       m_ports{std::move(ports)},
       m_election{owner_election::create(m_options.m_election, m_ports.m_loop.m_now().m_at)},
+      m_members{m_ports.m_log_event},
       m_self{std::make_shared<cluster_agent*>(this)}
 {
 }
@@ -67,12 +67,19 @@
     append_request request;
     request.m_topic = m_options.m_topic;
     request.m_timeout = append_timeout;
-    request.m_records.push_back(
-        {std::string{node_prefix} + m_options.m_self.m_name, to_packed_cbor(m_options.m_self), 0});
+    request.m_records.push_back({std::string{node_key_prefix} + m_options.m_self.m_name,
+                                 to_packed_cbor(m_options.m_self), 0});
     const std::weak_ptr<cluster_agent*> self = m_self;
     m_ports.m_log.m_append(request, [self](const append_answer& answer) {
         const auto agent = self.lock();
-        if (!agent || answer.m_result == log_result::ok) {
+        if (!agent) {
+            return;
+        }
+        const bool registered = answer.m_result == log_result::ok;
+        (*agent)->m_ports.m_log_event(registered ? "registered" : "registration_failed",
+                                      registered ? fmt::format("offset {}", answer.m_offset)
+                                                 : std::string{to_string(answer.m_result)});
+        if (registered) {
             return;
         }
         (*agent)->m_ports.m_loop.m_after(register_retry, [self] {
@@ -85,15 +92,9 @@
 
 void cluster_agent::take_records(const std::vector<keyed_record>& records, bool snapshot)
 {
-    if (snapshot) {
-        m_nodes.clear();
-    }
     // Nodes first: whether a claim is still valid depends on its owner's node.
-    for (const auto& record : records) {
-        if (record.m_key.rfind(node_prefix, 0) == 0) {
-            take_node_record(record);
-        }
-    }
+    m_members.take(records, snapshot);
+    report_own_record(snapshot);
     for (const auto& record : records) {
         if (record.m_key == owner_key && record.m_value) {
             take_owner_record(record);
@@ -104,19 +105,16 @@
     tick();
 }
 
-void cluster_agent::take_node_record(const keyed_record& record)
+void cluster_agent::report_own_record(bool snapshot) const
 {
-    const auto name = record.m_key.substr(node_prefix.size());
-    if (!record.m_value) {
-        m_nodes.erase(name);
-        return;
+    const auto& own = m_options.m_self;
+    const auto found = m_members.nodes().find(own.m_name);
+    if (found == m_members.nodes().end()) {
+        m_ports.m_log_event("registration_missing", snapshot ? "in a snapshot" : "in changes");
     }
-    const auto node = from_packed_cbor<node_record>(*record.m_value);
-    if (!node) {
-        m_ports.m_log_event("node_record_unreadable", record.m_key);
-        return;
+    else if (!(found->second == own)) {
+        m_ports.m_log_event("registration_replaced", found->second.m_incarnation);
     }
-    m_nodes[name] = *node;
 }
 
 void cluster_agent::take_owner_record(const keyed_record& record)
@@ -155,7 +153,7 @@
 void cluster_agent::update_peers()
 {
     std::vector<node_record> peers;
-    for (const auto& [name, node] : m_nodes) {
+    for (const auto& [name, node] : m_members.nodes()) {
         if (node.m_incarnation != m_options.m_self.m_incarnation) {
             peers.push_back(node);
         }
@@ -167,9 +165,9 @@
 void cluster_agent::check_owner_node()
 {
     const auto& claim = m_election.claim();
-    const auto node = m_nodes.find(claim.m_node);
+    const auto node = m_members.nodes().find(claim.m_node);
     // The node has registered another process: the owner's process no longer runs.
-    if (node != m_nodes.end() && node->second.m_incarnation != claim.m_owner) {
+    if (node != m_members.nodes().end() && node->second.m_incarnation != claim.m_owner) {
         m_election.owner_gone(claim.m_epoch, m_ports.m_loop.m_now().m_at);
         update_reachability();
     }
@@ -218,7 +216,7 @@
     };
     const auto own_rank = rank_of(m_options.m_self);
     milliseconds wait{0};
-    for (const auto& [name, node] : m_nodes) {
+    for (const auto& [name, node] : m_members.nodes()) {
         const bool linked = m_open_links.count(node.m_incarnation) != 0;
         wait += linked && rank_of(node) < own_rank ? claim_spacing : milliseconds{0};
     }
@@ -265,7 +263,7 @@
 std::vector<node_record> cluster_agent::linked_nodes() const
 {
     std::vector<node_record> linked;
-    for (const auto& [name, node] : m_nodes) {
+    for (const auto& [name, node] : m_members.nodes()) {
         if (m_open_links.count(node.m_incarnation) != 0) {
             linked.push_back(node);
         }
@@ -296,6 +294,9 @@
     const std::weak_ptr<cluster_agent*> self = m_self;
     m_ports.m_log.m_append(request, [self, own_claim](const append_answer& answer) {
         const auto agent = self.lock();
+        if (agent && answer.m_result != log_result::ok) {
+            (*agent)->m_ports.m_log_event("claim_failed", std::string{to_string(answer.m_result)});
+        }
         // Without an answer, the topic's follower learns whether the claim was appended.
         if (agent && answer.m_result == log_result::ok) {
             auto won = own_claim;
@@ -365,7 +366,7 @@
 
 void cluster_agent::remove_unreachable_nodes(time_point now)
 {
-    for (const auto& [name, node] : m_nodes) {
+    for (const auto& [name, node] : m_members.nodes()) {
         const bool self = node.m_incarnation == m_options.m_self.m_incarnation;
         if (self || m_open_links.count(node.m_incarnation) != 0) {
             m_unreachable_since.erase(name);
@@ -381,7 +382,10 @@
         request.m_timeout = append_timeout;
         // Conditional on the end of the topic, since the node may be registering again.
         request.m_expected_end = m_topic_end;
-        request.m_records.push_back({std::string{node_prefix} + name, std::nullopt, 0});
+        request.m_records.push_back({std::string{node_key_prefix} + name, std::nullopt, 0});
+        m_ports.m_log_event("node_removed",
+                            fmt::format("{} after {} ms without a link", node.m_incarnation,
+                                        m_options.m_remove_after.count()));
         m_ports.m_log.m_append(request, [](const append_answer& /*answer*/) {});
         return;
     }
@@ -392,7 +396,7 @@
     if (now.m_at - m_owned_since < m_options.m_yield_after || m_failing_for.count() > 0) {
         return;
     }
-    for (const auto& [name, node] : m_nodes) {
+    for (const auto& [name, node] : m_members.nodes()) {
         const bool up_long_enough = now.m_unix_ms - node.m_started_ms >= settling_time.count();
         const bool linked = m_open_links.count(node.m_incarnation) != 0;
         if (up_long_enough && linked &&
