Write a node's registration again whenever the topic says otherwise

Cause: a node registered once, in start. Its record could be deleted by the owner, or replaced by a registration of its former process that was carried out late; nothing compared the topic with the node. A late record of the owner's node also made its peers take the living owner for gone, close their links to it and claim. Links that work stay, also to a process that isn't registered any more. A registration ends an ownership only if it came after the claim and the owner isn't heard. owner_whose_registration_was_replaced_stays_the_owner: a record of another process says nothing of one that knows that it runs. Not shown: that this is the users' cause; it needs 30 s out of reach, or a late record.

--- a/include/peridotrudder/ownership/cluster_agent.hpp
+++ b/include/peridotrudder/ownership/cluster_agent.hpp
@@ -7,6 +7,7 @@
 #include "peridotrudder/ownership/member_list.hpp"
 #include "peridotrudder/ownership/node_messages.hpp"
 #include "peridotrudder/ownership/owner_election.hpp"
+#include "peridotrudder/ownership/self_registration.hpp"
 #include "peridotrudder/ownership/topic_follower.hpp"
 
 #include <cstdint>
@@ -72,8 +73,12 @@
     /// Ends this node's ownership, so that another node can claim it. With `planned` the release is
     /// also recorded in the log.
     void resign(bool planned);
-    /// Stops the node from claiming the ownership from now on.
-    void stop_claiming() { m_may_claim = false; }
+    /// Stops the node from claiming the ownership and from registering from now on.
+    void stop_claiming()
+    {
+        m_may_claim = false;
+        m_registration.stop();
+    }
 
     bool owns() const { return m_owned_epoch != 0; }
     /// Returns the incarnation of the reachable owner, which may be this node; empty if there is
@@ -91,10 +96,10 @@
 
     void take_records(const std::vector<keyed_record>& records, bool snapshot);
     void take_owner_record(const keyed_record& record);
-    void report_own_record(bool snapshot) const;
+    self_registration make_registration();
+    void keep_links(const std::vector<node_record>& former);
     void update_peers();
     void check_owner_node();
-    void register_self();
     void learn(const ownership_claim& claim);
     void claim();
     void append_claim(bool released);
@@ -120,12 +125,19 @@
     owner_election m_election;
     std::unique_ptr<topic_follower> m_follower;
     member_list m_members;
+    self_registration m_registration;
+    /// Processes that are not registered any more, but to which a link is still open.
+    std::map<std::string, node_record> m_former;
+    /// Processes that links are kept to.
+    std::set<std::string> m_peers;
     std::map<std::string, time_point> m_unreachable_since;
     std::set<std::string> m_open_links;
     std::uint64_t m_topic_end{0};
     bool m_topic_read{false};
     bool m_may_claim{true};
     std::uint64_t m_owned_epoch{0};
+    /// Epoch of the newest heartbeat.
+    std::uint64_t m_heard_epoch{0};
     time_point m_owned_since;
     bool m_owner_reachable{false};
     milliseconds m_failing_for{0};
--- a/include/peridotrudder/ownership/member_list.hpp
+++ b/include/peridotrudder/ownership/member_list.hpp
@@ -51,10 +51,13 @@
 public:
     explicit member_list(event_log log) : m_log{std::move(log)} {}
 
-    /// Applies changes, in order; a snapshot replaces all that was known.
-    void take(const std::vector<keyed_record>& records, bool snapshot);
+    /// Applies changes, in order; a snapshot replaces all that was known. Returns the processes
+    /// that were registered before and are not any more.
+    std::vector<node_record> take(const std::vector<keyed_record>& records, bool snapshot);
     /// Returns the nodes by their names.
     const std::map<std::string, node_record>& nodes() const { return m_nodes; }
+    /// Returns the offset of a node's registration; zero if there is none.
+    std::uint64_t offset_of(const std::string& name) const;
 
 private:
     void take_change(const keyed_record& record);
@@ -63,6 +66,7 @@
 
     event_log m_log;
     std::map<std::string, node_record> m_nodes;
+    std::map<std::string, std::uint64_t> m_offsets;
     bool m_read{false};
 };
 
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -18,7 +18,6 @@
 constexpr milliseconds probe_interval{100};
 /// An owner writes to its journal more often than this.
 constexpr milliseconds journal_silence{1'200};
-constexpr milliseconds register_retry{200};
 /// Delay between the claims of two nodes: about the duration of a claim.
 constexpr milliseconds claim_spacing{12};
 constexpr milliseconds longest_stagger{150};
@@ -36,13 +35,14 @@
       m_ports{std::move(ports)},
       m_election{owner_election::create(m_options.m_election, m_ports.m_loop.m_now().m_at)},
       m_members{m_ports.m_log_event},
+      m_registration{make_registration()},
       m_self{std::make_shared<cluster_agent*>(this)}
 {
 }
 
 void cluster_agent::start()
 {
-    register_self();
+    m_registration.start();
     follower_options options;
     options.m_topic = m_options.m_topic;
     options.m_wait = follow_wait;
@@ -62,58 +62,46 @@
     m_follower->start();
 }
 
-void cluster_agent::register_self()
+self_registration cluster_agent::make_registration()
 {
-    append_request request;
-    request.m_topic = m_options.m_topic;
-    request.m_timeout = append_timeout;
-    request.m_records.push_back({std::string{node_key_prefix} + m_options.m_self.m_name,
-                                 to_packed_cbor(m_options.m_self), 0});
-    const std::weak_ptr<cluster_agent*> self = m_self;
-    m_ports.m_log.m_append(request, [self](const append_answer& answer) {
-        const auto agent = self.lock();
-        if (!agent) {
-            return;
-        }
-        const bool registered = answer.m_result == log_result::ok;
-        (*agent)->m_ports.m_log_event(registered ? "registered" : "registration_failed",
-                                      registered ? fmt::format("offset {}", answer.m_offset)
-                                                 : std::string{to_string(answer.m_result)});
-        if (registered) {
-            return;
-        }
-        (*agent)->m_ports.m_loop.m_after(register_retry, [self] {
-            if (const auto agent_again = self.lock()) {
-                (*agent_again)->register_self();
-            }
-        });
-    });
+    registration_options options;
+    options.m_self = m_options.m_self;
+    options.m_topic = m_options.m_topic;
+    options.m_append_timeout = append_timeout;
+    registration_ports ports;
+    ports.m_loop = m_ports.m_loop;
+    ports.m_log = m_ports.m_log;
+    ports.m_linked = [this](const std::string& incarnation) {
+        return m_open_links.count(incarnation) != 0;
+    };
+    ports.m_log_event = m_ports.m_log_event;
+    return self_registration::create(std::move(options), std::move(ports));
 }
 
 void cluster_agent::take_records(const std::vector<keyed_record>& records, bool snapshot)
 {
     // Nodes first: whether a claim is still valid depends on its owner's node.
-    m_members.take(records, snapshot);
-    report_own_record(snapshot);
+    keep_links(m_members.take(records, snapshot));
+    m_registration.take(records, snapshot, m_topic_end);
     for (const auto& record : records) {
         if (record.m_key == owner_key && record.m_value) {
             take_owner_record(record);
         }
     }
     update_peers();
-    check_owner_node();
     tick();
 }
 
-void cluster_agent::report_own_record(bool snapshot) const
+void cluster_agent::keep_links(const std::vector<node_record>& former)
 {
-    const auto& own = m_options.m_self;
-    const auto found = m_members.nodes().find(own.m_name);
-    if (found == m_members.nodes().end()) {
-        m_ports.m_log_event("registration_missing", snapshot ? "in a snapshot" : "in changes");
+    // A link that is open shows that its process runs, whatever the topic says of it.
+    for (const auto& node : former) {
+        if (m_open_links.count(node.m_incarnation) != 0) {
+            m_former[node.m_incarnation] = node;
+        }
     }
-    else if (!(found->second == own)) {
-        m_ports.m_log_event("registration_replaced", found->second.m_incarnation);
+    for (const auto& [name, node] : m_members.nodes()) {
+        m_former.erase(node.m_incarnation);
     }
 }
 
@@ -159,6 +147,13 @@
         }
     }
     m_election.set_members(peers.size() + 1);
+    for (const auto& [incarnation, node] : m_former) {
+        peers.push_back(node);
+    }
+    m_peers.clear();
+    for (const auto& peer : peers) {
+        m_peers.insert(peer.m_incarnation);
+    }
     m_ports.m_set_peers(peers);
 }
 
@@ -166,16 +161,25 @@
 {
     const auto& claim = m_election.claim();
     const auto node = m_members.nodes().find(claim.m_node);
-    // The node has registered another process: the owner's process no longer runs.
-    if (node != m_members.nodes().end() && node->second.m_incarnation != claim.m_owner) {
-        m_election.owner_gone(claim.m_epoch, m_ports.m_loop.m_now().m_at);
-        update_reachability();
+    const bool replaced =
+        node != m_members.nodes().end() && node->second.m_incarnation != claim.m_owner;
+    // A claim that came after the registration shows that its process still ran.
+    if (!replaced || m_members.offset_of(claim.m_node) < claim.m_epoch) {
+        return;
+    }
+    // The node has registered another process. That may be a former one's registration, carried out
+    // late: an owner that is heard, or is this process, runs.
+    const auto now = m_ports.m_loop.m_now().m_at;
+    const bool heard = m_heard_epoch == claim.m_epoch && m_election.hears_owner(now);
+    if (claim.m_owner != m_options.m_self.m_incarnation && !heard) {
+        m_election.owner_gone(claim.m_epoch, now);
     }
 }
 
 void cluster_agent::tick()
 {
     const auto now = m_ports.m_loop.m_now().m_at;
+    m_registration.tick();
     if (owns()) {
         send_heartbeat(now);
         probe_for_resignation(now);
@@ -183,6 +187,7 @@
         yield_to_larger_node(m_ports.m_loop.m_now());
         return;
     }
+    check_owner_node();
     update_reachability();
     if (!m_topic_read || !m_may_claim) {
         return;
@@ -427,6 +432,10 @@
 
 void cluster_agent::link_opened(const std::string& peer)
 {
+    // A link to a process that was dropped meanwhile is closed without a further notice.
+    if (m_peers.count(peer) == 0) {
+        return;
+    }
     m_open_links.insert(peer);
     if (owns()) {
         m_ports.m_send(peer, owner_heartbeat{m_election.claim()});
@@ -437,6 +446,9 @@
 void cluster_agent::link_closed(const std::string& peer, bool broken)
 {
     m_open_links.erase(peer);
+    if (m_former.erase(peer) != 0) {
+        update_peers();
+    }
     if (broken) {
         m_election.link_broken(peer, m_ports.m_loop.m_now().m_at);
     }
@@ -470,6 +482,7 @@
         return;
     }
     learn(message.m_claim);
+    m_heard_epoch = message.m_claim.m_epoch;
     m_election.heard(message.m_claim.m_epoch, m_ports.m_loop.m_now().m_at);
     update_reachability();
 }
--- a/src/ownership/member_list.cpp
+++ b/src/ownership/member_list.cpp
@@ -39,11 +39,12 @@
     return fields_of(left) == fields_of(right);
 }
 
-void member_list::take(const std::vector<keyed_record>& records, bool snapshot)
+std::vector<node_record> member_list::take(const std::vector<keyed_record>& records, bool snapshot)
 {
     const auto before = m_nodes;
     if (snapshot) {
         m_nodes.clear();
+        m_offsets.clear();
     }
     std::set<std::string> names;
     for (const auto& record : records) {
@@ -56,7 +57,7 @@
     if (snapshot && !m_read) {
         m_read = true;
         m_log("nodes_read", std::to_string(m_nodes.size()));
-        return;
+        return {};
     }
     for (const auto& [name, node] : before) {
         names.insert(name);
@@ -64,6 +65,14 @@
     for (const auto& name : names) {
         report_change(name, find_node(before, name), find_node(m_nodes, name));
     }
+    std::vector<node_record> former;
+    for (const auto& [name, node] : before) {
+        const auto* now_registered = find_node(m_nodes, name);
+        if (now_registered == nullptr || now_registered->m_incarnation != node.m_incarnation) {
+            former.push_back(node);
+        }
+    }
+    return former;
 }
 
 void member_list::take_change(const keyed_record& record)
@@ -71,6 +80,7 @@
     const auto name = record.m_key.substr(node_key_prefix.size());
     if (!record.m_value) {
         m_nodes.erase(name);
+        m_offsets.erase(name);
         return;
     }
     const auto node = from_packed_cbor<node_record>(*record.m_value);
@@ -79,6 +89,13 @@
         return;
     }
     m_nodes[name] = *node;
+    m_offsets[name] = record.m_offset;
+}
+
+std::uint64_t member_list::offset_of(const std::string& name) const
+{
+    const auto found = m_offsets.find(name);
+    return found == m_offsets.end() ? 0 : found->second;
 }
 
 void member_list::report_change(const std::string& name, const node_record* before,
--- /dev/null
+++ b/test/ownership/cluster_agent_test.cpp
@@ -0,0 +1,178 @@
+#include "cluster_fixture.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace peridotrudder {
+
+namespace {
+
+const std::string own_process = "self-new";
+
+/// A fixture whose node follows the owner `other-1` of the node `other`.
+struct follower_fixture : agent_fixture {
+    node_record m_other{make_node("other", "other-1")};
+    ownership_claim m_claim;
+
+    follower_fixture()
+    {
+        m_log.put_node(m_other);
+        m_log.put_claim(m_other);
+        m_claim.m_epoch = m_log.m_records.size();
+        m_claim.m_owner = m_other.m_incarnation;
+        m_claim.m_node = m_other.m_name;
+        m_agent->start();
+        run_for(milliseconds{100});
+        m_agent->link_opened(m_other.m_incarnation);
+        run_with_heartbeats(milliseconds{300}, m_claim);
+        CPPUNIT_ASSERT_EQUAL(m_other.m_incarnation, m_agent->reachable_owner());
+    }
+};
+
+/// A fixture whose node owns the fleet, with linked peers `a-1`, `b-1` and `c-1`, and a registered
+/// process `gone-1` that it has no link to.
+struct owner_fixture : agent_fixture {
+    /// What each peer answers; one that isn't in it doesn't answer.
+    std::map<std::string, bool> m_views;
+
+    owner_fixture()
+    {
+        m_agent->start();
+        for (const auto* name : {"a", "b", "c", "gone"}) {
+            m_log.put_node(make_node(name, std::string{name} + "-1"));
+        }
+        run_for(milliseconds{500});
+        CPPUNIT_ASSERT(m_agent->owns());
+        for (const auto* peer : {"a-1", "b-1", "c-1"}) {
+            m_agent->link_opened(peer);
+        }
+    }
+};
+
+} // namespace
+
+class cluster_agent_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(cluster_agent_test);
+    CPPUNIT_TEST(node_whose_registration_was_deleted_registers_again);
+    CPPUNIT_TEST(node_that_was_deleted_while_the_log_was_away_registers_again);
+    CPPUNIT_TEST(late_registration_of_a_former_process_is_replaced);
+    CPPUNIT_TEST(unreadable_registration_is_replaced);
+    CPPUNIT_TEST(stopping_node_does_not_register_again);
+    CPPUNIT_TEST(owner_whose_registration_was_replaced_stays_the_owner);
+    CPPUNIT_TEST(late_registration_on_the_owners_node_does_not_end_its_ownership_for_others);
+    CPPUNIT_TEST(new_process_of_a_silent_owners_node_ends_its_ownership);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // A node that was out of reach for 30 s answered 503 for good (issue 36).
+    void node_whose_registration_was_deleted_registers_again()
+    {
+        agent_fixture test;
+        test.m_agent->start();
+        test.run_for(milliseconds{200});
+        CPPUNIT_ASSERT_EQUAL(own_process, test.m_log.registered("self"));
+        for (int round = 0; round < 3; ++round) {
+            test.m_log.delete_node("self");
+            test.run_for(milliseconds{1'000});
+            CPPUNIT_ASSERT_EQUAL(own_process, test.m_log.registered("self"));
+        }
+        CPPUNIT_ASSERT(test.events("registration_missing") >= 3);
+    }
+
+    void node_that_was_deleted_while_the_log_was_away_registers_again()
+    {
+        agent_fixture test;
+        test.m_agent->start();
+        test.run_for(milliseconds{200});
+        test.m_log.m_away = true;
+        test.run_for(milliseconds{3'000});
+        test.m_log.delete_node("self");
+        test.run_for(milliseconds{1'000});
+        test.m_log.m_away = false;
+        test.run_for(milliseconds{1'000});
+        CPPUNIT_ASSERT_EQUAL(own_process, test.m_log.registered("self"));
+    }
+
+    // A call without an answer may be carried out seconds later; all peers then connected to a
+    // process that was gone.
+    void late_registration_of_a_former_process_is_replaced()
+    {
+        agent_fixture test;
+        test.m_agent->start();
+        test.run_for(milliseconds{200});
+        test.m_log.put_node(make_node("self", "self-old", 3'000'000));
+        test.run_for(milliseconds{500});
+        CPPUNIT_ASSERT_EQUAL(own_process, test.m_log.registered("self"));
+        CPPUNIT_ASSERT(test.events("registration_replaced") >= 1);
+    }
+
+    void unreadable_registration_is_replaced()
+    {
+        agent_fixture test;
+        test.m_agent->start();
+        test.run_for(milliseconds{200});
+        test.m_log.put({"node/self", std::vector<std::uint8_t>{1, 2, 3}, 0});
+        test.run_for(milliseconds{500});
+        CPPUNIT_ASSERT_EQUAL(own_process, test.m_log.registered("self"));
+    }
+
+    void stopping_node_does_not_register_again()
+    {
+        agent_fixture test;
+        test.m_agent->start();
+        test.run_for(milliseconds{200});
+        test.m_agent->stop_claiming();
+        test.m_log.delete_node("self");
+        test.run_for(milliseconds{5'000});
+        CPPUNIT_ASSERT_EQUAL(std::string{}, test.m_log.registered("self"));
+    }
+
+    // A record of another process says nothing of this one, which knows that it runs.
+    void owner_whose_registration_was_replaced_stays_the_owner()
+    {
+        agent_fixture test;
+        test.m_agent->start();
+        test.run_for(milliseconds{500});
+        CPPUNIT_ASSERT(test.m_agent->owns());
+        const auto epoch = test.m_agent->epoch();
+        test.m_log.put_node(make_node("self", "self-old", 3'000'000));
+        test.run_for(milliseconds{1'000});
+        CPPUNIT_ASSERT(test.m_agent->owns());
+        CPPUNIT_ASSERT_EQUAL(epoch, test.m_agent->epoch());
+        CPPUNIT_ASSERT_EQUAL(0, test.m_lost);
+        CPPUNIT_ASSERT_EQUAL(own_process, test.m_log.registered("self"));
+        test.m_sent.clear();
+        // The election must know it as the owner too, or it would not answer as one.
+        test.m_agent->receive("other-1", owner_query{epoch});
+        CPPUNIT_ASSERT(std::get<owner_view>(test.m_sent.at(0).second).m_hears_owner);
+    }
+
+    // A late record made the peers take the living owner for gone, and claim.
+    void late_registration_on_the_owners_node_does_not_end_its_ownership_for_others()
+    {
+        follower_fixture test;
+        test.m_log.put_node(make_node("other", "other-0", 3'000'000));
+        test.run_with_heartbeats(milliseconds{400}, test.m_claim);
+        CPPUNIT_ASSERT_EQUAL(test.m_other.m_incarnation, test.m_agent->reachable_owner());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, test.events("claiming"));
+        CPPUNIT_ASSERT_MESSAGE("the link in use must stay",
+                               test.m_peers.count(test.m_other.m_incarnation) == 1);
+        test.m_log.put_node(test.m_other);
+        test.run_with_heartbeats(milliseconds{1'000}, test.m_claim);
+        CPPUNIT_ASSERT_EQUAL(test.m_other.m_incarnation, test.m_agent->reachable_owner());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, test.events("claiming"));
+    }
+
+    void new_process_of_a_silent_owners_node_ends_its_ownership()
+    {
+        follower_fixture test;
+        test.m_log.put_node(make_node("other", "other-2", 4'900'000));
+        test.run_for(milliseconds{50});
+        test.m_agent->link_closed(test.m_other.m_incarnation, true);
+        test.run_for(milliseconds{500});
+        CPPUNIT_ASSERT_MESSAGE("a killed owner must be replaced at once", test.m_agent->owns());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(cluster_agent_test);
+
+} // namespace peridotrudder
