Delete a node's registration only if most peers can't reach it either

Cause: remove_unreachable_nodes counted the owner's own links only, by name rather than process, and went on counting from a former ownership or across a pause. So a process that had just registered under an unreachable name, or one that an owner met again after a pause, could be deleted before its 30 s. Change: member_removal (pure) watches processes, forgets at the end of an ownership and after a gap of 2 s, asks the linked peers (member_query, member_view) and removes only if most answered and none has a link. No linked peer: nobody is removed. An older version rejects the new kinds as unreadable (message_of_an_unknown_kind_is_refused) and doesn't answer.

--- a/include/peridotrudder/ownership/cluster_agent.hpp
+++ b/include/peridotrudder/ownership/cluster_agent.hpp
@@ -5,6 +5,7 @@
 
 #include "peridotrudder/base/loop_port.hpp"
 #include "peridotrudder/ownership/member_list.hpp"
+#include "peridotrudder/ownership/member_removal.hpp"
 #include "peridotrudder/ownership/node_messages.hpp"
 #include "peridotrudder/ownership/owner_election.hpp"
 #include "peridotrudder/ownership/self_registration.hpp"
@@ -33,8 +34,8 @@
     /// Minimum time of ownership before a node hands over to one with at least 1.5 times the
     /// processor capacity.
     milliseconds m_yield_after{1'500};
-    /// Time after which the registration of an unreachable node is deleted.
-    milliseconds m_remove_after{30'000};
+    /// When the registration of an unreachable node is deleted.
+    removal_options m_removal;
 };
 
 struct agent_ports {
@@ -108,6 +109,7 @@
     void send_heartbeat(time_point now);
     void probe_for_resignation(time_point now);
     void remove_unreachable_nodes(time_point now);
+    void delete_registration(const std::string& incarnation);
     void update_reachability();
     std::string unreachable_cause() const;
     milliseconds stagger() const;
@@ -119,6 +121,8 @@
     void handle(const std::string& from, const owner_view& message);
     void handle(const std::string& from, const log_probe& message);
     void handle(const std::string& from, const log_reached& message);
+    void handle(const std::string& from, const member_query& message);
+    void handle(const std::string& from, const member_view& message);
 
     agent_options m_options;
     agent_ports m_ports;
@@ -130,7 +134,7 @@
     std::map<std::string, node_record> m_former;
     /// Processes that links are kept to.
     std::set<std::string> m_peers;
-    std::map<std::string, time_point> m_unreachable_since;
+    member_removal m_removal;
     std::set<std::string> m_open_links;
     std::uint64_t m_topic_end{0};
     bool m_topic_read{false};
--- a/include/peridotrudder/ownership/node_messages.hpp
+++ b/include/peridotrudder/ownership/node_messages.hpp
@@ -88,6 +88,34 @@
     }
 };
 
+/// Asks whether the receiver has an open link to a process.
+struct member_query {
+    static constexpr std::string_view kind = "member_query";
+    std::uint64_t m_number{0};
+    /// Incarnation of the process.
+    std::string m_process;
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("number", self.m_number);
+        archive.field("process", self.m_process);
+    }
+};
+
+struct member_view {
+    static constexpr std::string_view kind = "member_view";
+    std::uint64_t m_number{0};
+    bool m_linked{false};
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("number", self.m_number);
+        archive.field("linked", self.m_linked);
+    }
+};
+
 /// A caller's call, forwarded to the owner.
 struct forwarded_job_call {
     static constexpr std::string_view kind = "job_call";
@@ -187,7 +215,8 @@
 
 using node_message =
     std::variant<owner_heartbeat, owner_resigned, owner_query, owner_view, log_probe, log_reached,
-                 forwarded_job_call, forwarded_job_answer, relayed_orders, relayed_answers>;
+                 member_query, member_view, forwarded_job_call, forwarded_job_answer,
+                 relayed_orders, relayed_answers>;
 
 /// Returns the message as CBOR.
 std::vector<std::uint8_t> encode_node_message(const node_message& message);
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -36,6 +36,7 @@
       m_election{owner_election::create(m_options.m_election, m_ports.m_loop.m_now().m_at)},
       m_members{m_ports.m_log_event},
       m_registration{make_registration()},
+      m_removal{m_options.m_removal},
       m_self{std::make_shared<cluster_agent*>(this)}
 {
 }
@@ -187,6 +188,7 @@
         yield_to_larger_node(m_ports.m_loop.m_now());
         return;
     }
+    m_removal.reset();
     check_owner_node();
     update_reachability();
     if (!m_topic_read || !m_may_claim) {
@@ -371,29 +373,46 @@
 
 void cluster_agent::remove_unreachable_nodes(time_point now)
 {
+    std::vector<watched_process> processes;
     for (const auto& [name, node] : m_members.nodes()) {
-        const bool self = node.m_incarnation == m_options.m_self.m_incarnation;
-        if (self || m_open_links.count(node.m_incarnation) != 0) {
-            m_unreachable_since.erase(name);
-            continue;
-        }
-        const auto since = m_unreachable_since.emplace(name, now).first->second;
-        if (now - since < m_options.m_remove_after) {
-            continue;
+        if (node.m_incarnation != m_options.m_self.m_incarnation) {
+            processes.push_back({node.m_incarnation, m_open_links.count(node.m_incarnation) != 0});
         }
-        m_unreachable_since[name] = now;
-        append_request request;
-        request.m_topic = m_options.m_topic;
-        request.m_timeout = append_timeout;
-        // Conditional on the end of the topic, since the node may be registering again.
-        request.m_expected_end = m_topic_end;
-        request.m_records.push_back({std::string{node_key_prefix} + name, std::nullopt, 0});
-        m_ports.m_log_event("node_removed",
-                            fmt::format("{} after {} ms without a link", node.m_incarnation,
-                                        m_options.m_remove_after.count()));
-        m_ports.m_log.m_append(request, [](const append_answer& /*answer*/) {});
+    }
+    const auto step = m_removal.tick(processes, now);
+    if (step.m_action == removal_step::action::ask_peers) {
+        m_ports.m_log_event("node_unreachable", step.m_incarnation);
+        broadcast(member_query{step.m_number, step.m_incarnation});
+    }
+    if (step.m_action == removal_step::action::remove) {
+        delete_registration(step.m_incarnation);
+    }
+}
+
+void cluster_agent::delete_registration(const std::string& incarnation)
+{
+    const auto& nodes = m_members.nodes();
+    const auto found = std::find_if(nodes.begin(), nodes.end(), [&incarnation](const auto& entry) {
+        return entry.second.m_incarnation == incarnation;
+    });
+    if (found == nodes.end()) {
         return;
     }
+    m_ports.m_log_event("node_removed", incarnation);
+    append_request request;
+    request.m_topic = m_options.m_topic;
+    request.m_timeout = append_timeout;
+    // Conditional on the end of the topic, since the node may be registering again.
+    request.m_expected_end = m_topic_end;
+    request.m_records.push_back({std::string{node_key_prefix} + found->first, std::nullopt, 0});
+    const std::weak_ptr<cluster_agent*> self = m_self;
+    m_ports.m_log.m_append(request, [self](const append_answer& answer) {
+        const auto agent = self.lock();
+        if (agent && answer.m_result != log_result::ok) {
+            (*agent)->m_ports.m_log_event("node_removal_failed",
+                                          std::string{to_string(answer.m_result)});
+        }
+    });
 }
 
 void cluster_agent::yield_to_larger_node(moment now)
@@ -532,4 +551,16 @@
     }
 }
 
+void cluster_agent::handle(const std::string& from, const member_query& message)
+{
+    const bool self = message.m_process == m_options.m_self.m_incarnation;
+    const bool linked = self || m_open_links.count(message.m_process) != 0;
+    m_ports.m_send(from, member_view{message.m_number, linked});
+}
+
+void cluster_agent::handle(const std::string& from, const member_view& message)
+{
+    m_removal.peer_view(from, message.m_number, message.m_linked);
+}
+
 } // namespace peridotrudder
--- a/test/ownership/cluster_agent_test.cpp
+++ b/test/ownership/cluster_agent_test.cpp
@@ -45,6 +45,14 @@
         for (const auto* peer : {"a-1", "b-1", "c-1"}) {
             m_agent->link_opened(peer);
         }
+        m_on_send = [this](const std::string& to, const node_message& message) {
+            const auto* query = std::get_if<member_query>(&message);
+            if (query != nullptr && m_views.count(to) != 0) {
+                const member_view view{query->m_number, m_views.at(to)};
+                m_loop.port().m_after(milliseconds{20},
+                                      [this, to, view] { m_agent->receive(to, view); });
+            }
+        };
     }
 };
 
@@ -60,6 +68,10 @@
     CPPUNIT_TEST(owner_whose_registration_was_replaced_stays_the_owner);
     CPPUNIT_TEST(late_registration_on_the_owners_node_does_not_end_its_ownership_for_others);
     CPPUNIT_TEST(new_process_of_a_silent_owners_node_ends_its_ownership);
+    CPPUNIT_TEST(node_that_a_peer_still_reaches_is_not_removed);
+    CPPUNIT_TEST(node_that_nobody_reaches_is_removed);
+    CPPUNIT_TEST(owner_that_is_cut_off_from_all_removes_nobody);
+    CPPUNIT_TEST(peer_tells_whether_it_has_a_link);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -171,6 +183,53 @@
         test.run_for(milliseconds{500});
         CPPUNIT_ASSERT_MESSAGE("a killed owner must be replaced at once", test.m_agent->owns());
     }
+
+    // A node that only the owner couldn't reach was deleted, and nobody could reach it then.
+    void node_that_a_peer_still_reaches_is_not_removed()
+    {
+        owner_fixture test;
+        test.m_views = {{"a-1", false}, {"b-1", true}, {"c-1", false}};
+        test.run_for(milliseconds{90'000});
+        CPPUNIT_ASSERT_EQUAL(std::string{"gone-1"}, test.m_log.registered("gone"));
+    }
+
+    void node_that_nobody_reaches_is_removed()
+    {
+        owner_fixture test;
+        test.m_views = {{"a-1", false}, {"b-1", false}};
+        test.run_for(milliseconds{29'000});
+        CPPUNIT_ASSERT_EQUAL(std::string{"gone-1"}, test.m_log.registered("gone"));
+        test.run_for(milliseconds{4'000});
+        CPPUNIT_ASSERT_EQUAL(std::string{}, test.m_log.registered("gone"));
+        for (const auto* name : {"a", "b", "c"}) {
+            CPPUNIT_ASSERT_EQUAL(std::string{name} + "-1", test.m_log.registered(name));
+        }
+    }
+
+    void owner_that_is_cut_off_from_all_removes_nobody()
+    {
+        owner_fixture test;
+        for (const auto* peer : {"a-1", "b-1", "c-1"}) {
+            test.m_agent->link_closed(peer, false);
+        }
+        test.run_for(milliseconds{90'000});
+        for (const auto* name : {"a", "b", "c", "gone"}) {
+            CPPUNIT_ASSERT_EQUAL(std::string{name} + "-1", test.m_log.registered(name));
+        }
+    }
+
+    void peer_tells_whether_it_has_a_link()
+    {
+        follower_fixture test;
+        test.m_sent.clear();
+        for (const auto* process : {"other-1", "self-new", "gone-1"}) {
+            test.m_agent->receive("other-1", member_query{7, process});
+        }
+        const auto linked = [&test](std::size_t index) {
+            return std::get<member_view>(test.m_sent.at(index).second).m_linked;
+        };
+        CPPUNIT_ASSERT(linked(0) && linked(1) && !linked(2));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(cluster_agent_test);
--- a/test/ownership/node_messages_test.cpp
+++ b/test/ownership/node_messages_test.cpp
@@ -4,6 +4,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+
 namespace peridotrudder {
 
 namespace {
@@ -25,6 +27,7 @@
     CPPUNIT_TEST_SUITE(node_messages_test);
     CPPUNIT_TEST(call_is_decoded_as_encoded);
     CPPUNIT_TEST(claim_is_decoded_as_encoded);
+    CPPUNIT_TEST(message_of_an_unknown_kind_is_refused);
     CPPUNIT_TEST(truncated_frame_is_refused);
     CPPUNIT_TEST(damaged_frame_does_not_crash_the_decoder);
     CPPUNIT_TEST_SUITE_END();
@@ -54,6 +57,17 @@
         CPPUNIT_ASSERT(decoded_claim.m_after_release && !decoded_claim.m_released);
     }
 
+    // A node of an older version gets messages that it does not know.
+    void message_of_an_unknown_kind_is_refused()
+    {
+        auto frame = encode_node_message(member_query{3, "node-1-ab"});
+        const std::string kind{member_query::kind};
+        const auto found = std::search(frame.begin(), frame.end(), kind.begin(), kind.end());
+        CPPUNIT_ASSERT(found != frame.end());
+        *found = 'x';
+        CPPUNIT_ASSERT(!decode_node_message(frame));
+    }
+
     void truncated_frame_is_refused()
     {
         const auto frame = encode_node_message(make_call());
