--- a/include/peridotrudder/ownership/cluster_agent.hpp
+++ b/include/peridotrudder/ownership/cluster_agent.hpp
@@ -4,8 +4,11 @@
 /// A node's view of the cluster: its members, the owner of the fleet, and changes of both.
 
 #include "peridotrudder/base/loop_port.hpp"
+#include "peridotrudder/ownership/member_list.hpp"
+#include "peridotrudder/ownership/member_removal.hpp"
 #include "peridotrudder/ownership/node_messages.hpp"
 #include "peridotrudder/ownership/owner_election.hpp"
+#include "peridotrudder/ownership/self_registration.hpp"
 #include "peridotrudder/ownership/topic_follower.hpp"
 
 #include <cstdint>
@@ -18,29 +21,6 @@
 
 namespace peridotrudder {
 
-/// A node's registration.
-struct node_record {
-    std::string m_name;
-    std::string m_incarnation;
-    std::string m_address;
-    std::uint16_t m_port{0};
-    /// Unix milliseconds of the process's start.
-    std::int64_t m_started_ms{0};
-    /// Processor capacity of the node, in thousandths of a core.
-    std::uint32_t m_cpu_millis{0};
-
-    template <typename Archive, typename Self>
-    static void describe(Archive& archive, Self& self)
-    {
-        archive.field("name", self.m_name);
-        archive.field("incarnation", self.m_incarnation);
-        archive.field("address", self.m_address);
-        archive.field("port", self.m_port);
-        archive.field("started_ms", self.m_started_ms);
-        archive.field("cpu_millis", self.m_cpu_millis);
-    }
-};
-
 struct agent_options {
     node_record m_self;
     /// Topic of ownership claims and node registrations.
@@ -54,8 +34,8 @@
     /// Minimum time of ownership before a node hands over to one with at least 1.5 times the
     /// processor capacity.
     milliseconds m_yield_after{1'500};
-    /// Time after which the registration of an unreachable node is deleted.
-    milliseconds m_remove_after{30'000};
+    /// When the registration of an unreachable node is deleted.
+    removal_options m_removal;
 };
 
 struct agent_ports {
@@ -71,7 +51,7 @@
     /// The owner can be reached: calls may be sent to it.
     std::function<void()> m_owner_reachable;
     std::function<void()> m_owner_unreachable;
-    std::function<void(std::string_view event, std::string detail)> m_log_event;
+    event_log m_log_event;
 };
 
 /// Registers the node, follows claims and registrations in the log, takes part in elections, and
@@ -94,8 +74,12 @@
     /// Ends this node's ownership, so that another node can claim it. With `planned` the release is
     /// also recorded in the log.
     void resign(bool planned);
-    /// Stops the node from claiming the ownership from now on.
-    void stop_claiming() { m_may_claim = false; }
+    /// Stops the node from claiming the ownership and from registering from now on.
+    void stop_claiming()
+    {
+        m_may_claim = false;
+        m_registration.stop();
+    }
 
     bool owns() const { return m_owned_epoch != 0; }
     /// Returns the incarnation of the reachable owner, which may be this node; empty if there is
@@ -104,16 +88,19 @@
     std::uint64_t epoch() const { return m_election.claim().m_epoch; }
     /// Returns the other nodes to which this one has an open link.
     std::vector<node_record> linked_nodes() const;
+    /// Returns the number of registered nodes, and that of open links to other nodes.
+    std::size_t registered_nodes() const { return m_members.nodes().size(); }
+    std::size_t open_links() const { return m_open_links.size(); }
 
 private:
     cluster_agent(agent_options options, agent_ports ports);
 
     void take_records(const std::vector<keyed_record>& records, bool snapshot);
     void take_owner_record(const keyed_record& record);
-    void take_node_record(const keyed_record& record);
+    self_registration make_registration();
+    void keep_links(const std::vector<node_record>& former);
     void update_peers();
     void check_owner_node();
-    void register_self();
     void learn(const ownership_claim& claim);
     void claim();
     void append_claim(bool released);
@@ -122,6 +109,7 @@
     void send_heartbeat(time_point now);
     void probe_for_resignation(time_point now);
     void remove_unreachable_nodes(time_point now);
+    void delete_registration(const std::string& incarnation);
     void update_reachability();
     std::string unreachable_cause() const;
     milliseconds stagger() const;
@@ -133,18 +121,27 @@
     void handle(const std::string& from, const owner_view& message);
     void handle(const std::string& from, const log_probe& message);
     void handle(const std::string& from, const log_reached& message);
+    void handle(const std::string& from, const member_query& message);
+    void handle(const std::string& from, const member_view& message);
 
     agent_options m_options;
     agent_ports m_ports;
     owner_election m_election;
     std::unique_ptr<topic_follower> m_follower;
-    std::map<std::string, node_record> m_nodes;
-    std::map<std::string, time_point> m_unreachable_since;
+    member_list m_members;
+    self_registration m_registration;
+    /// Processes that are not registered any more, but to which a link is still open.
+    std::map<std::string, node_record> m_former;
+    /// Processes that links are kept to.
+    std::set<std::string> m_peers;
+    member_removal m_removal;
     std::set<std::string> m_open_links;
     std::uint64_t m_topic_end{0};
     bool m_topic_read{false};
     bool m_may_claim{true};
     std::uint64_t m_owned_epoch{0};
+    /// Epoch of the newest heartbeat.
+    std::uint64_t m_heard_epoch{0};
     time_point m_owned_since;
     bool m_owner_reachable{false};
     milliseconds m_failing_for{0};
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr std::string_view owner_key = "owner";
-constexpr std::string_view node_prefix = "node/";
 /// Timeout of appends to the cluster's topic.
 constexpr milliseconds append_timeout{800};
 /// With the time limit of a read, less than the time in which a silent connection must be replaced.
@@ -19,7 +18,6 @@
 constexpr milliseconds probe_interval{100};
 /// An owner writes to its journal more often than this.
 constexpr milliseconds journal_silence{1'200};
-constexpr milliseconds register_retry{200};
 /// Delay between the claims of two nodes: about the duration of a claim.
 constexpr milliseconds claim_spacing{12};
 constexpr milliseconds longest_stagger{150};
@@ -36,13 +34,16 @@
     : m_options{std::move(options)},
       m_ports{std::move(ports)},
       m_election{owner_election::create(m_options.m_election, m_ports.m_loop.m_now().m_at)},
+      m_members{m_ports.m_log_event},
+      m_registration{make_registration()},
+      m_removal{m_options.m_removal},
       m_self{std::make_shared<cluster_agent*>(this)}
 {
 }
 
 void cluster_agent::start()
 {
-    register_self();
+    m_registration.start();
     follower_options options;
     options.m_topic = m_options.m_topic;
     options.m_wait = follow_wait;
@@ -62,61 +63,47 @@
     m_follower->start();
 }
 
-void cluster_agent::register_self()
+self_registration cluster_agent::make_registration()
 {
-    append_request request;
-    request.m_topic = m_options.m_topic;
-    request.m_timeout = append_timeout;
-    request.m_records.push_back(
-        {std::string{node_prefix} + m_options.m_self.m_name, to_packed_cbor(m_options.m_self), 0});
-    const std::weak_ptr<cluster_agent*> self = m_self;
-    m_ports.m_log.m_append(request, [self](const append_answer& answer) {
-        const auto agent = self.lock();
-        if (!agent || answer.m_result == log_result::ok) {
-            return;
-        }
-        (*agent)->m_ports.m_loop.m_after(register_retry, [self] {
-            if (const auto agent_again = self.lock()) {
-                (*agent_again)->register_self();
-            }
-        });
-    });
+    registration_options options;
+    options.m_self = m_options.m_self;
+    options.m_topic = m_options.m_topic;
+    options.m_append_timeout = append_timeout;
+    registration_ports ports;
+    ports.m_loop = m_ports.m_loop;
+    ports.m_log = m_ports.m_log;
+    ports.m_linked = [this](const std::string& incarnation) {
+        return m_open_links.count(incarnation) != 0;
+    };
+    ports.m_log_event = m_ports.m_log_event;
+    return self_registration::create(std::move(options), std::move(ports));
 }
 
 void cluster_agent::take_records(const std::vector<keyed_record>& records, bool snapshot)
 {
-    if (snapshot) {
-        m_nodes.clear();
-    }
     // Nodes first: whether a claim is still valid depends on its owner's node.
-    for (const auto& record : records) {
-        if (record.m_key.rfind(node_prefix, 0) == 0) {
-            take_node_record(record);
-        }
-    }
+    keep_links(m_members.take(records, snapshot));
+    m_registration.take(records, snapshot, m_topic_end);
     for (const auto& record : records) {
         if (record.m_key == owner_key && record.m_value) {
             take_owner_record(record);
         }
     }
     update_peers();
-    check_owner_node();
     tick();
 }
 
-void cluster_agent::take_node_record(const keyed_record& record)
+void cluster_agent::keep_links(const std::vector<node_record>& former)
 {
-    const auto name = record.m_key.substr(node_prefix.size());
-    if (!record.m_value) {
-        m_nodes.erase(name);
-        return;
+    // A link that is open shows that its process runs, whatever the topic says of it.
+    for (const auto& node : former) {
+        if (m_open_links.count(node.m_incarnation) != 0) {
+            m_former[node.m_incarnation] = node;
+        }
     }
-    const auto node = from_packed_cbor<node_record>(*record.m_value);
-    if (!node) {
-        m_ports.m_log_event("node_record_unreadable", record.m_key);
-        return;
+    for (const auto& [name, node] : m_members.nodes()) {
+        m_former.erase(node.m_incarnation);
     }
-    m_nodes[name] = *node;
 }
 
 void cluster_agent::take_owner_record(const keyed_record& record)
@@ -155,29 +142,45 @@
 void cluster_agent::update_peers()
 {
     std::vector<node_record> peers;
-    for (const auto& [name, node] : m_nodes) {
+    for (const auto& [name, node] : m_members.nodes()) {
         if (node.m_incarnation != m_options.m_self.m_incarnation) {
             peers.push_back(node);
         }
     }
     m_election.set_members(peers.size() + 1);
+    for (const auto& [incarnation, node] : m_former) {
+        peers.push_back(node);
+    }
+    m_peers.clear();
+    for (const auto& peer : peers) {
+        m_peers.insert(peer.m_incarnation);
+    }
     m_ports.m_set_peers(peers);
 }
 
 void cluster_agent::check_owner_node()
 {
     const auto& claim = m_election.claim();
-    const auto node = m_nodes.find(claim.m_node);
-    // The node has registered another process: the owner's process no longer runs.
-    if (node != m_nodes.end() && node->second.m_incarnation != claim.m_owner) {
-        m_election.owner_gone(claim.m_epoch, m_ports.m_loop.m_now().m_at);
-        update_reachability();
+    const auto node = m_members.nodes().find(claim.m_node);
+    const bool replaced =
+        node != m_members.nodes().end() && node->second.m_incarnation != claim.m_owner;
+    // A claim that came after the registration shows that its process still ran.
+    if (!replaced || m_members.offset_of(claim.m_node) < claim.m_epoch) {
+        return;
+    }
+    // The node has registered another process. That may be a former one's registration, carried out
+    // late: an owner that is heard, or is this process, runs.
+    const auto now = m_ports.m_loop.m_now().m_at;
+    const bool heard = m_heard_epoch == claim.m_epoch && m_election.hears_owner(now);
+    if (claim.m_owner != m_options.m_self.m_incarnation && !heard) {
+        m_election.owner_gone(claim.m_epoch, now);
     }
 }
 
 void cluster_agent::tick()
 {
     const auto now = m_ports.m_loop.m_now().m_at;
+    m_registration.tick();
     if (owns()) {
         send_heartbeat(now);
         probe_for_resignation(now);
@@ -185,6 +188,8 @@
         yield_to_larger_node(m_ports.m_loop.m_now());
         return;
     }
+    m_removal.reset();
+    check_owner_node();
     update_reachability();
     if (!m_topic_read || !m_may_claim) {
         return;
@@ -218,7 +223,7 @@
     };
     const auto own_rank = rank_of(m_options.m_self);
     milliseconds wait{0};
-    for (const auto& [name, node] : m_nodes) {
+    for (const auto& [name, node] : m_members.nodes()) {
         const bool linked = m_open_links.count(node.m_incarnation) != 0;
         wait += linked && rank_of(node) < own_rank ? claim_spacing : milliseconds{0};
     }
@@ -265,7 +270,7 @@
 std::vector<node_record> cluster_agent::linked_nodes() const
 {
     std::vector<node_record> linked;
-    for (const auto& [name, node] : m_nodes) {
+    for (const auto& [name, node] : m_members.nodes()) {
         if (m_open_links.count(node.m_incarnation) != 0) {
             linked.push_back(node);
         }
@@ -296,6 +301,9 @@
     const std::weak_ptr<cluster_agent*> self = m_self;
     m_ports.m_log.m_append(request, [self, own_claim](const append_answer& answer) {
         const auto agent = self.lock();
+        if (agent && answer.m_result != log_result::ok) {
+            (*agent)->m_ports.m_log_event("claim_failed", std::string{to_string(answer.m_result)});
+        }
         // Without an answer, the topic's follower learns whether the claim was appended.
         if (agent && answer.m_result == log_result::ok) {
             auto won = own_claim;
@@ -365,26 +373,46 @@
 
 void cluster_agent::remove_unreachable_nodes(time_point now)
 {
-    for (const auto& [name, node] : m_nodes) {
-        const bool self = node.m_incarnation == m_options.m_self.m_incarnation;
-        if (self || m_open_links.count(node.m_incarnation) != 0) {
-            m_unreachable_since.erase(name);
-            continue;
-        }
-        const auto since = m_unreachable_since.emplace(name, now).first->second;
-        if (now - since < m_options.m_remove_after) {
-            continue;
+    std::vector<watched_process> processes;
+    for (const auto& [name, node] : m_members.nodes()) {
+        if (node.m_incarnation != m_options.m_self.m_incarnation) {
+            processes.push_back({node.m_incarnation, m_open_links.count(node.m_incarnation) != 0});
         }
-        m_unreachable_since[name] = now;
-        append_request request;
-        request.m_topic = m_options.m_topic;
-        request.m_timeout = append_timeout;
-        // Conditional on the end of the topic, since the node may be registering again.
-        request.m_expected_end = m_topic_end;
-        request.m_records.push_back({std::string{node_prefix} + name, std::nullopt, 0});
-        m_ports.m_log.m_append(request, [](const append_answer& /*answer*/) {});
+    }
+    const auto step = m_removal.tick(processes, now);
+    if (step.m_action == removal_step::action::ask_peers) {
+        m_ports.m_log_event("node_unreachable", step.m_incarnation);
+        broadcast(member_query{step.m_number, step.m_incarnation});
+    }
+    if (step.m_action == removal_step::action::remove) {
+        delete_registration(step.m_incarnation);
+    }
+}
+
+void cluster_agent::delete_registration(const std::string& incarnation)
+{
+    const auto& nodes = m_members.nodes();
+    const auto found = std::find_if(nodes.begin(), nodes.end(), [&incarnation](const auto& entry) {
+        return entry.second.m_incarnation == incarnation;
+    });
+    if (found == nodes.end()) {
         return;
     }
+    m_ports.m_log_event("node_removed", incarnation);
+    append_request request;
+    request.m_topic = m_options.m_topic;
+    request.m_timeout = append_timeout;
+    // Conditional on the end of the topic, since the node may be registering again.
+    request.m_expected_end = m_topic_end;
+    request.m_records.push_back({std::string{node_key_prefix} + found->first, std::nullopt, 0});
+    const std::weak_ptr<cluster_agent*> self = m_self;
+    m_ports.m_log.m_append(request, [self](const append_answer& answer) {
+        const auto agent = self.lock();
+        if (agent && answer.m_result != log_result::ok) {
+            (*agent)->m_ports.m_log_event("node_removal_failed",
+                                          std::string{to_string(answer.m_result)});
+        }
+    });
 }
 
 void cluster_agent::yield_to_larger_node(moment now)
@@ -392,7 +420,7 @@
     if (now.m_at - m_owned_since < m_options.m_yield_after || m_failing_for.count() > 0) {
         return;
     }
-    for (const auto& [name, node] : m_nodes) {
+    for (const auto& [name, node] : m_members.nodes()) {
         const bool up_long_enough = now.m_unix_ms - node.m_started_ms >= settling_time.count();
         const bool linked = m_open_links.count(node.m_incarnation) != 0;
         if (up_long_enough && linked &&
@@ -423,6 +451,10 @@
 
 void cluster_agent::link_opened(const std::string& peer)
 {
+    // A link to a process that was dropped meanwhile is closed without a further notice.
+    if (m_peers.count(peer) == 0) {
+        return;
+    }
     m_open_links.insert(peer);
     if (owns()) {
         m_ports.m_send(peer, owner_heartbeat{m_election.claim()});
@@ -433,6 +465,9 @@
 void cluster_agent::link_closed(const std::string& peer, bool broken)
 {
     m_open_links.erase(peer);
+    if (m_former.erase(peer) != 0) {
+        update_peers();
+    }
     if (broken) {
         m_election.link_broken(peer, m_ports.m_loop.m_now().m_at);
     }
@@ -466,6 +501,7 @@
         return;
     }
     learn(message.m_claim);
+    m_heard_epoch = message.m_claim.m_epoch;
     m_election.heard(message.m_claim.m_epoch, m_ports.m_loop.m_now().m_at);
     update_reachability();
 }
@@ -515,4 +551,16 @@
     }
 }
 
+void cluster_agent::handle(const std::string& from, const member_query& message)
+{
+    const bool self = message.m_process == m_options.m_self.m_incarnation;
+    const bool linked = self || m_open_links.count(message.m_process) != 0;
+    m_ports.m_send(from, member_view{message.m_number, linked});
+}
+
+void cluster_agent::handle(const std::string& from, const member_view& message)
+{
+    m_removal.peer_view(from, message.m_number, message.m_linked);
+}
+
 } // namespace peridotrudder
