Say which direction to the owner is missing

Callers saw 503 with an empty owner for 64 to 71 s at one node, in the owner's own zone, while the owner worked. The log could not tell whether the node's link to the owner or the owner's link to the node was missing.

call_not_served and owner_unreachable now tell whether the own link is open, how old the last heartbeat is, and how many peers are linked; gauges owner_linked, owner_heartbeat_age_ms and linked_peers. No change of logic.

--- a/include/peridotrudder/node/decision_log.hpp
+++ b/include/peridotrudder/node/decision_log.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// Log of a node's decisions and answers, with its metrics.
 
+#include "peridotrudder/ownership/owner_contact.hpp"
 #include "peridotrudder/scheduling/job_call.hpp"
 #include "peridotrudder/scheduling/scheduler_state.hpp"
 #include "peridotrudder/telemetry/log_budget.hpp"
@@ -30,6 +31,7 @@
         std::uint64_t m_epoch{0};
         /// Owner that the entry can reach; empty if none.
         std::string m_owner;
+        owner_contact m_contact;
     };
     /// Counts an answer to a caller; logs it if the call was not served.
     void answered(const answered_call& call, const call_answer& answer, time_point now);
--- a/include/peridotrudder/ownership/cluster_agent.hpp
+++ b/include/peridotrudder/ownership/cluster_agent.hpp
@@ -5,6 +5,7 @@
 
 #include "peridotrudder/base/loop_port.hpp"
 #include "peridotrudder/ownership/node_messages.hpp"
+#include "peridotrudder/ownership/owner_contact.hpp"
 #include "peridotrudder/ownership/owner_election.hpp"
 #include "peridotrudder/ownership/topic_follower.hpp"
 
@@ -101,6 +102,7 @@
     /// Returns the incarnation of the reachable owner, which may be this node; empty if there is
     /// none.
     std::string reachable_owner() const;
+    owner_contact contact() const;
     std::uint64_t epoch() const { return m_election.claim().m_epoch; }
     /// Returns the other nodes to which this one has an open link.
     std::vector<node_record> linked_nodes() const;
--- a/src/node/decision_log.cpp
+++ b/src/node/decision_log.cpp
@@ -63,7 +63,8 @@
                {"status", std::string{to_string(answer.m_status)}},
                {"after_ms", std::to_string(latency.count())},
                {"epoch", std::to_string(call.m_epoch)},
-               {"owner", call.m_owner}});
+               {"owner", call.m_owner},
+               {"contact", describe_contact(call.m_contact)}});
 }
 
 } // namespace peridotrudder
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -325,6 +325,11 @@
         metrics.set_gauge("owned_epoch",
                           m_agent->owns() ? static_cast<double>(m_agent->epoch()) : 0.0);
         metrics.set_gauge("owner_reachable", m_agent->reachable_owner().empty() ? 0.0 : 1.0);
+        const auto contact = m_agent->contact();
+        metrics.set_gauge("owner_linked", contact.m_linked ? 1.0 : 0.0);
+        metrics.set_gauge("owner_heartbeat_age_ms",
+                          static_cast<double>(contact.m_heartbeat_age.count()));
+        metrics.set_gauge("linked_peers", static_cast<double>(contact.m_linked_peers));
         metrics.set_gauge("waiting_calls", static_cast<double>(m_router.waiting()));
         metrics.set_gauge("lost_log_lines", static_cast<double>(lost_log_lines()));
         metrics.set_gauge(
@@ -385,12 +390,13 @@
             respond(std::move(call.error()));
             return;
         }
-        decision_log::answered_call answered{call->m_kind, call->m_path, now(), 0, ""};
+        decision_log::answered_call answered{call->m_kind, call->m_path, now(), 0, "", {}};
         m_router.take(
             std::move(*call), m_platform.m_time_left(request),
             [this, answered, respond = std::move(respond)](const call_answer& answer) mutable {
                 answered.m_epoch = m_agent->epoch();
                 answered.m_owner = m_agent->reachable_owner();
+                answered.m_contact = m_agent->contact();
                 m_decisions.answered(answered, answer, now());
                 auto response = m_platform.m_write_answer(answer);
                 response.m_close_connection = m_stopping_since.has_value();
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -245,11 +245,17 @@
 std::string cluster_agent::unreachable_cause() const
 {
     const auto& claim = m_election.claim();
-    const auto now = m_ports.m_loop.m_now().m_at;
-    const bool linked = m_open_links.count(claim.m_owner) != 0;
-    return fmt::format("{} epoch {}: {}{}, heartbeat {} ms ago", claim.m_owner, claim.m_epoch,
-                       linked ? "linked" : "no link", m_election.owner_has_gone() ? ", gone" : "",
-                       m_election.heartbeat_age(now).count());
+    return fmt::format("{} epoch {}: {}", claim.m_owner, claim.m_epoch,
+                       describe_contact(contact()));
+}
+
+owner_contact cluster_agent::contact() const
+{
+    if (owns()) {
+        return {false, true, milliseconds{0}, m_open_links.size()};
+    }
+    return {m_election.owner_has_gone(), m_open_links.count(m_election.claim().m_owner) != 0,
+            m_election.heartbeat_age(m_ports.m_loop.m_now().m_at), m_open_links.size()};
 }
 
 std::string cluster_agent::reachable_owner() const
