Serve callers at a node that lacks a direct link to or from the owner

Callers saw 503 with an empty owner at one node for as long as a single pair of links failed, while its peers reached the owner. Cause: a call had no other way than the node's own link to the owner and the owner's link back. Ruled out in the test: a change of owner, and a node that its peers do not know.

Such a node asks its linked peers, as it did while it suspected the owner; a peer that reaches the owner itself says so with the claim, and the node sends its calls through one of them, one hop. The peer answers not_owner only for what it has not sent, and owner_ended for what is open when its way changes, so that no submission is refused whose copy may be recorded. Earlier versions never say that they reach the owner, so they get no such calls. A call is also sent again when the owner changes without a gap.

--- a/include/peridotrudder/node/decision_log.hpp
+++ b/include/peridotrudder/node/decision_log.hpp
@@ -29,8 +29,10 @@
         std::string m_path;
         time_point m_taken_at;
         std::uint64_t m_epoch{0};
-        /// Owner that the entry can reach; empty if none.
+        /// Owner that the entry reaches directly; empty if none.
         std::string m_owner;
+        /// Peer that passes calls on to the owner; empty if none does.
+        std::string m_through;
         owner_contact m_contact;
     };
     /// Counts an answer to a caller; logs it if the call was not served.
--- a/include/peridotrudder/ownership/cluster_agent.hpp
+++ b/include/peridotrudder/ownership/cluster_agent.hpp
@@ -7,6 +7,7 @@
 #include "peridotrudder/ownership/node_messages.hpp"
 #include "peridotrudder/ownership/owner_contact.hpp"
 #include "peridotrudder/ownership/owner_election.hpp"
+#include "peridotrudder/ownership/owner_routes.hpp"
 #include "peridotrudder/ownership/topic_follower.hpp"
 
 #include <cstdint>
@@ -69,7 +70,8 @@
     std::function<void(const ownership_claim& claim)> m_became_owner;
     /// This node has lost or given up the ownership.
     std::function<void()> m_lost;
-    /// The owner can be reached: calls may be sent to it.
+    /// The owner can be reached, directly or through a peer: calls may be sent to it. Called again
+    /// when the owner or the route changes.
     std::function<void()> m_owner_reachable;
     std::function<void()> m_owner_unreachable;
     std::function<void(std::string_view event, std::string detail)> m_log_event;
@@ -99,9 +101,14 @@
     void stop_claiming() { m_may_claim = false; }
 
     bool owns() const { return m_owned_epoch != 0; }
-    /// Returns the incarnation of the reachable owner, which may be this node; empty if there is
-    /// none.
+    /// Returns the incarnation of the owner that is reached directly, which may be this node; empty
+    /// if there is none.
     std::string reachable_owner() const;
+    /// Returns where calls are sent: to the owner if it is reached directly, otherwise to a peer
+    /// that reaches it.
+    owner_route route() const;
+    /// A peer has refused to pass a call on.
+    void not_passed_on(const std::string& peer);
     owner_contact contact() const;
     std::uint64_t epoch() const { return m_election.claim().m_epoch; }
     /// Returns the other nodes to which this one has an open link.
@@ -125,6 +132,7 @@
     void probe_for_resignation(time_point now);
     void remove_unreachable_nodes(time_point now);
     void update_reachability();
+    void ask_for_route(time_point now);
     std::string unreachable_cause() const;
     milliseconds stagger() const;
     void yield_to_larger_node(moment now);
@@ -148,7 +156,10 @@
     bool m_may_claim{true};
     std::uint64_t m_owned_epoch{0};
     time_point m_owned_since;
-    bool m_owner_reachable{false};
+    owner_routes m_routes;
+    /// The route when the ports were last told.
+    owner_route m_route;
+    time_point m_peers_asked_at;
     milliseconds m_failing_for{0};
     time_point m_heartbeat_sent_at;
     time_point m_probe_at;
--- a/include/peridotrudder/ownership/node_messages.hpp
+++ b/include/peridotrudder/ownership/node_messages.hpp
@@ -56,12 +56,16 @@
     static constexpr std::string_view kind = "owner_view";
     std::uint64_t m_epoch{0};
     bool m_hears_owner{false};
+    /// Claim of the owner to which the sender can pass calls on, which may be the sender; absent if
+    /// there is none, and from earlier versions.
+    std::optional<ownership_claim> m_reached{std::nullopt};
 
     template <typename Archive, typename Self>
     static void describe(Archive& archive, Self& self)
     {
         archive.field("epoch", self.m_epoch);
         archive.field("hears_owner", self.m_hears_owner);
+        archive.field("reached", self.m_reached);
     }
 };
 
@@ -88,17 +92,21 @@
     }
 };
 
-/// A caller's call, forwarded to the owner.
+/// A caller's call, forwarded to the owner or to a peer that passes it on to the owner.
 struct forwarded_job_call {
     static constexpr std::string_view kind = "job_call";
     std::uint64_t m_number{0};
     job_call m_call;
+    /// A receiver that is not the owner may pass the call on to the owner. Earlier versions ignore
+    /// it and answer `not_owner`.
+    std::optional<bool> m_may_pass_on{false};
 
     template <typename Archive, typename Self>
     static void describe(Archive& archive, Self& self)
     {
         archive.field("number", self.m_number);
         archive.field("call", self.m_call);
+        archive.field("may_pass_on", self.m_may_pass_on);
     }
 };
 
--- a/src/node/call_transport.cpp
+++ b/src/node/call_transport.cpp
@@ -9,6 +9,7 @@
     call_transport made;
     made.m_self = std::move(self);
     made.m_ports = std::move(ports);
+    made.m_carrier = call_carrier::create(made.m_ports.m_send);
     return made;
 }
 
@@ -23,17 +24,31 @@
     return deliver_to_owner({m_self, number}, call);
 }
 
+bool call_transport::send_through(std::uint64_t number, const job_call& call,
+                                  const std::string& peer)
+{
+    return m_ports.m_send(peer, forwarded_job_call{number, call, true});
+}
+
 void call_transport::take(const std::string& from, const forwarded_job_call& message)
 {
     const call_origin origin{from, message.m_number};
-    if (!deliver_to_owner(origin, message.m_call)) {
-        reply(origin, {call_status::not_owner, {}, 0, milliseconds{0}});
+    if (deliver_to_owner(origin, message.m_call)) {
+        return;
     }
+    if (message.m_may_pass_on.value_or(false) &&
+        m_carrier.pass_on(from, message, m_ports.m_direct_owner(), m_ports.m_now())) {
+        return;
+    }
+    // Neither taken nor passed on.
+    reply(origin, {call_status::not_owner, {}, 0, milliseconds{0}});
 }
 
 void call_transport::take(const forwarded_job_answer& message)
 {
-    m_ports.m_deliver_answer(message.m_number, message.m_answer);
+    if (!m_carrier.take(message)) {
+        m_ports.m_deliver_answer(message.m_number, message.m_answer);
+    }
 }
 
 bool call_transport::deliver_to_owner(const call_origin& origin, const job_call& call)
--- a/src/node/decision_log.cpp
+++ b/src/node/decision_log.cpp
@@ -64,6 +64,7 @@
                {"after_ms", std::to_string(latency.count())},
                {"epoch", std::to_string(call.m_epoch)},
                {"owner", call.m_owner},
+               {"through", call.m_through},
                {"contact", describe_contact(call.m_contact)}});
 }
 
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -80,8 +80,7 @@
           m_self{fmt::format("{}-{}", settings.m_name, random_hex(incarnation_bytes))},
           m_router{call_router::create({},
                                        [this](std::uint64_t number, const job_call& call) {
-                                           return m_transport.send(number, call,
-                                                                   m_agent->reachable_owner());
+                                           return send_call(number, call);
                                        })},
           m_transport{call_transport::create(m_self, make_transport_ports())}
     {
@@ -200,11 +199,25 @@
         // On a link that was replaced, a call may have been lost in one direction and its answer
         // in the other.
         const bool replaced = change == link_change::opened || change == link_change::accepted;
-        if (replaced && peer == m_agent->reachable_owner()) {
-            m_router.owner_changed(now());
+        if (replaced && peer == m_agent->route().m_peer) {
+            change_route();
         }
     }
 
+    bool send_call(std::uint64_t number, const job_call& call)
+    {
+        const auto route = m_agent->route();
+        return route.m_direct || !route.exists()
+                   ? m_transport.send(number, call, route.m_peer)
+                   : m_transport.send_through(number, call, route.m_peer);
+    }
+
+    void change_route()
+    {
+        m_transport.end_passed_calls();
+        m_router.owner_changed(now());
+    }
+
     static time_point now() { return read_clocks().m_at; }
 
     agent_options make_agent_options() const
@@ -236,8 +249,11 @@
         };
         ports.m_became_owner = [this](const ownership_claim& claim) { begin_ownership(claim); };
         ports.m_lost = [this] { end_ownership(); };
-        ports.m_owner_reachable = [this] { m_router.owner_changed(now()); };
-        ports.m_owner_unreachable = [this] { m_router.owner_lost(now()); };
+        ports.m_owner_reachable = [this] { change_route(); };
+        ports.m_owner_unreachable = [this] {
+            m_transport.end_passed_calls();
+            m_router.owner_lost(now());
+        };
         ports.m_log_event = log_detail;
         return ports;
     }
@@ -268,6 +284,10 @@
             after(milliseconds{0},
                   [this, number, answer] { m_router.answered(number, answer, now()); });
         };
+        ports.m_direct_owner = [this] {
+            return m_agent->owns() ? std::string{} : m_agent->reachable_owner();
+        };
+        ports.m_now = now;
         return ports;
     }
 
@@ -324,7 +344,9 @@
         auto& metrics = m_decisions.metrics();
         metrics.set_gauge("owned_epoch",
                           m_agent->owns() ? static_cast<double>(m_agent->epoch()) : 0.0);
-        metrics.set_gauge("owner_reachable", m_agent->reachable_owner().empty() ? 0.0 : 1.0);
+        const auto route = m_agent->route();
+        metrics.set_gauge("owner_reachable", route.exists() ? 1.0 : 0.0);
+        metrics.set_gauge("owner_through_peer", route.exists() && !route.m_direct ? 1.0 : 0.0);
         const auto contact = m_agent->contact();
         metrics.set_gauge("owner_linked", contact.m_linked ? 1.0 : 0.0);
         metrics.set_gauge("owner_heartbeat_age_ms",
@@ -367,7 +389,7 @@
             return true;
         }
         if (const auto* answer = std::get_if<forwarded_job_answer>(&*message)) {
-            m_transport.take(*answer);
+            take_answer(from, *answer);
             return true;
         }
         if (const auto* orders = std::get_if<relayed_orders>(&*message)) {
@@ -383,6 +405,16 @@
         return m_agent->receive(from, *message);
     }
 
+    void take_answer(const std::string& from, const forwarded_job_answer& message)
+    {
+        const bool not_passed_on = message.m_answer.m_status == call_status::not_owner;
+        m_transport.take(message);
+        if (not_passed_on) {
+            // Later than the answer, so that the call is sent again once.
+            after(milliseconds{0}, [this, from] { m_agent->not_passed_on(from); });
+        }
+    }
+
     void take_request(const http_request& request, http_responder respond)
     {
         auto call = m_platform.m_read_call(request);
@@ -390,12 +422,13 @@
             respond(std::move(call.error()));
             return;
         }
-        decision_log::answered_call answered{call->m_kind, call->m_path, now(), 0, "", {}};
+        decision_log::answered_call answered{call->m_kind, call->m_path, now(), 0, "", "", {}};
         m_router.take(
             std::move(*call), m_platform.m_time_left(request),
             [this, answered, respond = std::move(respond)](const call_answer& answer) mutable {
                 answered.m_epoch = m_agent->epoch();
                 answered.m_owner = m_agent->reachable_owner();
+                answered.m_through = answered.m_owner.empty() ? m_agent->route().m_peer : "";
                 answered.m_contact = m_agent->contact();
                 m_decisions.answered(answered, answer, now());
                 auto response = m_platform.m_write_answer(answer);
@@ -407,7 +440,7 @@
 
     bool is_ready() const
     {
-        return !m_stopping_since && !m_agent->reachable_owner().empty() &&
+        return !m_stopping_since && m_agent->route().exists() &&
                (!m_owner || m_owner->phase() == owner_phase::serving);
     }
 
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -24,6 +24,14 @@
 constexpr milliseconds claim_spacing{12};
 constexpr milliseconds longest_stagger{150};
 constexpr milliseconds settling_time{1'000};
+/// Longer than the interval at which the election asks, whose answers are used too.
+constexpr milliseconds route_ask_interval{350};
+/// Usual time until a question is answered.
+constexpr milliseconds route_answer_time{100};
+/// While there is no owner, there will soon be one that tells itself.
+constexpr milliseconds ownerless_ask_interval{1'000};
+/// Two answers may be lost.
+constexpr milliseconds max_route_age{1'000};
 
 } // namespace
 
@@ -36,6 +44,8 @@
     : m_options{std::move(options)},
       m_ports{std::move(ports)},
       m_election{owner_election::create(m_options.m_election, m_ports.m_loop.m_now().m_at)},
+      m_routes{owner_routes::create(max_route_age)},
+      m_peers_asked_at{m_ports.m_loop.m_now().m_at},
       m_self{std::make_shared<cluster_agent*>(this)}
 {
 }
@@ -186,6 +196,7 @@
         return;
     }
     update_reachability();
+    ask_for_route(now);
     if (!m_topic_read || !m_may_claim) {
         return;
     }
@@ -194,6 +205,7 @@
     case election_step::none:
         return;
     case election_step::ask_peers:
+        m_peers_asked_at = now;
         broadcast(owner_query{m_election.claim().m_epoch});
         return;
     case election_step::check_journal:
@@ -227,19 +239,56 @@
 
 void cluster_agent::update_reachability()
 {
-    const bool reachable = !reachable_owner().empty();
-    if (reachable == m_owner_reachable) {
+    const auto current = route();
+    if (current == m_route) {
         return;
     }
-    m_owner_reachable = reachable;
-    if (reachable) {
-        m_ports.m_log_event("owner_reachable", m_election.claim().m_owner);
-        m_ports.m_owner_reachable();
-    }
-    else {
+    m_route = current;
+    if (!current.exists()) {
         m_ports.m_log_event("owner_unreachable", unreachable_cause());
         m_ports.m_owner_unreachable();
+        return;
+    }
+    if (current.m_direct) {
+        m_ports.m_log_event("owner_reachable", current.m_peer);
+    }
+    else {
+        m_routes.prefer(current.m_peer);
+        m_ports.m_log_event("owner_through_peer",
+                            fmt::format("{}, not {}", current.m_peer, unreachable_cause()));
+    }
+    m_ports.m_owner_reachable();
+}
+
+owner_route cluster_agent::route() const
+{
+    auto owner = reachable_owner();
+    if (!owner.empty()) {
+        return {std::move(owner), true, epoch()};
     }
+    return m_routes.best(epoch(), m_ports.m_loop.m_now().m_at);
+}
+
+void cluster_agent::ask_for_route(time_point now)
+{
+    const auto interval = m_election.owner_has_gone() ? ownerless_ask_interval : route_ask_interval;
+    if (m_route.m_direct || now - m_peers_asked_at < interval) {
+        return;
+    }
+    m_peers_asked_at = now;
+    const owner_query question{epoch()};
+    if (m_routes.is_newer_than(interval + route_answer_time, m_route.m_peer, now)) {
+        m_ports.m_send(m_route.m_peer, question);
+        return;
+    }
+    // There is no route, or its peer has not answered the last question.
+    broadcast(question);
+}
+
+void cluster_agent::not_passed_on(const std::string& peer)
+{
+    m_routes.forget(peer);
+    update_reachability();
 }
 
 std::string cluster_agent::unreachable_cause() const
@@ -439,6 +488,7 @@
 void cluster_agent::link_closed(const std::string& peer, bool broken)
 {
     m_open_links.erase(peer);
+    m_routes.forget(peer);
     if (broken) {
         m_election.link_broken(peer, m_ports.m_loop.m_now().m_at);
     }
@@ -489,12 +539,28 @@
     const auto now = m_ports.m_loop.m_now().m_at;
     const auto epoch = m_election.claim().m_epoch;
     const bool hears = epoch >= message.m_epoch && (owns() || m_election.hears_owner(now));
-    m_ports.m_send(from, owner_view{message.m_epoch, hears});
+    owner_view view{message.m_epoch, hears};
+    if (!reachable_owner().empty()) {
+        view.m_reached = m_election.claim();
+    }
+    m_ports.m_send(from, view);
 }
 
 void cluster_agent::handle(const std::string& from, const owner_view& message)
 {
     m_election.peer_view(from, message.m_epoch, message.m_hears_owner);
+    if (!message.m_reached) {
+        m_routes.forget(from);
+        update_reachability();
+        return;
+    }
+    const auto& claim = *message.m_reached;
+    // Whether an own claim succeeded is learnt from the log only.
+    if (claim.m_epoch > epoch() && claim.m_owner != m_options.m_self.m_incarnation) {
+        learn(claim);
+    }
+    m_routes.reaches(from, claim.m_epoch, m_ports.m_loop.m_now().m_at);
+    update_reachability();
 }
 
 void cluster_agent::handle(const std::string& from, const log_probe& message)
--- a/test/ownership/node_messages_test.cpp
+++ b/test/ownership/node_messages_test.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST_SUITE(node_messages_test);
     CPPUNIT_TEST(call_is_decoded_as_encoded);
     CPPUNIT_TEST(claim_is_decoded_as_encoded);
+    CPPUNIT_TEST(view_with_and_without_a_reached_owner_is_decoded);
+    CPPUNIT_TEST(call_of_an_earlier_version_may_not_be_passed_on);
     CPPUNIT_TEST(truncated_frame_is_refused);
     CPPUNIT_TEST(damaged_frame_does_not_crash_the_decoder);
     CPPUNIT_TEST_SUITE_END();
@@ -54,6 +56,25 @@
         CPPUNIT_ASSERT(decoded_claim.m_after_release && !decoded_claim.m_released);
     }
 
+    void view_with_and_without_a_reached_owner_is_decoded()
+    {
+        owner_view view{4, true};
+        const auto without = decode_node_message(encode_node_message(view));
+        CPPUNIT_ASSERT(!std::get<owner_view>(*without).m_reached);
+        view.m_reached.emplace().m_owner = "node-1-ab";
+        const auto with = decode_node_message(encode_node_message(view));
+        CPPUNIT_ASSERT_EQUAL(std::string{"node-1-ab"},
+                             std::get<owner_view>(*with).m_reached->m_owner);
+    }
+
+    void call_of_an_earlier_version_may_not_be_passed_on()
+    {
+        const auto frame = nlohmann::json{"job_call", {12, encode_packed(make_call().m_call)}};
+        const auto decoded = decode_node_message(nlohmann::json::to_cbor(frame));
+        CPPUNIT_ASSERT(decoded.has_value());
+        CPPUNIT_ASSERT(!std::get<forwarded_job_call>(*decoded).m_may_pass_on.value_or(false));
+    }
+
     void truncated_frame_is_refused()
     {
         const auto frame = encode_node_message(make_call());
