--- a/include/peridotrudder/node/decision_log.hpp
+++ b/include/peridotrudder/node/decision_log.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// Log of a node's decisions and answers, with its metrics.
 
+#include "peridotrudder/ownership/owner_contact.hpp"
 #include "peridotrudder/scheduling/job_call.hpp"
 #include "peridotrudder/scheduling/scheduler_state.hpp"
 #include "peridotrudder/telemetry/log_budget.hpp"
@@ -28,8 +29,11 @@
         std::string m_path;
         time_point m_taken_at;
         std::uint64_t m_epoch{0};
-        /// Owner that the entry can reach; empty if none.
+        /// Owner that the entry reaches directly; empty if none.
         std::string m_owner;
+        /// Peer that passes calls on to the owner; empty if none does.
+        std::string m_through;
+        owner_contact m_contact;
     };
     /// Counts an answer to a caller; logs it if the call was not served.
     void answered(const answered_call& call, const call_answer& answer, time_point now);
