Play long faults of single nodes and of pairs, which nodes don't recover from

The soak's faults lasted 8 s at most, hit whole links only, and its end asked every node for one kind of call. The proxy opens a connection to the target with the first request that may pass, and gives up silent channels whose node has gone, so that it doesn't run out of descriptors.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -55,7 +55,7 @@
     """A persistent connection to one node, opened again after it has failed."""
 
     def __init__(self, port):
-        self._port = port
+        self.port = port
         self._reader = self._writer = None
         self._lock = asyncio.Lock()
 
@@ -70,7 +70,7 @@
 
     async def _call(self, method, path, body):
         if self._writer is None:
-            self._reader, self._writer = await asyncio.open_connection("127.0.0.1", self._port)
+            self._reader, self._writer = await asyncio.open_connection("127.0.0.1", self.port)
         content = body
         if not isinstance(body, bytes):
             content = json.dumps(body).encode() if body is not None else b""
@@ -98,21 +98,31 @@
     run for SLOW_MS; there are none without it. `gang_rng` draws the gangs.
     """
 
-    def __init__(self, rng, ports, deadly_rng=None, slow_rng=None, gang_rng=None):
+    def __init__(self, rng, ports, deadly_rng=None, slow_rng=None, gang_rng=None,
+                 queues=("quick", "deep")):
         self._rng = rng
         self._deadly_rng = deadly_rng
         self._slow_rng = slow_rng
         self._gang_rng = gang_rng
         self._connections = [Connection(port) for port in ports]
+        self._queues = queues
         self.jobs = {}
 
+    def add_node(self, port):
+        self._connections.append(Connection(port))
+
+    def remove_node(self, port):
+        """Uses a node no longer, as a load balancer does with one that is gone."""
+        self._connections = [connection for connection in self._connections
+                             if connection.port != port]
+
     def draw_job(self, long_running):
         job_id = f"{self._rng.getrandbits(64):016x}"
         if long_running:
             step = {"count": self._rng.randint(1, 3), "cpu": 500, "mem-mb": 64, "estimate-ms": 900,
                     "long-running": True, "max-per-server": 1, "may-miss": 1}
             return Job(job_id, "/stay/", {"spec": "{}", "steps": [step]})
-        prefix = self._rng.choice(["/quick/", "/deep/"])
+        prefix = f"/{self._rng.choice(self._queues)}/"
         run_ms = self._rng.choice([40, 150, 400, 900, 2500])
         spec = {"ms": run_ms, "fails": 1 if self._rng.random() < 0.1 else 0}
         steps = []
--- a/soak/operator_checks.py
+++ b/soak/operator_checks.py
@@ -85,6 +85,7 @@
         await asyncio.sleep(IN_FORCE_S)
         await asyncio.gather(*(self._check_node(number, connection)
                                for number in range(len(self._connections))
+                               if number not in self._system.removed
                                for connection in (self._connections[number],
                                                   Connection(self._system.caller_ports[number]))))
 
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -3,11 +3,12 @@
 import os
 import signal
 import subprocess
+import threading
 
 NODE_SETTINGS = """\
 [node]
 name = {name}
-zone = one
+zone = {zone}
 cluster_token = soak
 
 [listen]
@@ -31,6 +32,8 @@
 maintenance_s = 2
 """
 
+# Reason of the stops by a quota, see `hold`.
+QUOTA = "quota"
 KILLED = {-signal.SIGKILL}
 STOPPED = {0, 4, -signal.SIGKILL}
 
@@ -53,15 +56,21 @@
         self.name = name
         self.command = command
         self.log_path = log_path
-        self.paused = False
         self.starts = 0
+        # Processor cores that it may use, for `Quotas`.
+        self.cores = None
+        # Reasons for which it is stopped, by faults and by its quota; it goes on without any.
+        self._holds = set()
+        self._lock = threading.Lock()
         self._allowed = set()
         self._child = None
 
     def start(self):
         with open(self.log_path, "ab") as log:
-            self._child = subprocess.Popen(self.command, stdout=log, stderr=log)
-        self.paused = False
+            child = subprocess.Popen(self.command, stdout=log, stderr=log)
+        with self._lock:
+            self._child = child
+            self._holds = set()
         self.starts += 1
         self._allowed = set()
 
@@ -77,10 +86,34 @@
         if number == signal.SIGTERM:
             self._allowed |= STOPPED
         if number == signal.SIGSTOP:
-            self.paused = True
-        if number == signal.SIGCONT:
-            self.paused = False
-        os.kill(self._child.pid, number)
+            self.hold("fault")
+        elif number == signal.SIGCONT:
+            self.release("fault")
+        else:
+            self._child.send_signal(number)
+
+    @property
+    def pid(self):
+        return self._child.pid if self.runs else None
+
+    def hold(self, reason):
+        """Stops it until each reason has been released, or until it is started again."""
+        with self._lock:
+            if self.runs and not self._holds:
+                self._child.send_signal(signal.SIGSTOP)
+            self._holds.add(reason)
+
+    def release(self, reason):
+        with self._lock:
+            held = bool(self._holds)
+            self._holds.discard(reason)
+            if self.runs and held and not self._holds:
+                self._child.send_signal(signal.SIGCONT)
+
+    def release_faults(self):
+        """Ends the stops by faults; that of a quota stays."""
+        for reason in list(self._holds - {QUOTA}):
+            self.release(reason)
 
     def has_socket(self, inode):
         folder = f"/proc/{self._child.pid}/fd" if self.runs else ""
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,32 +1,62 @@
 """A loopback proxy whose links can be delayed, reset, refused, or cut in one or both directions."""
 
 import asyncio
+import re
 import socket
 import struct
 
 CHUNK_BYTES = 65_536
 LINGER_NOTHING = struct.pack("ii", 1, 0)
+# A node names itself in the first request on a link to a peer.
+NODE_NAME = re.compile(rb"X-Peridot-Incarnation: (\S+)-[0-9a-f]+\r\n", re.IGNORECASE)
+# How often a channel that waits for its first request to pass looks whether its client has gone.
+LOOK_S = 0.1
+# How long the other end of a channel is kept after one end has closed it.
+KEPT_END_S = 10.0
 
 
 class Channel:
     """An open connection through a link."""
 
-    def __init__(self, client):
-        # Name of the program that opened it; None if the link doesn't ask.
+    def __init__(self, client, writers):
+        # Name of the program that opened it; None if it isn't known.
         self.client = client
+        self.writers = writers
         self.silent = False
         # Whether the answer to the last request is to be lost.
         self.breaks = False
 
+    def reset(self):
+        for writer in self.writers:
+            sock = writer.get_extra_info("socket")
+            if sock is not None and sock.fileno() != -1:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOTHING)
+            writer.transport.abort()
+
+
+class Block:
+    """A lasting fault of a link, for the named clients, or for all if `clients` is None.
+
+    Directions that are false are cut. `refuses` resets open connections, and refuses new ones; if
+    clients are named, new ones are reset at their first request, which names the client.
+    """
+
+    def __init__(self, clients=None, forwards=True, returns=True, refuses=False):
+        self.clients = None if clients is None else frozenset(clients)
+        self.forwards, self.returns, self.refuses = forwards, returns, refuses
+
+    def covers(self, client):
+        return self.clients is None or client in self.clients
+
 
 class Link:
     """Forwards one listening port to another. Faults apply to open connections, too.
 
     `name_client` returns the name of the program that has a local port, for faults that affect
-    only some programs.
+    only some programs. Without it, nodes are known by their first request.
     """
 
-    def __init__(self, listen_port, target_port, name_client=lambda port: None):
+    def __init__(self, listen_port, target_port, name_client=None):
         self.listen_port = listen_port
         self.target_port = target_port
         self._name_client = name_client
@@ -36,15 +66,15 @@
         self.cut_clients = set()
         # Resets and refuses instead of returning the answer to the next request that has this.
         self.breaks_after = None
-        self._passes = asyncio.Event()
-        self._passes.set()
-        self._writers = set()
+        self._blocks = set()
+        self._changed = asyncio.Event()
         self._channels = set()
         self._serving = set()
         self._server = None
 
     async def start(self):
-        if self._server is None:
+        if self._server is None and not any(
+                block.refuses and block.clients is None for block in self._blocks):
             self._server = await asyncio.start_server(
                 self._accept, "127.0.0.1", self.listen_port)
 
@@ -55,19 +85,40 @@
         await asyncio.gather(*self._serving, return_exceptions=True)
 
     def heal(self):
+        """Ends delays and cuts, but not blocks."""
         self.delay_s, self.forwards, self.returns = 0.0, True, True
         self.cut_clients = set()
-        self._passes.set()
+        self._notify()
 
     def cut(self, forwards, returns):
         """Blocks the directions that are false. Data waits until `heal`, as in a partition."""
         self.forwards, self.returns = forwards, returns
-        self._passes.clear()
+        self._notify()
 
     def cut_from(self, clients):
         """Blocks the connections of some programs until `heal`."""
         self.cut_clients = set(clients)
-        self._passes.clear()
+        self._notify()
+
+    def block(self, block):
+        self._blocks.add(block)
+        if block.refuses:
+            if block.clients is None:
+                self.refuse()
+            for channel in list(self._channels):
+                if block.covers(channel.client):
+                    channel.reset()
+        self._notify()
+
+    async def lift(self, block):
+        """Ends a block. Connections are accepted again unless another block refuses them."""
+        self._blocks.discard(block)
+        self._notify()
+        await self.start()
+
+    async def lift_all(self):
+        for block in list(self._blocks):
+            await self.lift(block)
 
     def silence(self):
         """Stops the open connections for good, without a reset. New ones work."""
@@ -76,11 +127,8 @@
 
     def reset(self):
         """Resets all open connections."""
-        for writer in list(self._writers):
-            sock = writer.get_extra_info("socket")
-            if sock is not None and sock.fileno() != -1:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOTHING)
-            writer.transport.abort()
+        for channel in list(self._channels):
+            channel.reset()
 
     def refuse(self):
         """Resets all open connections and refuses new ones until `start`."""
@@ -89,59 +137,105 @@
             self._server = None
         self.reset()
 
+    def _notify(self):
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
     def _accept(self, reader, writer):
         task = asyncio.ensure_future(self._serve(reader, writer))
         self._serving.add(task)
         task.add_done_callback(self._serving.discard)
 
     async def _serve(self, reader, writer):
-        try:
-            target_reader, target_writer = await asyncio.open_connection(
-                "127.0.0.1", self.target_port)
-        except OSError:
-            writer.transport.abort()
-            return
-        peer = writer.get_extra_info("peername")
-        channel = Channel(self._name_client(peer[1]) if peer else None)
-        self._writers |= {writer, target_writer}
+        channel = Channel(None, [writer])
         self._channels.add(channel)
         try:
-            await asyncio.gather(
-                self._copy(channel, reader, target_writer, self._forward),
-                self._copy(channel, target_reader, writer, self._return),
-            )
+            first = await reader.read(CHUNK_BYTES)
+            channel.client = self._client(writer, first)
+            if first and await self._may_open(channel, reader):
+                target_reader, target_writer = await asyncio.open_connection(
+                    "127.0.0.1", self.target_port)
+                channel.writers.append(target_writer)
+                await self._carry(channel, first, reader, target_reader)
+        except OSError:
+            pass
         finally:
-            self._writers -= {writer, target_writer}
             self._channels.discard(channel)
-            writer.close()
-            target_writer.close()
+            for end in channel.writers:
+                end.transport.abort()
+
+    def _client(self, writer, first):
+        if self._name_client is not None:
+            peer = writer.get_extra_info("peername")
+            return self._name_client(peer[1]) if peer else None
+        name = NODE_NAME.search(first)
+        return name.group(1).decode() if name else None
+
+    async def _may_open(self, channel, reader):
+        """Waits until the first request passes. Returns whether the client is still there.
+
+        Until then the target sees nothing, as if the packets of a new connection were lost.
+        """
+        while not self._forwards_to(channel):
+            if reader.at_eof() or reader.exception() is not None:
+                return False
+            try:
+                await asyncio.wait_for(self._changed.wait(), LOOK_S)
+            except asyncio.TimeoutError:
+                pass
+        return not any(block.refuses and block.covers(channel.client) for block in self._blocks)
+
+    async def _carry(self, channel, first, reader, target_reader):
+        writer, target_writer = channel.writers
+        directions = [
+            asyncio.ensure_future(
+                self._copy(channel, reader, target_writer, self._forward, first)),
+            asyncio.ensure_future(self._copy(channel, target_reader, writer, self._return, b"")),
+        ]
+        try:
+            await asyncio.wait(directions, return_when=asyncio.FIRST_COMPLETED)
+            # The end that has closed needs its descriptor no longer. The other one can't learn of
+            # it while nothing passes.
+            if channel.silent:
+                (writer if directions[0].done() else target_writer).transport.abort()
+            await asyncio.wait(directions, timeout=KEPT_END_S)
+        finally:
+            for direction in directions:
+                direction.cancel()
+            await asyncio.gather(*directions, return_exceptions=True)
+
+    def _forwards_to(self, channel):
+        return self.forwards and channel.client not in self.cut_clients and all(
+            block.forwards for block in self._blocks if block.covers(channel.client))
+
+    def _returns_to(self, channel):
+        return self.returns and channel.client not in self.cut_clients and all(
+            block.returns for block in self._blocks if block.covers(channel.client))
 
     async def _forward(self, channel, data):
-        await self._wait_until(lambda: self.forwards and channel.client not in self.cut_clients)
+        while not self._forwards_to(channel):
+            await self._changed.wait()
         channel.breaks = self.breaks_after is not None and self.breaks_after in data
 
     async def _return(self, channel, _):
-        await self._wait_until(lambda: self.returns and channel.client not in self.cut_clients)
+        while not self._returns_to(channel):
+            await self._changed.wait()
         if self.breaks_after is not None and channel.breaks:
             self.breaks_after = None
             self.refuse()
 
-    async def _wait_until(self, passes):
-        while not passes():
-            await self._passes.wait()
-            await asyncio.sleep(0)
-
-    async def _copy(self, channel, reader, writer, prepare):
+    async def _copy(self, channel, reader, writer, prepare, data):
         try:
-            while data := await reader.read(CHUNK_BYTES):
+            while data or (data := await reader.read(CHUNK_BYTES)):
                 if self.delay_s > 0:
                     await asyncio.sleep(self.delay_s)
                 await prepare(channel, data)
-                if channel.silent:
-                    await asyncio.Event().wait()
-                writer.write(data)
-                await writer.drain()
+                if not channel.silent:
+                    writer.write(data)
+                    await writer.drain()
+                data = b""
             if not channel.silent:
                 writer.write_eof()
         except (OSError, RuntimeError):
-            writer.transport.abort()
+            if not channel.silent:
+                writer.transport.abort()
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -17,9 +17,12 @@
 import time
 
 from callers import Callers
+from end_checks import EndChecks
 from faults import Faults
+from long_faults import LongFaults
 from operator_checks import Operator
 from oracle import Oracle
+from shapes import SHAPES, drawn_shape
 from system import System
 from worker_faults import WORKER_KINDS, WorkerFaults
 
@@ -29,6 +32,7 @@
 CHECK_INTERVAL_S = 0.5
 FAULT_GAP_S = 0.9
 WORKER_FAULT_GAP_S = 1.5
+LONG_FAULT_GAP_S = 5.0
 NODE_COUNTS = (3, 4, 5)
 # With the lowest value the owner is too small for the fleet, and other nodes relay its orders.
 NODE_CORES = ("0.5", "0.02")
@@ -43,6 +47,7 @@
             oracle.fail(fault)
         # Answers must be compared with a ledger that was read after them.
         oracle.check_callers()
+        system.most_descriptors = max(system.most_descriptors, system.descriptors())
         if finished.is_set():
             return
         await asyncio.sleep(CHECK_INTERVAL_S)
@@ -65,29 +70,39 @@
 
 
 def draw_run(options, folder):
-    """Returns the system, its callers, the faults and the worker faults.
+    """Returns the system, its callers, and the faults: all, of workers, and long ones.
 
     What was added last draws from generators that are created last, so that seeds keep the rest.
     """
     rng = random.Random(options.seed)
     nodes = options.nodes or rng.choice(NODE_COUNTS)
     cores = options.cores or rng.choice(NODE_CORES)
-    system = System(folder, options.build, options.base_port, nodes, cores)
+    shape = SHAPES[options.shape]() if options.shape else drawn_shape(nodes, cores)
+    system = System(folder, options.build, options.base_port, shape, options.quotas)
     caller_rng, fault_rng = random.Random(rng.random()), random.Random(rng.random())
     worker_rng, deadly_rng = random.Random(rng.random()), random.Random(rng.random())
     slow_rng = random.Random(rng.random())
     callers = Callers(caller_rng, system.caller_ports,
                       deadly_rng if "deadly" in options.worker_kinds else None,
                       slow_rng if {"late_restart", "late_copies"} & options.worker_kinds else None,
-                      random.Random(rng.random()) if "gangs" in options.worker_kinds else None)
+                      random.Random(rng.random()) if "gangs" in options.worker_kinds else None,
+                      tuple(shape.pools))
+    # Created by its own seed, since the generator of the gangs isn't always drawn.
+    long_rng = random.Random(f"long {options.seed}")
     return (system, callers, Faults(fault_rng, system),
-            WorkerFaults(worker_rng, system, options.worker_kinds))
+            WorkerFaults(worker_rng, system, options.worker_kinds),
+            LongFaults(long_rng, system, callers, options.longest_s))
 
 
-async def inject(faults, worker_faults, seconds):
-    until = asyncio.get_running_loop().time() + seconds
-    await asyncio.gather(faults.inject(until, FAULT_GAP_S),
-                         worker_faults.inject(until, WORKER_FAULT_GAP_S))
+async def inject(options, faults, worker_faults, long_faults):
+    until = asyncio.get_running_loop().time() + options.seconds
+    kinds_at_once = []
+    if not options.no_short:
+        kinds_at_once += [faults.inject(until, FAULT_GAP_S),
+                          worker_faults.inject(until, WORKER_FAULT_GAP_S)]
+    if options.longest_s > 0:
+        kinds_at_once.append(long_faults.inject(until, LONG_FAULT_GAP_S))
+    await asyncio.gather(asyncio.sleep(options.seconds), *kinds_at_once)
 
 
 async def write_ledger(system, folder):
@@ -96,22 +111,25 @@
 
 
 async def play(options, folder):
-    system, callers, faults, worker_faults = draw_run(options, folder)
+    system, callers, *kinds_of_faults = draw_run(options, folder)
     oracle = Oracle(callers.jobs)
     operator = Operator(random.Random(options.seed), system, oracle)
+    end_checks = EndChecks(system, oracle, callers.jobs)
     finished = asyncio.Event()
     try:
         await system.start()
         watcher = asyncio.ensure_future(watch(system, oracle, finished))
-        until = time.time() + WARM_UP_S + options.seconds
+        until = time.time() + options.warm_up_s + options.seconds
         load = asyncio.ensure_future(callers.run_load(until, options.jobs_per_s))
         changes = asyncio.ensure_future(
             operator.run(until if "operator" in options.worker_kinds else 0))
-        await asyncio.sleep(WARM_UP_S)
-        await inject(faults, worker_faults, options.seconds)
+        await asyncio.sleep(options.warm_up_s)
+        await end_checks.open_connections()
+        await inject(options, *kinds_of_faults)
         await system.heal()
         await load
         await changes
+        await end_checks.check()
         await settle(callers, oracle)
         await operator.check_at_the_end()
         finished.set()
@@ -121,14 +139,19 @@
     finally:
         callers.close()
         operator.close()
+        end_checks.close()
         await system.stop()
-    return oracle, faults.done + worker_faults.done
+    return oracle, [fault for kind in kinds_of_faults for fault in kind.done], system
 
 
-def report(options, oracle, faults, jobs):
+def report(options, oracle, faults, system):
+    jobs = oracle.jobs
     accepted = sum(job.accepted_at is not None for job in jobs.values())
     print(f"seed {options.seed}: {len(jobs)} jobs, {accepted} accepted, {oracle.starts} starts, "
-          f"{len(faults)} faults, {len(oracle.violations)} broken", flush=True)
+          f"{len(faults)} faults, {len(oracle.violations)} broken, "
+          f"{system.most_descriptors} descriptors", flush=True)
+    if system.quotas is not None:
+        print(f"  quotas used up in {system.quotas.held_share():.1%} of the periods", flush=True)
     for violation in oracle.violations[:10]:
         print(f"  {violation}", flush=True)
 
@@ -147,6 +170,13 @@
     parser.add_argument("--seconds", type=float, default=25, help="how long faults are injected")
     parser.add_argument("--nodes", type=int, help="number of nodes; drawn by default")
     parser.add_argument("--cores", help="processor cores of each node; drawn by default")
+    parser.add_argument("--shape", choices=sorted(SHAPES), help="instead of --nodes and --cores")
+    parser.add_argument("--quotas", action="store_true",
+                        help="stop nodes that have used their cores' share of each 100 ms")
+    parser.add_argument("--longest_s", type=float, default=0,
+                        help="inject long faults, too, which end after this time; none by default")
+    parser.add_argument("--no_short", action="store_true", help="no short faults")
+    parser.add_argument("--warm_up_s", type=float, default=WARM_UP_S)
     parser.add_argument("--jobs_per_s", type=float, default=6)
     parser.add_argument("--worker_kinds", type=kinds, default=kinds("all"),
                         help="all, none, or some of: " + ", ".join(ALL_WORKER_KINDS))
@@ -154,10 +184,10 @@
     parser.add_argument("--base_port", type=int, default=17200)
     options = parser.parse_args()
     folder = tempfile.mkdtemp(prefix="peridot-soak-")
-    oracle, faults = asyncio.run(play(options, folder))
-    report(options, oracle, faults, oracle.jobs)
+    oracle, faults, system = asyncio.run(play(options, folder))
+    report(options, oracle, faults, system)
     if oracle.violations:
-        for fault in sorted(faults, reverse=True):
+        for fault in sorted(faults, key=lambda fault: fault[:2], reverse=True):
             print(f"  fault {fault}")
         print(f"  logs: {folder}")
         sys.exit(1)
--- a/soak/system.py
+++ b/soak/system.py
@@ -1,14 +1,14 @@
 """A complete local system: nodes, the stand-in of the platform, and the links between them."""
 
 import asyncio
-import signal
+import os
 
 from callers import Connection
 from processes import NODE_SETTINGS, Process, socket_inode
 from proxy import Link
+from quotas import Quotas
+from shapes import SPARE
 
-POOLS = ("quick", "deep")
-VMS_PER_POOL = 4
 RESTART_S = 0.3
 PORTS_PER_NODE = 10
 
@@ -16,38 +16,75 @@
 class System:
     """Uses ports from `base_port` upwards, so that several systems can run at once."""
 
-    def __init__(self, folder, build, base_port, node_count, cores):
+    def __init__(self, folder, build, base_port, shape, quotas=False):
         self._folder = folder
+        self._build = build
         self._base = base_port
         self._version = 0
-        self._more_routes = []
+        self.more_routes = []
         self._restarting = {}
         self._switches = Connection(base_port)
-        vm_count = VMS_PER_POOL * (len(POOLS) + 1)
+        self.shape = shape
         first_worker = base_port + 1
-        shift = vm_count
-        nodes_from = first_worker + 2 * vm_count
+        shift = shape.vm_count
+        self._next_node_port = first_worker + 2 * shape.vm_count
+        sizes = [*shape.pools.values(), shape.spare_vms]
         self.fleet = Process("fleet", [
             f"{build}/standins/standin-fleet", f"--port={base_port}",
-            f"--vms_per_pool={VMS_PER_POOL}", f"--pools={','.join(POOLS)}",
-            f"--advertised_shift={shift}"], f"{folder}/fleet.log")
+            f"--pool_sizes={','.join(map(str, sizes))}", f"--pools={','.join(shape.pools)}",
+            f"--zones={','.join(shape.zones)}", f"--advertised_shift={shift}"],
+            f"{folder}/fleet.log")
         self.worker_links = [Link(first_worker + shift + vm, first_worker + vm, self.node_with_port)
-                             for vm in range(vm_count)]
+                             for vm in range(shape.vm_count)]
+        # Those of node i are at place i of each list; nodes that were removed keep their places.
         self.nodes, self.log_links, self.peer_links, self.caller_ports = [], [], [], []
-        for number in range(node_count):
-            self._add_node(f"node-{number}", nodes_from + PORTS_PER_NODE * number, build, cores)
-
-    def _add_node(self, name, port, build, cores):
-        settings = f"{self._folder}/{name}.ini"
+        self.zones, self.removed = [], set()
+        self.most_descriptors = 0
+        for number, (zone, cores) in enumerate(shape.nodes):
+            self._add_node(f"node-{number}", zone, cores)
+        self.quotas = Quotas(self.nodes) if quotas else None
+
+    def _add_node(self, name, zone, cores):
+        port = self._next_node_port
+        self._next_node_port += PORTS_PER_NODE
+        place = len(self.nodes)
+        settings = f"{self._folder}/{place}-{name}.ini"
         with open(settings, "w", encoding="utf-8") as file:
             file.write(NODE_SETTINGS.format(
-                name=name, callers=port, ready=port + 1, peers=port + 2, advertised=port + 3,
-                metrics=port + 4, log=port + 5, vms=self._base, cores=cores))
+                name=name, zone=zone, callers=port, ready=port + 1, peers=port + 2,
+                advertised=port + 3, metrics=port + 4, log=port + 5, vms=self._base, cores=cores))
         self.peer_links.append(Link(port + 3, port + 2))
         self.log_links.append(Link(port + 5, self._base))
         self.caller_ports.append(port)
-        self.nodes.append(Process(name, [f"{build}/apps/peridot-scheduler", f"--settings={settings}"],
-                                  f"{self._folder}/{name}.log"))
+        self.zones.append(zone)
+        node = Process(name, [f"{self._build}/apps/peridot-scheduler", f"--settings={settings}"],
+                       f"{self._folder}/{place}-{name}.log")
+        node.cores = float(cores)
+        self.nodes.append(node)
+        return place
+
+    async def add_node(self, name, zone, cores):
+        """Starts a further node at an address of its own. Returns its place."""
+        place = self._add_node(name, zone, cores)
+        await self.peer_links[place].start()
+        await self.log_links[place].start()
+        self.nodes[place].start()
+        return place
+
+    def remove_node(self, place):
+        """Ends a node for good."""
+        self.removed.add(place)
+        self.nodes[place].end()
+
+    @property
+    def present(self):
+        """Places of the nodes that have not been removed."""
+        return [place for place in range(len(self.nodes)) if place not in self.removed]
+
+    @staticmethod
+    def descriptors():
+        """Returns how many descriptors this program has open."""
+        return len(os.listdir("/proc/self/fd"))
 
     @property
     def links(self):
@@ -67,6 +104,8 @@
         await self.configure()
         for node in self.nodes:
             node.start()
+        if self.quotas is not None:
+            self.quotas.start()
 
     async def switch(self, path, body=None):
         return await self._switches.call("POST", path, body if body is not None else {})
@@ -89,15 +128,17 @@
         By default the further routes stay, and only a timeout changes.
         """
         self._version = self.next_version()
-        self._more_routes = self._more_routes if more_routes is None else more_routes
+        self.more_routes = self.more_routes if more_routes is None else more_routes
         routes = [{"name": name, "host": "soak.example", "path-prefix": f"/{name}/",
                    "kind": "unsafe", "timeout-ms": 3000 + self._version, "attempts": 4,
                    "target-duration-ms": 600, "stretch": 1.6, "priority": 0,
-                   "service": name if name in POOLS else "quick"}
-                  for name in (*POOLS, "stay", *self._more_routes)]
-        services = [{"name": name, "spare": name == "spare"} for name in (*POOLS, "spare")]
-        await self.switch("/operator?key=config", {
-            "version": self._version, "routes": routes, "services": services, "limits": {}})
+                   "service": name if name in self.shape.pools else "quick"}
+                  for name in (*self.shape.pools, "stay", *self.more_routes)]
+        services = [{"name": name, "spare": name == SPARE} for name in (*self.shape.pools, SPARE)]
+        content = {"version": self._version, "routes": routes, "services": services, "limits": {}}
+        # Again on a new connection, if the stand-in has closed the idle one.
+        while (await self.switch("/operator?key=config", content))[0] != 200:
+            await asyncio.sleep(0.1)
 
     async def is_ready(self, number):
         """Asks a node whether load balancers may use it."""
@@ -113,30 +154,33 @@
     def restart_ended(self, now):
         """Restarts ended nodes after a pause. Returns the unexpected ends."""
         faults = []
-        for node in self.nodes:
+        for place in self.present:
+            node = self.nodes[place]
             if node.runs:
                 continue
-            if node.name not in self._restarting:
+            if place not in self._restarting:
                 code = node.take_end()
                 if code is not None:
                     faults.append(f"EXIT: {node.name} ended by itself with code {code}")
-                self._restarting[node.name] = now + RESTART_S
-            elif now >= self._restarting[node.name]:
-                del self._restarting[node.name]
+                self._restarting[place] = now + RESTART_S
+            elif now >= self._restarting[place]:
+                del self._restarting[place]
                 node.start()
         return faults
 
     async def heal(self):
         for link in self.links:
             link.heal()
+            await link.lift_all()
             await link.start()
         await self.switch("/faults")
         for node in self.nodes:
-            if node.paused:
-                node.send(signal.SIGCONT)
+            node.release_faults()
 
     async def stop(self):
         self._switches.close()
+        if self.quotas is not None:
+            self.quotas.stop()
         for node in self.nodes:
             node.end()
         self.fleet.end()
--- a/standins/fleet/fleet_main.cpp
+++ b/standins/fleet/fleet_main.cpp
@@ -25,6 +25,9 @@
 DEFINE_uint32(advertised_shift, 0,
               "Added to the ports that workers publish in the log, for a proxy");
 DEFINE_uint32(vms_per_pool, 4, "VMs in each pool at start-up");
+DEFINE_string(pool_sizes, "",
+              "VMs in each pool instead, separated by commas, the spare pool last");
+DEFINE_string(zones, "one", "Zones of the VMs' racks, in turn, separated by commas");
 DEFINE_string(pools, "quick,deep", "Names of the pools, separated by commas");
 DEFINE_string(spare_pool, "spare", "Pool whose VMs run no worker");
 DEFINE_uint32(seed, 1, "Seed of the random fault injection");
@@ -103,13 +106,24 @@
         options.m_advertised_shift = static_cast<std::uint16_t>(FLAGS_advertised_shift);
         options.m_vms_per_pool = FLAGS_vms_per_pool;
         options.m_spare_pool = FLAGS_spare_pool;
-        std::istringstream names{FLAGS_pools};
-        for (std::string name; std::getline(names, name, ',');) {
-            options.m_pools.push_back(name);
+        options.m_pools = split(FLAGS_pools);
+        options.m_zones = split(FLAGS_zones);
+        for (const auto& size : split(FLAGS_pool_sizes)) {
+            options.m_pool_sizes.push_back(static_cast<std::uint32_t>(std::stoul(size)));
         }
         return options;
     }
 
+    static std::vector<std::string> split(const std::string& list)
+    {
+        std::vector<std::string> parts;
+        std::istringstream rest{list};
+        for (std::string part; std::getline(rest, part, ',');) {
+            parts.push_back(part);
+        }
+        return parts;
+    }
+
     bool serve(std::uint16_t port, peridotrudder::http_handler handler)
     {
         peridotrudder::http_server_options options;
--- a/standins/fleet/vm_pools.cpp
+++ b/standins/fleet/vm_pools.cpp
@@ -58,13 +58,18 @@
 {
     auto pools = m_options.m_pools;
     pools.push_back(m_options.m_spare_pool);
+    auto sizes = m_options.m_pool_sizes;
+    sizes.resize(pools.size(), m_options.m_vms_per_pool);
+    const auto& zones = m_options.m_zones;
     std::uint32_t number = 0;
-    for (const auto& pool : pools) {
-        for (std::uint32_t index = 0; index < m_options.m_vms_per_pool; ++index) {
+    for (std::size_t place = 0; place < pools.size(); ++place) {
+        for (std::uint32_t index = 0; index < sizes[place]; ++index) {
+            const auto rack = number / vms_per_rack;
             stand_in_vm vm;
             vm.m_id = fmt::format("m-{:04}", number);
-            vm.m_pool = pool;
-            vm.m_rack = fmt::format("r{}", number / vms_per_rack);
+            vm.m_pool = pools[place];
+            vm.m_rack = fmt::format("r{}", rack);
+            vm.m_zone = zones[rack % zones.size()];
             vm.m_address = m_options.m_address;
             vm.m_port = static_cast<std::uint16_t>(m_options.m_first_port + number);
             ++number;
@@ -110,7 +115,7 @@
         machines.push_back({{"machine", id},
                             {"pool", vm.m_pool},
                             {"state", vm.m_state},
-                            {"zone", "one"},
+                            {"zone", vm.m_zone},
                             {"labels", {"a", vm.m_rack}},
                             {"capacity", capacity(full_percent)},
                             {"id", vm.m_worker ? vm.m_worker->id() : std::string{}}});
@@ -200,7 +205,7 @@
               json{{"service", vm.m_pool},
                    {"address",
                     fmt::format("{}:{}", vm.m_address, vm.m_port + m_options.m_advertised_shift)},
-                   {"zone", "one"},
+                   {"zone", vm.m_zone},
                    {"version", "v1"},
                    {"slots", 8},
                    {"state", vm.m_draining ? "draining" : "ready"},
--- a/standins/fleet/vm_pools.hpp
+++ b/standins/fleet/vm_pools.hpp
@@ -33,6 +33,7 @@
     std::string m_id;
     std::string m_pool;
     std::string m_rack;
+    std::string m_zone;
     /// Address on which its workers listen.
     std::string m_address;
     std::uint16_t m_port{0};
@@ -65,8 +66,12 @@
     std::uint16_t m_first_port{0};
     /// Added to the port in a worker's record in the log, so that clients connect to a proxy.
     std::uint16_t m_advertised_shift{0};
+    /// Number of VMs in each pool, the spare pool last; pools without a number have `m_vms_per_pool`.
+    std::vector<std::uint32_t> m_pool_sizes;
     std::uint32_t m_vms_per_pool{4};
     std::vector<std::string> m_pools;
+    /// Zones of the racks, in turn.
+    std::vector<std::string> m_zones{"one"};
     /// Pool whose VMs run no worker.
     std::string m_spare_pool;
 };
