Show the age of the owner's proof and of its configuration

An owner that is cut off, or whose reading of the configuration hangs, wrote nothing of it: the hypotheses on CONFIG and on deposed owners could not be told apart from the logs. Lines proof_too_old and config_too_old on the change, gauges proof_age_ms and config_age_ms. No change of logic.

--- a/include/peridotrudder/node/fleet_owner.hpp
+++ b/include/peridotrudder/node/fleet_owner.hpp
@@ -51,6 +51,9 @@
     milliseconds m_lease_proof_max_age{5'000};
     /// Longest time between writes, which renew the proof and serve as heartbeats.
     milliseconds m_proof_interval{400};
+    /// Ages from which on a proof of ownership and a configuration are reported as too old.
+    milliseconds m_reported_proof_age{800};
+    milliseconds m_reported_config_age{1'500};
     /// New jobs are refused once writes to the log have failed for this long.
     milliseconds m_refuse_jobs_after{350};
     /// Interval at which `tick` is called. Late ticks indicate a lack of processor time.
@@ -79,6 +82,10 @@
     void tick();
     /// Returns how long writes to the log have been failing; zero if they succeed.
     milliseconds failing_for() const;
+    /// Returns the age of the newest proof of ownership: the newest write that succeeded.
+    milliseconds proof_age() const;
+    /// Returns how long ago the topic of the configuration was last read.
+    milliseconds config_age() const;
     const job_scheduler* scheduler() const { return m_scheduler.get(); }
 
 private:
@@ -103,6 +110,8 @@
     scheduler_ports make_scheduler_ports();
     bool has_proof_within(milliseconds max_age) const;
     void adapt_to_lag(time_point now);
+    /// Reports when the proof or the configuration becomes too old, and when it no longer is.
+    void report_ages();
 
     owner_options m_options;
     owner_ports m_ports;
@@ -122,6 +131,8 @@
     /// Moving average of the lateness of ticks, in milliseconds.
     double m_lag_ms{0.0};
     time_point m_adapted_at;
+    bool m_proof_too_old{false};
+    bool m_config_too_old{false};
     /// Workers whose newest entry names an unconfigured pool or cannot be read.
     std::set<std::string> m_unusable_workers;
     /// Held weakly by pending callbacks, which ignore answers once the owner is destroyed.
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -290,6 +290,7 @@
         return;
     }
     adapt_to_lag(now.m_at);
+    report_ages();
     m_scheduler->tick(now);
     m_planner->tick(*m_scheduler, now);
     write_pending();
@@ -326,6 +327,31 @@
     return since ? remaining(*since, m_ports.m_loop.m_now().m_at) : milliseconds{0};
 }
 
+milliseconds fleet_owner::proof_age() const
+{
+    return remaining(m_journal->proven_at(), m_ports.m_loop.m_now().m_at);
+}
+
+milliseconds fleet_owner::config_age() const
+{
+    return remaining(m_operators->answered_at(), m_ports.m_loop.m_now().m_at);
+}
+
+void fleet_owner::report_ages()
+{
+    const auto report = [this](bool& was_too_old, std::string_view event, milliseconds age,
+                               milliseconds limit) {
+        const bool too_old = age > limit;
+        if (too_old != was_too_old) {
+            was_too_old = too_old;
+            const auto text = too_old ? fmt::format("{} ms old", age.count()) : "renewed";
+            m_ports.m_decided({event, "", "", text});
+        }
+    };
+    report(m_proof_too_old, "proof_too_old", proof_age(), m_options.m_reported_proof_age);
+    report(m_config_too_old, "config_too_old", config_age(), m_options.m_reported_config_age);
+}
+
 bool fleet_owner::has_proof_within(milliseconds max_age) const
 {
     return m_ports.m_loop.m_now().m_at - m_journal->proven_at() <= max_age;
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -338,6 +338,8 @@
             metrics.set_gauge("config_version", static_cast<double>(state.m_config.version()));
             metrics.set_gauge("journal_failing_ms",
                               static_cast<double>(m_owner->failing_for().count()));
+            metrics.set_gauge("proof_age_ms", static_cast<double>(m_owner->proof_age().count()));
+            metrics.set_gauge("config_age_ms", static_cast<double>(m_owner->config_age().count()));
         }
     }
 
