--- a/test/node/fleet_owner_fixture.hpp
+++ b/test/node/fleet_owner_fixture.hpp
@@ -44,6 +44,7 @@
     /// How many reads of the operators' topic from now on are on a silent connection.
     int m_silent_reads{0};
     std::size_t m_operator_reads{0};
+    std::size_t m_appends{0};
     std::vector<vm_order> m_vm_orders;
     std::vector<stop_order> m_stops;
     std::vector<std::string> m_events;
@@ -112,6 +113,7 @@
         };
         ports.m_decided = [this](const decision& made) { m_events.emplace_back(made.m_event); };
         ports.m_measured = [](std::string_view, milliseconds) {};
+        ports.m_is_supported = [this] { return m_supported; };
         ports.m_ended = [this] { m_ended = true; };
         return fleet_owner::create(options, ports);
     }
@@ -164,6 +166,7 @@
     append_answer append(const append_request& request)
     {
         append_answer answer;
+        ++m_appends;
         if (!m_log_up || !m_appends_up) {
             answer.m_result = log_result::nothing_done;
             return answer;
