--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -34,11 +34,12 @@
 fleet_owner::fleet_owner(owner_options options, owner_ports ports)
     : m_options{options},
       m_ports{std::move(ports)},
+      m_proof{ownership_proof::create(options.m_proof_limits)},
       m_self{std::make_shared<fleet_owner*>(this)}
 {
     m_options.m_scheduler.m_fence = first_token(m_options.m_epoch);
     m_options.m_scheduler.m_lease.m_predecessor_grace =
-        m_options.m_predecessor_released ? milliseconds{0} : m_options.m_lease_proof_max_age;
+        m_options.m_predecessor_released ? milliseconds{0} : m_options.m_proof_limits.m_lease;
 }
 
 void fleet_owner::start()
@@ -50,16 +51,18 @@
     m_journal = journal_writer::create(
         options, m_ports.m_log, {[this] { journal_written(); }, [this] { journal_fenced(); }});
     m_journal->claim(m_ports.m_loop.m_now().m_at);
-    // These topics do not depend on the claim, so they are read at the same time.
-    follow_operators();
+    // The workers do not depend on the claim, so they are read at the same time.
     follow_workers();
 }
 
 void fleet_owner::journal_written()
 {
+    m_proof.renew(m_journal->proven_at());
     if (m_phase == owner_phase::claiming) {
         m_phase = owner_phase::loading;
         read_journal();
+        // A reading from before the claim could be older than what the predecessor has answered by.
+        follow_operators();
         return;
     }
     if (m_writing) {
@@ -81,6 +84,7 @@
 {
     if (m_phase != owner_phase::ended) {
         m_phase = owner_phase::ended;
+        m_proof.revoke();
         m_ports.m_ended();
     }
 }
@@ -112,6 +116,7 @@
 {
     follower_options options;
     options.m_topic = m_ports.m_record_schema.m_operator_topic;
+    options.m_hedge_delay = m_options.m_config_hedge_delay;
     m_operators = buffered_follower::create(
         options, m_ports.m_log, m_ports.m_loop,
         [this](const std::vector<keyed_record>& records, bool /*snapshot*/) {
@@ -137,8 +142,8 @@
 
 void fleet_owner::serve_when_loaded()
 {
-    const bool loaded = m_journal_read && m_operators->complete() && m_worker_list != nullptr &&
-                        m_worker_list->complete();
+    const bool loaded = m_journal_read && m_operators != nullptr && m_operators->complete() &&
+                        m_worker_list != nullptr && m_worker_list->complete();
     if (!loaded || m_scheduler != nullptr) {
         return;
     }
@@ -152,6 +157,7 @@
         job_scheduler::create(m_options.m_scheduler, make_scheduler_ports(), std::move(store), now);
     m_planner = fleet_planner::create(m_options.m_planner, m_options.m_epoch, make_planner_ports());
     m_planner->restore(m_journal_records, now);
+    m_planner->mark_leaving(*m_scheduler, now);
     m_journal_records.clear();
     m_operators->release();
     m_worker_list->release();
@@ -248,14 +254,72 @@
         m_ports.m_answer(token, {call_status::unavailable, {}, 0, milliseconds{1'000}});
         return;
     }
+    if (!serve_call(token, call, milliseconds{0})) {
+        m_ports.m_decided({"call_held", call.m_path, "",
+                           fmt::format("proof {} ms old, configuration {} ms old",
+                                       proof_age().count(), config_age().count())});
+        m_held_calls.push_back({token, call, m_ports.m_loop.m_now().m_at});
+    }
+}
+
+bool fleet_owner::serve_call(std::uint64_t token, const job_call& call, milliseconds waited)
+{
     const bool cannot_record = failing_for() >= m_options.m_refuse_jobs_after;
     if (cannot_record && m_scheduler->is_new_job(call)) {
         m_ports.m_decided({"job_refused", call.m_path, "", "writes to the log fail"});
         m_ports.m_answer(token, {call_status::unavailable, {}, 0, refused_retry_after});
-        return;
+        return true;
+    }
+    if (config_is_too_old(waited)) {
+        return false;
     }
+    m_call_in_hand = token;
+    m_answer_in_hand.reset();
     m_scheduler->take_call(token, call, m_ports.m_loop.m_now());
+    m_call_in_hand.reset();
+    if (m_answer_in_hand) {
+        if (!may_answer()) {
+            return false;
+        }
+        m_ports.m_answer(token, *m_answer_in_hand);
+    }
     write_pending();
+    return true;
+}
+
+void fleet_owner::take_answer(std::uint64_t token, const call_answer& answer)
+{
+    // An answer that follows a write is proven by it. One from memory is found anew if it waits.
+    if (m_call_in_hand == token) {
+        m_answer_in_hand = answer;
+        return;
+    }
+    m_ports.m_answer(token, answer);
+}
+
+void fleet_owner::serve_held_calls()
+{
+    if (m_held_calls.empty() || !may_answer()) {
+        return;
+    }
+    const auto now = m_ports.m_loop.m_now().m_at;
+    auto held = std::move(m_held_calls);
+    m_held_calls.clear();
+    for (auto& call : held) {
+        const auto waited = remaining(call.m_since, now);
+        if (!serve_call(call.m_token, call.m_call, waited)) {
+            m_held_calls.push_back(std::move(call));
+            continue;
+        }
+        m_ports.m_measured("held_call", waited);
+    }
+}
+
+bool fleet_owner::config_is_too_old(milliseconds waited) const
+{
+    // If writes fail as well, the log is out of reach, and no newer configuration is in reach.
+    return config_age() > m_options.m_config_max_age && waited < m_options.m_config_longest_wait &&
+           !m_journal->failing_since();
 }
 
 void fleet_owner::write_pending()
@@ -290,6 +354,8 @@
         return;
     }
     adapt_to_lag(now.m_at);
+    report_ages();
+    serve_held_calls();
     m_scheduler->tick(now);
     m_planner->tick(*m_scheduler, now);
     write_pending();
@@ -326,28 +392,64 @@
     return since ? remaining(*since, m_ports.m_loop.m_now().m_at) : milliseconds{0};
 }
 
-bool fleet_owner::has_proof_within(milliseconds max_age) const
+milliseconds fleet_owner::proof_age() const
+{
+    return m_proof.age(m_ports.m_loop.m_now().m_at);
+}
+
+milliseconds fleet_owner::config_age() const
+{
+    return remaining(m_operators->current_at(), m_ports.m_loop.m_now().m_at);
+}
+
+void fleet_owner::report_ages()
+{
+    const auto report = [this](bool& was_too_old, std::string_view event, milliseconds age,
+                               milliseconds limit) {
+        const bool too_old = age > limit;
+        if (too_old != was_too_old) {
+            was_too_old = too_old;
+            const auto text = too_old ? fmt::format("{} ms old", age.count()) : "renewed";
+            m_ports.m_decided({event, "", "", text});
+        }
+    };
+    report(m_proof_too_old, "proof_too_old", proof_age(), m_options.m_proof_limits.m_answer);
+    report(m_config_too_old, "config_too_old", config_age(), m_options.m_config_max_age);
+}
+
+bool fleet_owner::may(owner_act act) const
 {
-    return m_ports.m_loop.m_now().m_at - m_journal->proven_at() <= max_age;
+    return m_proof.grants(act, m_ports.m_loop.m_now().m_at);
+}
+
+bool fleet_owner::may_answer() const
+{
+    return m_phase == owner_phase::serving && (may(owner_act::answer) || m_ports.m_is_supported());
 }
 
 void fleet_owner::report_wave_state(const std::string& key, bool completed)
 {
-    append_request request;
-    request.m_topic = m_ports.m_record_schema.m_status_topic;
-    request.m_records.push_back({key, m_ports.m_record_schema.m_wave_state(completed), 0});
     const std::weak_ptr<fleet_owner*> self = m_self;
-    m_ports.m_log.m_append(request, [self, key, completed](const append_answer& answer) {
-        const auto alive = self.lock();
-        if (!alive || answer.m_result == log_result::ok) {
-            return;
-        }
-        (*alive)->m_ports.m_loop.m_after(status_retry, [self, key, completed] {
+    const auto repeat_later = [self, key, completed](fleet_owner& owner) {
+        owner.m_ports.m_loop.m_after(status_retry, [self, key, completed] {
             if (const auto still_alive = self.lock();
                 still_alive && (*still_alive)->m_phase == owner_phase::serving) {
                 (*still_alive)->report_wave_state(key, completed);
             }
         });
+    };
+    if (!may(owner_act::wave_report)) {
+        repeat_later(*this);
+        return;
+    }
+    append_request request;
+    request.m_topic = m_ports.m_record_schema.m_status_topic;
+    request.m_records.push_back({key, m_ports.m_record_schema.m_wave_state(completed), 0});
+    m_ports.m_log.m_append(request, [self, repeat_later](const append_answer& answer) {
+        const auto alive = self.lock();
+        if (alive && answer.m_result != log_result::ok) {
+            repeat_later(**alive);
+        }
     });
 }
 
@@ -356,6 +458,7 @@
     fleet_planner_ports ports;
     ports.m_loop = m_ports.m_loop;
     ports.m_vms = m_ports.m_vms;
+    ports.m_may_order = [this] { return may(owner_act::vm_order); };
     ports.m_report_wave = [this](const std::string& key, bool completed) {
         report_wave_state(key, completed);
     };
@@ -390,7 +493,7 @@
                 scheduler.start_answered(target, key, run, answer, now);
             });
         };
-        if (!has_proof_within(m_options.m_start_proof_max_age)) {
+        if (!may(owner_act::start)) {
             m_ports.m_loop.m_after(milliseconds{0}, [answered] {
                 answered({order_result::not_sent, std::nullopt});
             });
@@ -402,20 +505,30 @@
         const order_target target{to.m_instance, order.m_fence};
         const auto key = order.m_key;
         const auto run = order.m_run;
-        m_ports.m_workers.m_stop(to, order, [self, target, key, run](const order_answer& answer) {
+        const auto answered = [self, target, key, run](const order_answer& answer) {
             with_scheduler(self, [&](job_scheduler& scheduler, moment now) {
                 scheduler.stop_answered(target, key, run, answer, now);
             });
-        });
+        };
+        if (!may(owner_act::stop)) {
+            m_ports.m_loop.m_after(milliseconds{0}, [answered] {
+                answered({order_result::not_sent, std::nullopt});
+            });
+            return;
+        }
+        m_ports.m_workers.m_stop(to, order, answered);
     };
     ports.m_pace = [this](const worker_report& to, const pace_order& order) {
+        if (!may(owner_act::stop)) {
+            return;
+        }
         m_ports.m_workers.m_pace(to, order, [](const order_answer& /*answer*/) {});
     };
     ports.m_hold = [this, self](const worker_report& to, const hold_order& order) {
         const order_target target{to.m_instance, order.m_fence};
         const auto sent_at = m_ports.m_loop.m_now().m_at;
         auto sent = order;
-        if (!has_proof_within(m_options.m_lease_proof_max_age)) {
+        if (!may(owner_act::renewal)) {
             // Without a deadline the hold only reads: a successor may count the lease as expired.
             sent.m_deadline_ms.reset();
         }
@@ -432,7 +545,9 @@
             });
         });
     };
-    ports.m_answer = m_ports.m_answer;
+    ports.m_answer = [this](std::uint64_t token, const call_answer& answer) {
+        take_answer(token, answer);
+    };
     ports.m_log = m_ports.m_decided;
     ports.m_deposed = [this, self] {
         // Deferred, because the caller is inside the scheduler.
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -325,6 +325,7 @@
         ports.m_measured = [this](std::string_view exchange, milliseconds time) {
             m_decisions.metrics().measured(exchange, time);
         };
+        ports.m_is_supported = [this] { return m_agent->is_supported(); };
         ports.m_ended = [this] { m_agent->resign(false); };
         m_owner = fleet_owner::create(options, std::move(ports));
         m_owner->start();
@@ -366,6 +367,8 @@
             metrics.set_gauge("config_version", static_cast<double>(state.m_config.version()));
             metrics.set_gauge("journal_failing_ms",
                               static_cast<double>(m_owner->failing_for().count()));
+            metrics.set_gauge("proof_age_ms", static_cast<double>(m_owner->proof_age().count()));
+            metrics.set_gauge("config_age_ms", static_cast<double>(m_owner->config_age().count()));
         }
     }
 
@@ -442,7 +445,7 @@
     bool is_ready() const
     {
         return !m_stopping_since && m_agent->route().exists() &&
-               (!m_owner || m_owner->phase() == owner_phase::serving);
+               (!m_owner || m_owner->may_answer());
     }
 
     void tick()
@@ -453,6 +456,7 @@
         }
         if (m_owner) {
             m_agent->set_failing(m_owner->failing_for());
+            m_agent->set_proof_age(m_owner->proof_age());
         }
         m_agent->tick();
         m_router.tick(now());
