--- a/test/ownership/cluster_agent_test.cpp
+++ b/test/ownership/cluster_agent_test.cpp
@@ -68,6 +68,9 @@
     CPPUNIT_TEST(owner_whose_registration_was_replaced_stays_the_owner);
     CPPUNIT_TEST(late_registration_on_the_owners_node_does_not_end_its_ownership_for_others);
     CPPUNIT_TEST(new_process_of_a_silent_owners_node_ends_its_ownership);
+    CPPUNIT_TEST(process_that_is_deleted_and_registers_again_keeps_its_link);
+    CPPUNIT_TEST(link_of_a_deleted_process_is_given_up_when_it_ends);
+    CPPUNIT_TEST(link_that_opens_after_its_process_was_dropped_does_not_count);
     CPPUNIT_TEST(node_that_a_peer_still_reaches_is_not_removed);
     CPPUNIT_TEST(node_that_nobody_reaches_is_removed);
     CPPUNIT_TEST(owner_that_is_cut_off_from_all_removes_nobody);
@@ -184,6 +187,42 @@
         CPPUNIT_ASSERT_MESSAGE("a killed owner must be replaced at once", test.m_agent->owns());
     }
 
+    // The link was closed without a notice, and counted as open from then on.
+    void process_that_is_deleted_and_registers_again_keeps_its_link()
+    {
+        follower_fixture test;
+        test.m_log.delete_node("other");
+        test.run_with_heartbeats(milliseconds{300}, test.m_claim);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.m_peers.count("other-1"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"other-1"}, test.m_agent->reachable_owner());
+        test.m_log.put_node(test.m_other);
+        test.run_with_heartbeats(milliseconds{300}, test.m_claim);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.m_peers.count("other-1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.m_agent->linked_nodes().size());
+    }
+
+    void link_of_a_deleted_process_is_given_up_when_it_ends()
+    {
+        follower_fixture test;
+        test.m_log.delete_node("other");
+        test.run_with_heartbeats(milliseconds{300}, test.m_claim);
+        test.m_agent->link_closed("other-1", false);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, test.m_peers.count("other-1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, test.m_agent->open_links());
+    }
+
+    // The mesh closes such a link without a notice.
+    void link_that_opens_after_its_process_was_dropped_does_not_count()
+    {
+        follower_fixture test;
+        test.m_agent->link_closed("other-1", false);
+        test.m_log.delete_node("other");
+        test.run_for(milliseconds{100});
+        test.m_agent->link_opened("other-1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, test.m_agent->open_links());
+        CPPUNIT_ASSERT_EQUAL(std::string{}, test.m_agent->reachable_owner());
+    }
+
     // A node that only the owner couldn't reach was deleted, and nobody could reach it then.
     void node_that_a_peer_still_reaches_is_not_removed()
     {
