--- a/test/node/carried_calls_test.cpp
+++ b/test/node/carried_calls_test.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(no_peer_is_asked_while_the_direct_way_works);
     CPPUNIT_TEST(call_is_answered_when_its_peer_loses_the_owner);
     CPPUNIT_TEST(call_passed_to_an_owner_that_ends_reaches_its_successor);
+    CPPUNIT_TEST(node_learns_of_the_next_owner_from_a_peer);
     CPPUNIT_TEST(submission_refused_through_a_peer_is_refused_to_the_caller);
     CPPUNIT_TEST(late_answers_of_two_ways_answer_a_call_once);
     CPPUNIT_TEST(refusal_of_one_way_waits_for_the_other);
@@ -155,6 +156,31 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"done"}, it.m_cluster.status(number));
     }
 
+    void node_learns_of_the_next_owner_from_a_peer()
+    {
+        cut_links_cluster cluster{4};
+        cluster.run(start_time);
+        constexpr std::size_t node = 3;
+        constexpr std::size_t peer = 2;
+        for (const std::size_t other : {0, 1}) {
+            cluster.cut(node, other);
+            cluster.cut(other, node);
+        }
+        cluster.run(settle_time);
+        cluster.cut_log(node);
+        for (int change = 0; change < 5 || cluster.owner() == peer; ++change) {
+            CPPUNIT_ASSERT(cluster.owner().has_value());
+            cluster.resign(*cluster.owner());
+            cluster.run(settle_time);
+        }
+        const auto owner = cluster.owner();
+        CPPUNIT_ASSERT(owner.has_value() && *owner < peer);
+        CPPUNIT_ASSERT_EQUAL(cluster.epoch(*owner), cluster.epoch(node));
+        const auto number = cluster.call(node);
+        cluster.run(call_time);
+        CPPUNIT_ASSERT_EQUAL(std::string{"done"}, cluster.status(number));
+    }
+
     void submission_refused_through_a_peer_is_refused_to_the_caller()
     {
         carried_calls_fixture it;
--- a/test/node/cut_links_cluster.hpp
+++ b/test/node/cut_links_cluster.hpp
@@ -34,6 +34,8 @@
     /// Cuts or heals the link on which `from` sends to `to`.
     void cut(std::size_t from, std::size_t to) { m_cuts.insert({name(from), name(to)}); }
     void heal() { m_cuts.clear(); }
+    /// Leaves a node's reads of the log without an answer from now on.
+    void cut_log(std::size_t index) { m_without_log.insert(name(index)); }
     bool connected(std::size_t from, std::size_t to) const
     {
         return from == to || (m_cuts.count({name(from), name(to)}) == 0 &&
@@ -86,6 +88,7 @@
         return m_answers[number].empty() ? "none yet"
                                          : std::string{to_string(m_answers[number].front())};
     }
+    std::uint64_t epoch(std::size_t index) const { return m_nodes[index]->m_agent->epoch(); }
     owner_route route(std::size_t index) const { return m_nodes[index]->m_agent->route(); }
     /// Returns whether an owner has recorded a copy of a call.
     bool accepted(std::size_t number) const { return m_accepted.count(path(number)) != 0; }
@@ -169,7 +172,7 @@
         ports.m_loop.m_after = [this](milliseconds delay, std::function<void()> action) {
             after(delay, std::move(action));
         };
-        ports.m_log = make_log();
+        ports.m_log = make_log(made.m_name);
         ports.m_send = [this, &made](const std::string& peer, const node_message& message) {
             return send(made, peer, message);
         };
@@ -198,16 +201,20 @@
         changed.m_router->owner_changed(m_now.m_at);
     }
 
-    log_port make_log()
+    log_port make_log(const std::string& reader)
     {
         log_port log;
         log.m_append = [this](const append_request& request,
                               const std::function<void(append_answer)>& callback) {
             after(milliseconds{5}, [this, request, callback] { callback(append(request)); });
         };
-        log.m_read = [this](const read_request& request,
-                            const std::function<void(read_answer)>& callback) {
-            read(request, m_now.m_at + request.m_wait, callback);
+        log.m_read = [this, reader](const read_request& request,
+                                    const std::function<void(read_answer)>& callback) {
+            read(request, m_now.m_at + request.m_wait, [this, reader, callback](auto answer) {
+                if (m_without_log.count(reader) == 0) {
+                    callback(answer);
+                }
+            });
         };
         log.m_newest = [this](const std::string& topic,
                               const std::function<void(newest_answer)>& callback) {
@@ -355,6 +362,7 @@
     std::vector<std::unique_ptr<node>> m_nodes;
     std::vector<std::vector<call_status>> m_answers;
     std::set<std::string> m_accepted;
+    std::set<std::string> m_without_log;
 };
 
 } // namespace peridotrudder
