Let a relay that never tells its clock give way to another

A node whose link to the owner was missing, while the owner's link to it worked, was chosen as a relay and kept its place among the four for good, though it got no orders: the owner sent its share of orders through fewer nodes. Found by reading; no caller has reported it. A relay that has not told its clock for 1.1 s now counts as lost, with the usual back-off.

--- a/include/peridotrudder/node/order_relay.hpp
+++ b/include/peridotrudder/node/order_relay.hpp
@@ -26,8 +26,8 @@
     std::size_t m_max_relays{4};
     /// Orders to one relay are batched for this long.
     milliseconds m_batch_delay{4};
-    /// Time without an answer after which a relay counts as lost; longer than any call to a worker
-    /// takes. For a hold, its own waiting time is added.
+    /// Time without an answer after which a relay counts as lost, also one that has not told its
+    /// clock; longer than any call to a worker takes. For a hold, its own waiting time is added.
     milliseconds m_answer_timeout{1'100};
     /// Time for which a lost relay is not used.
     milliseconds m_relay_backoff{3'000};
@@ -114,6 +114,8 @@
     std::vector<std::string> m_relays;
     std::map<std::string, relay_clock> m_clocks;
     std::map<std::string, time_point> m_clock_asked_at;
+    /// Relays that have not told their clocks, with the time of the first question.
+    std::map<std::string, time_point> m_clock_awaited_since;
     /// Lost relays, with the time from which they may be used again.
     std::map<std::string, time_point> m_backoff_until;
     std::map<std::string, std::vector<relayed_order>> m_batches;
--- a/src/node/order_relay.cpp
+++ b/src/node/order_relay.cpp
@@ -193,6 +193,7 @@
     }
     if (chosen != m_relays) {
         m_relays = std::move(chosen);
+        m_clock_awaited_since.clear();
         m_ports.m_log_event("relays_chosen",
                             fmt::format("{} for {} workers", m_relays.size(), workers));
     }
@@ -230,6 +231,9 @@
             asked != m_clock_asked_at.end() && now - asked->second < m_options.m_clock_retry;
         if (!recent && !waits) {
             m_clock_asked_at[relay] = now;
+            if (known == m_clocks.end()) {
+                m_clock_awaited_since.emplace(relay, now);
+            }
             m_ports.m_send(relay, relayed_orders{});
         }
     }
@@ -280,6 +284,7 @@
     m_backoff_until[relay] = m_ports.m_loop.m_now().m_at + m_options.m_relay_backoff;
     m_batches.erase(relay);
     m_clocks.erase(relay);
+    m_clock_awaited_since.erase(relay);
     std::vector<std::function<void(const relayed_answer&)>> unanswered;
     for (auto pending = m_pending.begin(); pending != m_pending.end();) {
         if (pending->second.m_relay != relay) {
@@ -302,6 +307,7 @@
     if (known == m_clocks.end() || message.m_clock_ms >= clock_of(from, now)) {
         m_clocks[from] = {message.m_clock_ms, now};
     }
+    m_clock_awaited_since.erase(from);
     for (const auto& answer : message.m_answers) {
         const auto found = m_pending.find(answer.m_number);
         if (found == m_pending.end() || found->second.m_relay != from) {
@@ -322,6 +328,11 @@
             silent.insert(pending.m_relay);
         }
     }
+    for (const auto& [relay, since] : m_clock_awaited_since) {
+        if (now - since >= m_options.m_answer_timeout) {
+            silent.insert(relay);
+        }
+    }
     for (const auto& relay : silent) {
         drop_relay(relay, "no answer");
     }
--- a/test/node/order_relay_test.cpp
+++ b/test/node/order_relay_test.cpp
@@ -134,6 +134,7 @@
     CPPUNIT_TEST(a_relay_sends_every_kind_of_order_and_returns_the_answers_together);
     CPPUNIT_TEST(a_relay_that_was_paused_carried_out_orders_that_the_owner_had_given_up);
     CPPUNIT_TEST(a_relay_gets_no_orders_before_it_has_told_its_clock);
+    CPPUNIT_TEST(a_relay_that_cannot_answer_gives_way_to_another);
     CPPUNIT_TEST(answer_that_was_held_up_does_not_make_later_orders_late);
     CPPUNIT_TEST(first_message_of_an_owner_was_never_late);
     CPPUNIT_TEST(orders_of_an_owner_that_was_paused_before_it_sent_them_were_in_time);
@@ -424,6 +425,28 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.m_direct.size());
     }
 
+    // A node whose link to the owner was missing kept its place among the relays for good.
+    void a_relay_that_cannot_answer_gives_way_to_another()
+    {
+        auto relay = order_distributor::create({}, 1, m_fixture.ports());
+        relay->select_relays(relay_fixture::nodes(5, 0), own_cpu, 1'000);
+        relay->tick();
+        for (int index = 1; index < 4; ++index) {
+            relay->handle_answers(fmt::format("node-{}-i", index), relayed_answers{1, {}});
+        }
+        const auto has = [&relay](const std::string& node) {
+            const auto relays = relay->relays();
+            return std::find(relays.begin(), relays.end(), node) != relays.end();
+        };
+        CPPUNIT_ASSERT(has("node-0-i") && !has("node-4-i"));
+        for (int passed = 0; passed < 12; ++passed) {
+            m_fixture.pass(milliseconds{100});
+            relay->tick();
+        }
+        relay->select_relays(relay_fixture::nodes(5, 0), own_cpu, 1'000);
+        CPPUNIT_ASSERT(!has("node-0-i") && has("node-4-i"));
+    }
+
     // The clock of such an answer lies behind, so that orders in time would have been dropped.
     void answer_that_was_held_up_does_not_make_later_orders_late()
     {
