Look for the client of a channel only when a fault asks for it

With 34 nodes and 349 workers the soak's proxy stood still: for each channel to a worker it read the socket table and the descriptors of all nodes.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -18,14 +18,34 @@
 class Channel:
     """An open connection through a link."""
 
-    def __init__(self, client, writers):
-        # Name of the program that opened it; None if it isn't known.
-        self.client = client
-        self.writers = writers
+    def __init__(self, writer, name_client):
+        self._name_client = name_client
+        self._named = False
+        self._client = None
+        self.writers = [writer]
+        self.first_data = b""
         self.silent = False
         # Whether the answer to the last request is to be lost.
         self.breaks = False
 
+    @property
+    def client(self):
+        """Name of the program that opened it; None if it isn't known.
+
+        Looked for when a fault asks for it, since that may take long.
+        """
+        if not self._named and self.first_data:
+            self._named = True
+            self._client = self._name()
+        return self._client
+
+    def _name(self):
+        if self._name_client is not None:
+            peer = self.writers[0].get_extra_info("peername")
+            return self._name_client(peer[1]) if peer else None
+        name = NODE_NAME.search(self.first_data)
+        return name.group(1).decode() if name else None
+
     def reset(self):
         for writer in self.writers:
             sock = writer.get_extra_info("socket")
@@ -45,8 +65,8 @@
         self.clients = None if clients is None else frozenset(clients)
         self.forwards, self.returns, self.refuses = forwards, returns, refuses
 
-    def covers(self, client):
-        return self.clients is None or client in self.clients
+    def covers(self, channel):
+        return self.clients is None or channel.client in self.clients
 
 
 class Link:
@@ -106,7 +126,7 @@
             if block.clients is None:
                 self.refuse()
             for channel in list(self._channels):
-                if block.covers(channel.client):
+                if block.covers(channel):
                     channel.reset()
         self._notify()
 
@@ -147,11 +167,10 @@
         task.add_done_callback(self._serving.discard)
 
     async def _serve(self, reader, writer):
-        channel = Channel(None, [writer])
+        channel = Channel(writer, self._name_client)
         self._channels.add(channel)
         try:
-            first = await reader.read(CHUNK_BYTES)
-            channel.client = self._client(writer, first)
+            first = channel.first_data = await reader.read(CHUNK_BYTES)
             if first and await self._may_open(channel, reader):
                 target_reader, target_writer = await asyncio.open_connection(
                     "127.0.0.1", self.target_port)
@@ -164,13 +183,6 @@
             for end in channel.writers:
                 end.transport.abort()
 
-    def _client(self, writer, first):
-        if self._name_client is not None:
-            peer = writer.get_extra_info("peername")
-            return self._name_client(peer[1]) if peer else None
-        name = NODE_NAME.search(first)
-        return name.group(1).decode() if name else None
-
     async def _may_open(self, channel, reader):
         """Waits until the first request passes. Returns whether the client is still there.
 
@@ -183,7 +195,7 @@
                 await asyncio.wait_for(self._changed.wait(), LOOK_S)
             except asyncio.TimeoutError:
                 pass
-        return not any(block.refuses and block.covers(channel.client) for block in self._blocks)
+        return not any(block.refuses and block.covers(channel) for block in self._blocks)
 
     async def _carry(self, channel, first, reader, target_reader):
         writer, target_writer = channel.writers
@@ -204,13 +216,16 @@
                 direction.cancel()
             await asyncio.gather(*directions, return_exceptions=True)
 
+    def _is_cut(self, channel):
+        return bool(self.cut_clients) and channel.client in self.cut_clients
+
     def _forwards_to(self, channel):
-        return self.forwards and channel.client not in self.cut_clients and all(
-            block.forwards for block in self._blocks if block.covers(channel.client))
+        return self.forwards and not self._is_cut(channel) and all(
+            block.forwards for block in self._blocks if block.covers(channel))
 
     def _returns_to(self, channel):
-        return self.returns and channel.client not in self.cut_clients and all(
-            block.returns for block in self._blocks if block.covers(channel.client))
+        return self.returns and not self._is_cut(channel) and all(
+            block.returns for block in self._blocks if block.covers(channel))
 
     async def _forward(self, channel, data):
         while not self._forwards_to(channel):
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -180,6 +180,7 @@
     parser.add_argument("--jobs_per_s", type=float, default=6)
     parser.add_argument("--worker_kinds", type=kinds, default=kinds("all"),
                         help="all, none, or some of: " + ", ".join(ALL_WORKER_KINDS))
+    parser.add_argument("--keep_logs", action="store_true", help="also if nothing was violated")
     parser.add_argument("--build", default="build")
     parser.add_argument("--base_port", type=int, default=17200)
     options = parser.parse_args()
@@ -191,7 +192,10 @@
             print(f"  fault {fault}")
         print(f"  logs: {folder}")
         sys.exit(1)
-    shutil.rmtree(folder)
+    if options.keep_logs:
+        print(f"  logs: {folder}")
+    else:
+        shutil.rmtree(folder)
 
 
 if __name__ == "__main__":
