--- a/soak/scenarios.py
+++ b/soak/scenarios.py
@@ -81,6 +81,19 @@
         """The owner's connections to a node are refused, and only these."""
         await self._serve_without_pair(self.owner, self.victim)
 
+    async def majority_gone(self):
+        """The owner and two of the other four nodes end without notice, for good."""
+        others = [place for place in self.system.present if place not in (self.owner, self.victim)]
+        for place in (self.owner, *others[:2]):
+            self.system.remove_node(place)
+
+    async def majority_silent(self):
+        """The same, but nothing tells the others: no connection of these nodes is reset."""
+        others = [place for place in self.system.present if place not in (self.owner, self.victim)]
+        for place in (self.owner, *others[:2]):
+            self.system.nodes[place].hold("scenario")
+            self.system.removed.add(place)
+
     async def _block_for(self, duration_s, target, block):
         self.system.peer_links[target].block(block)
         await asyncio.sleep(duration_s)
@@ -109,7 +122,8 @@
                              f"{sorted(set(refused), key=str)}")
 
 
-SCENARIOS = ("refused_node", "stopped_node", "refused_pair", "refused_pair_back")
+SCENARIOS = ("refused_node", "stopped_node", "refused_pair", "refused_pair_back",
+             "majority_gone", "majority_silent")
 
 
 async def play(options, folder):
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -187,15 +187,13 @@
     folder = tempfile.mkdtemp(prefix="peridot-soak-")
     oracle, faults, system = asyncio.run(play(options, folder))
     report(options, oracle, faults, system)
-    if oracle.violations:
+    if oracle.violations or options.keep_logs:
         for fault in sorted(faults, key=lambda fault: fault[:2], reverse=True):
             print(f"  fault {fault}")
         print(f"  logs: {folder}")
-        sys.exit(1)
-    if options.keep_logs:
-        print(f"  logs: {folder}")
     else:
         shutil.rmtree(folder)
+    sys.exit(1 if oracle.violations else 0)
 
 
 if __name__ == "__main__":
--- a/standins/fleet/fleet_main.cpp
+++ b/standins/fleet/fleet_main.cpp
@@ -25,8 +25,7 @@
 DEFINE_uint32(advertised_shift, 0,
               "Added to the ports that workers publish in the log, for a proxy");
 DEFINE_uint32(vms_per_pool, 4, "VMs in each pool at start-up");
-DEFINE_string(pool_sizes, "",
-              "VMs in each pool instead, separated by commas, the spare pool last");
+DEFINE_string(pool_sizes, "", "VMs in each pool instead, separated by commas, the spare pool last");
 DEFINE_string(zones, "one", "Zones of the VMs' racks, in turn, separated by commas");
 DEFINE_string(pools, "quick,deep", "Names of the pools, separated by commas");
 DEFINE_string(spare_pool, "spare", "Pool whose VMs run no worker");
--- a/standins/fleet/vm_pools.hpp
+++ b/standins/fleet/vm_pools.hpp
@@ -66,7 +66,8 @@
     std::uint16_t m_first_port{0};
     /// Added to the port in a worker's record in the log, so that clients connect to a proxy.
     std::uint16_t m_advertised_shift{0};
-    /// Number of VMs in each pool, the spare pool last; pools without a number have `m_vms_per_pool`.
+    /// Number of VMs in each pool, the spare pool last; pools without a number have
+    /// `m_vms_per_pool`.
     std::vector<std::uint32_t> m_pool_sizes;
     std::uint32_t m_vms_per_pool{4};
     std::vector<std::string> m_pools;
