--- a/soak/soak.py
+++ b/soak/soak.py
@@ -2,6 +2,7 @@
 """Injects random faults into the real programs under load and checks the guarantees meanwhile.
 
     soak/soak.py --seed 7 --seconds 25
+    soak/soak.py --shape nine --quotas --no_short --longest_s 40 --warm_up_s 6 --worker_kinds none
 
 The seed determines the choices, but not the timing. Exits with 1 and keeps the logs if a guarantee
 was violated.
