--- a/soak/soak.py
+++ b/soak/soak.py
@@ -2,6 +2,7 @@
 """Injects random faults into the real programs under load and checks the guarantees meanwhile.
 
     soak/soak.py --seed 7 --seconds 25
+    soak/soak.py --shape nine --quotas --no_short --longest_s 40 --warm_up_s 6 --worker_kinds none
 
 The seed determines the choices, but not the timing. Exits with 1 and keeps the logs if a guarantee
 was violated.
@@ -180,18 +181,20 @@
     parser.add_argument("--jobs_per_s", type=float, default=6)
     parser.add_argument("--worker_kinds", type=kinds, default=kinds("all"),
                         help="all, none, or some of: " + ", ".join(ALL_WORKER_KINDS))
+    parser.add_argument("--keep_logs", action="store_true", help="also if nothing was violated")
     parser.add_argument("--build", default="build")
     parser.add_argument("--base_port", type=int, default=17200)
     options = parser.parse_args()
     folder = tempfile.mkdtemp(prefix="peridot-soak-")
     oracle, faults, system = asyncio.run(play(options, folder))
     report(options, oracle, faults, system)
-    if oracle.violations:
+    if oracle.violations or options.keep_logs:
         for fault in sorted(faults, key=lambda fault: fault[:2], reverse=True):
             print(f"  fault {fault}")
         print(f"  logs: {folder}")
-        sys.exit(1)
-    shutil.rmtree(folder)
+    else:
+        shutil.rmtree(folder)
+    sys.exit(1 if oracle.violations else 0)
 
 
 if __name__ == "__main__":
