--- a/include/peridotrudder/links/peer_mesh.hpp
+++ b/include/peridotrudder/links/peer_mesh.hpp
@@ -14,6 +14,7 @@
 #include <gsl/span>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace peridotrudder {
@@ -28,6 +29,8 @@
     std::size_t m_max_message_bytes{16'777'216};
     /// Interval at which missing links are opened and open ones are checked.
     milliseconds m_check_interval{200};
+    /// Gets log lines about links that cannot be opened; runs on the mesh's loop. May be empty.
+    std::function<void(std::string_view event, std::string detail)> m_log_event;
 };
 
 /// Where a peer listens.
--- a/include/peridotrudder/ownership/cluster_agent.hpp
+++ b/include/peridotrudder/ownership/cluster_agent.hpp
@@ -124,6 +124,7 @@
     void remove_unreachable_nodes(time_point now);
     void update_reachability();
     std::string unreachable_cause() const;
+    void report_suspicion(time_point now);
     milliseconds stagger() const;
     void yield_to_larger_node(moment now);
 
@@ -150,6 +151,7 @@
     milliseconds m_failing_for{0};
     time_point m_heartbeat_sent_at;
     time_point m_probe_at;
+    time_point m_suspicion_reported_at;
     /// Callbacks of pending calls hold a weak pointer to it, to detect that the agent is destroyed.
     std::shared_ptr<cluster_agent*> m_self;
 };
--- a/include/peridotrudder/ownership/owner_election.hpp
+++ b/include/peridotrudder/ownership/owner_election.hpp
@@ -63,6 +63,23 @@
     milliseconds m_stagger{0};
 };
 
+/// What an election waits for, for logs.
+struct election_status {
+    /// Time since the owner's last heartbeat, or since its claim was learnt.
+    milliseconds m_heartbeat_age{0};
+    bool m_link_broken{false};
+    bool m_owner_gone{false};
+    std::size_t m_members{0};
+    /// Peers that answered the last question.
+    std::size_t m_answers{0};
+    std::size_t m_peers_hearing_owner{0};
+    /// Time since the last check of the journal began or ended; nothing if there was none.
+    std::optional<milliseconds> m_checked_before;
+    bool m_journal_silent{false};
+};
+
+std::string to_string(const election_status& status);
+
 /// Follows the claims and the owner's heartbeats. Has no side effects; not thread-safe.
 ///
 /// Safety does not depend on it: the log accepts one of several claims, and the epoch fences off
@@ -105,11 +122,15 @@
     bool owner_has_gone() const { return m_owner_gone; }
     /// Returns the time since the owner's last heartbeat, or since its claim was learnt.
     milliseconds heartbeat_age(time_point now) const { return remaining(m_last_heartbeat_at, now); }
+    /// Returns what this node waits for before it claims; nothing if it owns the fleet or does not
+    /// suspect the owner.
+    std::optional<election_status> status(time_point now) const;
     /// Returns the next step. A claim that did not succeed is returned again later.
     election_step tick(time_point now);
 
 private:
     bool suspects(time_point now) const;
+    std::size_t peers_hearing_owner() const;
     election_step check_suspicion(time_point now);
     void clear_suspicion(time_point now);
 
--- a/src/links/peer_mesh.cpp
+++ b/src/links/peer_mesh.cpp
@@ -34,6 +34,11 @@
 constexpr const char* incarnation_header = "X-Peridot-Incarnation";
 constexpr const char* target_header = "X-Peridot-Target";
 
+/// Shortest time between two log lines about the same peer.
+constexpr milliseconds report_interval{5'000};
+/// A link that was missing for longer is reported when it opens.
+constexpr milliseconds reported_gap{1'000};
+
 /// A link that this process opened.
 struct outgoing_link {
     peer_endpoint m_endpoint;
@@ -41,6 +46,10 @@
     link_keepalive m_keepalive;
     bool m_open{false};
     bool m_connecting{false};
+    /// Attempts to open it that failed since it was open.
+    int m_failures{0};
+    time_point m_missing_since{std::chrono::steady_clock::now()};
+    time_point m_reported_at;
 };
 
 /// A link that a peer opened.
@@ -200,7 +209,26 @@
         const bool names_itself = !connection->get_request_header(incarnation_header).empty();
         const bool is_for_this_process =
             connection->get_request_header(target_header) == m_options.m_self;
-        return names_itself && is_for_this_process && equal_secrets(authorization, expected);
+        const bool has_token = equal_secrets(authorization, expected);
+        if (!names_itself || !has_token) {
+            report_rejection("stranger", has_token ? "no name" : "wrong token");
+        }
+        else if (!is_for_this_process) {
+            report_rejection(connection->get_request_header(incarnation_header),
+                             connection->get_request_header(target_header) + " wanted");
+        }
+        return names_itself && is_for_this_process && has_token;
+    }
+
+    /// Only a process that has the token is reported by its name: strangers could make up many.
+    void report_rejection(const std::string& opener, const std::string& cause)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        auto& reported_at = m_rejections_reported_at[opener];
+        if (now - reported_at >= report_interval) {
+            reported_at = now;
+            report("link_rejected", fmt::format("{}: {}", opener, cause));
+        }
     }
 
     /// Returns the incarnation of the peer that opened a link to this process.
@@ -312,6 +340,7 @@
                 }
                 if (step == keepalive_step::close) {
                     link.m_open = false;
+                    link.m_missing_since = std::chrono::steady_clock::now();
                     dead.emplace_back(incarnation, link.m_connection);
                 }
             }
@@ -378,7 +407,7 @@
         const auto connection =
             m_client.get_connection(fmt::format("ws://{}:{}/", peer.m_address, peer.m_port), error);
         if (error) {
-            mark_failed(peer.m_incarnation);
+            mark_failed(peer.m_incarnation, error.message());
             return;
         }
         connection->append_header("Authorization",
@@ -394,8 +423,9 @@
             [this, incarnation](const connection_hdl& hdl, const std::string& /*payload*/) {
                 mark_answered(incarnation, hdl);
             });
-        connection->set_fail_handler(
-            [this, incarnation](const connection_hdl& /*hdl*/) { mark_failed(incarnation); });
+        connection->set_fail_handler([this, incarnation](const connection_hdl& hdl) {
+            mark_failed(incarnation, failure_of(hdl));
+        });
         connection->set_close_handler(
             [this, incarnation](const connection_hdl& hdl) { mark_closed(incarnation, hdl); });
         m_client.connect(connection);
@@ -403,16 +433,25 @@
 
     void mark_open(const std::string& incarnation, connection_hdl hdl)
     {
+        milliseconds missing_for{0};
+        int failures = 0;
         {
             const std::lock_guard<std::mutex> lock{m_mutex};
             const auto found = m_links.find(incarnation);
             if (found == m_links.end()) {
                 return;
             }
-            found->second.m_connection = std::move(hdl);
-            found->second.m_keepalive = {};
-            found->second.m_open = true;
-            found->second.m_connecting = false;
+            auto& link = found->second;
+            link.m_connection = std::move(hdl);
+            link.m_keepalive = {};
+            link.m_open = true;
+            link.m_connecting = false;
+            missing_for = remaining(link.m_missing_since, std::chrono::steady_clock::now());
+            failures = std::exchange(link.m_failures, 0);
+        }
+        if (missing_for >= reported_gap) {
+            report("link_opened", fmt::format("{} after {} ms and {} failures", incarnation,
+                                              missing_for.count(), failures));
         }
         notify_link(incarnation, link_change::opened);
     }
@@ -426,12 +465,47 @@
         }
     }
 
-    void mark_failed(const std::string& incarnation)
+    /// Returns why a link could not be opened.
+    std::string failure_of(const connection_hdl& hdl)
     {
-        const std::lock_guard<std::mutex> lock{m_mutex};
-        const auto found = m_links.find(incarnation);
-        if (found != m_links.end()) {
-            found->second.m_connecting = false;
+        websocketpp::lib::error_code error;
+        const auto connection = m_client.get_con_from_hdl(hdl, error);
+        if (error) {
+            return error.message();
+        }
+        const int status = static_cast<int>(connection->get_response_code());
+        return status == 0 ? connection->get_ec().message()
+                           : fmt::format("{} ({})", connection->get_ec().message(), status);
+    }
+
+    void mark_failed(const std::string& incarnation, const std::string& cause)
+    {
+        std::string detail;
+        {
+            const std::lock_guard<std::mutex> lock{m_mutex};
+            const auto found = m_links.find(incarnation);
+            if (found == m_links.end()) {
+                return;
+            }
+            auto& link = found->second;
+            link.m_connecting = false;
+            ++link.m_failures;
+            const auto now = std::chrono::steady_clock::now();
+            if (link.m_failures > 1 && now - link.m_reported_at < report_interval) {
+                return;
+            }
+            link.m_reported_at = now;
+            detail = fmt::format("{} at {}:{}: {}, {} failures in {} ms", incarnation,
+                                 link.m_endpoint.m_address, link.m_endpoint.m_port, cause,
+                                 link.m_failures, remaining(link.m_missing_since, now).count());
+        }
+        report("link_failed", std::move(detail));
+    }
+
+    void report(std::string_view event, std::string detail)
+    {
+        if (m_options.m_log_event) {
+            m_options.m_log_event(event, std::move(detail));
         }
     }
 
@@ -446,6 +520,7 @@
                 return;
             }
             found->second.m_open = false;
+            found->second.m_missing_since = std::chrono::steady_clock::now();
         }
         notify_link(incarnation, link_change::closed);
     }
@@ -469,6 +544,7 @@
     std::map<std::string, outgoing_link> m_links;
     /// By the incarnation of the peer that opened the link; used on the mesh's loop only.
     std::map<std::string, accepted_link> m_accepted;
+    std::map<std::string, time_point> m_rejections_reported_at;
     std::atomic<std::uint64_t> m_sent_messages{0};
     std::atomic<std::uint64_t> m_sent_bytes{0};
     std::atomic<std::uint64_t> m_received_messages{0};
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -175,6 +175,7 @@
         options.m_port = m_settings.m_peers.m_port;
         options.m_self = m_self;
         options.m_cluster_token = m_settings.m_cluster_token;
+        options.m_log_event = log_detail;
         return peer_mesh::create_on(
             m_loop, options,
             [this](const std::string& from, gsl::span<const std::uint8_t> frame) {
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds claim_spacing{12};
 constexpr milliseconds longest_stagger{150};
 constexpr milliseconds settling_time{1'000};
+/// Shortest time between two log lines that say what an election waits for.
+constexpr milliseconds suspicion_report_interval{1'000};
 
 } // namespace
 
@@ -186,6 +188,7 @@
         return;
     }
     update_reachability();
+    report_suspicion(now);
     if (!m_topic_read || !m_may_claim) {
         return;
     }
@@ -252,6 +255,19 @@
                        m_election.heartbeat_age(now).count());
 }
 
+void cluster_agent::report_suspicion(time_point now)
+{
+    const auto status = m_election.status(now);
+    if (!status || now - m_suspicion_reported_at < suspicion_report_interval) {
+        return;
+    }
+    m_suspicion_reported_at = now;
+    m_ports.m_log_event("owner_suspected",
+                        fmt::format("epoch {}, linked {}: {}{}", m_election.claim().m_epoch,
+                                    m_open_links.size(), to_string(*status),
+                                    m_topic_read ? "" : ", topic not read"));
+}
+
 std::string cluster_agent::reachable_owner() const
 {
     if (owns()) {
@@ -294,14 +310,21 @@
     request.m_expected_end = m_topic_end;
     request.m_records.push_back({std::string{owner_key}, to_packed_cbor(own_claim), 0});
     const std::weak_ptr<cluster_agent*> self = m_self;
-    m_ports.m_log.m_append(request, [self, own_claim](const append_answer& answer) {
+    const auto expected = m_topic_end;
+    m_ports.m_log.m_append(request, [self, own_claim, expected](const append_answer& answer) {
         const auto agent = self.lock();
-        // Without an answer, the topic's follower learns whether the claim was appended.
-        if (agent && answer.m_result == log_result::ok) {
+        if (!agent) {
+            return;
+        }
+        if (answer.m_result == log_result::ok) {
             auto won = own_claim;
             won.m_epoch = answer.m_offset + 1;
             (*agent)->learn(won);
+            return;
         }
+        // Without an answer, the topic's follower learns whether the claim was appended.
+        (*agent)->m_ports.m_log_event(
+            "claim_refused", fmt::format("{} at {}", to_string(answer.m_result), expected));
     });
 }
 
--- a/src/ownership/owner_election.cpp
+++ b/src/ownership/owner_election.cpp
@@ -1,6 +1,7 @@
 #include "peridotrudder/ownership/owner_election.hpp"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace peridotrudder {
 
@@ -103,6 +104,44 @@
     return m_claim.m_epoch != 0 && !m_owner_gone && !suspects(now);
 }
 
+std::size_t owner_election::peers_hearing_owner() const
+{
+    return static_cast<std::size_t>(std::count_if(m_peer_views.begin(), m_peer_views.end(),
+                                                  [](const auto& view) { return view.second; }));
+}
+
+std::optional<election_status> owner_election::status(time_point now) const
+{
+    if (is_owner() || hears_owner(now)) {
+        return std::nullopt;
+    }
+    election_status status;
+    status.m_heartbeat_age = heartbeat_age(now);
+    status.m_link_broken = m_link_broken;
+    status.m_owner_gone = m_owner_gone;
+    status.m_members = m_members;
+    status.m_answers = m_peer_views.size();
+    status.m_peers_hearing_owner = peers_hearing_owner();
+    if (m_checked_at) {
+        status.m_checked_before = remaining(*m_checked_at, now);
+    }
+    status.m_journal_silent = m_journal_silent;
+    return status;
+}
+
+std::string to_string(const election_status& status)
+{
+    const auto checked = status.m_checked_before
+                             ? fmt::format("checked {} ms ago", status.m_checked_before->count())
+                             : std::string{"not checked"};
+    return fmt::format("heartbeat {} ms ago{}{}, members {}, answers {}, hear the owner {}, "
+                       "journal {}{}",
+                       status.m_heartbeat_age.count(), status.m_link_broken ? ", link broken" : "",
+                       status.m_owner_gone ? ", gone" : "", status.m_members, status.m_answers,
+                       status.m_peers_hearing_owner, checked,
+                       status.m_journal_silent ? " and silent" : "");
+}
+
 election_step owner_election::tick(time_point now)
 {
     if (is_owner() || now < m_next_claim_at) {
@@ -131,17 +170,16 @@
     if (now - *m_asked_at < m_options.m_ask_timeout) {
         return election_step::none;
     }
-    const auto peers_hearing_owner = static_cast<std::size_t>(std::count_if(
-        m_peer_views.begin(), m_peer_views.end(), [](const auto& view) { return view.second; }));
-    const auto peers_without_owner = m_peer_views.size() - peers_hearing_owner + 1;
+    const auto hearing = peers_hearing_owner();
+    const auto peers_without_owner = m_peer_views.size() - hearing + 1;
     const bool majority_lost_owner = peers_without_owner * 2 > m_members;
-    if (majority_lost_owner || (m_journal_silent && peers_hearing_owner == 0)) {
+    if (majority_lost_owner || (m_journal_silent && hearing == 0)) {
         m_next_claim_at = now + claim_interval;
         m_asked_at.reset();
         m_journal_silent = false;
         return election_step::claim;
     }
-    if (peers_hearing_owner == 0 && (!m_checked_at || now - *m_checked_at > check_interval)) {
+    if (hearing == 0 && (!m_checked_at || now - *m_checked_at > check_interval)) {
         m_checked_at = now;
         return election_step::check_journal;
     }
