Replace an owner that reaches only the log when most registered nodes are gone

When more than half of the nodes have gone and the owner is cut from the rest, but goes on writing, nobody may claim.

Change: most of the reachable nodes are enough if they are two at least and more than a third of all. Safety is the log's; the floor keeps a part that is cut off from taking the owner from the others. Between a third and a half, such a part does take it, if both sides reach the log.

Conclusion: a gap is closed; that it is the users' cause is not shown.

--- a/include/peridotrudder/ownership/owner_election.hpp
+++ b/include/peridotrudder/ownership/owner_election.hpp
@@ -70,6 +70,8 @@
     bool m_link_broken{false};
     bool m_owner_gone{false};
     std::size_t m_members{0};
+    /// Nodes, including this one, that have a link to this one or answered the last question.
+    std::size_t m_reachable{0};
     /// Peers that answered the last question.
     std::size_t m_answers{0};
     std::size_t m_peers_hearing_owner{0};
@@ -85,7 +87,9 @@
 /// Safety does not depend on it: the log accepts one of several claims, and the epoch fences off
 /// the others. The election avoids needless changes of the owner: a node that alone has lost the
 /// owner does not claim. An owner that most nodes have lost is replaced even if it still reaches
-/// the log.
+/// the log. Since registrations outlive their nodes, most of the reachable nodes are enough if they
+/// are two at least and more than a third of all: fewer may be cut off from an owner that serves
+/// the others.
 class owner_election {
 public:
     static owner_election create(election_options options, time_point now);
@@ -111,6 +115,8 @@
     void link_broken(const std::string& incarnation, time_point now);
     /// Sets the number of nodes, including this one.
     void set_members(std::size_t members) { m_members = members; }
+    /// Sets the number of other nodes to which this one has an open link.
+    void set_linked(std::size_t linked) { m_linked = linked; }
     /// Records a peer's answer to the question whether it gets the owner's heartbeats.
     void peer_view(const std::string& peer, std::uint64_t epoch, bool hears_owner);
     /// Records whether the journal shows writes of the owner.
@@ -131,6 +137,8 @@
 private:
     bool suspects(time_point now) const;
     std::size_t peers_hearing_owner() const;
+    std::size_t reachable() const;
+    bool majority_lost_owner() const;
     election_step check_suspicion(time_point now);
     void clear_suspicion(time_point now);
 
@@ -138,6 +146,7 @@
     ownership_claim m_claim;
     time_point m_learnt_at;
     std::size_t m_members{1};
+    std::size_t m_linked{0};
     time_point m_last_heartbeat_at;
     bool m_link_broken{false};
     bool m_owner_gone{true};
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -193,6 +193,7 @@
         return;
     }
     m_election.set_stagger(stagger());
+    m_election.set_linked(linked_nodes().size());
     switch (m_election.tick(now)) {
     case election_step::none:
         return;
--- a/src/ownership/owner_election.cpp
+++ b/src/ownership/owner_election.cpp
@@ -110,6 +110,21 @@
                                                   [](const auto& view) { return view.second; }));
 }
 
+std::size_t owner_election::reachable() const
+{
+    return std::max(m_linked, m_peer_views.size()) + 1;
+}
+
+bool owner_election::majority_lost_owner() const
+{
+    const auto without_owner = m_peer_views.size() - peers_hearing_owner() + 1;
+    if (without_owner * 2 > m_members) {
+        return true;
+    }
+    const bool are_enough = without_owner >= 2 && without_owner * 3 > m_members;
+    return are_enough && without_owner * 2 > reachable();
+}
+
 std::optional<election_status> owner_election::status(time_point now) const
 {
     if (is_owner() || hears_owner(now)) {
@@ -120,6 +135,7 @@
     status.m_link_broken = m_link_broken;
     status.m_owner_gone = m_owner_gone;
     status.m_members = m_members;
+    status.m_reachable = reachable();
     status.m_answers = m_peer_views.size();
     status.m_peers_hearing_owner = peers_hearing_owner();
     if (m_checked_at) {
@@ -134,12 +150,12 @@
     const auto checked = status.m_checked_before
                              ? fmt::format("checked {} ms ago", status.m_checked_before->count())
                              : std::string{"not checked"};
-    return fmt::format("heartbeat {} ms ago{}{}, members {}, answers {}, hear the owner {}, "
-                       "journal {}{}",
-                       status.m_heartbeat_age.count(), status.m_link_broken ? ", link broken" : "",
-                       status.m_owner_gone ? ", gone" : "", status.m_members, status.m_answers,
-                       status.m_peers_hearing_owner, checked,
-                       status.m_journal_silent ? " and silent" : "");
+    return fmt::format(
+        "heartbeat {} ms ago{}{}, members {}, reachable {}, answers {}, hear the owner {}, "
+        "journal {}{}",
+        status.m_heartbeat_age.count(), status.m_link_broken ? ", link broken" : "",
+        status.m_owner_gone ? ", gone" : "", status.m_members, status.m_reachable, status.m_answers,
+        status.m_peers_hearing_owner, checked, status.m_journal_silent ? " and silent" : "");
 }
 
 election_step owner_election::tick(time_point now)
@@ -171,9 +187,7 @@
         return election_step::none;
     }
     const auto hearing = peers_hearing_owner();
-    const auto peers_without_owner = m_peer_views.size() - hearing + 1;
-    const bool majority_lost_owner = peers_without_owner * 2 > m_members;
-    if (majority_lost_owner || (m_journal_silent && hearing == 0)) {
+    if (majority_lost_owner() || (m_journal_silent && hearing == 0)) {
         m_next_claim_at = now + claim_interval;
         m_asked_at.reset();
         m_journal_silent = false;
