Link a slow node to all that connect at once, and report links that are dropped

Cause: a handshake was given up after 2 s and tried again 0.2 s later. Also, links of peers that the mesh dropped were not reported, and the agent counted them as open for good.

Ruled out: that a pause of the process while it connects (5.3 s, before each of the first 12 handlers of its loop) keeps a link closed: both links opened before this change as well. Likewise a peer that accepts and doesn't answer.

Change: `link_attempts` decides when a link is tried and given up: 2 s for the connection; 4 s for the handshake, doubled up to 16 s after each that took all of it; pauses with jitter of up to a second after more than two failures; at once when the peer opens its link. The end of a former attempt changes nothing any more.

--- a/include/peridotrudder/links/peer_mesh.hpp
+++ b/include/peridotrudder/links/peer_mesh.hpp
@@ -52,6 +52,8 @@
     closed,
     /// The link did not answer a keep-alive ping and was closed; the peer may be alive.
     timed_out,
+    /// This process has closed the link, since its end is no peer any more.
+    dropped,
     /// The peer has opened a link to this process, which replaces its former one.
     accepted,
 };
--- a/src/links/peer_mesh.cpp
+++ b/src/links/peer_mesh.cpp
@@ -1,6 +1,7 @@
 #include "peridotrudder/links/peer_mesh.hpp"
 
 #include "peridotrudder/base/hash.hpp"
+#include "peridotrudder/links/link_attempts.hpp"
 #include "peridotrudder/links/link_keepalive.hpp"
 
 #include <websocketpp/client.hpp>
@@ -13,6 +14,7 @@
 #include <fmt/format.h>
 #include <map>
 #include <mutex>
+#include <random>
 #include <set>
 #include <thread>
 #include <utility>
@@ -28,7 +30,6 @@
 /// Check intervals after which a link from a peer is closed that carried nothing, not even the
 /// pings of an idle link.
 constexpr int accepted_silence_limit = 150;
-constexpr long connect_timeout_ms = 2'000;
 /// Frames are dropped while a link has more unsent bytes than this, since its peer does not read.
 constexpr std::size_t max_buffered_bytes = 33'554'432;
 constexpr const char* incarnation_header = "X-Peridot-Incarnation";
@@ -42,12 +43,11 @@
 /// A link that this process opened.
 struct outgoing_link {
     peer_endpoint m_endpoint;
+    /// The open connection, or that of the present attempt to open one.
     connection_hdl m_connection;
     link_keepalive m_keepalive;
     bool m_open{false};
-    bool m_connecting{false};
-    /// Attempts to open it that failed since it was open.
-    int m_failures{0};
+    link_attempts m_attempts;
     time_point m_missing_since{std::chrono::steady_clock::now()};
     time_point m_reported_at;
 };
@@ -198,7 +198,8 @@
         disable_logging(m_client);
         m_client.init_asio(&m_context);
         m_client.set_max_message_size(m_options.m_max_message_bytes);
-        m_client.set_open_handshake_timeout(connect_timeout_ms);
+        // `link_attempts` has the limits.
+        m_client.set_open_handshake_timeout(0);
     }
 
     bool is_peer(const connection_hdl& hdl)
@@ -244,6 +245,7 @@
         const auto replaced = std::exchange(link, {hdl, 0}).m_connection;
         // A peer uses only the link that it opened last.
         reset(m_server, replaced);
+        mark_alive(peer);
         notify_link(peer, link_change::accepted);
     }
 
@@ -287,31 +289,63 @@
         }
     }
 
+    void mark_alive(const std::string& peer)
+    {
+        const std::lock_guard<std::mutex> lock{m_mutex};
+        const auto found = m_links.find(peer);
+        if (found != m_links.end()) {
+            found->second.m_attempts.peer_lives();
+        }
+    }
+
     void replace_peers(const std::vector<peer_endpoint>& peers)
     {
         std::vector<connection_hdl> closed;
+        std::vector<connection_hdl> abandoned;
+        std::vector<std::string> dropped;
         {
             const std::lock_guard<std::mutex> lock{m_mutex};
             std::set<std::string> current_peers;
             for (const auto& peer : peers) {
                 current_peers.insert(peer.m_incarnation);
-                auto& link = m_links[peer.m_incarnation];
-                link.m_endpoint = peer;
+                const auto [position, added] = m_links.try_emplace(peer.m_incarnation);
+                position->second.m_endpoint = peer;
+                if (added) {
+                    position->second.m_attempts = link_attempts{m_options.m_check_interval};
+                }
             }
             for (auto position = m_links.begin(); position != m_links.end();) {
                 if (current_peers.count(position->first) != 0) {
                     ++position;
                     continue;
                 }
-                closed.push_back(position->second.m_connection);
+                const auto& link = position->second;
+                if (link.m_open) {
+                    closed.push_back(link.m_connection);
+                    dropped.push_back(position->first);
+                }
+                else {
+                    abandoned.push_back(link.m_connection);
+                }
                 position = m_links.erase(position);
             }
         }
         for (const auto& connection : closed) {
-            websocketpp::lib::error_code ignored;
-            m_client.close(connection, websocketpp::close::status::going_away, "", ignored);
+            close(connection);
         }
-        connect_missing();
+        for (const auto& connection : abandoned) {
+            abandon(connection);
+        }
+        for (const auto& incarnation : dropped) {
+            notify_link(incarnation, link_change::dropped);
+        }
+        connect_missing(false);
+    }
+
+    void close(const connection_hdl& connection)
+    {
+        websocketpp::lib::error_code ignored;
+        m_client.close(connection, websocketpp::close::status::going_away, "", ignored);
     }
 
     void schedule_check()
@@ -321,7 +355,7 @@
             if (!error) {
                 check_opened_links();
                 check_accepted_links();
-                connect_missing();
+                connect_missing(true);
                 schedule_check();
             }
         });
@@ -384,19 +418,50 @@
         connection->terminate(make_error_code(websocketpp::error::general));
     }
 
-    void connect_missing()
+    /// Ends an attempt to open a link, whatever it waits for.
+    void abandon(const connection_hdl& hdl)
     {
-        std::vector<peer_endpoint> missing;
+        websocketpp::lib::error_code error;
+        const auto connection = m_client.get_con_from_hdl(hdl, error);
+        if (error) {
+            return;
+        }
+        connection->terminate(make_error_code(websocketpp::error::open_handshake_timeout));
+        asio::error_code ignored;
+        connection->get_raw_socket().close(ignored);
+    }
+
+    /// Starts the attempts that are due: at an `interval`, or between two of them those for links
+    /// that no attempt has failed to open.
+    void connect_missing(bool interval)
+    {
+        std::vector<peer_endpoint> due;
+        std::vector<connection_hdl> given_up;
+        std::vector<std::string> failures;
         {
             const std::lock_guard<std::mutex> lock{m_mutex};
             for (auto& [incarnation, link] : m_links) {
-                if (!link.m_open && !link.m_connecting) {
-                    link.m_connecting = true;
-                    missing.push_back(link.m_endpoint);
+                const bool fresh = !link.m_attempts.trying() && link.m_attempts.failures() == 0;
+                if (link.m_open || (!interval && !fresh)) {
+                    continue;
+                }
+                const auto step = link.m_attempts.check(m_random());
+                if (step == attempt_step::start) {
+                    due.push_back(link.m_endpoint);
+                }
+                if (step == attempt_step::give_up) {
+                    given_up.push_back(std::exchange(link.m_connection, {}));
+                    failures.push_back(describe_failure(link, "no answer in time"));
                 }
             }
         }
-        for (const auto& peer : missing) {
+        for (const auto& connection : given_up) {
+            abandon(connection);
+        }
+        for (const auto& failure : failures) {
+            report_failure(failure);
+        }
+        for (const auto& peer : due) {
             connect(peer);
         }
     }
@@ -407,7 +472,7 @@
         const auto connection =
             m_client.get_connection(fmt::format("ws://{}:{}/", peer.m_address, peer.m_port), error);
         if (error) {
-            mark_failed(peer.m_incarnation, error.message());
+            mark_failed(peer.m_incarnation, {}, error.message());
             return;
         }
         connection->append_header("Authorization",
@@ -415,39 +480,58 @@
         connection->append_header(incarnation_header, m_options.m_self);
         connection->append_header(target_header, peer.m_incarnation);
         const auto incarnation = peer.m_incarnation;
-        connection->set_open_handler([this, incarnation](connection_hdl hdl) {
+        connection->set_open_handler([this, incarnation](const connection_hdl& hdl) {
             disable_nagle(m_client.get_con_from_hdl(hdl));
-            mark_open(incarnation, std::move(hdl));
+            mark_open(incarnation, hdl);
         });
         connection->set_pong_handler(
             [this, incarnation](const connection_hdl& hdl, const std::string& /*payload*/) {
                 mark_answered(incarnation, hdl);
             });
         connection->set_fail_handler([this, incarnation](const connection_hdl& hdl) {
-            mark_failed(incarnation, failure_of(hdl));
+            mark_failed(incarnation, hdl, failure_of(hdl));
         });
         connection->set_close_handler(
             [this, incarnation](const connection_hdl& hdl) { mark_closed(incarnation, hdl); });
+        connection->set_tcp_post_init_handler(
+            [this, incarnation](const connection_hdl& hdl) { mark_connected(incarnation, hdl); });
+        {
+            const std::lock_guard<std::mutex> lock{m_mutex};
+            const auto found = m_links.find(incarnation);
+            if (found != m_links.end()) {
+                found->second.m_connection = connection->get_handle();
+            }
+        }
         m_client.connect(connection);
     }
 
-    void mark_open(const std::string& incarnation, connection_hdl hdl)
+    void mark_connected(const std::string& incarnation, const connection_hdl& hdl)
+    {
+        const std::lock_guard<std::mutex> lock{m_mutex};
+        const auto found = m_links.find(incarnation);
+        if (found != m_links.end() && same_connection(found->second.m_connection, hdl)) {
+            found->second.m_attempts.connected();
+        }
+    }
+
+    void mark_open(const std::string& incarnation, const connection_hdl& hdl)
     {
         milliseconds missing_for{0};
         int failures = 0;
         {
             const std::lock_guard<std::mutex> lock{m_mutex};
             const auto found = m_links.find(incarnation);
-            if (found == m_links.end()) {
+            if (found == m_links.end() || !same_connection(found->second.m_connection, hdl)) {
+                // The peer was dropped, or the attempt given up.
+                asio::post(m_context, [this, hdl] { close(hdl); });
                 return;
             }
             auto& link = found->second;
-            link.m_connection = std::move(hdl);
             link.m_keepalive = {};
             link.m_open = true;
-            link.m_connecting = false;
+            failures = link.m_attempts.failures();
+            link.m_attempts.opened();
             missing_for = remaining(link.m_missing_since, std::chrono::steady_clock::now());
-            failures = std::exchange(link.m_failures, 0);
         }
         if (missing_for >= reported_gap) {
             report("link_opened", fmt::format("{} after {} ms and {} failures", incarnation,
@@ -478,28 +562,44 @@
                            : fmt::format("{} ({})", connection->get_ec().message(), status);
     }
 
-    void mark_failed(const std::string& incarnation, const std::string& cause)
+    void mark_failed(const std::string& incarnation, const connection_hdl& hdl,
+                     const std::string& cause)
     {
-        std::string detail;
+        std::string failure;
         {
             const std::lock_guard<std::mutex> lock{m_mutex};
             const auto found = m_links.find(incarnation);
-            if (found == m_links.end()) {
-                return;
-            }
-            auto& link = found->second;
-            link.m_connecting = false;
-            ++link.m_failures;
-            const auto now = std::chrono::steady_clock::now();
-            if (link.m_failures > 1 && now - link.m_reported_at < report_interval) {
+            // The end of a former attempt changes nothing.
+            if (found == m_links.end() || !same_connection(found->second.m_connection, hdl)) {
                 return;
             }
-            link.m_reported_at = now;
-            detail = fmt::format("{} at {}:{}: {}, {} failures in {} ms", incarnation,
-                                 link.m_endpoint.m_address, link.m_endpoint.m_port, cause,
-                                 link.m_failures, remaining(link.m_missing_since, now).count());
+            found->second.m_connection.reset();
+            found->second.m_attempts.failed();
+            failure = describe_failure(found->second, cause);
+        }
+        report_failure(failure);
+    }
+
+    /// Returns an empty text if a failure of this link was reported lately.
+    static std::string describe_failure(outgoing_link& link, const std::string& cause)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const int failures = link.m_attempts.failures();
+        if (failures > 1 && now - link.m_reported_at < report_interval) {
+            return {};
+        }
+        link.m_reported_at = now;
+        const auto& peer = link.m_endpoint;
+        return fmt::format("{} at {}:{}: {}, {} failures in {} ms", peer.m_incarnation,
+                           peer.m_address, peer.m_port, cause, failures,
+                           remaining(link.m_missing_since, now).count());
+    }
+
+    void report_failure(const std::string& failure)
+    {
+        if (!failure.empty()) {
+            report("link_failed", failure);
         }
-        report("link_failed", std::move(detail));
     }
 
     void report(std::string_view event, std::string detail)
@@ -541,6 +641,8 @@
     ws_server m_server;
     ws_client m_client;
     std::mutex m_mutex;
+    /// Spreads the attempts to open links.
+    std::minstd_rand m_random{std::random_device{}()};
     std::map<std::string, outgoing_link> m_links;
     /// By the incarnation of the peer that opened the link; used on the mesh's loop only.
     std::map<std::string, accepted_link> m_accepted;
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -192,7 +192,9 @@
         if (change == link_change::opened) {
             m_agent->link_opened(peer);
         }
-        if (change == link_change::closed || change == link_change::timed_out) {
+        const bool ended = change == link_change::closed || change == link_change::timed_out ||
+                           change == link_change::dropped;
+        if (ended) {
             m_agent->link_closed(peer, change == link_change::closed);
             if (m_distributor) {
                 m_distributor->link_lost(peer);
