--- a/test/links/peer_mesh_opening_test.cpp
+++ b/test/links/peer_mesh_opening_test.cpp
@@ -148,6 +148,7 @@
         const std::vector<peer_endpoint> peers{{"left", "127.0.0.1", first_port},
                                                {"right", "127.0.0.1", first_port + 1}};
         std::vector<std::future<bool>> runs;
+        runs.reserve(paused_steps);
         for (int step = 0; step < paused_steps; ++step) {
             runs.push_back(std::async(std::launch::async, opens_after_pause, step, peers));
         }
@@ -181,6 +182,7 @@
         constexpr int count = 33;
         const slow_process slow{"slow", first_port + 4, milliseconds{25}};
         std::vector<std::unique_ptr<peer_mesh>> processes;
+        processes.reserve(count);
         for (int number = 0; number < count; ++number) {
             processes.push_back(make_mesh("process " + std::to_string(number),
                                           static_cast<std::uint16_t>(first_port + 30 + number)));
