--- a/include/peridotrudder/ownership/cluster_agent.hpp
+++ b/include/peridotrudder/ownership/cluster_agent.hpp
@@ -129,6 +129,7 @@
     void update_reachability();
     void ask_for_route(time_point now);
     std::string unreachable_cause() const;
+    void report_suspicion(time_point now);
     milliseconds stagger() const;
     void yield_to_larger_node(moment now);
 
@@ -171,6 +172,7 @@
     time_point m_support_asked_at;
     /// Peers that hear this owner, and when they last said so.
     std::map<std::string, time_point> m_supporters;
+    time_point m_suspicion_reported_at;
     /// Callbacks of pending calls hold a weak pointer to it, to detect that the agent is destroyed.
     std::shared_ptr<cluster_agent*> m_self;
 };
--- a/include/peridotrudder/ownership/owner_election.hpp
+++ b/include/peridotrudder/ownership/owner_election.hpp
@@ -63,12 +63,33 @@
     milliseconds m_stagger{0};
 };
 
+/// What an election waits for, for logs.
+struct election_status {
+    /// Time since the owner's last heartbeat, or since its claim was learnt.
+    milliseconds m_heartbeat_age{0};
+    bool m_link_broken{false};
+    bool m_owner_gone{false};
+    std::size_t m_members{0};
+    /// Nodes, including this one, that have a link to this one or answered the last question.
+    std::size_t m_reachable{0};
+    /// Peers that answered the last question.
+    std::size_t m_answers{0};
+    std::size_t m_peers_hearing_owner{0};
+    /// Time since the last check of the journal began or ended; nothing if there was none.
+    std::optional<milliseconds> m_checked_before;
+    bool m_journal_silent{false};
+};
+
+std::string to_string(const election_status& status);
+
 /// Follows the claims and the owner's heartbeats. Has no side effects; not thread-safe.
 ///
 /// Safety does not depend on it: the log accepts one of several claims, and the epoch fences off
 /// the others. The election avoids needless changes of the owner: a node that alone has lost the
 /// owner does not claim. An owner that most nodes have lost is replaced even if it still reaches
-/// the log.
+/// the log. Since registrations outlive their nodes, most of the reachable nodes are enough if they
+/// are two at least and more than a third of all: fewer may be cut off from an owner that serves
+/// the others.
 class owner_election {
 public:
     static owner_election create(election_options options, time_point now);
@@ -94,6 +115,8 @@
     void link_broken(const std::string& incarnation, time_point now);
     /// Sets the number of nodes, including this one.
     void set_members(std::size_t members) { m_members = members; }
+    /// Sets the number of other nodes to which this one has an open link.
+    void set_linked(std::size_t linked) { m_linked = linked; }
     /// Records a peer's answer to the question whether it gets the owner's heartbeats.
     void peer_view(const std::string& peer, std::uint64_t epoch, bool hears_owner);
     /// Records whether the journal shows writes of the owner.
@@ -105,11 +128,17 @@
     bool owner_has_gone() const { return m_owner_gone; }
     /// Returns the time since the owner's last heartbeat, or since its claim was learnt.
     milliseconds heartbeat_age(time_point now) const { return remaining(m_last_heartbeat_at, now); }
+    /// Returns what this node waits for before it claims; nothing if it owns the fleet or does not
+    /// suspect the owner.
+    std::optional<election_status> status(time_point now) const;
     /// Returns the next step. A claim that did not succeed is returned again later.
     election_step tick(time_point now);
 
 private:
     bool suspects(time_point now) const;
+    std::size_t peers_hearing_owner() const;
+    std::size_t reachable() const;
+    bool majority_lost_owner() const;
     election_step check_suspicion(time_point now);
     void clear_suspicion(time_point now);
 
@@ -117,6 +146,7 @@
     ownership_claim m_claim;
     time_point m_learnt_at;
     std::size_t m_members{1};
+    std::size_t m_linked{0};
     time_point m_last_heartbeat_at;
     bool m_link_broken{false};
     bool m_owner_gone{true};
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -174,6 +174,7 @@
         options.m_port = m_settings.m_peers.m_port;
         options.m_self = m_self;
         options.m_cluster_token = m_settings.m_cluster_token;
+        options.m_log_event = log_detail;
         return peer_mesh::create_on(
             m_loop, options,
             [this](const std::string& from, gsl::span<const std::uint8_t> frame) {
@@ -190,7 +191,9 @@
         if (change == link_change::opened) {
             m_agent->link_opened(peer);
         }
-        if (change == link_change::closed || change == link_change::timed_out) {
+        const bool ended = change == link_change::closed || change == link_change::timed_out ||
+                           change == link_change::dropped;
+        if (ended) {
             m_agent->link_closed(peer, change == link_change::closed);
             if (m_distributor) {
                 m_distributor->link_lost(peer);
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -35,6 +35,8 @@
 constexpr milliseconds ownerless_ask_interval{1'000};
 /// Two answers may be lost.
 constexpr milliseconds max_route_age{1'000};
+/// Shortest time between two log lines that say what an election waits for.
+constexpr milliseconds suspicion_report_interval{1'000};
 
 } // namespace
 
@@ -209,10 +211,12 @@
     check_owner_node();
     update_reachability();
     ask_for_route(now);
+    report_suspicion(now);
     if (!m_topic_read || !m_may_claim) {
         return;
     }
     m_election.set_stagger(stagger());
+    m_election.set_linked(linked_nodes().size());
     switch (m_election.tick(now)) {
     case election_step::none:
         return;
@@ -319,6 +323,19 @@
             m_election.heartbeat_age(m_ports.m_loop.m_now().m_at), m_open_links.size()};
 }
 
+void cluster_agent::report_suspicion(time_point now)
+{
+    const auto status = m_election.status(now);
+    if (!status || now - m_suspicion_reported_at < suspicion_report_interval) {
+        return;
+    }
+    m_suspicion_reported_at = now;
+    m_ports.m_log_event("owner_suspected",
+                        fmt::format("epoch {}, linked {}: {}{}", m_election.claim().m_epoch,
+                                    m_open_links.size(), to_string(*status),
+                                    m_topic_read ? "" : ", topic not read"));
+}
+
 std::string cluster_agent::reachable_owner() const
 {
     if (owns()) {
@@ -361,17 +378,21 @@
     request.m_expected_end = m_topic_end;
     request.m_records.push_back({std::string{owner_key}, to_packed_cbor(own_claim), 0});
     const std::weak_ptr<cluster_agent*> self = m_self;
-    m_ports.m_log.m_append(request, [self, own_claim](const append_answer& answer) {
+    const auto expected = m_topic_end;
+    m_ports.m_log.m_append(request, [self, own_claim, expected](const append_answer& answer) {
         const auto agent = self.lock();
-        if (agent && answer.m_result != log_result::ok) {
-            (*agent)->m_ports.m_log_event("claim_failed", std::string{to_string(answer.m_result)});
+        if (!agent) {
+            return;
         }
-        // Without an answer, the topic's follower learns whether the claim was appended.
-        if (agent && answer.m_result == log_result::ok) {
+        if (answer.m_result == log_result::ok) {
             auto won = own_claim;
             won.m_epoch = answer.m_offset + 1;
             (*agent)->learn(won);
+            return;
         }
+        // Without an answer, the topic's follower learns whether the claim was appended.
+        (*agent)->m_ports.m_log_event(
+            "claim_refused", fmt::format("{} at {}", to_string(answer.m_result), expected));
     });
 }
 
