Answer no call in an owner's name without a recent proof of ownership

An owner that was cut off from the log and from its peers while nothing ran never learnt of its successor.

One place grants what an owner does without a write of its own: ownership_proof, by the time at which the newest write that succeeded was sent. Paths that pass it here, and their tests: - answers to cancels, queries of a job and of a queue, also for unknown jobs and queues: deposed_owner_does_not_answer_a_cancel, ..._a_query, ..._by_its_configuration, ..._when_it_runs_on_after_a_pause; a call without a grant waits, and is handled anew (held_call_is_answered_once_the_owner_has_a_proof_again), or goes to the successor when the owner ends - starts and renewals, with the limits that they had: lease_is_not_renewed_long_after_the_last_proof - readiness: a node whose owner may not answer isn't ready (no test of its own) An answer that follows a write is proven by it (slow_log_delays_no_answer_that_follows_a_write). Refusals of new jobs stay as they were: a 503 promises nothing.

An idle owner writes a proof every 0.4 s, as before, and answers need one under 0.8 s old: owner_with_recent_proofs_answers_at_once_by_few_writes. When its proof is 0.6 s old the owner asks its peers. While a majority says that it hears this owner, answers need no newer proof, so that an outage of the log for all delays none (outage_of_the_log_for_all_delays_no_answer, owner_support_test). A peer that knows a newer claim says its epoch, and the owner resigns. A fenced copy of an append that was already written ends the owner, too (fenced_copy_of_a_written_append_ends_the_writer).

--- a/include/peridotrudder/node/fleet_owner.hpp
+++ b/include/peridotrudder/node/fleet_owner.hpp
@@ -7,6 +7,7 @@
 #include "peridotrudder/node/buffered_follower.hpp"
 #include "peridotrudder/node/platform_ports.hpp"
 #include "peridotrudder/ownership/journal_writer.hpp"
+#include "peridotrudder/ownership/ownership_proof.hpp"
 #include "peridotrudder/planning/fleet_planner.hpp"
 #include "peridotrudder/scheduling/job_scheduler.hpp"
 
@@ -34,6 +35,9 @@
     std::function<void(const decision&)> m_decided;
     /// Records the duration of an exchange, by its name.
     std::function<void(std::string_view exchange, milliseconds time)> m_measured;
+    /// Returns whether a majority of the nodes says that it hears this owner. Without the log no
+    /// other owner can begin, so its answers from memory need no newer proof then.
+    std::function<bool()> m_is_supported;
     /// Called when the owner has been fenced or cannot continue, and has to be destroyed.
     std::function<void()> m_ended;
 };
@@ -44,15 +48,11 @@
     fleet_planner_options m_planner;
     /// The predecessor resigned, and no longer renews leases.
     bool m_predecessor_released{false};
-    /// Starts are sent only with a proof of ownership (a successful write) at most this old.
-    milliseconds m_start_proof_max_age{2'000};
-    /// Leases are renewed only with a proof of ownership at most this old. A successor waits for
-    /// this time, unless the predecessor resigned.
-    milliseconds m_lease_proof_max_age{5'000};
+    /// The oldest proofs of ownership by which the owner acts. A successor waits for the one of
+    /// leases, unless the predecessor resigned.
+    proof_limits m_proof_limits;
     /// Longest time between writes, which renew the proof and serve as heartbeats.
     milliseconds m_proof_interval{400};
-    /// Age from which on a proof of ownership is reported as too old.
-    milliseconds m_reported_proof_age{800};
     /// Calls wait for the next reading of the configuration if the newest is older than this, but
     /// not for long: reads may fail alone.
     milliseconds m_config_max_age{1'500};
@@ -87,6 +87,8 @@
     void tick();
     /// Returns how long writes to the log have been failing; zero if they succeed.
     milliseconds failing_for() const;
+    /// Returns whether calls are answered at once. Otherwise they wait for a proof of ownership.
+    bool may_answer() const;
     /// Returns the age of the newest proof of ownership: the newest write that succeeded.
     milliseconds proof_age() const;
     /// Returns how long ago the configuration was certainly the newest.
@@ -106,6 +108,7 @@
     void take_operator_records(const std::vector<keyed_record>& records);
     /// Handles a call that has waited for `waited`. Returns false if it has to wait longer.
     bool serve_call(std::uint64_t token, const job_call& call, milliseconds waited);
+    void take_answer(std::uint64_t token, const call_answer& answer);
     void serve_held_calls();
     bool config_is_too_old(milliseconds waited) const;
     void take_worker_records(const std::vector<keyed_record>& records, bool snapshot);
@@ -117,7 +120,9 @@
     static void with_scheduler(const std::weak_ptr<fleet_owner*>& self,
                                const std::function<void(job_scheduler&, moment)>& event);
     scheduler_ports make_scheduler_ports();
-    bool has_proof_within(milliseconds max_age) const;
+    /// Returns whether the owner may do this now, without a write of its own. All that it does in
+    /// its own name asks here first.
+    bool may(owner_act act) const;
     void adapt_to_lag(time_point now);
     /// Reports when the proof or the configuration becomes too old, and when it no longer is.
     void report_ages();
@@ -126,6 +131,7 @@
     owner_ports m_ports;
     owner_phase m_phase{owner_phase::claiming};
     std::unique_ptr<journal_writer> m_journal;
+    ownership_proof m_proof;
     std::unique_ptr<buffered_follower> m_operators;
     std::unique_ptr<buffered_follower> m_worker_list;
     std::unique_ptr<job_scheduler> m_scheduler;
@@ -135,13 +141,16 @@
     std::optional<write_batch> m_writing;
     time_point m_writing_since;
     std::vector<std::pair<std::uint64_t, job_call>> m_early_calls;
-    /// A call that waits for the configuration to be read.
+    /// Calls and their answers, which wait for a proof or for the configuration to be read.
     struct held_call {
         std::uint64_t m_token{0};
         job_call m_call;
         time_point m_since;
     };
     std::vector<held_call> m_held_calls;
+    /// The call that is being handled, and its answer if that depends on no write.
+    std::optional<std::uint64_t> m_call_in_hand;
+    std::optional<call_answer> m_answer_in_hand;
     bool m_configured{false};
     time_point m_ticked_at;
     /// Moving average of the lateness of ticks, in milliseconds.
--- a/include/peridotrudder/ownership/cluster_agent.hpp
+++ b/include/peridotrudder/ownership/cluster_agent.hpp
@@ -91,6 +91,12 @@
 
     /// Sets for how long the owner's writes to the log have failed.
     void set_failing(milliseconds time) { m_failing_for = time; }
+    /// Sets the age of the owner's newest proof. Once it is old the peers are asked whether they
+    /// hear the owner.
+    void set_proof_age(milliseconds age) { m_proof_age = age; }
+    /// Returns whether a majority of the nodes, with this one, has just said that it hears this
+    /// owner.
+    bool is_supported() const;
     /// Ends this node's ownership, so that another node can claim it. With `planned` the release is
     /// also recorded in the log.
     void resign(bool planned);
@@ -121,6 +127,7 @@
     void broadcast(const node_message& message);
     void send_heartbeat(time_point now);
     void probe_for_resignation(time_point now);
+    void ask_for_support(time_point now);
     void remove_unreachable_nodes(time_point now);
     void update_reachability();
     std::string unreachable_cause() const;
@@ -150,6 +157,10 @@
     milliseconds m_failing_for{0};
     time_point m_heartbeat_sent_at;
     time_point m_probe_at;
+    milliseconds m_proof_age{0};
+    time_point m_support_asked_at;
+    /// Peers that hear this owner, and when they last said so.
+    std::map<std::string, time_point> m_supporters;
     /// Callbacks of pending calls hold a weak pointer to it, to detect that the agent is destroyed.
     std::shared_ptr<cluster_agent*> m_self;
 };
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -34,11 +34,12 @@
 fleet_owner::fleet_owner(owner_options options, owner_ports ports)
     : m_options{options},
       m_ports{std::move(ports)},
+      m_proof{ownership_proof::create(options.m_proof_limits)},
       m_self{std::make_shared<fleet_owner*>(this)}
 {
     m_options.m_scheduler.m_fence = first_token(m_options.m_epoch);
     m_options.m_scheduler.m_lease.m_predecessor_grace =
-        m_options.m_predecessor_released ? milliseconds{0} : m_options.m_lease_proof_max_age;
+        m_options.m_predecessor_released ? milliseconds{0} : m_options.m_proof_limits.m_lease;
 }
 
 void fleet_owner::start()
@@ -56,6 +57,7 @@
 
 void fleet_owner::journal_written()
 {
+    m_proof.renew(m_journal->proven_at());
     if (m_phase == owner_phase::claiming) {
         m_phase = owner_phase::loading;
         read_journal();
@@ -82,6 +84,7 @@
 {
     if (m_phase != owner_phase::ended) {
         m_phase = owner_phase::ended;
+        m_proof.revoke();
         m_ports.m_ended();
     }
 }
@@ -251,6 +254,9 @@
         return;
     }
     if (!serve_call(token, call, milliseconds{0})) {
+        m_ports.m_decided({"call_held", call.m_path, "",
+                           fmt::format("proof {} ms old, configuration {} ms old",
+                                       proof_age().count(), config_age().count())});
         m_held_calls.push_back({token, call, m_ports.m_loop.m_now().m_at});
     }
 }
@@ -266,20 +272,45 @@
     if (config_is_too_old(waited)) {
         return false;
     }
+    m_call_in_hand = token;
+    m_answer_in_hand.reset();
     m_scheduler->take_call(token, call, m_ports.m_loop.m_now());
+    m_call_in_hand.reset();
+    if (m_answer_in_hand) {
+        if (!may_answer()) {
+            return false;
+        }
+        m_ports.m_answer(token, *m_answer_in_hand);
+    }
     write_pending();
     return true;
 }
 
+void fleet_owner::take_answer(std::uint64_t token, const call_answer& answer)
+{
+    // An answer that follows a write is proven by it. One from memory is found anew if it waits.
+    if (m_call_in_hand == token) {
+        m_answer_in_hand = answer;
+        return;
+    }
+    m_ports.m_answer(token, answer);
+}
+
 void fleet_owner::serve_held_calls()
 {
+    if (m_held_calls.empty() || !may_answer()) {
+        return;
+    }
     const auto now = m_ports.m_loop.m_now().m_at;
     auto held = std::move(m_held_calls);
     m_held_calls.clear();
     for (auto& call : held) {
-        if (!serve_call(call.m_token, call.m_call, remaining(call.m_since, now))) {
+        const auto waited = remaining(call.m_since, now);
+        if (!serve_call(call.m_token, call.m_call, waited)) {
             m_held_calls.push_back(std::move(call));
+            continue;
         }
+        m_ports.m_measured("held_call", waited);
     }
 }
 
@@ -362,7 +393,7 @@
 
 milliseconds fleet_owner::proof_age() const
 {
-    return remaining(m_journal->proven_at(), m_ports.m_loop.m_now().m_at);
+    return m_proof.age(m_ports.m_loop.m_now().m_at);
 }
 
 milliseconds fleet_owner::config_age() const
@@ -381,13 +412,18 @@
             m_ports.m_decided({event, "", "", text});
         }
     };
-    report(m_proof_too_old, "proof_too_old", proof_age(), m_options.m_reported_proof_age);
+    report(m_proof_too_old, "proof_too_old", proof_age(), m_options.m_proof_limits.m_answer);
     report(m_config_too_old, "config_too_old", config_age(), m_options.m_config_max_age);
 }
 
-bool fleet_owner::has_proof_within(milliseconds max_age) const
+bool fleet_owner::may(owner_act act) const
 {
-    return m_ports.m_loop.m_now().m_at - m_journal->proven_at() <= max_age;
+    return m_proof.grants(act, m_ports.m_loop.m_now().m_at);
+}
+
+bool fleet_owner::may_answer() const
+{
+    return m_phase == owner_phase::serving && (may(owner_act::answer) || m_ports.m_is_supported());
 }
 
 void fleet_owner::report_wave_state(const std::string& key, bool completed)
@@ -449,7 +485,7 @@
                 scheduler.start_answered(target, key, run, answer, now);
             });
         };
-        if (!has_proof_within(m_options.m_start_proof_max_age)) {
+        if (!may(owner_act::start)) {
             m_ports.m_loop.m_after(milliseconds{0}, [answered] {
                 answered({order_result::not_sent, std::nullopt});
             });
@@ -474,7 +510,7 @@
         const order_target target{to.m_instance, order.m_fence};
         const auto sent_at = m_ports.m_loop.m_now().m_at;
         auto sent = order;
-        if (!has_proof_within(m_options.m_lease_proof_max_age)) {
+        if (!may(owner_act::renewal)) {
             // Without a deadline the hold only reads: a successor may count the lease as expired.
             sent.m_deadline_ms.reset();
         }
@@ -491,7 +527,9 @@
             });
         });
     };
-    ports.m_answer = m_ports.m_answer;
+    ports.m_answer = [this](std::uint64_t token, const call_answer& answer) {
+        take_answer(token, answer);
+    };
     ports.m_log = m_ports.m_decided;
     ports.m_deposed = [this, self] {
         // Deferred, because the caller is inside the scheduler.
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -305,6 +305,7 @@
         ports.m_measured = [this](std::string_view exchange, milliseconds time) {
             m_decisions.metrics().measured(exchange, time);
         };
+        ports.m_is_supported = [this] { return m_agent->is_supported(); };
         ports.m_ended = [this] { m_agent->resign(false); };
         m_owner = fleet_owner::create(options, std::move(ports));
         m_owner->start();
@@ -404,7 +405,7 @@
     bool is_ready() const
     {
         return !m_stopping_since && !m_agent->reachable_owner().empty() &&
-               (!m_owner || m_owner->phase() == owner_phase::serving);
+               (!m_owner || m_owner->may_answer());
     }
 
     void tick()
@@ -415,6 +416,7 @@
         }
         if (m_owner) {
             m_agent->set_failing(m_owner->failing_for());
+            m_agent->set_proof_age(m_owner->proof_age());
         }
         m_agent->tick();
         m_router.tick(now());
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -19,6 +19,11 @@
 constexpr milliseconds probe_interval{100};
 /// An owner writes to its journal more often than this.
 constexpr milliseconds journal_silence{1'200};
+/// Age of the proof of ownership from which on the peers are asked whether they hear the owner.
+constexpr milliseconds support_after{600};
+constexpr milliseconds support_interval{200};
+/// How long a peer's word that it hears the owner counts.
+constexpr milliseconds support_time{600};
 constexpr milliseconds register_retry{200};
 /// Delay between the claims of two nodes: about the duration of a claim.
 constexpr milliseconds claim_spacing{12};
@@ -147,6 +152,7 @@
     if (own_claim && m_owned_epoch == 0) {
         m_owned_epoch = m_election.claim().m_epoch;
         m_owned_since = m_ports.m_loop.m_now().m_at;
+        m_supporters.clear();
         m_ports.m_became_owner(m_election.claim());
     }
     update_reachability();
@@ -181,6 +187,7 @@
     if (owns()) {
         send_heartbeat(now);
         probe_for_resignation(now);
+        ask_for_support(now);
         remove_unreachable_nodes(now);
         yield_to_larger_node(m_ports.m_loop.m_now());
         return;
@@ -363,6 +370,23 @@
     }
 }
 
+void cluster_agent::ask_for_support(time_point now)
+{
+    if (m_proof_age >= support_after && now - m_support_asked_at >= support_interval) {
+        m_support_asked_at = now;
+        broadcast(owner_query{m_owned_epoch});
+    }
+}
+
+bool cluster_agent::is_supported() const
+{
+    const auto now = m_ports.m_loop.m_now().m_at;
+    const auto supporters =
+        std::count_if(m_supporters.begin(), m_supporters.end(),
+                      [now](const auto& entry) { return now - entry.second <= support_time; });
+    return owns() && (static_cast<std::size_t>(supporters) + 1) * 2 > m_nodes.size();
+}
+
 void cluster_agent::remove_unreachable_nodes(time_point now)
 {
     for (const auto& [name, node] : m_nodes) {
@@ -483,12 +507,22 @@
     const auto now = m_ports.m_loop.m_now().m_at;
     const auto epoch = m_election.claim().m_epoch;
     const bool hears = epoch >= message.m_epoch && (owns() || m_election.hears_owner(now));
-    m_ports.m_send(from, owner_view{message.m_epoch, hears});
+    // With its own epoch, if that is newer: a deposed owner must not take it for support.
+    m_ports.m_send(from, owner_view{std::max(epoch, message.m_epoch), hears});
 }
 
 void cluster_agent::handle(const std::string& from, const owner_view& message)
 {
     m_election.peer_view(from, message.m_epoch, message.m_hears_owner);
+    if (!owns()) {
+        return;
+    }
+    if (message.m_epoch > m_owned_epoch) {
+        resign(false);
+    }
+    else if (message.m_epoch == m_owned_epoch && message.m_hears_owner) {
+        m_supporters[from] = m_ports.m_loop.m_now().m_at;
+    }
 }
 
 void cluster_agent::handle(const std::string& from, const log_probe& message)
--- a/src/ownership/journal_writer.cpp
+++ b/src/ownership/journal_writer.cpp
@@ -70,7 +70,7 @@
                                    const append_answer& answer)
 {
     const bool outdated = !m_request || m_request->m_identity->m_sequence != sequence;
-    if (outdated || m_fenced) {
+    if (m_fenced || (outdated && answer.m_result != log_result::fenced)) {
         return;
     }
     switch (answer.m_result) {
--- a/src/ownership/owner_election.cpp
+++ b/src/ownership/owner_election.cpp
@@ -80,7 +80,8 @@
 
 void owner_election::peer_view(const std::string& peer, std::uint64_t epoch, bool hears_owner)
 {
-    if (epoch == m_claim.m_epoch && m_asked_at) {
+    // A peer that knows a newer claim tells its epoch.
+    if (epoch >= m_claim.m_epoch && m_asked_at) {
         m_peer_views[peer] = hears_owner;
     }
 }
--- a/test/node/fleet_owner_fixture.hpp
+++ b/test/node/fleet_owner_fixture.hpp
@@ -44,6 +44,7 @@
     /// How many reads of the operators' topic from now on are on a silent connection.
     int m_silent_reads{0};
     std::size_t m_operator_reads{0};
+    std::size_t m_appends{0};
     std::vector<vm_order> m_vm_orders;
     std::vector<stop_order> m_stops;
     std::vector<std::string> m_events;
@@ -105,6 +106,10 @@
                 callback(answer);
             });
         };
+        ports.m_workers.m_stop = [this](const worker_report&, const stop_order& order,
+                                        const worker_port::callback<order_answer>&) {
+            m_stops.push_back(order);
+        };
         ports.m_vms.m_list = [](const std::function<void(platform_vm_list)>&) {};
         ports.m_record_schema = make_record_schema();
         ports.m_answer = [this](std::uint64_t token, const call_answer& answer) {
@@ -112,6 +117,7 @@
         };
         ports.m_decided = [this](const decision& made) { m_events.emplace_back(made.m_event); };
         ports.m_measured = [](std::string_view, milliseconds) {};
+        ports.m_is_supported = [this] { return m_supported; };
         ports.m_ended = [this] { m_ended = true; };
         return fleet_owner::create(options, ports);
     }
@@ -164,6 +170,7 @@
     append_answer append(const append_request& request)
     {
         append_answer answer;
+        ++m_appends;
         if (!m_log_up || !m_appends_up) {
             answer.m_result = log_result::nothing_done;
             return answer;
--- a/test/node/fleet_owner_test.cpp
+++ b/test/node/fleet_owner_test.cpp
@@ -65,7 +65,7 @@
         it.submit("0123456789abcdef");
         it.pass(milliseconds{100});
         it.m_log_up = false;
-        it.pass(owner_options{}.m_lease_proof_max_age + milliseconds{500});
+        it.pass(owner_options{}.m_proof_limits.m_lease + milliseconds{500});
         it.m_holds.clear();
         it.pass(milliseconds{1'000});
         CPPUNIT_ASSERT(!it.m_holds.empty());
--- a/test/ownership/journal_writer_test.cpp
+++ b/test/ownership/journal_writer_test.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(late_answer_of_an_earlier_attempt_counts_once);
     CPPUNIT_TEST(refused_append_is_tried_again_and_counts_as_failing);
     CPPUNIT_TEST(fenced_writer_writes_nothing_more);
+    CPPUNIT_TEST(fenced_copy_of_a_written_append_ends_the_writer);
     CPPUNIT_TEST(sequence_number_of_the_service_is_used);
     CPPUNIT_TEST(proof_has_the_time_of_sending);
     CPPUNIT_TEST(answer_after_the_writers_end_is_harmless);
@@ -128,6 +129,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.m_log.m_calls.size());
     }
 
+    // The copy was answered last, so that the owner went on for another proof's time.
+    void fenced_copy_of_a_written_append_ends_the_writer()
+    {
+        writer_fixture test;
+        test.m_writer->write({{"key", std::nullopt, 0}}, start);
+        test.m_writer->tick(start + milliseconds{150});
+        test.m_log.answer(0, log_result::ok);
+        test.m_log.answer(1, log_result::fenced);
+        CPPUNIT_ASSERT_EQUAL(1, test.m_written);
+        CPPUNIT_ASSERT_EQUAL(1, test.m_fenced);
+    }
+
     void sequence_number_of_the_service_is_used()
     {
         writer_fixture test;
