Send no order in an owner's name without a recent proof of ownership

Its successor knew by the record only when a VM was last ordered, not whether the order had an answer, and placed tasks on the VM.

An order without an answer is on record (vm-open/ID, with the worker on the VM) until it has one. For 4 s after its claim a successor places nothing on such a VM and orders nothing of it: its predecessor sends for 2 s after its last proof, and a call takes up to 1.5 s. It knows the worker from the record, before its first list of VMs: successor_places_nothing_on_a_vm_with_an_open_order, successor_places_work_on_a_vm_whose_order_was_answered. The record of the answer shows the owner at once if an order was fenced (fenced_vm_order_lets_the_owner_find_its_successor).

Seen failing with the grants and the reading of the records taken out: the three deposed_owner_* tests of owner_orders_test and successor_places_nothing_....

--- a/include/peridotrudder/planning/fleet_planner.hpp
+++ b/include/peridotrudder/planning/fleet_planner.hpp
@@ -42,6 +42,8 @@
 struct fleet_planner_ports {
     loop_port m_loop;
     vm_port m_vms;
+    /// Returns whether the owner may send orders to VMs now.
+    std::function<bool()> m_may_order{[] { return true; }};
     /// Reports the state of a wave to operators; `key` is the key of the wave's records.
     std::function<void(const std::string& key, bool completed)> m_report_wave;
     std::function<void(const decision&)> m_decided;
@@ -61,6 +63,9 @@
     void restore(const std::vector<keyed_record>& records, moment now);
     void declare(declared_wave wave, const std::string& key, moment now);
     void tick(job_scheduler& scheduler, moment now);
+    /// Tells the scheduler which workers get no new work: those whose VM is to leave, or may be
+    /// ended by an order of a predecessor.
+    void mark_leaving(job_scheduler& scheduler, moment now);
     /// Returns the records to write. The caller calls `written` once they are written.
     std::vector<keyed_record> take_changes();
     /// Sends the orders whose records are written.
@@ -85,7 +90,6 @@
     void move_vms_to(const std::string& pool, std::uint32_t count, moment now);
     void move_idle_to_spare(const std::string& pool, std::uint32_t count, moment now);
     void move_tasks_off(managed_vm& managed, job_scheduler& scheduler, moment now);
-    void mark_leaving(job_scheduler& scheduler);
     std::uint32_t supply_of(const std::string& pool, const scheduler_state& state) const;
 
     fleet_planner_options m_options;
--- a/include/peridotrudder/planning/vm_fleet.hpp
+++ b/include/peridotrudder/planning/vm_fleet.hpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,10 @@
     /// Time in which a VM that a predecessor ordered gets no other order: two owners that order the
     /// same VM one after the other would undo each other's work.
     milliseconds m_vm_lease{3'000};
+    /// Time after the take-over in which an order that a predecessor recorded, and whose answer it
+    /// did not record, may still be carried out: for as long it sends it by an old proof of
+    /// ownership, and a call takes its time.
+    milliseconds m_open_order_time{4'000};
 };
 
 /// Progress of an order to a VM.
@@ -66,6 +71,8 @@
 struct vm_fleet_hooks {
     loop_port m_loop;
     vm_port m_vms;
+    /// Returns whether the owner may send orders now.
+    std::function<bool()> m_may_order;
     std::function<void(const decision&)> m_decided;
     /// A list was received; it was requested at `asked_at`.
     std::function<void(time_point asked_at)> m_listed;
@@ -99,6 +106,8 @@
                                                  const std::string& spare_pool) const;
     /// Returns whether a predecessor's order to the VM may still be pending.
     bool ordered_by_predecessor(const managed_vm& managed, time_point now) const;
+    /// Returns the workers on VMs that a predecessor's order may still end.
+    std::set<std::string, std::less<>> workers_under_open_orders(time_point now) const;
     /// Returns whether the VM may get a new order now.
     bool can_be_ordered(const managed_vm& managed, time_point now) const;
 
@@ -130,6 +139,7 @@
     void log_change(const platform_vm& before, const platform_vm& after);
     void set_order(managed_vm& managed, vm_order sent_order, time_point now);
     void send_order(const std::string& vm_id);
+    void close_predecessor_orders(time_point now);
     void handle_answer(const vm_order& sent_order, vm_order_result result);
 
     vm_fleet_options m_options;
@@ -139,6 +149,15 @@
     std::size_t m_unreadable_entries{0};
     /// VMs that a predecessor ordered, and when they may be ordered again.
     std::map<std::string, time_point> m_predecessor_lease_ends;
+    /// An order of a predecessor without an answer on record.
+    struct open_order {
+        /// Worker that the VM had then; empty if there was none.
+        std::string m_worker;
+        time_point m_until;
+    };
+    std::map<std::string, open_order> m_predecessor_orders;
+    /// VMs whose order is over, which is to be recorded.
+    std::set<std::string> m_closed_orders;
     std::optional<time_point> m_newest_list_requested_at;
     time_point m_list_requested_at;
     bool m_list_in_flight{false};
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -157,6 +157,7 @@
         job_scheduler::create(m_options.m_scheduler, make_scheduler_ports(), std::move(store), now);
     m_planner = fleet_planner::create(m_options.m_planner, m_options.m_epoch, make_planner_ports());
     m_planner->restore(m_journal_records, now);
+    m_planner->mark_leaving(*m_scheduler, now);
     m_journal_records.clear();
     m_operators->release();
     m_worker_list->release();
@@ -428,21 +429,27 @@
 
 void fleet_owner::report_wave_state(const std::string& key, bool completed)
 {
-    append_request request;
-    request.m_topic = m_ports.m_record_schema.m_status_topic;
-    request.m_records.push_back({key, m_ports.m_record_schema.m_wave_state(completed), 0});
     const std::weak_ptr<fleet_owner*> self = m_self;
-    m_ports.m_log.m_append(request, [self, key, completed](const append_answer& answer) {
-        const auto alive = self.lock();
-        if (!alive || answer.m_result == log_result::ok) {
-            return;
-        }
-        (*alive)->m_ports.m_loop.m_after(status_retry, [self, key, completed] {
+    const auto repeat_later = [self, key, completed](fleet_owner& owner) {
+        owner.m_ports.m_loop.m_after(status_retry, [self, key, completed] {
             if (const auto still_alive = self.lock();
                 still_alive && (*still_alive)->m_phase == owner_phase::serving) {
                 (*still_alive)->report_wave_state(key, completed);
             }
         });
+    };
+    if (!may(owner_act::wave_report)) {
+        repeat_later(*this);
+        return;
+    }
+    append_request request;
+    request.m_topic = m_ports.m_record_schema.m_status_topic;
+    request.m_records.push_back({key, m_ports.m_record_schema.m_wave_state(completed), 0});
+    m_ports.m_log.m_append(request, [self, repeat_later](const append_answer& answer) {
+        const auto alive = self.lock();
+        if (alive && answer.m_result != log_result::ok) {
+            repeat_later(**alive);
+        }
     });
 }
 
@@ -451,6 +458,7 @@
     fleet_planner_ports ports;
     ports.m_loop = m_ports.m_loop;
     ports.m_vms = m_ports.m_vms;
+    ports.m_may_order = [this] { return may(owner_act::vm_order); };
     ports.m_report_wave = [this](const std::string& key, bool completed) {
         report_wave_state(key, completed);
     };
@@ -497,13 +505,23 @@
         const order_target target{to.m_instance, order.m_fence};
         const auto key = order.m_key;
         const auto run = order.m_run;
-        m_ports.m_workers.m_stop(to, order, [self, target, key, run](const order_answer& answer) {
+        const auto answered = [self, target, key, run](const order_answer& answer) {
             with_scheduler(self, [&](job_scheduler& scheduler, moment now) {
                 scheduler.stop_answered(target, key, run, answer, now);
             });
-        });
+        };
+        if (!may(owner_act::stop)) {
+            m_ports.m_loop.m_after(milliseconds{0}, [answered] {
+                answered({order_result::not_sent, std::nullopt});
+            });
+            return;
+        }
+        m_ports.m_workers.m_stop(to, order, answered);
     };
     ports.m_pace = [this](const worker_report& to, const pace_order& order) {
+        if (!may(owner_act::stop)) {
+            return;
+        }
         m_ports.m_workers.m_pace(to, order, [](const order_answer& /*answer*/) {});
     };
     ports.m_hold = [this, self](const worker_report& to, const hold_order& order) {
--- a/src/planning/fleet_planner.cpp
+++ b/src/planning/fleet_planner.cpp
@@ -56,6 +56,7 @@
     vm_fleet_hooks hooks;
     hooks.m_loop = m_ports.m_loop;
     hooks.m_vms = m_ports.m_vms;
+    hooks.m_may_order = m_ports.m_may_order;
     hooks.m_decided = m_ports.m_decided;
     hooks.m_listed = [this](time_point asked_at) { update_returned_vms(asked_at); };
     hooks.m_ended = [this](const vm_order& order, vm_order_result result) {
@@ -99,8 +100,8 @@
         report_lost_workers(scheduler, now);
         plan_waves(scheduler, now);
         plan_pools(scheduler, now);
-        mark_leaving(scheduler);
     }
+    mark_leaving(scheduler, now);
     m_fleet->tick(now);
 }
 
@@ -423,9 +424,9 @@
     }
 }
 
-void fleet_planner::mark_leaving(job_scheduler& scheduler)
+void fleet_planner::mark_leaving(job_scheduler& scheduler, moment now)
 {
-    std::set<std::string, std::less<>> leaving;
+    auto leaving = m_fleet->workers_under_open_orders(now.m_at);
     for (const auto& [id, managed] : m_fleet->vms()) {
         const bool away = managed.m_order || managed.m_leaving_for_wave != 0 ||
                           (!managed.m_destination_pool.empty());
--- a/src/planning/vm_fleet.cpp
+++ b/src/planning/vm_fleet.cpp
@@ -17,6 +17,8 @@
 /// A move counts as failed if the VM is not listed in its new pool after this time.
 constexpr milliseconds arrival_patience{6'000};
 constexpr std::string_view vm_prefix = "vm/";
+/// Records of orders whose answer is not known: the worker on the VM.
+constexpr std::string_view open_order_prefix = "vm-open/";
 /// Maximum difference between the clocks of two nodes.
 constexpr milliseconds clock_slack{300};
 
@@ -45,6 +47,11 @@
 void vm_fleet::restore(const std::vector<keyed_record>& records, moment now)
 {
     for (const auto& record : records) {
+        if (record.m_value && record.m_key.rfind(open_order_prefix, 0) == 0) {
+            const auto worker = from_packed_cbor<std::string>(*record.m_value);
+            m_predecessor_orders[record.m_key.substr(open_order_prefix.size())] = {
+                worker ? *worker : std::string{}, now.m_at + m_options.m_open_order_time};
+        }
         if (!record.m_value || record.m_key.rfind(vm_prefix, 0) != 0) {
             continue;
         }
@@ -63,10 +70,44 @@
 
 bool vm_fleet::ordered_by_predecessor(const managed_vm& managed, time_point now) const
 {
+    const auto open = m_predecessor_orders.find(managed.m_listed.m_id);
+    if (open != m_predecessor_orders.end() && now < open->second.m_until) {
+        return true;
+    }
     const auto until = m_predecessor_lease_ends.find(managed.m_listed.m_id);
     return until != m_predecessor_lease_ends.end() && now < until->second;
 }
 
+std::set<std::string, std::less<>> vm_fleet::workers_under_open_orders(time_point now) const
+{
+    std::set<std::string, std::less<>> workers;
+    for (const auto& [id, order] : m_predecessor_orders) {
+        if (now >= order.m_until) {
+            continue;
+        }
+        workers.insert(order.m_worker);
+        // It may be repeated, and then ends the VM's next worker too.
+        const auto listed = m_managed_vms.find(id);
+        if (listed != m_managed_vms.end()) {
+            workers.insert(listed->second.m_listed.m_worker);
+        }
+    }
+    workers.erase(std::string{});
+    return workers;
+}
+
+void vm_fleet::close_predecessor_orders(time_point now)
+{
+    for (auto entry = m_predecessor_orders.begin(); entry != m_predecessor_orders.end();) {
+        if (now < entry->second.m_until) {
+            ++entry;
+            continue;
+        }
+        m_closed_orders.insert(entry->first);
+        entry = m_predecessor_orders.erase(entry);
+    }
+}
+
 bool vm_fleet::can_be_ordered(const managed_vm& managed, time_point now) const
 {
     return managed.m_listed.m_state == platform_vm_state::up && !managed.m_unreadable &&
@@ -110,6 +151,7 @@
 void vm_fleet::tick(moment now)
 {
     read_list(now.m_at);
+    close_predecessor_orders(now.m_at);
     for (auto& [id, managed] : m_managed_vms) {
         if (managed.m_order && managed.m_order_phase == vm_order_phase::due &&
             now.m_at >= managed.m_order_at) {
@@ -276,11 +318,18 @@
 {
     std::vector<keyed_record> records;
     const auto now = m_hooks.m_loop.m_now();
+    for (const auto& id : m_closed_orders) {
+        records.push_back({std::string{open_order_prefix} + id, std::nullopt, 0});
+    }
+    m_closed_orders.clear();
     for (auto& [id, managed] : m_managed_vms) {
         if (managed.m_order && managed.m_order_phase == vm_order_phase::decided) {
             managed.m_order_phase = vm_order_phase::recording;
             records.push_back({std::string{vm_prefix} + id,
                                nlohmann::json::to_cbor(nlohmann::json(now.m_unix_ms)), 0});
+            records.push_back({std::string{open_order_prefix} + id,
+                               nlohmann::json::to_cbor(nlohmann::json(managed.m_listed.m_worker)),
+                               0});
         }
     }
     return records;
@@ -298,6 +347,11 @@
 void vm_fleet::send_order(const std::string& vm_id)
 {
     auto& managed = m_managed_vms.at(vm_id);
+    if (!m_hooks.m_may_order()) {
+        managed.m_order_phase = vm_order_phase::due;
+        managed.m_order_at = m_hooks.m_loop.m_now().m_at + order_retry;
+        return;
+    }
     managed.m_order_phase = vm_order_phase::sent;
     const std::weak_ptr<vm_fleet*> self = m_self;
     const auto sent_order = *managed.m_order;
@@ -317,6 +371,7 @@
                            fmt::format("{} {}", sent_order.m_vm_id, to_string(result))});
     }
     if (position == m_managed_vms.end()) {
+        m_closed_orders.insert(sent_order.m_vm_id);
         return;
     }
     auto& managed = position->second;
@@ -326,6 +381,7 @@
         return;
     }
     managed.m_order.reset();
+    m_closed_orders.insert(sent_order.m_vm_id);
     managed.m_leaving_for_wave = 0;
     const bool impossible =
         result == vm_order_result::not_in_wave || result == vm_order_result::impossible;
--- a/test/node/fleet_owner_fixture.hpp
+++ b/test/node/fleet_owner_fixture.hpp
@@ -45,7 +45,12 @@
     int m_silent_reads{0};
     std::size_t m_operator_reads{0};
     std::size_t m_appends{0};
+    /// The list of VMs, which is not answered while it is empty, and the answer to orders.
+    std::vector<platform_vm> m_vms;
+    vm_order_result m_vm_result{vm_order_result::refused};
     std::vector<vm_order> m_vm_orders;
+    /// Reports of the states of waves.
+    std::size_t m_wave_reports{0};
     std::vector<stop_order> m_stops;
     std::vector<std::string> m_events;
     /// A majority of the nodes says that it hears the owner.
@@ -110,7 +115,16 @@
                                         const worker_port::callback<order_answer>&) {
             m_stops.push_back(order);
         };
-        ports.m_vms.m_list = [](const std::function<void(platform_vm_list)>&) {};
+        ports.m_vms.m_list = [this](const std::function<void(platform_vm_list)>& callback) {
+            if (!m_vms.empty()) {
+                later([this, callback] { callback(platform_vms{m_vms, 0}); });
+            }
+        };
+        ports.m_vms.m_order = [this](const vm_order& order,
+                                     const std::function<void(vm_order_result)>& callback) {
+            m_vm_orders.push_back(order);
+            later([this, callback] { callback(m_vm_result); });
+        };
         ports.m_record_schema = make_record_schema();
         ports.m_answer = [this](std::uint64_t token, const call_answer& answer) {
             m_answers[token] = answer;
@@ -156,8 +170,9 @@
             return report;
         };
         wire.m_wave = [](record_schema::bytes) -> tl::expected<declared_wave, decode_error> {
-            return declared_wave{};
+            return declared_wave{1, {"m-1"}, milliseconds{1'000}, 1};
         };
+        wire.m_status_topic = "status";
         wire.m_wave_state = [](bool) { return std::vector<std::uint8_t>{}; };
         return wire;
     }
@@ -171,6 +186,7 @@
     {
         append_answer answer;
         ++m_appends;
+        m_wave_reports += request.m_topic == "status" ? 1 : 0;
         if (!m_log_up || !m_appends_up) {
             answer.m_result = log_result::nothing_done;
             return answer;
@@ -184,6 +200,9 @@
             if (record.m_value) {
                 m_topics[request.m_topic][record.m_key] = *record.m_value;
             }
+            else {
+                m_topics[request.m_topic].erase(record.m_key);
+            }
         }
         answer.m_result = log_result::ok;
         return answer;
