--- a/include/peridotrudder/ownership/cluster_agent.hpp
+++ b/include/peridotrudder/ownership/cluster_agent.hpp
@@ -9,8 +9,8 @@
 #include "peridotrudder/ownership/node_messages.hpp"
 #include "peridotrudder/ownership/owner_contact.hpp"
 #include "peridotrudder/ownership/owner_election.hpp"
-#include "peridotrudder/ownership/self_registration.hpp"
 #include "peridotrudder/ownership/owner_routes.hpp"
+#include "peridotrudder/ownership/self_registration.hpp"
 #include "peridotrudder/ownership/topic_follower.hpp"
 
 #include <cstdint>
