Replace an owner only by a majority of the registered nodes again

What callers would see: with a partition whose smaller part has more than a third of the nodes, the owner changes sides about once a second until the cut ends; each owner lives for less than its leases' wait. Cause: let most of the reachable nodes claim; the larger part claims back by the majority rule.

--- a/include/peridotrudder/ownership/owner_election.hpp
+++ b/include/peridotrudder/ownership/owner_election.hpp
@@ -87,9 +87,8 @@
 /// Safety does not depend on it: the log accepts one of several claims, and the epoch fences off
 /// the others. The election avoids needless changes of the owner: a node that alone has lost the
 /// owner does not claim. An owner that most nodes have lost is replaced even if it still reaches
-/// the log. Since registrations outlive their nodes, most of the reachable nodes are enough if they
-/// are two at least and more than a third of all: fewer may be cut off from an owner that serves
-/// the others.
+/// the log, but only by most of the registered nodes: fewer may be cut off from an owner that
+/// serves the others.
 class owner_election {
 public:
     static owner_election create(election_options options, time_point now);
--- a/src/ownership/owner_election.cpp
+++ b/src/ownership/owner_election.cpp
@@ -119,11 +119,7 @@
 bool owner_election::majority_lost_owner() const
 {
     const auto without_owner = m_peer_views.size() - peers_hearing_owner() + 1;
-    if (without_owner * 2 > m_members) {
-        return true;
-    }
-    const bool are_enough = without_owner >= 2 && without_owner * 3 > m_members;
-    return are_enough && without_owner * 2 > reachable();
+    return without_owner * 2 > m_members;
 }
 
 std::optional<election_status> owner_election::status(time_point now) const
