Take an owner that a peer reaches for alive

A node that reaches the owner only through a peer has no heartbeats of it. A late registration of a former process of the owner's node made it claim at once, against an owner that served it. A route through a peer of the claim's epoch now counts as hearing the owner there.

--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -196,7 +196,8 @@
     // The node has registered another process. That may be a former one's registration, carried out
     // late: an owner that is heard, or is this process, runs.
     const auto now = m_ports.m_loop.m_now().m_at;
-    const bool heard = m_heard_epoch == claim.m_epoch && m_election.hears_owner(now);
+    const bool heard = (m_heard_epoch == claim.m_epoch && m_election.hears_owner(now)) ||
+                       m_routes.best(claim.m_epoch, now).exists();
     if (claim.m_owner != m_options.m_self.m_incarnation && !heard) {
         m_election.owner_gone(claim.m_epoch, now);
     }
