Let the peer decide when a handshake takes too long

link_attempts waits up to 16 s for a slow process; that process closed accepted connections by websocketpp's own limit of 5 s. The accepting end now waits for 20 s.

--- a/src/links/peer_mesh.cpp
+++ b/src/links/peer_mesh.cpp
@@ -30,6 +30,8 @@
 /// Check intervals after which a link from a peer is closed that carried nothing, not even the
 /// pings of an idle link.
 constexpr int accepted_silence_limit = 150;
+/// Longer than any peer waits for its handshake: the peer decides when to give up.
+constexpr long accepted_handshake_limit_ms = 20'000;
 /// Frames are dropped while a link has more unsent bytes than this, since its peer does not read.
 constexpr std::size_t max_buffered_bytes = 33'554'432;
 constexpr const char* incarnation_header = "X-Peridot-Incarnation";
@@ -180,6 +182,7 @@
         m_server.init_asio(&m_context);
         m_server.set_reuse_addr(true);
         m_server.set_max_message_size(m_options.m_max_message_bytes);
+        m_server.set_open_handshake_timeout(accepted_handshake_limit_ms);
         m_server.set_validate_handler([this](const connection_hdl& hdl) { return is_peer(hdl); });
         m_server.set_open_handler([this](const connection_hdl& hdl) { accept(hdl); });
         m_server.set_close_handler([this](const connection_hdl& hdl) { forget_accepted(hdl); });
