--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -12,7 +12,7 @@
 # How often a channel that waits for its first request to pass looks whether its client has gone.
 LOOK_S = 0.1
 # How long the other end of a channel is kept after one end has closed it.
-KEPT_END_S = 10.0
+KEPT_END_S = 35.0
 
 
 class Channel:
