Read the configuration at once after a read that failed

What callers saw: after an outage of the log of 4.2 s calls were held for another 0.9 s, since the first read that passed waited for records for 0.9 s, and the configuration counts as current only once it is answered; some of them got 504 at their deadline. Ruled out: the proof of ownership (renewed at once after the outage). Change: in a topic that is hedged a read after a failed one doesn't wait. read_after_a_failed_one_does_not_wait failed before (900 instead of 0).

--- a/src/ownership/topic_follower.cpp
+++ b/src/ownership/topic_follower.cpp
@@ -116,6 +116,8 @@
         return true;
     }
     ++m_round;
+    // Once reads succeed again, the next one shows at once what was written meanwhile.
+    m_next_wait = m_options.m_hedge_delay.count() > 0 ? milliseconds{0} : m_options.m_wait;
     return false;
 }
 
--- a/test/ownership/topic_follower_test.cpp
+++ b/test/ownership/topic_follower_test.cpp
@@ -101,6 +101,7 @@
     CPPUNIT_TEST(silent_snapshot_is_repeated);
     CPPUNIT_TEST(answer_without_records_shows_that_nothing_was_written_during_the_wait);
     CPPUNIT_TEST(late_answer_with_records_does_not_show_that_they_are_the_newest);
+    CPPUNIT_TEST(read_after_a_failed_one_does_not_wait);
     CPPUNIT_TEST(read_is_not_repeated_by_default);
     CPPUNIT_TEST_SUITE_END();
 
@@ -188,6 +189,18 @@
         CPPUNIT_ASSERT_EQUAL(milliseconds{0}.count(), it.age().count());
     }
 
+    // After an outage of the log calls waited for the age of the configuration.
+    void read_after_a_failed_one_does_not_wait()
+    {
+        follower_fixture it{hedge_delay};
+        it.answer_snapshot(0);
+        it.answer(0, "");
+        CPPUNIT_ASSERT(it.m_reads.at(1).m_request.m_wait.count() > 0);
+        it.answer(1, "", log_result::nothing_done);
+        it.pass(milliseconds{150});
+        CPPUNIT_ASSERT_EQUAL(milliseconds::rep{0}, it.m_reads.at(2).m_request.m_wait.count());
+    }
+
     void read_is_not_repeated_by_default()
     {
         follower_fixture it{milliseconds{0}};
