--- a/test/ownership/cluster_agent_test.cpp
+++ b/test/ownership/cluster_agent_test.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(stopping_node_does_not_register_again);
     CPPUNIT_TEST(owner_whose_registration_was_replaced_stays_the_owner);
     CPPUNIT_TEST(late_registration_on_the_owners_node_does_not_end_its_ownership_for_others);
+    CPPUNIT_TEST(late_registration_does_not_end_an_ownership_that_a_peer_reaches);
     CPPUNIT_TEST(new_process_of_a_silent_owners_node_ends_its_ownership);
     CPPUNIT_TEST(process_that_is_deleted_and_registers_again_keeps_its_link);
     CPPUNIT_TEST(link_of_a_deleted_process_is_given_up_when_it_ends);
@@ -177,6 +178,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, test.events("claiming"));
     }
 
+    // A node without heartbeats of its own took the owner for gone, and claimed.
+    void late_registration_does_not_end_an_ownership_that_a_peer_reaches()
+    {
+        follower_fixture test;
+        test.m_log.put_node(make_node("third", "third-1"));
+        test.run_with_heartbeats(milliseconds{300}, test.m_claim);
+        test.m_agent->link_opened("third-1");
+        test.m_agent->link_closed(test.m_other.m_incarnation, false);
+        const auto run_with_views = [&test](milliseconds time) {
+            for (milliseconds passed{0}; passed < time; passed += milliseconds{100}) {
+                test.m_agent->receive("third-1",
+                                      owner_view{test.m_claim.m_epoch, true, test.m_claim});
+                test.run_for(milliseconds{100});
+            }
+        };
+        run_with_views(milliseconds{2'000});
+        CPPUNIT_ASSERT(test.m_agent->route().exists() && !test.m_agent->route().m_direct);
+        test.m_log.put_node(make_node("other", "other-0", 3'000'000));
+        run_with_views(milliseconds{2'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, test.events("claiming"));
+        CPPUNIT_ASSERT(test.m_agent->route().exists());
+    }
+
     void new_process_of_a_silent_owners_node_ends_its_ownership()
     {
         follower_fixture test;
