Refuse calls without a valid key of a tenant

What callers saw: any call was served, also with a key that no version of the configuration held or that had been removed. Cause: tenants, keys and public queues of the configuration were not read. Ruled out: a check at each node, since a node can be behind; the owner answers every call and waits for a recent reading of the configuration.

The owner refuses a call whose key is not in force (401), and a job keeps its tenant in its record. Another tenant's call finds no job. Without tenants in the configuration nothing changes.

--- a/include/peridotrudder/jobs/job.hpp
+++ b/include/peridotrudder/jobs/job.hpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <gsl/span>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -118,6 +119,20 @@
                                                             "cancelled"};
 };
 
+/// The tenant that a job belongs to.
+struct job_tenant {
+    std::string m_name;
+    /// The job exceeded the tenant's contracted rate when it was submitted.
+    bool m_excess{false};
+
+    template <typename Archive, typename Self>
+    static void describe(Archive& archive, Self& self)
+    {
+        archive.field("name", self.m_name);
+        archive.field("excess", self.m_excess);
+    }
+};
+
 /// The immutable part of a job's record.
 struct job_header {
     std::string m_id;
@@ -126,6 +141,8 @@
     /// Unix milliseconds at which the job was accepted.
     std::int64_t m_accepted_ms{0};
     job_spec m_spec;
+    /// None for jobs of public queues and without tenants in the configuration.
+    std::optional<job_tenant> m_tenant{};
 
     template <typename Archive, typename Self>
     static void describe(Archive& archive, Self& self)
@@ -134,6 +151,7 @@
         archive.field("queue", self.m_queue);
         archive.field("accepted_ms", self.m_accepted_ms);
         archive.field("spec", self.m_spec);
+        archive.field("tenant", self.m_tenant);
     }
 };
 
--- a/include/peridotrudder/jobs/queue_config.hpp
+++ b/include/peridotrudder/jobs/queue_config.hpp
@@ -43,6 +43,8 @@
     double m_stretch{1.0};
     milliseconds m_target{0};
     std::optional<placement_policy> m_policy;
+    /// Calls need no tenant's key. Not described: only a configured queue takes calls.
+    bool m_public{false};
 
     template <typename Archive, typename Self>
     static void describe(Archive& archive, Self& self)
--- a/include/peridotrudder/scheduling/job_call.hpp
+++ b/include/peridotrudder/scheduling/job_call.hpp
@@ -30,6 +30,8 @@
     std::string m_path;
     /// The submitted job; absent for other kinds and if the body could not be decoded.
     std::optional<job_spec> m_spec;
+    /// SHA-256 digest of the key that the call carries; absent without a key.
+    std::optional<std::string> m_key_digest{};
 
     template <typename Archive, typename Self>
     static void describe(Archive& archive, Self& self)
@@ -38,6 +40,7 @@
         archive.field("host", self.m_host);
         archive.field("path", self.m_path);
         archive.field("spec", self.m_spec);
+        archive.field("key_digest", self.m_key_digest);
     }
 };
 
@@ -62,13 +65,15 @@
     owner_ended,
     /// Whether the call was carried out is not known.
     unknown_outcome,
+    /// The queue needs a tenant's key, and the call carries none that is valid. Nothing was done.
+    unauthorized,
 };
 
 template <>
 struct enum_names<call_status> {
-    static constexpr std::array<std::string_view, 11> values{
-        "done",       "state",       "length",    "invalid",     "unknown_queue",  "unknown_job",
-        "overloaded", "unavailable", "not_owner", "owner_ended", "unknown_outcome"};
+    static constexpr std::array<std::string_view, 12> values{
+        "done",       "state",       "length",    "invalid",     "unknown_queue",   "unknown_job",
+        "overloaded", "unavailable", "not_owner", "owner_ended", "unknown_outcome", "unauthorized"};
 };
 
 /// State of a job as callers see it.
--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -83,13 +83,25 @@
 private:
     job_scheduler(scheduler_options options, scheduler_ports ports, job_store store);
 
+    /// The tenant in whose name a call is made; null on a public queue and without tenants.
+    struct caller_identity {
+        const tenant_config* m_tenant{nullptr};
+    };
+
+    /// Returns who makes the call, or nothing if it lacks a valid key that the queue needs.
+    std::optional<caller_identity> identify(const queue_config& queue, const job_call& call) const;
+    /// Returns the job if the caller may use it, or null.
+    job* find_accessible(const queue_config& queue, const std::string& id,
+                         const caller_identity& caller);
     void submit(std::uint64_t token, const queue_config& queue, const std::string& id,
-                const job_call& call, moment now);
+                const job_call& call, const caller_identity& caller, moment now);
     /// Rejects the job if it would end too late to be useful. Returns whether it was rejected.
     bool reject_if_overloaded(std::uint64_t token, const queue_config& queue, const std::string& id,
                               const job_spec& spec);
-    void cancel(std::uint64_t token, const std::string& id, moment now);
-    void query(std::uint64_t token, const std::string& id);
+    void cancel(std::uint64_t token, const queue_config& queue, const std::string& id,
+                const caller_identity& caller, moment now);
+    void query(std::uint64_t token, const queue_config& queue, const std::string& id,
+               const caller_identity& caller);
     std::uint64_t waiting_jobs(const queue_config& queue, std::int64_t now_ms) const;
     void answer_when_written(std::uint64_t token, const call_answer& answer, const std::string& id);
 
--- a/include/peridotrudder/scheduling/pool_config.hpp
+++ b/include/peridotrudder/scheduling/pool_config.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
 /// @file
-/// The operators' configuration of queues and pools.
+/// The operators' configuration of queues, pools and tenants.
 
 #include "peridotrudder/jobs/queue_config.hpp"
+#include "peridotrudder/tenants/tenant_directory.hpp"
 
 #include <cstdint>
 #include <string>
@@ -25,11 +26,12 @@
 class fleet_config {
 public:
     static fleet_config create(std::uint64_t version, std::vector<queue_config> queues,
-                               std::vector<pool_config> pools);
+                               std::vector<pool_config> pools, tenant_directory tenants = {});
 
     std::uint64_t version() const { return m_version; }
     const std::vector<queue_config>& queues() const { return m_queues; }
     const std::vector<pool_config>& pools() const { return m_pools; }
+    const tenant_directory& tenants() const { return m_tenants; }
     /// Returns the queue with the host and the longest prefix that the path begins with, or null.
     const queue_config* match(std::string_view host, std::string_view path) const;
     const queue_config* find_queue(std::string_view key) const;
@@ -39,6 +41,7 @@
     std::uint64_t m_version{0};
     std::vector<queue_config> m_queues;
     std::vector<pool_config> m_pools;
+    tenant_directory m_tenants;
 };
 
 } // namespace peridotrudder
--- /dev/null
+++ b/include/peridotrudder/tenants/tenant_directory.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+/// @file
+/// The tenants of one version of the configuration.
+
+#include "peridotrudder/tenants/tenant_config.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace peridotrudder {
+
+/// Finds tenants by name and by the digest of a key. Immutable.
+///
+/// A default-constructed directory is that of a configuration without tenants: calls need no keys,
+/// and no quotas or shares apply.
+class tenant_directory {
+public:
+    tenant_directory() = default;
+
+    /// Returns a directory that is enabled, also if `tenants` is empty: then no key is valid. If
+    /// two tenants have a key in common, it is the first one's.
+    static tenant_directory create(std::vector<tenant_config> tenants);
+
+    /// Returns whether the configuration has tenants.
+    bool enabled() const { return m_enabled; }
+    const std::vector<tenant_config>& tenants() const { return m_tenants; }
+    /// Returns the tenant with the key, or null. Valid for the directory's lifetime.
+    const tenant_config* find_by_key(std::string_view digest) const;
+    /// Returns the tenant with the name, or null.
+    const tenant_config* find(std::string_view name) const;
+
+private:
+    using index = std::map<std::string, std::size_t, std::less<>>;
+
+    const tenant_config* find_in(const index& positions, std::string_view key) const;
+
+    bool m_enabled{false};
+    std::vector<tenant_config> m_tenants;
+    index m_by_key;
+    index m_by_name;
+};
+
+} // namespace peridotrudder
--- a/src/node/call_router.cpp
+++ b/src/node/call_router.cpp
@@ -11,7 +11,8 @@
 bool is_refusal(call_status status)
 {
     return status == call_status::overloaded || status == call_status::unavailable ||
-           status == call_status::unknown_queue || status == call_status::invalid;
+           status == call_status::unknown_queue || status == call_status::invalid ||
+           status == call_status::unauthorized;
 }
 
 } // namespace
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -133,6 +133,11 @@
         m_state.m_ports.m_answer(token, status_only(call_status::unknown_queue));
         return;
     }
+    const auto caller = identify(*queue, call);
+    if (!caller) {
+        m_state.m_ports.m_answer(token, status_only(call_status::unauthorized));
+        return;
+    }
     const auto id = call.m_path.substr(queue->m_prefix.size());
     if (call.m_kind == call_kind::query && id.empty()) {
         auto answer = status_only(call_status::length);
@@ -142,21 +147,58 @@
     }
     switch (call.m_kind) {
     case call_kind::submit:
-        submit(token, *queue, id, call, now);
+        submit(token, *queue, id, call, *caller, now);
         return;
     case call_kind::cancel:
-        cancel(token, id, now);
+        cancel(token, *queue, id, *caller, now);
         return;
     case call_kind::query:
-        query(token, id);
+        query(token, *queue, id, *caller);
         return;
     }
 }
 
+std::optional<job_scheduler::caller_identity> job_scheduler::identify(const queue_config& queue,
+                                                                      const job_call& call) const
+{
+    const auto& tenants = m_state.m_config.tenants();
+    if (!tenants.enabled() || queue.m_public) {
+        return caller_identity{};
+    }
+    const auto* tenant = call.m_key_digest ? tenants.find_by_key(*call.m_key_digest) : nullptr;
+    if (tenant == nullptr) {
+        return std::nullopt;
+    }
+    return caller_identity{tenant};
+}
+
+// Who has no access learns nothing of the job, not even that it exists.
+job* job_scheduler::find_accessible(const queue_config& queue, const std::string& id,
+                                    const caller_identity& caller)
+{
+    auto* found = m_state.m_job_store.find(id);
+    const bool restricted =
+        found != nullptr && found->header().m_tenant && m_state.m_config.tenants().enabled();
+    if (!restricted) {
+        return found;
+    }
+    const auto& header = found->header();
+    // A queue that has become public gives access to the jobs that it had before.
+    const bool accessible = caller.m_tenant == nullptr
+                                ? queue_key(header.m_queue) == queue_key(queue)
+                                : header.m_tenant->m_name == caller.m_tenant->m_name;
+    return accessible ? found : nullptr;
+}
+
 void job_scheduler::submit(std::uint64_t token, const queue_config& queue, const std::string& id,
-                           const job_call& call, moment now)
+                           const job_call& call, const caller_identity& caller, moment now)
 {
     if (m_state.m_job_store.find(id) != nullptr) {
+        if (find_accessible(queue, id, caller) == nullptr) {
+            m_state.log("job_invalid", id, "", "the id is another tenant's");
+            m_state.m_ports.m_answer(token, status_only(call_status::invalid));
+            return;
+        }
         answer_when_written(token, status_only(call_status::done), id);
         return;
     }
@@ -169,7 +211,11 @@
     if (reject_if_overloaded(token, queue, id, *call.m_spec)) {
         return;
     }
-    m_state.m_job_store.add({id, queue, now.m_unix_ms, *call.m_spec});
+    std::optional<job_tenant> tenant;
+    if (caller.m_tenant != nullptr) {
+        tenant = job_tenant{caller.m_tenant->m_name, false};
+    }
+    m_state.m_job_store.add({id, queue, now.m_unix_ms, *call.m_spec, std::move(tenant)});
     m_state.m_schedulable_jobs.insert(id);
     if (!is_long_running(*call.m_spec)) {
         auto& total = m_state.m_accepted_work[queue.m_pool];
@@ -204,9 +250,10 @@
     return true;
 }
 
-void job_scheduler::cancel(std::uint64_t token, const std::string& id, moment now)
+void job_scheduler::cancel(std::uint64_t token, const queue_config& queue, const std::string& id,
+                           const caller_identity& caller, moment now)
 {
-    auto* target = m_state.m_job_store.find(id);
+    auto* target = find_accessible(queue, id, caller);
     if (target == nullptr) {
         m_state.m_ports.m_answer(token, status_only(call_status::unknown_job));
         return;
@@ -220,9 +267,10 @@
     answer_when_written(token, status_only(call_status::done), id);
 }
 
-void job_scheduler::query(std::uint64_t token, const std::string& id)
+void job_scheduler::query(std::uint64_t token, const queue_config& queue, const std::string& id,
+                          const caller_identity& caller)
 {
-    const auto* target = m_state.m_job_store.find(id);
+    const auto* target = find_accessible(queue, id, caller);
     if (target == nullptr) {
         m_state.m_ports.m_answer(token, status_only(call_status::unknown_job));
         return;
--- a/src/scheduling/pool_config.cpp
+++ b/src/scheduling/pool_config.cpp
@@ -3,12 +3,13 @@
 namespace peridotrudder {
 
 fleet_config fleet_config::create(std::uint64_t version, std::vector<queue_config> queues,
-                                  std::vector<pool_config> pools)
+                                  std::vector<pool_config> pools, tenant_directory tenants)
 {
     fleet_config config;
     config.m_version = version;
     config.m_queues = std::move(queues);
     config.m_pools = std::move(pools);
+    config.m_tenants = std::move(tenants);
     return config;
 }
 
