Replace an owner that reaches fewer nodes than those without it

What callers saw: with most of the registered nodes gone, an owner that reaches the log but no other node is not replaced; all other nodes answer 503 for as long as it writes. Cause: only a majority of the registered nodes may replace an owner that writes, and nodes that are gone count too. Ruled out: counting reachable nodes only, which moved the owner to and fro between parts of 3 and 5 nodes.

An owner without a majority records how many nodes it reaches. A group that is larger than that replaces it; the new owner's group is the larger one, so the other part does not claim again, and parts of equal size keep the owner. While an owner reaches a majority, nothing is written and nothing changes.

--- a/include/peridotrudder/ownership/cluster_agent.hpp
+++ b/include/peridotrudder/ownership/cluster_agent.hpp
@@ -9,6 +9,7 @@
 #include "peridotrudder/ownership/node_messages.hpp"
 #include "peridotrudder/ownership/owner_contact.hpp"
 #include "peridotrudder/ownership/owner_election.hpp"
+#include "peridotrudder/ownership/owner_group.hpp"
 #include "peridotrudder/ownership/owner_routes.hpp"
 #include "peridotrudder/ownership/self_registration.hpp"
 #include "peridotrudder/ownership/topic_follower.hpp"
@@ -111,6 +112,7 @@
 
     void take_records(const std::vector<keyed_record>& records, bool snapshot);
     void take_owner_record(const keyed_record& record);
+    void take_owner_group(const keyed_record& record);
     self_registration make_registration();
     void keep_links(const std::vector<node_record>& former);
     void update_peers();
@@ -124,6 +126,7 @@
     void probe_for_resignation(time_point now);
     void ask_for_support(time_point now);
     void take_support(const std::string& from, const owner_view& message);
+    void report_group(time_point now);
     void remove_unreachable_nodes(time_point now);
     void delete_registration(const std::string& incarnation);
     void update_reachability();
@@ -153,6 +156,7 @@
     /// Processes that links are kept to.
     std::set<std::string> m_peers;
     member_removal m_removal;
+    owner_group_report m_group_report;
     std::set<std::string> m_open_links;
     std::uint64_t m_topic_end{0};
     bool m_topic_read{false};
--- a/include/peridotrudder/ownership/owner_election.hpp
+++ b/include/peridotrudder/ownership/owner_election.hpp
@@ -88,7 +88,8 @@
 /// the others. The election avoids needless changes of the owner: a node that alone has lost the
 /// owner does not claim. An owner that most nodes have lost is replaced even if it still reaches
 /// the log, but only by most of the registered nodes: fewer may be cut off from an owner that
-/// serves the others.
+/// serves the others. An owner that has recorded that it reaches no majority is replaced by any
+/// group that is larger than its own, which ends with the largest.
 class owner_election {
 public:
     static owner_election create(election_options options, time_point now);
@@ -118,6 +119,9 @@
     void set_linked(std::size_t linked) { m_linked = linked; }
     /// Records a peer's answer to the question whether it gets the owner's heartbeats.
     void peer_view(const std::string& peer, std::uint64_t epoch, bool hears_owner);
+    /// Records how many nodes the owner of an epoch reaches, itself included, as it has told
+    /// itself; zero for a majority.
+    void owner_reaches(std::uint64_t epoch, std::uint64_t nodes);
     /// Records whether the journal shows writes of the owner.
     void journal_view(std::uint64_t epoch, bool owner_writes, time_point now);
 
@@ -137,7 +141,10 @@
     bool suspects(time_point now) const;
     std::size_t peers_hearing_owner() const;
     std::size_t reachable() const;
+    /// Returns how many nodes say that they do not hear the owner, this one included.
+    std::size_t nodes_without_owner() const;
     bool majority_lost_owner() const;
+    bool outnumbers_owner() const;
     election_step check_suspicion(time_point now);
     void clear_suspicion(time_point now);
 
@@ -153,6 +160,7 @@
     std::optional<time_point> m_asked_at;
     std::optional<time_point> m_checked_at;
     bool m_journal_silent{false};
+    std::uint64_t m_owner_group{0};
     std::map<std::string, bool> m_peer_views;
     time_point m_next_claim_at;
 };
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::string_view owner_key = "owner";
+constexpr std::string_view owner_group_key = "owner_group";
 /// Timeout of appends to the cluster's topic.
 constexpr milliseconds append_timeout{800};
 /// With the time limit of a read, less than the time in which a silent connection must be replaced.
@@ -113,6 +114,12 @@
             take_owner_record(record);
         }
     }
+    // Claims first: a group counts for the newest claim only.
+    for (const auto& record : records) {
+        if (record.m_key == owner_group_key && record.m_value) {
+            take_owner_group(record);
+        }
+    }
     update_peers();
     tick();
 }
@@ -141,6 +148,16 @@
     learn(*claim);
 }
 
+void cluster_agent::take_owner_group(const keyed_record& record)
+{
+    const auto group = from_packed_cbor<owner_group>(*record.m_value);
+    if (!group) {
+        m_ports.m_log_event("owner_group_unreadable", std::to_string(record.m_offset));
+        return;
+    }
+    m_election.owner_reaches(group->m_epoch, group->m_nodes);
+}
+
 void cluster_agent::learn(const ownership_claim& claim)
 {
     const auto before = m_election.claim().m_epoch;
@@ -159,6 +176,7 @@
         m_owned_epoch = m_election.claim().m_epoch;
         m_owned_since = m_ports.m_loop.m_now().m_at;
         m_supporters.clear();
+        m_group_report = {};
         m_ports.m_became_owner(m_election.claim());
     }
     update_reachability();
@@ -211,6 +229,7 @@
         send_heartbeat(now);
         probe_for_resignation(now);
         ask_for_support(now);
+        report_group(now);
         remove_unreachable_nodes(now);
         yield_to_larger_node(m_ports.m_loop.m_now());
         return;
@@ -479,6 +498,31 @@
     return owns() && (static_cast<std::size_t>(supporters) + 1) * 2 > m_members.nodes().size();
 }
 
+void cluster_agent::report_group(time_point now)
+{
+    const auto nodes =
+        m_group_report.tick(linked_nodes().size() + 1, m_members.nodes().size(), now);
+    if (!nodes) {
+        return;
+    }
+    m_ports.m_log_event("owner_group",
+                        fmt::format("epoch {}, reaches {} of {} nodes", m_owned_epoch,
+                                    linked_nodes().size() + 1, m_members.nodes().size()));
+    append_request request;
+    request.m_topic = m_options.m_topic;
+    request.m_timeout = append_timeout;
+    request.m_records.push_back(
+        {std::string{owner_group_key}, to_packed_cbor(owner_group{m_owned_epoch, *nodes}), 0});
+    const std::weak_ptr<cluster_agent*> self = m_self;
+    const auto epoch = m_owned_epoch;
+    m_ports.m_log.m_append(request, [self, epoch, nodes](const append_answer& answer) {
+        const auto agent = self.lock();
+        if (agent && answer.m_result == log_result::ok && (*agent)->m_owned_epoch == epoch) {
+            (*agent)->m_group_report.recorded(*nodes);
+        }
+    });
+}
+
 void cluster_agent::remove_unreachable_nodes(time_point now)
 {
     std::vector<watched_process> processes;
--- a/src/ownership/owner_election.cpp
+++ b/src/ownership/owner_election.cpp
@@ -28,6 +28,7 @@
     if (claim.m_epoch <= m_claim.m_epoch && !released) {
         return;
     }
+    m_owner_group = claim.m_epoch == m_claim.m_epoch ? m_owner_group : 0;
     m_claim = claim;
     m_learnt_at = now;
     clear_suspicion(now);
@@ -87,6 +88,13 @@
     }
 }
 
+void owner_election::owner_reaches(std::uint64_t epoch, std::uint64_t nodes)
+{
+    if (epoch == m_claim.m_epoch) {
+        m_owner_group = nodes;
+    }
+}
+
 void owner_election::journal_view(std::uint64_t epoch, bool owner_writes, time_point now)
 {
     if (epoch == m_claim.m_epoch) {
@@ -116,10 +124,19 @@
     return std::max(m_linked, m_peer_views.size()) + 1;
 }
 
+std::size_t owner_election::nodes_without_owner() const
+{
+    return m_peer_views.size() - peers_hearing_owner() + 1;
+}
+
 bool owner_election::majority_lost_owner() const
 {
-    const auto without_owner = m_peer_views.size() - peers_hearing_owner() + 1;
-    return without_owner * 2 > m_members;
+    return nodes_without_owner() * 2 > m_members;
+}
+
+bool owner_election::outnumbers_owner() const
+{
+    return m_owner_group != 0 && nodes_without_owner() > m_owner_group;
 }
 
 std::optional<election_status> owner_election::status(time_point now) const
@@ -184,7 +201,7 @@
         return election_step::none;
     }
     const auto hearing = peers_hearing_owner();
-    if (majority_lost_owner() || (m_journal_silent && hearing == 0)) {
+    if (majority_lost_owner() || outnumbers_owner() || (m_journal_silent && hearing == 0)) {
         m_next_claim_at = now + claim_interval;
         m_asked_at.reset();
         m_journal_silent = false;
--- a/test/ownership/cluster_agent_test.cpp
+++ b/test/ownership/cluster_agent_test.cpp
@@ -1,4 +1,5 @@
 #include "cluster_fixture.hpp"
+#include "peridotrudder/base/packed_cbor.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -76,6 +77,8 @@
     CPPUNIT_TEST(node_that_nobody_reaches_is_removed);
     CPPUNIT_TEST(owner_that_is_cut_off_from_all_removes_nobody);
     CPPUNIT_TEST(peer_tells_whether_it_has_a_link);
+    CPPUNIT_TEST(owner_that_loses_its_majority_and_regains_it_records_both);
+    CPPUNIT_TEST(group_larger_than_the_owners_claims_though_it_is_no_majority);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -293,6 +296,66 @@
         };
         CPPUNIT_ASSERT(linked(0) && linked(1) && !linked(2));
     }
+
+    void owner_that_loses_its_majority_and_regains_it_records_both()
+    {
+        owner_fixture test;
+        test.run_for(milliseconds{2'000});
+        CPPUNIT_ASSERT(groups(test).empty());
+        test.m_agent->link_closed("a-1", false);
+        test.m_agent->link_closed("b-1", false);
+        test.run_for(milliseconds{2'000});
+        CPPUNIT_ASSERT(groups(test) == std::vector<std::uint64_t>{2});
+        test.m_agent->link_opened("a-1");
+        test.run_for(milliseconds{2'000});
+        CPPUNIT_ASSERT((groups(test) == std::vector<std::uint64_t>{2, 0}));
+    }
+
+    // Two of six nodes that had lost an owner which reached only the log waited for a majority.
+    void group_larger_than_the_owners_claims_though_it_is_no_majority()
+    {
+        follower_fixture test;
+        for (const auto* name : {"b", "c", "d", "e"}) {
+            test.m_log.put_node(make_node(name, std::string{name} + "-1"));
+        }
+        test.run_for(milliseconds{300});
+        test.m_agent->link_opened("b-1");
+        test.m_on_send = [&test](const std::string& to, const node_message& message) {
+            const auto* query = std::get_if<owner_query>(&message);
+            if (query != nullptr && to == "b-1") {
+                test.m_loop.port().m_after(milliseconds{20}, [&test, epoch = query->m_epoch] {
+                    test.m_agent->receive("b-1", owner_view{epoch, false});
+                });
+            }
+        };
+        test.m_agent->link_closed("other-1", false);
+        const auto write = [&test] { test.m_log.put({"proof", std::vector<std::uint8_t>{1}, 0}); };
+        for (int step = 0; step < 40; ++step) {
+            write();
+            test.run_for(milliseconds{100});
+        }
+        CPPUNIT_ASSERT(!test.m_agent->owns());
+        const owner_group alone{test.m_claim.m_epoch, 1};
+        test.m_log.put({"owner_group", to_packed_cbor(alone), 0});
+        for (int step = 0; step < 20 && !test.m_agent->owns(); ++step) {
+            write();
+            test.run_for(milliseconds{100});
+        }
+        CPPUNIT_ASSERT(test.m_agent->owns());
+    }
+
+private:
+    /// Returns the sizes of owners' groups in the order in which they were recorded.
+    static std::vector<std::uint64_t> groups(const agent_fixture& test)
+    {
+        std::vector<std::uint64_t> nodes;
+        for (const auto& record : test.m_log.m_records) {
+            if (record.m_key == "owner_group") {
+                nodes.push_back(from_packed_cbor<owner_group>(*record.m_value)->m_nodes);
+            }
+        }
+        return nodes;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(cluster_agent_test);
--- a/test/ownership/election_simulation.hpp
+++ b/test/ownership/election_simulation.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peridotrudder/ownership/owner_election.hpp"
+#include "peridotrudder/ownership/owner_group.hpp"
 
 #include <algorithm>
 #include <functional>
@@ -120,15 +121,17 @@
         /// Number of the log's records that it has read.
         std::size_t m_read{0};
         time_point m_heartbeat_at;
+        owner_group_report m_group_report;
         /// Nodes that are silent for this one, and those to which it has no open link any more.
         std::map<std::size_t, time_point> m_unanswered_since;
         std::set<std::size_t> m_unlinked;
     };
 
-    /// The registration of a process, or a claim.
+    /// The registration of a process, a claim, or the size of an owner's group.
     struct log_record {
         std::string m_process;
         ownership_claim m_claim;
+        std::optional<owner_group> m_group{};
     };
 
     struct event {
@@ -186,7 +189,13 @@
         for (; state.m_read < m_log.size(); ++state.m_read) {
             const auto& record = m_log[state.m_read];
             const auto& claim = state.m_election.claim();
-            if (record.m_claim.m_epoch != 0) {
+            if (record.m_group) {
+                state.m_election.owner_reaches(record.m_group->m_epoch, record.m_group->m_nodes);
+            }
+            else if (record.m_claim.m_epoch != 0) {
+                if (record.m_claim.m_epoch > claim.m_epoch) {
+                    state.m_group_report = {};
+                }
                 state.m_election.learn(record.m_claim, m_now);
             }
             else if (claim.m_epoch != 0 && node_of(claim.m_owner) == node_of(record.m_process)) {
@@ -241,6 +250,7 @@
         if (state.m_election.is_owner()) {
             m_journal_written_at = m_now;
             send_heartbeats(node);
+            report_group(node);
             return;
         }
         switch (state.m_election.tick(m_now)) {
@@ -276,6 +286,21 @@
         }
     }
 
+    void report_group(std::size_t node)
+    {
+        auto& state = m_nodes[node];
+        const auto reached = m_nodes.size() - state.m_unlinked.size();
+        const auto nodes = state.m_group_report.tick(reached, m_nodes.size(), m_now);
+        if (!nodes) {
+            return;
+        }
+        const owner_group group{state.m_election.claim().m_epoch, *nodes};
+        after(between(m_options.m_log_delay), node, [this, node, group] {
+            write({m_nodes[node].m_process, {}, group});
+            m_nodes[node].m_group_report.recorded(group.m_nodes);
+        });
+    }
+
     void ask(std::size_t node)
     {
         const auto epoch = m_nodes[node].m_election.claim().m_epoch;
--- a/test/ownership/owner_takeover_test.cpp
+++ b/test/ownership/owner_takeover_test.cpp
@@ -20,9 +20,25 @@
     CPPUNIT_TEST(a_quarter_of_the_nodes_behind_a_partition_does_not_replace_the_owner);
     CPPUNIT_TEST(the_smaller_part_of_a_partition_does_not_replace_the_owner);
     CPPUNIT_TEST(the_larger_part_of_a_partition_replaces_the_owner_once);
+    CPPUNIT_TEST(a_group_larger_than_the_owners_replaces_it_once_though_most_nodes_are_gone);
+    CPPUNIT_TEST(a_group_as_large_as_the_owners_does_not_replace_it);
     CPPUNIT_TEST(nodes_that_answer_slowly_keep_the_owner);
     CPPUNIT_TEST_SUITE_END();
 
+    /// Kills nodes until `left` run, and leaves the owner a group of `group` of them.
+    static void split_what_is_left(election_simulation& cluster, std::size_t left,
+                                   std::size_t group)
+    {
+        const auto all = others(cluster, cluster.nodes() - 1);
+        const auto alive = all.begin() + static_cast<std::ptrdiff_t>(left - 1);
+        std::for_each(alive, all.end(), [&cluster](auto node) { cluster.kill(node); });
+        cluster.run_for(settled);
+        std::vector<std::size_t> owner_group{all.begin(),
+                                             all.begin() + static_cast<std::ptrdiff_t>(group - 1)};
+        owner_group.push_back(cluster.owner());
+        cut_off(cluster, owner_group);
+    }
+
 public:
     void a_killed_owner_is_replaced()
     {
@@ -150,6 +166,22 @@
         });
     }
 
+    // By the nodes that each could reach, an owner of three and one of five replaced each other.
+    void a_group_larger_than_the_owners_replaces_it_once_though_most_nodes_are_gone()
+    {
+        must_take_over({9, 34}, make_options, [](auto& cluster) {
+            split_what_is_left(cluster, cluster.nodes() == 9 ? 5 : 14, 2);
+        });
+    }
+
+    void a_group_as_large_as_the_owners_does_not_replace_it()
+    {
+        must_keep_owner({9, 34}, make_options, [](auto& cluster) {
+            split_what_is_left(cluster, cluster.nodes() == 9 ? 4 : 14,
+                               cluster.nodes() == 9 ? 2 : 7);
+        });
+    }
+
     void nodes_that_answer_slowly_keep_the_owner()
     {
         must_keep_owner(cluster_sizes, make_slow_options, [](auto&) {});
