Let a node that has handed over leave the claim to others

What callers saw: while the log is slow, calls wait for one change of the owner after the other. Cause: a small owner hands over to a larger node, whose claim is slow; the small node claims first, and hands over again. Ruled out: a longer time of ownership before the first hand-over, which only slows the alternation.

A node that has handed over does not claim for 3 s, unless it has no link to any node.

Test: node_that_has_handed_over_does_not_claim_at_once fails without the pause.

--- a/include/peridotrudder/ownership/cluster_agent.hpp
+++ b/include/peridotrudder/ownership/cluster_agent.hpp
@@ -157,6 +157,8 @@
     std::set<std::string> m_peers;
     member_removal m_removal;
     owner_group_report m_group_report;
+    /// Time until which a node that has handed over leaves the claim to others.
+    time_point m_yielded_until;
     std::set<std::string> m_open_links;
     std::uint64_t m_topic_end{0};
     bool m_topic_read{false};
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -36,6 +36,9 @@
 constexpr milliseconds ownerless_ask_interval{1'000};
 /// Two answers may be lost.
 constexpr milliseconds max_route_age{1'000};
+/// Time for which a node that has handed over does not claim: longer than a claim takes while the
+/// log is slow. Otherwise it would become the owner again, and hand over again.
+constexpr milliseconds yield_pause{3'000};
 /// Shortest time between two log lines that say what an election waits for.
 constexpr milliseconds suspicion_report_interval{1'000};
 
@@ -239,7 +242,8 @@
     update_reachability();
     ask_for_route(now);
     report_suspicion(now);
-    if (!m_topic_read || !m_may_claim) {
+    const bool leaves_claim = now < m_yielded_until && !m_open_links.empty();
+    if (!m_topic_read || !m_may_claim || leaves_claim) {
         return;
     }
     m_election.set_stagger(stagger());
@@ -578,6 +582,7 @@
         if (up_long_enough && linked &&
             node.m_cpu_millis * 2 >= m_options.m_self.m_cpu_millis * 3) {
             m_ports.m_log_event("yielding", node.m_name);
+            m_yielded_until = now.m_at + yield_pause;
             resign(true);
             return;
         }
--- a/test/ownership/cluster_agent_test.cpp
+++ b/test/ownership/cluster_agent_test.cpp
@@ -79,6 +79,8 @@
     CPPUNIT_TEST(peer_tells_whether_it_has_a_link);
     CPPUNIT_TEST(owner_that_loses_its_majority_and_regains_it_records_both);
     CPPUNIT_TEST(group_larger_than_the_owners_claims_though_it_is_no_majority);
+    CPPUNIT_TEST(node_that_has_handed_over_does_not_claim_at_once);
+    CPPUNIT_TEST(node_that_has_handed_over_claims_if_no_node_is_left);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -344,6 +346,37 @@
         CPPUNIT_ASSERT(test.m_agent->owns());
     }
 
+    // While the log was slow, a small node and a larger one handed over to each other.
+    void node_that_has_handed_over_does_not_claim_at_once()
+    {
+        owner_fixture test;
+        auto larger = make_node("a", "a-1");
+        larger.m_cpu_millis = 4'000;
+        test.m_log.put_node(larger);
+        test.run_for(milliseconds{2'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.events("yielding"));
+        CPPUNIT_ASSERT(!test.m_agent->owns());
+        test.run_for(milliseconds{1'500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.events("claiming"));
+        test.run_for(milliseconds{2'500});
+        CPPUNIT_ASSERT(test.events("claiming") > 1);
+    }
+
+    void node_that_has_handed_over_claims_if_no_node_is_left()
+    {
+        owner_fixture test;
+        auto larger = make_node("a", "a-1");
+        larger.m_cpu_millis = 4'000;
+        test.m_log.put_node(larger);
+        test.run_for(milliseconds{1'500});
+        CPPUNIT_ASSERT(!test.m_agent->owns());
+        for (const auto* peer : {"a-1", "b-1", "c-1"}) {
+            test.m_agent->link_closed(peer, true);
+        }
+        test.run_for(milliseconds{600});
+        CPPUNIT_ASSERT(test.m_agent->owns());
+    }
+
 private:
     /// Returns the sizes of owners' groups in the order in which they were recorded.
     static std::vector<std::uint64_t> groups(const agent_fixture& test)
