Quotas of tenants: no start brings a tenant's usage above its quota

The ledger holds an account for each tenant. Each run in a worker's session holds a charge, so the accounts follow reservations, adopted runs, unknown runs and runs beside others without a second count, and a check takes constant time. A run that is given up while its start is open stays counted until a later incarnation can't carry it out any more.

Placement, gangs as a whole and recorded starts that are not sent yet ask the ledger. A job with a task or gang above its tenant's quota is refused.

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -5,6 +5,7 @@
 /// it.
 
 #include "peridotrudder/machines/worker_orders.hpp"
+#include "peridotrudder/tenants/quota_ledger.hpp"
 
 #include <cstdint>
 #include <map>
@@ -39,6 +40,8 @@
 struct worker_run {
     std::uint32_t m_run{0};
     resources m_reserved;
+    /// What the run counts against its tenant's quota.
+    quota_charge m_charge;
     /// Processor that a best-effort task would use, in thousandths of a core; zero for other tasks.
     std::int64_t m_best_effort_cpu_millis{0};
     run_phase m_phase{run_phase::recording};
@@ -240,7 +243,7 @@
     void release(const run_key& key);
     /// Reserves capacity for a run that the worker has beside another one of the same task, until
     /// the worker lists it no more.
-    void reserve_beside(const run_key& key, std::uint32_t number, const resources& reserved);
+    void reserve_beside(const run_key& key, const worker_run& run);
     /// Returns whether the worker has a run of the task beside the one that `find` returns, if any.
     bool has_run_beside(const run_key& key) const;
     /// Frees the capacity of all runs beside others, which are certainly over.
@@ -281,10 +284,17 @@
     /// Returns when a run is certainly over if the worker is not heard of until then: a start that
     /// is open may be carried out by a later incarnation, which then has the longest lease.
     time_point over_at(const worker_run& run) const;
+    /// Returns the longest time for which a worker may run something without hearing of its owner.
+    milliseconds longest_lease() const;
 
 private:
     static constexpr int silent_after_misses = 2;
 
+    struct run_beside {
+        resources m_reserved;
+        quota_charge m_charge;
+    };
+
     /// Returns whether the worker is known to have outlived `until`, or has no runs to watch.
     bool is_past(time_point until, time_point now) const
     {
@@ -308,7 +318,6 @@
     /// Returns whether the worker is certainly still the incarnation that answered last.
     bool incarnation_is_certain(time_point now) const;
     void update_clock(std::int64_t clock_ms, time_point now);
-    milliseconds longest_lease() const;
     void extend_lease(std::int64_t deadline_ms);
     void take_ends(const hold_answer& answer, hold_outcome& outcome);
     void release_beside(const run_key& key, std::uint32_t number);
@@ -347,8 +356,8 @@
     std::optional<run_key> m_kept_for;
     time_point m_kept_until;
     std::map<run_key, worker_run> m_runs;
-    /// What runs use that are there beside others of their tasks, by task and number.
-    std::map<std::pair<run_key, std::uint32_t>, resources> m_beside;
+    /// Runs that are there beside others of their tasks, by task and number.
+    std::map<std::pair<run_key, std::uint32_t>, run_beside> m_beside;
     resources m_used;
     std::uint32_t m_long_running_runs{0};
     std::int64_t m_best_effort_cpu_millis{0};
--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -12,6 +12,9 @@
 
 /// Returns a run of a task of the step, not started yet.
 worker_run make_run(const step_spec& step, std::uint32_t number);
+/// Returns the same with its charge to the quota of the job's tenant.
+worker_run make_charged_run(scheduler_state& state, const job& target, std::uint32_t step,
+                            std::uint32_t number);
 
 /// Applies the answers of workers to jobs and sessions. Not thread-safe.
 ///
@@ -45,6 +48,11 @@
     void tick(moment now);
 
 private:
+    /// Gives up a recorded start that its tenant's quota does not allow any more, with all members
+    /// of its gang.
+    void withdraw_start(const start_effect& start);
+    /// Counts a run that is given up against its tenant's quota while it may still be started.
+    void keep_charge(const worker_session& session, const worker_run& run);
     /// Lets the job's next record tell a successor that the start of the run is not open.
     void note_settled_start(const run_key& key, std::uint32_t run);
     void handle_end(worker_session& session, const ended_entry& ended, moment now);
--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -10,6 +10,7 @@
 #include "peridotrudder/scheduling/job_call.hpp"
 #include "peridotrudder/scheduling/pool_config.hpp"
 #include "peridotrudder/scheduling/ticket_cache.hpp"
+#include "peridotrudder/tenants/quota_ledger.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -101,6 +102,8 @@
     scheduler_ports m_ports;
     job_store m_job_store;
     fleet_config m_config;
+    /// What the tenants' runs use. Each run in a worker's session holds its charge.
+    quota_ledger m_quotas;
     std::map<std::string, worker_session, std::less<>> m_workers;
     std::map<std::string, worker_health, std::less<>> m_health;
     /// Workers whose VMs are being drained; they get no new work.
@@ -126,6 +129,15 @@
     worker_session* find_instance(const worker_instance& instance);
     /// Returns the job's queue as configured now or, if it was removed, as it was at submission.
     const queue_config& queue_of(const job_header& header) const;
+    /// Returns the account of the job's tenant.
+    tenant_account& account_of(const job_header& header);
+    /// Returns the charge of one more run of a task of the step.
+    quota_charge charge_for(const job& target, std::uint32_t step);
+    /// Returns whether the tenant's quota allows to start runs with these resources in total, which
+    /// are the declared ones also for best-effort tasks. If not, notes that the tenant waits.
+    bool quota_allows(tenant_account& account, const resources& required, time_point now);
+    /// Logs which tenants have begun or ceased to wait for their quotas.
+    void log_quota_waits(time_point now);
     /// Returns whether a worker still has a run of the task that it is to stop.
     bool has_stranger(const run_key& key);
     worker_health& health_of(const std::string& pool);
--- a/include/peridotrudder/scheduling/task_placer.hpp
+++ b/include/peridotrudder/scheduling/task_placer.hpp
@@ -25,6 +25,8 @@
         job_rank m_rank;
         job* m_job{nullptr};
         const queue_config* m_queue{nullptr};
+        /// Of the job's tenant.
+        tenant_account* m_account{nullptr};
     };
 
     std::map<std::string, std::vector<waiting_job>> collect(moment now);
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -160,11 +160,11 @@
     }
 }
 
-void worker_session::reserve_beside(const run_key& key, std::uint32_t number,
-                                    const resources& reserved)
+void worker_session::reserve_beside(const run_key& key, const worker_run& run)
 {
-    if (m_beside.emplace(std::pair{key, number}, reserved).second) {
-        m_used = m_used + reserved;
+    if (m_beside.emplace(std::pair{key, run.m_run}, run_beside{run.m_reserved, run.m_charge})
+            .second) {
+        m_used = m_used + run.m_reserved;
     }
 }
 
@@ -176,8 +176,8 @@
 
 void worker_session::release_all_beside()
 {
-    for (const auto& [run, reserved] : m_beside) {
-        m_used = m_used - reserved;
+    for (const auto& [run, beside] : m_beside) {
+        m_used = m_used - beside.m_reserved;
     }
     m_beside.clear();
 }
@@ -186,7 +186,7 @@
 {
     const auto position = m_beside.find({key, number});
     if (position != m_beside.end()) {
-        m_used = m_used - position->second;
+        m_used = m_used - position->second.m_reserved;
         m_beside.erase(position);
     }
 }
@@ -388,6 +388,7 @@
         if (end.m_run == run->m_run) {
             // Its capacity is free, but its task must not start again.
             m_used = m_used - std::exchange(run->m_reserved, {});
+            run->m_charge = {};
             run->m_phase = run_phase::uncertain;
             run->m_cannot_start_since = run->m_cannot_start_since.value_or(now);
             run->settle_start();
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -54,6 +54,7 @@
 void job_scheduler::set_config(fleet_config config)
 {
     m_state.m_config = std::move(config);
+    m_state.m_quotas.set_tenants(m_state.m_config.tenants());
     // A queue may have moved to a pool that has free capacity.
     for (const auto& [id, stored_job] : m_state.m_job_store.jobs()) {
         if (stored_job.phase() == job_phase::active) {
@@ -208,7 +209,8 @@
         m_state.m_ports.m_answer(token, status_only(call_status::invalid));
         return;
     }
-    if (reject_if_overloaded(token, queue, id, *call.m_spec)) {
+    if (reject_if_above_quota(token, id, *call.m_spec, caller) ||
+        reject_if_overloaded(token, queue, id, *call.m_spec)) {
         return;
     }
     std::optional<job_tenant> tenant;
@@ -228,6 +230,29 @@
     answer_when_written(token, status_only(call_status::done), id);
 }
 
+bool job_scheduler::reject_if_above_quota(std::uint64_t token, const std::string& id,
+                                          const job_spec& spec, const caller_identity& caller)
+{
+    if (caller.m_tenant == nullptr) {
+        return false;
+    }
+    const auto& account = m_state.m_quotas.account_of(caller.m_tenant->m_name);
+    const bool may_run =
+        std::all_of(spec.m_steps.begin(), spec.m_steps.end(), [&](const step_spec& step) {
+            const auto started_together = step.m_gang ? step.m_count : 1;
+            return m_state.m_quotas.may_ever_start(account,
+                                                   times(step.m_task_resources, started_together));
+        });
+    if (may_run) {
+        return false;
+    }
+    m_state.log("job_refused", id, "",
+                fmt::format("a task or gang needs more than the quota of tenant {}",
+                            caller.m_tenant->m_name));
+    m_state.m_ports.m_answer(token, status_only(call_status::overloaded));
+    return true;
+}
+
 bool job_scheduler::reject_if_overloaded(std::uint64_t token, const queue_config& queue,
                                          const std::string& id, const job_spec& spec)
 {
@@ -337,6 +362,8 @@
 void job_scheduler::tick(moment now)
 {
     m_runs.tick(now);
+    m_state.m_quotas.expire(now.m_at);
+    m_state.log_quota_waits(now.m_at);
     if (now.m_at - m_expired_at >= expiry_interval) {
         m_expired_at = now.m_at;
         for (const auto& id :
--- a/src/scheduling/run_adoption.cpp
+++ b/src/scheduling/run_adoption.cpp
@@ -34,8 +34,7 @@
     auto& session = entry->second;
     // The list may be older than the record, and any incarnation may have got the start, so the
     // first hold decides.
-    const auto& step = source.spec().m_steps[key.m_task.m_step];
-    auto run = make_run(step, placed.m_run);
+    auto run = make_charged_run(state, source, key.m_task.m_step, placed.m_run);
     run.m_phase = run_phase::uncertain;
     // Orders of the previous owner are rejected once the worker knows this owner's fencing token.
     run.m_cannot_start_since = now.m_at;
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -73,6 +73,11 @@
         mark_run_lost(*session, start.m_key, "not sent");
         return;
     }
+    // The quota may have been lowered while the start was being recorded.
+    if (!m_state->quota_allows(m_state->account_of(target->header()), {}, now.m_at)) {
+        withdraw_start(start);
+        return;
+    }
     const auto step = step_of(start.m_key);
     const bool restricted = m_state->queue_of(target->header()).m_policy.has_value();
     const auto ticket = m_state->m_tickets.ticket_for(step, start.m_instance, now.m_at);
@@ -96,6 +101,39 @@
     m_state->m_ports.m_start(session->report(), order);
 }
 
+void run_tracker::withdraw_start(const start_effect& start)
+{
+    constexpr std::string_view reason = "above its tenant's quota";
+    const auto* target = m_state->m_job_store.find(start.m_key.m_job);
+    const auto& ref = start.m_key.m_task;
+    std::vector<std::pair<worker_instance, run_key>> withdrawn{{start.m_instance, start.m_key}};
+    if (target->spec().m_steps[ref.m_step].m_gang) {
+        std::uint32_t index = 0;
+        for (const auto& member : target->tasks(ref.m_occurrence, ref.m_step)) {
+            run_key key{start.m_key.m_job, {ref.m_occurrence, ref.m_step, index++}};
+            if (member.m_phase == task_phase::placed && member.m_run == start.m_run) {
+                withdrawn.emplace_back(member.m_placed_on, std::move(key));
+            }
+        }
+    }
+    for (const auto& [instance, key] : withdrawn) {
+        auto* session = m_state->find_instance(instance);
+        const auto* run = session == nullptr ? nullptr : session->find(key);
+        if (run != nullptr && run->m_run == start.m_run && run->m_phase == run_phase::recording) {
+            mark_run_lost(*session, key, reason);
+        }
+    }
+}
+
+void run_tracker::keep_charge(const worker_session& session, const worker_run& run)
+{
+    const auto* account = run.m_charge.account();
+    if (run.m_start_open_until && account != nullptr && !account->m_tenant.empty()) {
+        m_state->m_quotas.keep_until(run.m_charge,
+                                     *run.m_start_open_until + session.longest_lease());
+    }
+}
+
 void run_tracker::start_answered(const order_target& target, const run_key& key,
                                  std::uint32_t number, const order_answer& answer, moment now)
 {
@@ -148,6 +186,7 @@
         break;
     }
     if (run->m_phase == run_phase::ordered) {
+        run->settle_start();
         mark_run_lost(*session, key, to_string(answer.m_result));
     }
 }
@@ -375,6 +414,7 @@
         return;
     }
     const auto number = run->m_run;
+    keep_charge(session, *run);
     session.release(key);
     auto* target = m_state->m_job_store.find(key.m_job);
     if (target == nullptr || !target->has(key.m_task)) {
@@ -473,7 +513,7 @@
     const auto* target = m_state->m_job_store.find(unknown.m_key.m_job);
     if (target != nullptr && target->has(unknown.m_key.m_task)) {
         // The run occupies capacity until it has ended.
-        auto run = make_run(target->spec().m_steps[unknown.m_key.m_task.m_step], unknown.m_run);
+        auto run = make_charged_run(*m_state, *target, unknown.m_key.m_task.m_step, unknown.m_run);
         m_state->m_strangers[unknown.m_key].insert(session.id());
         if (session.find(unknown.m_key) == nullptr) {
             run.m_phase = run_phase::running;
@@ -482,7 +522,7 @@
             stop_run(session, unknown.m_key, now);
             return;
         }
-        session.reserve_beside(unknown.m_key, unknown.m_run, run.m_reserved);
+        session.reserve_beside(unknown.m_key, run);
     }
     m_state->m_ports.m_stop(session.report(), {unknown.m_key, unknown.m_run, session.fence()});
 }
@@ -612,4 +652,12 @@
     return run;
 }
 
+worker_run make_charged_run(scheduler_state& state, const job& target, std::uint32_t step,
+                            std::uint32_t number)
+{
+    auto run = make_run(target.spec().m_steps[step], number);
+    run.m_charge = state.charge_for(target, step);
+    return run;
+}
+
 } // namespace peridotrudder
--- a/src/scheduling/scheduler_state.cpp
+++ b/src/scheduling/scheduler_state.cpp
@@ -36,6 +36,40 @@
     return configured != nullptr ? *configured : header.m_queue;
 }
 
+tenant_account& scheduler_state::account_of(const job_header& header)
+{
+    static const std::string no_tenant;
+    return m_quotas.account_of(header.m_tenant ? header.m_tenant->m_name : no_tenant);
+}
+
+quota_charge scheduler_state::charge_for(const job& target, std::uint32_t step)
+{
+    const auto& header = target.header();
+    return m_quotas.charge(account_of(header).m_tenant, queue_of(header).m_pool,
+                           target.spec().m_steps[step].m_task_resources);
+}
+
+bool scheduler_state::quota_allows(tenant_account& account, const resources& required,
+                                   time_point now)
+{
+    if (m_quotas.may_start(account, required)) {
+        return true;
+    }
+    m_quotas.note_wait(account, now);
+    return false;
+}
+
+void scheduler_state::log_quota_waits(time_point now)
+{
+    for (const auto& change : m_quotas.take_wait_changes(now)) {
+        log(change.m_waits ? "quota_wait_begun" : "quota_wait_ended", "", "",
+            fmt::format("tenant {} uses {} of {} millicores, {} of {} MB, {} of {} accelerators",
+                        change.m_tenant, change.m_used.m_cpu_millis, change.m_quota.m_cpu_millis,
+                        change.m_used.m_memory_mb, change.m_quota.m_memory_mb,
+                        change.m_used.m_accelerators, change.m_quota.m_accelerators));
+    }
+}
+
 bool scheduler_state::has_stranger(const run_key& key)
 {
     const auto stranger = m_strangers.find(key);
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -24,7 +24,8 @@
             continue;
         }
         const auto& queue = m_state->queue_of(target->header());
-        by_pool[queue.m_pool].push_back({rank_job(*target, queue, now.m_unix_ms), target, &queue});
+        by_pool[queue.m_pool].push_back({rank_job(*target, queue, now.m_unix_ms), target, &queue,
+                                         &m_state->account_of(target->header())});
     }
     for (auto& [pool, jobs] : by_pool) {
         std::sort(jobs.begin(), jobs.end(), [](const waiting_job& left, const waiting_job& right) {
@@ -82,13 +83,12 @@
 
 void task_placer::place_task(job& target, const task_ref& ref, candidate& chosen, moment now)
 {
-    const auto& step = target.spec().m_steps[ref.m_step];
     const auto instance = chosen.m_session->instance();
     log_first_placement(target, instance.m_worker, now);
     const auto number = target.place(ref, instance);
     target.note_placement(now.m_unix_ms);
     const run_key key{target.header().m_id, ref};
-    auto run = make_run(step, number);
+    auto run = make_charged_run(*m_state, target, ref.m_step, number);
     run.m_placed_at = now.m_at;
     run.m_on_trial = is_on_trial(target.at(ref));
     chosen.m_session->reserve(key, run);
@@ -121,6 +121,10 @@
     if (has_stranger_of_step(first, count)) {
         return false;
     }
+    const auto required = times(target.spec().m_steps[step].m_task_resources, count);
+    if (!m_state->quota_allows(*waiting.m_account, required, now.m_at)) {
+        return false;
+    }
     // All or nothing: capacity is reserved member by member and released if one does not fit.
     std::vector<candidate*> chosen;
     for (std::uint32_t index = 0; index < count; ++index) {
@@ -149,7 +153,7 @@
     target.note_placement(now.m_unix_ms);
     for (std::uint32_t index = 0; index < count; ++index) {
         const run_key key{target.header().m_id, {occurrence, step, index}};
-        auto run = make_run(target.spec().m_steps[step], number);
+        auto run = make_charged_run(*m_state, target, step, number);
         run.m_placed_at = now.m_at;
         run.m_on_trial = is_on_trial(target.at(key.m_task));
         chosen[index]->m_session->reserve(key, run);
@@ -189,6 +193,9 @@
             all = false;
             continue;
         }
+        if (!m_state->quota_allows(*waiting.m_account, spec.m_task_resources, now.m_at)) {
+            return false;
+        }
         const auto request = make_placement_request(waiting, ref);
         if (auto* chosen = find_worker(waiting, request, candidates, now.m_at)) {
             suspects.m_on_trial += on_trial ? 1 : 0;
@@ -276,6 +283,7 @@
 
 void task_placer::place_all(moment now)
 {
+    m_state->m_quotas.expire(now.m_at);
     for (auto& [pool, jobs] : collect(now)) {
         auto candidates = candidates_of(pool, now.m_at);
         m_sizes_without_room.clear();
@@ -291,6 +299,7 @@
         const bool over = target == nullptr || target->phase() != job_phase::active;
         entry = over ? m_state->m_schedulable_jobs.erase(entry) : std::next(entry);
     }
+    m_state->log_quota_waits(now.m_at);
 }
 
 } // namespace peridotrudder
--- /dev/null
+++ b/src/tenants/quota_ledger.cpp
@@ -0,0 +1,208 @@
+#include "peridotrudder/tenants/quota_ledger.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace peridotrudder {
+
+namespace {
+
+/// A tenant at its quota starts a task whenever another one ends, so it ceases to wait only after a
+/// time. It bounds the log lines, too.
+constexpr milliseconds wait_end_delay{5'000};
+/// Keeps ratios finite for tenants that are configured without a weight.
+constexpr double least_weight = 1e-6;
+
+bool is_within(std::int64_t required, std::int64_t used, std::int64_t quota)
+{
+    return quota == 0 || required <= quota - used;
+}
+
+std::int64_t multiply(std::int64_t value, std::uint32_t count)
+{
+    constexpr auto largest = std::numeric_limits<std::int64_t>::max();
+    return count != 0 && value > largest / count ? largest : value * count;
+}
+
+bool is_within(const resources& required, const resources& used, const resources& quota)
+{
+    return is_within(required.m_cpu_millis, used.m_cpu_millis, quota.m_cpu_millis) &&
+           is_within(required.m_memory_mb, used.m_memory_mb, quota.m_memory_mb) &&
+           is_within(required.m_accelerators, used.m_accelerators, quota.m_accelerators);
+}
+
+} // namespace
+
+resources times(const resources& each, std::uint32_t count)
+{
+    return {multiply(each.m_cpu_millis, count), multiply(each.m_memory_mb, count),
+            multiply(each.m_accelerators, count)};
+}
+
+bool tenant_account::has_room_for(const resources& required) const
+{
+    return is_within(required, m_used, m_quota);
+}
+
+quota_charge::quota_charge(std::shared_ptr<tenant_account> account, std::string_view pool,
+                           const resources& amount)
+    : m_account{std::move(account)},
+      m_amount{amount}
+{
+    auto& pools = m_account->m_used_by_pool;
+    auto position = pools.find(pool);
+    if (position == pools.end()) {
+        position = pools.emplace(std::string{pool}, resources{}).first;
+    }
+    m_in_pool = &position->second;
+    add(m_amount);
+}
+
+quota_charge::quota_charge(const quota_charge& other)
+    : m_account{other.m_account},
+      m_in_pool{other.m_in_pool},
+      m_amount{other.m_amount}
+{
+    add(m_amount);
+}
+
+quota_charge::quota_charge(quota_charge&& other) noexcept
+    : m_account{std::move(other.m_account)},
+      m_in_pool{std::exchange(other.m_in_pool, nullptr)},
+      m_amount{std::exchange(other.m_amount, {})}
+{
+}
+
+quota_charge& quota_charge::operator=(quota_charge other) noexcept
+{
+    std::swap(m_account, other.m_account);
+    std::swap(m_in_pool, other.m_in_pool);
+    std::swap(m_amount, other.m_amount);
+    return *this;
+}
+
+quota_charge::~quota_charge()
+{
+    add(resources{} - m_amount);
+}
+
+void quota_charge::add(const resources& amount)
+{
+    if (m_account != nullptr) {
+        m_account->m_used = m_account->m_used + amount;
+        *m_in_pool = *m_in_pool + amount;
+    }
+}
+
+void quota_ledger::set_tenants(const tenant_directory& tenants)
+{
+    m_mode = tenants.enabled() ? mode::enabled : mode::disabled;
+    const auto& configured = tenants.tenants();
+    m_smallest_weight = 1.0;
+    if (!configured.empty()) {
+        const auto lightest = std::min_element(
+            configured.begin(), configured.end(),
+            [](const auto& left, const auto& right) { return left.m_weight < right.m_weight; });
+        m_smallest_weight = std::max(lightest->m_weight, least_weight);
+    }
+    for (auto& [name, account] : m_accounts) {
+        account->m_quota = {};
+        account->m_weight = name.empty() ? 1.0 : m_smallest_weight;
+    }
+    for (const auto& tenant : configured) {
+        // The account without a name is that of jobs without a tenant.
+        if (!tenant.m_name.empty()) {
+            auto& account = account_of(tenant.m_name);
+            account.m_quota = tenant.m_quota;
+            account.m_weight = std::max(tenant.m_weight, least_weight);
+        }
+    }
+}
+
+const std::shared_ptr<tenant_account>& quota_ledger::find_or_add(const std::string& tenant)
+{
+    auto position = m_accounts.find(tenant);
+    if (position == m_accounts.end()) {
+        auto account = std::make_shared<tenant_account>();
+        account->m_tenant = tenant;
+        account->m_weight = tenant.empty() ? 1.0 : m_smallest_weight;
+        position = m_accounts.emplace(account->m_tenant, account).first;
+    }
+    return position->second;
+}
+
+tenant_account& quota_ledger::account_of(const std::string& tenant)
+{
+    return *find_or_add(tenant);
+}
+
+quota_charge quota_ledger::charge(const std::string& tenant, std::string_view pool,
+                                  const resources& amount)
+{
+    return {find_or_add(tenant), pool, amount};
+}
+
+bool quota_ledger::may_start(const std::string& tenant, const resources& required)
+{
+    return may_start(account_of(tenant), required);
+}
+
+bool quota_ledger::may_start(const tenant_account& account, const resources& required) const
+{
+    switch (m_mode) {
+    case mode::unknown:
+        return account.m_tenant.empty();
+    case mode::disabled:
+        return true;
+    case mode::enabled:
+        return account.has_room_for(required);
+    }
+    return false;
+}
+
+bool quota_ledger::is_within_quota(const tenant_account& account) const
+{
+    return may_start(account, {});
+}
+
+bool quota_ledger::may_ever_start(const tenant_account& account, const resources& required) const
+{
+    return !enabled() || is_within(required, {}, account.m_quota);
+}
+
+void quota_ledger::keep_until(quota_charge charge, time_point until)
+{
+    m_kept.emplace(until, std::move(charge));
+}
+
+void quota_ledger::expire(time_point now)
+{
+    m_kept.erase(m_kept.begin(), m_kept.upper_bound(now));
+}
+
+void quota_ledger::note_wait(tenant_account& account, time_point now)
+{
+    if (!account.m_waited_at) {
+        m_wait_changes.push_back({account.m_tenant, true, account.m_used, account.m_quota});
+        m_waiting.emplace(account.m_tenant, &account);
+    }
+    account.m_waited_at = now;
+}
+
+std::vector<quota_wait_change> quota_ledger::take_wait_changes(time_point now)
+{
+    for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
+        auto& account = *entry->second;
+        if (now - *account.m_waited_at < wait_end_delay) {
+            ++entry;
+            continue;
+        }
+        account.m_waited_at.reset();
+        m_wait_changes.push_back({account.m_tenant, false, account.m_used, account.m_quota});
+        entry = m_waiting.erase(entry);
+    }
+    return std::exchange(m_wait_changes, {});
+}
+
+} // namespace peridotrudder
--- a/test/scheduling/fleet_simulation.hpp
+++ b/test/scheduling/fleet_simulation.hpp
@@ -37,6 +37,9 @@
     /// A long-running run is at work from `m_ends_at` on and does not end by itself.
     bool m_long_running{false};
 
+    /// The tenant of the job; empty without tenants.
+    std::string m_tenant;
+
     bool at_work(time_point now) const { return now >= m_ends_at && !m_stopping; }
 };
 
@@ -121,6 +124,7 @@
         if (second_tasks > 0) {
             call.m_spec->m_steps.push_back(step_of(second_tasks, {0}));
         }
+        take_key(call, id);
         m_specs[id] = *call.m_spec;
         for (std::uint32_t index = 0; index < std::min(m_deadly_tasks, first_tasks); ++index) {
             m_deadly.insert({id, {0, 0, index}});
@@ -142,19 +146,68 @@
         step.m_long_running = true;
         step.m_max_unavailable = max_unavailable;
         call.m_spec->m_steps.push_back(step);
+        take_key(call, id);
         m_specs[id] = *call.m_spec;
         m_calls[++m_token] = {id, call_kind::submit};
         m_owner->m_scheduler->take_call(m_token, call, now());
         pump(*m_owner);
     }
 
+    /// Submits a job of one gang, whose members run for the same time.
+    void submit_gang(std::uint32_t members)
+    {
+        const auto id = job_id(++m_submitted);
+        job_call call{call_kind::submit, "host", "/queue/" + id, job_spec{}};
+        auto step = step_of(members, {});
+        step.m_gang = true;
+        call.m_spec->m_steps.push_back(step);
+        take_key(call, id);
+        m_specs[id] = *call.m_spec;
+        m_calls[++m_token] = {id, call_kind::submit};
+        m_owner->m_scheduler->take_call(m_token, call, now());
+        pump(*m_owner);
+    }
+
+    /// Configures tenants, whose keys have their names as digests. Call before the first owner
+    /// starts.
+    void set_tenants(std::vector<tenant_config> tenants)
+    {
+        m_tenants = std::move(tenants);
+        for (const auto& tenant : m_tenants) {
+            m_quota_history[tenant.m_name].emplace_back(m_now, tenant.m_quota.m_cpu_millis);
+        }
+    }
+    /// Selects the tenant that submits the next jobs.
+    void set_caller(std::uint32_t index) { m_caller = index; }
+    /// Changes the quota of a tenant in the configuration.
+    void set_quota(std::uint32_t index, std::int64_t cpu_millis)
+    {
+        auto& tenant = m_tenants[index % m_tenants.size()];
+        tenant.m_quota.m_cpu_millis = cpu_millis;
+        m_quota_history[tenant.m_name].emplace_back(m_now, cpu_millis);
+        for_each_owner([this](owner& reader) { reader.m_scheduler->set_config(make_config()); });
+    }
+    /// Returns the CPU that a tenant's runs use on the workers, in thousandths of a core.
+    std::int64_t used_by(const std::string& tenant) const
+    {
+        std::int64_t used = 0;
+        for (const auto& [id, worker] : m_workers) {
+            for (const auto& [key, run] : worker.m_runs) {
+                used += run.m_tenant == tenant ? run.m_cpu : 0;
+            }
+        }
+        return used;
+    }
+
     void cancel(std::uint32_t number)
     {
         char id[17];
         std::snprintf(id, sizeof id, "%016x", number % std::max(m_submitted, 1U) + 1);
         m_calls[++m_token] = {id, call_kind::cancel};
         m_owner->m_scheduler->take_call(
-            m_token, {call_kind::cancel, "host", "/queue/" + std::string{id}, std::nullopt}, now());
+            m_token,
+            {call_kind::cancel, "host", "/queue/" + std::string{id}, std::nullopt, key_of(id)},
+            now());
         pump(*m_owner);
     }
 
@@ -166,7 +219,9 @@
         m_calls[++m_token] = {id, call_kind::query};
         m_last_state = "none yet";
         m_owner->m_scheduler->take_call(
-            m_token, {call_kind::query, "host", "/queue/" + std::string{id}, std::nullopt}, now());
+            m_token,
+            {call_kind::query, "host", "/queue/" + std::string{id}, std::nullopt, key_of(id)},
+            now());
         return m_last_state;
     }
 
@@ -485,6 +540,23 @@
         return id;
     }
 
+    /// Lets a call carry the key of the selected tenant, who submits the job.
+    void take_key(job_call& call, const std::string& id)
+    {
+        if (!m_tenants.empty()) {
+            m_tenant_of[id] = m_tenants[m_caller % m_tenants.size()].m_name;
+            call.m_key_digest = m_tenant_of[id];
+        }
+    }
+
+    std::optional<std::string> key_of(const std::string& id) const
+    {
+        const auto found = m_tenant_of.find(id);
+        return found == m_tenant_of.end() ? std::nullopt : std::optional{found->second};
+    }
+
+    std::string tenant_of(const std::string& id) const { return key_of(id).value_or(""); }
+
     moment now() const
     {
         return {m_now, std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count()};
@@ -538,7 +610,9 @@
         if (m_restricted) {
             queue.m_policy = placement_policy{milliseconds{10}, milliseconds{2}, ticket_time};
         }
-        return fleet_config::create(1, {queue}, {{"pool", false, false}});
+        return fleet_config::create(1, {queue}, {{"pool", false, false}},
+                                    m_tenants.empty() ? tenant_directory{}
+                                                      : tenant_directory::create(m_tenants));
     }
 
     worker_report report_of(const simulated_worker& worker) const
@@ -735,7 +809,9 @@
             const auto sent_to = incarnation_of(to);
             send<order_answer>(
                 epoch, to,
-                [this, to, sent_to, order] { return carry_out_start(to, sent_to, order); },
+                [this, to, sent_to, order, sent_at = m_now] {
+                    return carry_out_start(to, sent_to, order, sent_at);
+                },
                 [this, epoch, to, order](const order_answer& answer) {
                     if (auto* receiver = find_owner(epoch)) {
                         receiver->m_scheduler->start_answered({to.m_instance, order.m_fence},
@@ -955,7 +1031,7 @@
     }
 
     order_answer carry_out_start(const worker_report& to, std::size_t sent_to,
-                                 const start_order& order)
+                                 const start_order& order, time_point sent_at)
     {
         auto* worker = find_up(to);
         if (worker == nullptr ||
@@ -982,6 +1058,7 @@
         }
         extend(*worker, order.m_deadline_ms);
         begin(*worker, order, to.m_instance.m_born_ms != worker->m_instance.m_born_ms);
+        check_quota(order.m_key.m_job, sent_at);
         return {order_result::accepted, clock_of(*worker)};
     }
 
@@ -1096,6 +1173,11 @@
             run.m_long_running = true;
             run.m_ends_at = m_now + milliseconds{400};
         }
+        if (spec->second.m_steps[order.m_key.m_task.m_step].m_gang) {
+            const auto common = std::hash<std::string>{}(id) % 1'500;
+            run.m_ends_at = m_now + milliseconds{100 + common};
+        }
+        run.m_tenant = tenant_of(id);
         worker.m_runs[order.m_key] = run;
         // No owner can take back what it sent before it learnt of the restart.
         if (!meant_for_former) {
@@ -1113,6 +1195,31 @@
         }
     }
 
+    /// Fails if the start that was sent at a time brings its tenant above every quota that was in
+    /// force since.
+    void check_quota(const std::string& id, time_point sent_at)
+    {
+        const auto tenant = tenant_of(id);
+        const auto history = m_quota_history.find(tenant);
+        if (tenant.empty() || history == m_quota_history.end()) {
+            return;
+        }
+        std::int64_t largest = 0;
+        for (const auto& [since, quota] : history->second) {
+            if (since <= sent_at) {
+                largest = quota;
+            }
+            else {
+                largest = std::max(largest, quota);
+            }
+        }
+        const auto used = used_by(tenant);
+        if (used > largest) {
+            fail("tenant " + tenant + " uses " + std::to_string(used) + " of " +
+                 std::to_string(largest));
+        }
+    }
+
     /// Fails if a run of a cancelled job goes on though its worker was in touch with the owner for
     /// long enough since the cancellation and since the start, however late that came.
     void check_cancelled_runs()
@@ -1383,6 +1490,12 @@
     std::uint64_t m_token{0};
     std::map<std::uint64_t, call_record> m_calls;
     std::map<std::string, job_spec> m_specs;
+    std::vector<tenant_config> m_tenants;
+    std::uint32_t m_caller{0};
+    /// By job.
+    std::map<std::string, std::string> m_tenant_of;
+    /// The CPU quotas of each tenant and since when they are in force.
+    std::map<std::string, std::vector<std::pair<time_point, std::int64_t>>> m_quota_history;
     std::set<std::string> m_accepted;
     std::map<std::string, time_point> m_cancelled;
     std::set<run_key> m_done;
--- a/test/scheduling/owner_fixture.hpp
+++ b/test/scheduling/owner_fixture.hpp
@@ -37,6 +37,10 @@
     time_point m_held_at;
     bool m_deposed{false};
     moment m_now{time_point{milliseconds{1'000'000}}, 1'000'000};
+    /// The key that calls carry.
+    std::optional<std::string> m_key_digest;
+    std::vector<std::pair<std::string, std::string>> m_log;
+    std::vector<call_answer> m_answers;
     std::unique_ptr<job_scheduler> m_scheduler;
 
     owner_fixture()
@@ -54,20 +58,31 @@
             m_held_at = m_now.m_at;
         };
         ports.m_ask = [](const policy_request&) {};
-        ports.m_answer = [](std::uint64_t, const call_answer&) {};
-        ports.m_log = [](const decision&) {};
+        ports.m_answer = [this](std::uint64_t, const call_answer& answer) {
+            m_answers.push_back(answer);
+        };
+        ports.m_log = [this](const decision& entry) {
+            m_log.emplace_back(entry.m_event, entry.m_detail);
+        };
         ports.m_deposed = [this] { m_deposed = true; };
         scheduler_options options;
         options.m_fence = first_token(1);
         m_scheduler = job_scheduler::create(options, std::move(ports), job_store{}, m_now);
+        set_tenants({});
+        m_scheduler->worker_listed(report_of(first_birth_ms), m_now);
+        answer_hold(first_birth_ms);
+        pass(milliseconds{100});
+    }
+
+    /// Applies a configuration of one queue with these tenants.
+    void set_tenants(tenant_directory tenants)
+    {
         queue_config queue;
         queue.m_host = "host";
         queue.m_prefix = "/queue/";
         queue.m_pool = "pool";
-        m_scheduler->set_config(fleet_config::create(1, {queue}, {{"pool", false, false}}));
-        m_scheduler->worker_listed(report_of(first_birth_ms), m_now);
-        answer_hold(first_birth_ms);
-        pass(milliseconds{100});
+        m_scheduler->set_config(
+            fleet_config::create(1, {queue}, {{"pool", false, false}}, std::move(tenants)));
     }
 
     void pass(milliseconds time)
@@ -87,7 +102,7 @@
     /// Submits a job of one step, whose tasks are of one core.
     void submit_step(const std::string& id, step_spec step)
     {
-        job_call call{call_kind::submit, "host", "/queue/" + id, job_spec{}};
+        job_call call{call_kind::submit, "host", "/queue/" + id, job_spec{}, m_key_digest};
         step.m_task_resources.m_cpu_millis = 1'000;
         step.m_estimate = milliseconds{100};
         call.m_spec->m_steps.push_back(step);
