Refuse calls for their keys by a fresh configuration only

Callers of a queue that needs a key could be refused by a configuration that was too old to have their key, and served by one that still had a key which an operator had removed: a call that had waited for a reading in vain was answered by the last one. A valid key is served by an older reading only if the log is out of reach, that is, if the owner's newest successful write is as old.

While writes to the log failed, a new job without a key got 503 and a known one 401, which told callers without a key which ids are in use. The key is checked first now.

A cancellation whose second copy is refused for its key waits for the first one, as submissions do.

Refusals are counted and logged as call_unauthorized and job_withheld, with the path cut to 128 characters. These events and key_uncertain have one line in a second, outside the budget of the other lines, since any caller can cause them at any rate.

--- a/include/peridotrudder/node/fleet_owner.hpp
+++ b/include/peridotrudder/node/fleet_owner.hpp
@@ -111,6 +111,11 @@
     void take_answer(std::uint64_t token, const call_answer& answer);
     void serve_held_calls();
     bool config_is_too_old(milliseconds waited) const;
+    /// Returns whether a call without a valid key has to wait for a newer reading, which may have
+    /// its key.
+    bool key_must_wait(milliseconds waited) const;
+    /// Returns whether the newest reading is too old to tell whether the call's key is valid.
+    bool key_is_uncertain(const job_call& call, bool lacks_key) const;
     void take_worker_records(const std::vector<keyed_record>& records, bool snapshot);
     void write_pending();
     void end();
--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -57,6 +57,10 @@
 
     /// Returns whether the call would add a job to the job store.
     bool is_new_job(const job_call& call);
+    /// Returns whether the call is to a queue that needs a tenant's key.
+    bool needs_key(const job_call& call) const;
+    /// Returns whether the call lacks a valid key that its queue needs.
+    bool lacks_key(const job_call& call) const;
     /// Handles a call. Its answer is sent through `m_answer` with the same token.
     void take_call(std::uint64_t token, const job_call& call, moment now);
 
@@ -90,7 +94,7 @@
 
     /// Returns who makes the call, or nothing if it lacks a valid key that the queue needs.
     std::optional<caller_identity> identify(const queue_config& queue, const job_call& call) const;
-    /// Returns the job if the caller may use it, or null.
+    /// Returns the job if the caller may use it, or null. Logs that a job was withheld.
     job* find_accessible(const queue_config& queue, const std::string& id,
                          const caller_identity& caller);
     void submit(std::uint64_t token, const queue_config& queue, const std::string& id,
--- a/src/node/call_router.cpp
+++ b/src/node/call_router.cpp
@@ -15,6 +15,14 @@
            status == call_status::unauthorized;
 }
 
+/// Returns whether the answer says that the call changed nothing, which an earlier copy may have.
+bool denies_change(call_kind kind, call_status status)
+{
+    return kind == call_kind::submit
+               ? is_refusal(status)
+               : kind == call_kind::cancel && status == call_status::unauthorized;
+}
+
 } // namespace
 
 call_router call_router::create(router_options options, sender send)
@@ -72,11 +80,11 @@
         return;
     }
     auto& pending = found->second;
-    if (pending.m_call.m_kind == call_kind::submit && is_refusal(answer.m_status)) {
+    if (denies_change(pending.m_call.m_kind, answer.m_status)) {
         --pending.m_unresolved_sends;
         if (pending.m_unresolved_sends > 0) {
             // Another copy may still be accepted: the outcome is known only when that is
-            // answered.
+            // answered. A key may be removed between two copies.
             return;
         }
     }
--- a/src/node/decision_log.cpp
+++ b/src/node/decision_log.cpp
@@ -17,6 +17,13 @@
             "start_open", "stranger_stopped", "end_unclear"};
 }
 
+/// Events that any caller can cause at any rate.
+log_budget::kind_set caller_events()
+{
+    return {"call_unauthorized", "job_withheld", "key_uncertain",
+            std::string{to_string(call_status::unauthorized)}};
+}
+
 bool is_served(call_status status)
 {
     return status == call_status::done || status == call_status::state ||
@@ -26,7 +33,7 @@
 } // namespace
 
 decision_log::decision_log()
-    : m_budget{log_budget::create(max_lines_per_second, doubtful_run_events())}
+    : m_budget{log_budget::create(max_lines_per_second, doubtful_run_events(), caller_events())}
 {
 }
 
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -264,15 +264,22 @@
 
 bool fleet_owner::serve_call(std::uint64_t token, const job_call& call, milliseconds waited)
 {
+    const bool lacks_key = m_scheduler->lacks_key(call);
     const bool cannot_record = failing_for() >= m_options.m_refuse_jobs_after;
-    if (cannot_record && m_scheduler->is_new_job(call)) {
+    if (cannot_record && !lacks_key && m_scheduler->is_new_job(call)) {
         m_ports.m_decided({"job_refused", call.m_path, "", "writes to the log fail"});
         m_ports.m_answer(token, {call_status::unavailable, {}, 0, refused_retry_after});
         return true;
     }
-    if (config_is_too_old(waited)) {
+    if (config_is_too_old(waited) || (lacks_key && key_must_wait(waited))) {
         return false;
     }
+    if (key_is_uncertain(call, lacks_key)) {
+        m_ports.m_decided({"key_uncertain", "", "",
+                           fmt::format("configuration {} ms old", config_age().count())});
+        m_ports.m_answer(token, {call_status::unavailable, {}, 0, refused_retry_after});
+        return true;
+    }
     m_call_in_hand = token;
     m_answer_in_hand.reset();
     m_scheduler->take_call(token, call, m_ports.m_loop.m_now());
@@ -322,6 +329,22 @@
            !m_journal->failing_since();
 }
 
+bool fleet_owner::key_must_wait(milliseconds waited) const
+{
+    return config_age() > m_options.m_config_max_age && waited < m_options.m_config_longest_wait;
+}
+
+bool fleet_owner::key_is_uncertain(const job_call& call, bool lacks_key) const
+{
+    if (config_age() <= m_options.m_config_max_age || !m_scheduler->needs_key(call)) {
+        return false;
+    }
+    // Operators may have removed a key since a reading that is much older than the newest write of
+    // the owner. Otherwise the log is out of reach: tenants are served by the last reading, as an
+    // outage for all must not stop them.
+    return lacks_key || config_age() > m_options.m_config_max_age + proof_age();
+}
+
 void fleet_owner::write_pending()
 {
     while (m_phase == owner_phase::serving && !m_journal->busy()) {
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t id_length = 16;
+/// Callers choose the paths of the calls that they make without a key.
+constexpr std::size_t longest_logged_path = 128;
 constexpr std::int64_t millis_per_core = 1'000;
 /// Pause between removals of expired jobs.
 constexpr milliseconds expiry_interval{1'000};
@@ -127,6 +129,18 @@
     return m_state.m_job_store.find(call.m_path.substr(queue->m_prefix.size())) == nullptr;
 }
 
+bool job_scheduler::needs_key(const job_call& call) const
+{
+    const auto* queue = m_state.m_config.match(call.m_host, call.m_path);
+    return queue != nullptr && m_state.m_config.tenants().enabled() && !queue->m_public;
+}
+
+bool job_scheduler::lacks_key(const job_call& call) const
+{
+    const auto* queue = m_state.m_config.match(call.m_host, call.m_path);
+    return queue != nullptr && !identify(*queue, call);
+}
+
 void job_scheduler::take_call(std::uint64_t token, const job_call& call, moment now)
 {
     const auto* queue = m_state.m_config.match(call.m_host, call.m_path);
@@ -136,6 +150,8 @@
     }
     const auto caller = identify(*queue, call);
     if (!caller) {
+        m_state.log("call_unauthorized", call.m_path.substr(0, longest_logged_path), "",
+                    call.m_key_digest ? "unknown key" : "no key");
         m_state.m_ports.m_answer(token, status_only(call_status::unauthorized));
         return;
     }
@@ -188,7 +204,11 @@
     const bool accessible = caller.m_tenant == nullptr
                                 ? queue_key(header.m_queue) == queue_key(queue)
                                 : header.m_tenant->m_name == caller.m_tenant->m_name;
-    return accessible ? found : nullptr;
+    if (!accessible) {
+        m_state.log("job_withheld", id, "", "the job is another tenant's");
+        return nullptr;
+    }
+    return found;
 }
 
 void job_scheduler::submit(std::uint64_t token, const queue_config& queue, const std::string& id,
@@ -196,7 +216,6 @@
 {
     if (m_state.m_job_store.find(id) != nullptr) {
         if (find_accessible(queue, id, caller) == nullptr) {
-            m_state.log("job_invalid", id, "", "the id is another tenant's");
             m_state.m_ports.m_answer(token, status_only(call_status::invalid));
             return;
         }
--- a/src/telemetry/log_budget.cpp
+++ b/src/telemetry/log_budget.cpp
@@ -10,11 +10,13 @@
 
 } // namespace
 
-log_budget log_budget::create(std::uint32_t max_lines_per_second, kind_set reserved_kinds)
+log_budget log_budget::create(std::uint32_t max_lines_per_second, kind_set reserved_kinds,
+                              kind_set sparse_kinds)
 {
     log_budget budget;
     budget.m_max_lines_per_second = max_lines_per_second;
     budget.m_reserved_kinds = std::move(reserved_kinds);
+    budget.m_sparse_kinds = std::move(sparse_kinds);
     return budget;
 }
 
@@ -32,6 +34,10 @@
     if (first) {
         m_kinds_this_second.emplace(kind);
     }
+    if (m_sparse_kinds.find(kind) != m_sparse_kinds.end()) {
+        m_suppressed_now += first ? 0 : 1;
+        return first;
+    }
     const bool reserved = m_reserved_kinds.find(kind) != m_reserved_kinds.end();
     auto& lines = reserved ? m_reserved_lines_this_second : m_lines_this_second;
     if (!first && lines >= m_max_lines_per_second) {
--- a/test/node/call_router_test.cpp
+++ b/test/node/call_router_test.cpp
@@ -22,10 +22,10 @@
         return m_owner_there;
     })};
 
-    void take()
+    void take(call_kind kind = call_kind::submit)
     {
         job_call call;
-        call.m_kind = call_kind::submit;
+        call.m_kind = kind;
         m_router.take(
             call, time_left, [this](const call_answer& answer) { m_answer = answer; }, start);
     }
@@ -57,8 +57,23 @@
     CPPUNIT_TEST(refusal_waits_while_another_copy_may_be_accepted);
     CPPUNIT_TEST(refusal_of_every_copy_reaches_the_caller);
     CPPUNIT_TEST(refusal_and_a_copy_without_an_answer_is_an_unknown_outcome);
+    CPPUNIT_TEST(submission_refused_for_its_key_waits_while_another_copy_may_be_accepted);
+    CPPUNIT_TEST(cancellation_refused_for_its_key_waits_while_another_copy_may_be_carried_out);
+    CPPUNIT_TEST(query_refused_for_its_key_is_answered_at_once);
     CPPUNIT_TEST_SUITE_END();
 
+    static std::string status_after_second_copy_is_unauthorized(call_kind kind)
+    {
+        fixture it;
+        it.take(kind);
+        it.m_router.owner_lost(start);
+        it.m_router.owner_changed(start + milliseconds{100});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, it.m_sent.size());
+        it.m_router.answered(it.m_sent.back(), answer_of(call_status::unauthorized),
+                             start + milliseconds{110});
+        return it.status();
+    }
+
 public:
     void answer_reaches_the_caller_once()
     {
@@ -127,6 +142,25 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"unknown_outcome"}, it.status());
     }
 
+    // The key was removed after the first copy had been accepted.
+    void submission_refused_for_its_key_waits_while_another_copy_may_be_accepted()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string{"none yet"},
+                             status_after_second_copy_is_unauthorized(call_kind::submit));
+    }
+
+    void cancellation_refused_for_its_key_waits_while_another_copy_may_be_carried_out()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string{"none yet"},
+                             status_after_second_copy_is_unauthorized(call_kind::cancel));
+    }
+
+    void query_refused_for_its_key_is_answered_at_once()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string{"unauthorized"},
+                             status_after_second_copy_is_unauthorized(call_kind::query));
+    }
+
     void refusal_waits_while_another_copy_may_be_accepted()
     {
         fixture it;
--- a/test/node/fleet_owner_fixture.hpp
+++ b/test/node/fleet_owner_fixture.hpp
@@ -12,7 +12,7 @@
 
 namespace peridotrudder {
 
-/// First byte of a worker's entry that can't be decoded.
+/// First byte of a worker's entry or of a configuration that can't be decoded.
 inline constexpr std::uint8_t unusable = 0;
 
 /// Simulated loop, log and workers, driven by the test.
@@ -41,6 +41,8 @@
     /// Versions of the configuration, in the order in which operators wrote them. The first has one
     /// queue, the others a second one.
     std::vector<std::uint8_t> m_versions{1};
+    /// Keys of the only tenant in each version that has tenants.
+    std::map<std::uint8_t, std::vector<std::string>> m_keys;
     /// How many reads of the operators' topic from now on are on a silent connection.
     int m_silent_reads{0};
     std::size_t m_operator_reads{0};
@@ -126,6 +128,20 @@
             later([this, callback] { callback(m_vm_result); });
         };
         ports.m_record_schema = make_record_schema();
+        ports.m_record_schema.m_config =
+            [this, without_tenants = ports.m_record_schema.m_config](record_schema::bytes value) {
+                auto config = without_tenants(value);
+                const auto keys = m_keys.find(value[0]);
+                if (!config || keys == m_keys.end()) {
+                    return config;
+                }
+                tenant_config tenant;
+                tenant.m_name = "tenant";
+                tenant.m_key_digests = keys->second;
+                return tl::expected<fleet_config, decode_error>{
+                    fleet_config::create(config->version(), config->queues(), config->pools(),
+                                         tenant_directory::create({tenant}))};
+            };
         ports.m_answer = [this](std::uint64_t token, const call_answer& answer) {
             m_answers[token] = answer;
         };
@@ -144,6 +160,9 @@
         wire.m_wave_prefix = "wave/";
         wire.m_worker_topic = "workers";
         wire.m_config = [](record_schema::bytes value) -> tl::expected<fleet_config, decode_error> {
+            if (value[0] == unusable) {
+                return tl::make_unexpected(decode_error{decode_fault::wrong_type, "tenants"});
+            }
             queue_config queue;
             queue.m_host = "host";
             queue.m_prefix = "/queue/";
@@ -215,6 +234,13 @@
         m_topics["operators"]["config"] = {version};
     }
 
+    /// Lets operators write the next version, whose only tenant has these keys.
+    void write_keys(std::uint8_t version, std::vector<std::string> keys)
+    {
+        m_keys[version] = std::move(keys);
+        write_config(version);
+    }
+
     void read_operators(const read_request& request,
                         const std::function<void(read_answer)>& callback, time_point until)
     {
--- a/test/telemetry/log_budget_test.cpp
+++ b/test/telemetry/log_budget_test.cpp
@@ -9,6 +9,7 @@
     CPPUNIT_TEST(lines_beyond_the_budget_are_suppressed_and_counted);
     CPPUNIT_TEST(first_line_of_a_kind_is_always_written);
     CPPUNIT_TEST(routine_lines_do_not_displace_lines_of_reserved_kinds);
+    CPPUNIT_TEST(calls_without_a_key_displaced_the_lines_of_decisions);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -37,6 +38,20 @@
 private:
     const time_point now{milliseconds{1'000'000}};
 
+    // A caller with a wrong key can cause any number of lines.
+    void calls_without_a_key_displaced_the_lines_of_decisions()
+    {
+        auto budget = log_budget::create(2, {}, {"call_unauthorized"});
+        CPPUNIT_ASSERT(budget.allows("job_accepted", now));
+        CPPUNIT_ASSERT(budget.allows("call_unauthorized", now));
+        for (int line = 0; line < 10; ++line) {
+            CPPUNIT_ASSERT(!budget.allows("call_unauthorized", now));
+        }
+        CPPUNIT_ASSERT(budget.allows("job_accepted", now));
+        CPPUNIT_ASSERT(budget.allows("call_unauthorized", now + milliseconds{1'000}));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, budget.take_suppressed_count());
+    }
+
     // Guards against runs that were repeated without a line that tells why.
     void routine_lines_do_not_displace_lines_of_reserved_kinds()
     {
