--- a/soak/callers.py
+++ b/soak/callers.py
@@ -26,6 +26,8 @@
         self.id = job_id
         self.path = prefix + job_id
         self.body = body
+        # The name of its tenant, and the key of its calls.
+        self.tenant = self.key = None
         # Whether its tasks crash their workers.
         self.deadly = "crashes" in json.loads(body["spec"])
         self.sent_at = time.time()
@@ -52,30 +54,36 @@
 
 
 class Connection:
-    """A persistent connection to one node, opened again after it has failed."""
+    """A persistent connection to one node, opened again after it has failed.
 
-    def __init__(self, port):
+    Calls without a key of their own carry `key`, if there is one.
+    """
+
+    def __init__(self, port, key=None):
         self.port = port
+        self.key = key
         self._reader = self._writer = None
         self._lock = asyncio.Lock()
 
-    async def call(self, method, path, body=None):
+    async def call(self, method, path, body=None, key=None):
         """Returns status and body, or (None, None) if there was no complete answer in time."""
         async with self._lock:
             try:
-                return await asyncio.wait_for(self._call(method, path, body), DEADLINE_S)
+                return await asyncio.wait_for(self._call(method, path, body, key or self.key),
+                                              DEADLINE_S)
             except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
                 self.close()
                 return None, None
 
-    async def _call(self, method, path, body):
+    async def _call(self, method, path, body, key):
         if self._writer is None:
             self._reader, self._writer = await asyncio.open_connection("127.0.0.1", self.port)
         content = body
         if not isinstance(body, bytes):
             content = json.dumps(body).encode() if body is not None else b""
         head = (f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nContent-Type: application/json\r\n"
-                f"Deadline-Ms: {int(DEADLINE_S * 1000)}\r\nContent-Length: {len(content)}\r\n\r\n")
+                f"Deadline-Ms: {int(DEADLINE_S * 1000)}\r\nContent-Length: {len(content)}\r\n")
+        head += f"Credential: {key}\r\n\r\n" if key else "\r\n"
         self._writer.write(head.encode() + content)
         await self._writer.drain()
         lines = (await self._reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
@@ -95,17 +103,19 @@
     """All callers of a soak run. `jobs` holds their jobs by id, for the checks.
 
     `deadly_rng` draws the jobs whose tasks crash their workers, and `slow_rng` those whose tasks
-    run for SLOW_MS; there are none without it. `gang_rng` draws the gangs.
+    run for SLOW_MS; there are none without it. `gang_rng` draws the gangs. `tenants` draws whose the
+    jobs are, if there are any.
     """
 
     def __init__(self, rng, ports, deadly_rng=None, slow_rng=None, gang_rng=None,
-                 queues=("quick", "deep")):
+                 queues=("quick", "deep"), tenants=None):
         self._rng = rng
         self._deadly_rng = deadly_rng
         self._slow_rng = slow_rng
         self._gang_rng = gang_rng
         self._connections = [Connection(port) for port in ports]
         self._queues = queues
+        self._tenants = tenants
         self.jobs = {}
 
     def add_node(self, port):
@@ -145,10 +155,13 @@
 
     async def submit(self, long_running=False):
         job = self.draw_job(long_running)
+        if self._tenants is not None:
+            job.tenant, job.key = self._tenants.draw_caller()
         self.jobs[job.id] = job
         for _ in range(TRIES):
             job.open_tries += 1
-            status, _ = await self._rng.choice(self._connections).call("POST", job.path, job.body)
+            status, _ = await self._rng.choice(self._connections).call(
+                "POST", job.path, job.body, job.key)
             job.open_tries -= 1
             if status == 200:
                 job.accepted_at = job.accepted_at or time.time()
@@ -162,7 +175,7 @@
 
     async def ask(self, job):
         asked_at = time.time()
-        status, body = await self._rng.choice(self._connections).call("GET", job.path)
+        status, body = await self._rng.choice(self._connections).call("GET", job.path, key=job.key)
         state = body["state"] if status == 200 else status
         job.states.append((asked_at, time.time(), state))
         return state
@@ -170,7 +183,8 @@
     async def cancel(self, job):
         job.cancel_sent_at = job.cancel_sent_at or time.time()
         for _ in range(TRIES):
-            status, _ = await self._rng.choice(self._connections).call("DELETE", job.path)
+            status, _ = await self._rng.choice(self._connections).call("DELETE", job.path,
+                                                                    key=job.key)
             if status in (200, 410):
                 job.cancelled_at = job.cancelled_at or time.time()
                 return
--- a/soak/end_checks.py
+++ b/soak/end_checks.py
@@ -4,7 +4,7 @@
 import random
 import time
 
-from callers import Connection, Job
+from callers import Job
 from operator_checks import IN_FORCE_S
 
 # After the faults: a node serves once this time has passed.
@@ -34,7 +34,7 @@
     async def open_connections(self):
         """Opens the connections that are old at the end."""
         for place in self._system.present:
-            self._old[place] = Connection(self._system.caller_ports[place])
+            self._old[place] = self._system.connect(place)
         await asyncio.gather(*(connection.call("GET", "/quick/")
                                for connection in self._old.values()))
 
@@ -48,7 +48,7 @@
         connections = [(place, connection, kind) for place in self._system.present
                        for connection, kind in (
                            (self._connection(place), "old"),
-                           (Connection(self._system.caller_ports[place]), "new"))]
+                           (self._system.connect(place), "new"))]
         await asyncio.gather(*(self._check_calls(*entry) for entry in connections))
         await self._check_routes(connections, added, 200)
         await self._system.configure([name for name in self._system.more_routes if name != added])
@@ -60,7 +60,7 @@
             connection.close()
 
     def _connection(self, place):
-        return self._old.setdefault(place, Connection(self._system.caller_ports[place]))
+        return self._old.setdefault(place, self._system.connect(place))
 
     async def _check_ready(self, place):
         until = time.time() + SERVED_S
@@ -78,6 +78,8 @@
         job_id = f"{self._rng.getrandbits(64):016x}"
         step = {"count": 1, "cpu": 100, "mem-mb": 16, "estimate-ms": 40, **values}
         job = Job(job_id, "/quick/", {"spec": '{"ms": 40}', "steps": [step]})
+        if self._system.tenants is not None:
+            job.tenant, job.key = self._system.tenants.own
         self._jobs[job.id] = job
         return job
 
--- a/soak/operator_checks.py
+++ b/soak/operator_checks.py
@@ -3,8 +3,6 @@
 import asyncio
 import time
 
-from callers import Connection
-
 # A change is in force this long after its acknowledgement, at nodes without a fault near.
 IN_FORCE_S = 2.0
 # After a node has shown a change, requests that are sent later than this see it, too; eight times
@@ -27,7 +25,7 @@
         self._rng = rng
         self._system = system
         self._oracle = oracle
-        self._connections = [Connection(port) for port in system.caller_ports]
+        self._connections = [system.connect(place) for place in range(len(system.caller_ports))]
         # By name: the versions that added and dropped the route; the latter is None until then.
         self._routes = {}
         # By incarnation of a node: versions that it has shown, with the times of the answers.
@@ -87,7 +85,7 @@
                                for number in range(len(self._connections))
                                if number not in self._system.removed
                                for connection in (self._connections[number],
-                                                  Connection(self._system.caller_ports[number]))))
+                                                  self._system.connect(number))))
 
     async def _check_node(self, number, connection):
         until = time.time() + SERVED_S
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -23,8 +23,9 @@
 class Oracle:
     """Reads the ledger of runs piece by piece during the soak, and collects violated guarantees."""
 
-    def __init__(self, jobs):
+    def __init__(self, jobs, quota_check=None):
         self.jobs = jobs
+        self._quota_check = quota_check
         self.events = 0
         self.starts = 0
         self.violations = []
@@ -81,6 +82,8 @@
         if job.cancelled_at is not None and at > job.cancelled_at + CANCEL_S + late_s:
             self.fail(f"UNASKED: {task} starts {at - job.cancelled_at:.1f} s after cancellation")
         self._running[task] = (worker, event["run"])
+        if self._quota_check is not None:
+            self._quota_check.take_start(event, job, at - late_s, self.fail)
         self._check_capacity(event, job.body["steps"][int(step)]["cpu"])
         self._check_crashes(task)
 
@@ -126,6 +129,8 @@
         if running == (event["worker"], event["run"]):
             del self._running[task]
         self._used.get(event["worker"], {}).pop((task, event["run"]), None)
+        if self._quota_check is not None:
+            self._quota_check.take_end(event)
         if event["what"] == "done":
             self._done.add(task)
         if event["what"] == "failed":
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -2,6 +2,7 @@
 """Injects random faults into the real programs under load and checks the guarantees meanwhile.
 
     soak/soak.py --seed 7 --seconds 25
+    soak/soak.py --seed 7 --seconds 25 --tenants 4
     soak/soak.py --shape nine --quotas --no_short --longest_s 40 --warm_up_s 6 --worker_kinds none
 
 The seed determines the choices, but not the timing. Exits with 1 and keeps the logs if a guarantee
@@ -25,6 +26,7 @@
 from oracle import Oracle
 from shapes import SHAPES, drawn_shape
 from system import System
+from tenants import KeyChecks, QuotaCheck, Tenants
 from worker_faults import WORKER_KINDS, WorkerFaults
 
 WARM_UP_S = 2.0
@@ -79,7 +81,9 @@
     nodes = options.nodes or rng.choice(NODE_COUNTS)
     cores = options.cores or rng.choice(NODE_CORES)
     shape = SHAPES[options.shape]() if options.shape else drawn_shape(nodes, cores)
-    system = System(folder, options.build, options.base_port, shape, options.quotas)
+    tenants = Tenants(random.Random(f"tenants {options.seed}"), options.tenants,
+                      options.tenant_quotas) if options.tenants else None
+    system = System(folder, options.build, options.base_port, shape, options.quotas, tenants)
     caller_rng, fault_rng = random.Random(rng.random()), random.Random(rng.random())
     worker_rng, deadly_rng = random.Random(rng.random()), random.Random(rng.random())
     slow_rng = random.Random(rng.random())
@@ -87,7 +91,7 @@
                       deadly_rng if "deadly" in options.worker_kinds else None,
                       slow_rng if {"late_restart", "late_copies"} & options.worker_kinds else None,
                       random.Random(rng.random()) if "gangs" in options.worker_kinds else None,
-                      tuple(shape.pools))
+                      tuple(shape.pools), tenants)
     # Created by its own seed, since the generator of the gangs isn't always drawn.
     long_rng = random.Random(f"long {options.seed}")
     return (system, callers, Faults(fault_rng, system),
@@ -113,7 +117,9 @@
 
 async def play(options, folder):
     system, callers, *kinds_of_faults = draw_run(options, folder)
-    oracle = Oracle(callers.jobs)
+    quota_check = QuotaCheck(system.tenants) if options.tenant_quotas else None
+    oracle = Oracle(callers.jobs, quota_check)
+    key_checks = KeyChecks(system, oracle)
     operator = Operator(random.Random(options.seed), system, oracle)
     end_checks = EndChecks(system, oracle, callers.jobs)
     finished = asyncio.Event()
@@ -124,12 +130,15 @@
         load = asyncio.ensure_future(callers.run_load(until, options.jobs_per_s))
         changes = asyncio.ensure_future(
             operator.run(until if "operator" in options.worker_kinds else 0))
+        keys = asyncio.ensure_future(key_checks.run(until))
         await asyncio.sleep(options.warm_up_s)
         await end_checks.open_connections()
         await inject(options, *kinds_of_faults)
         await system.heal()
         await load
         await changes
+        await keys
+        await key_checks.check_at_the_end()
         await end_checks.check()
         await settle(callers, oracle)
         await operator.check_at_the_end()
@@ -140,8 +149,10 @@
     finally:
         callers.close()
         operator.close()
+        key_checks.close()
         end_checks.close()
         await system.stop()
+    oracle.key_calls = key_checks.calls
     return oracle, [fault for kind in kinds_of_faults for fault in kind.done], system
 
 
@@ -151,6 +162,9 @@
     print(f"seed {options.seed}: {len(jobs)} jobs, {accepted} accepted, {oracle.starts} starts, "
           f"{len(faults)} faults, {len(oracle.violations)} broken, "
           f"{system.most_descriptors} descriptors", flush=True)
+    if system.tenants is not None:
+        print(f"  {len(system.tenants.keys)} keys, calls with keys by answer: "
+              f"{dict(oracle.key_calls)}", flush=True)
     if system.quotas is not None:
         print(f"  quotas used up in {system.quotas.held_share():.1%} of the periods", flush=True)
     for violation in oracle.violations[:10]:
@@ -181,10 +195,16 @@
     parser.add_argument("--jobs_per_s", type=float, default=6)
     parser.add_argument("--worker_kinds", type=kinds, default=kinds("all"),
                         help="all, none, or some of: " + ", ".join(ALL_WORKER_KINDS))
+    parser.add_argument("--tenants", type=int, default=0,
+                        help="number of tenants, whose keys are added and removed; none by default")
+    parser.add_argument("--tenant_quotas", action="store_true",
+                        help="give the tenants quotas and check what they have running (QUOTA)")
     parser.add_argument("--keep_logs", action="store_true", help="also if nothing was violated")
     parser.add_argument("--build", default="build")
     parser.add_argument("--base_port", type=int, default=17200)
     options = parser.parse_args()
+    if options.tenant_quotas and not options.tenants:
+        parser.error("--tenant_quotas needs --tenants")
     folder = tempfile.mkdtemp(prefix="peridot-soak-")
     oracle, faults, system = asyncio.run(play(options, folder))
     report(options, oracle, faults, system)
--- a/soak/system.py
+++ b/soak/system.py
@@ -16,12 +16,14 @@
 class System:
     """Uses ports from `base_port` upwards, so that several systems can run at once."""
 
-    def __init__(self, folder, build, base_port, shape, quotas=False):
+    def __init__(self, folder, build, base_port, shape, quotas=False, tenants=None):
         self._folder = folder
         self._build = build
         self._base = base_port
         self._version = 0
         self.more_routes = []
+        self.tenants = tenants
+        self._writes_of_config = asyncio.Lock()
         self._restarting = {}
         self._switches = Connection(base_port)
         self.shape = shape
@@ -118,6 +120,10 @@
         """Writes an entry among those of the workers; empty content deletes it."""
         await self.switch(f"/entry?key={worker_id}", content)
 
+    def connect(self, place):
+        """Returns a connection to a node, whose calls carry a lasting key if there are tenants."""
+        return Connection(self.caller_ports[place], self.tenants.own[1] if self.tenants else None)
+
     def next_version(self):
         """Returns the version that the next call of `configure` declares."""
         return self._version + 7
@@ -127,6 +133,11 @@
 
         By default the further routes stay, and only a timeout changes.
         """
+        # In order, since a successor takes the newest record for the newest version.
+        async with self._writes_of_config:
+            await self._write_config(more_routes)
+
+    async def _write_config(self, more_routes):
         self._version = self.next_version()
         self.more_routes = self.more_routes if more_routes is None else more_routes
         routes = [{"name": name, "host": "soak.example", "path-prefix": f"/{name}/",
@@ -136,6 +147,9 @@
                   for name in (*self.shape.pools, "stay", *self.more_routes)]
         services = [{"name": name, "spare": name == SPARE} for name in (*self.shape.pools, SPARE)]
         content = {"version": self._version, "routes": routes, "services": services, "limits": {}}
+        if self.tenants is not None:
+            routes.append({**routes[0], "name": "open", "path-prefix": "/open/", "public": True})
+            content["tenants"] = self.tenants.describe()
         # Again on a new connection, if the stand-in has closed the idle one.
         while (await self.switch("/operator?key=config", content))[0] != 200:
             await asyncio.sleep(0.1)
--- a/test/scheduling/tenant_access_test.cpp
+++ b/test/scheduling/tenant_access_test.cpp
@@ -6,6 +6,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <set>
@@ -103,9 +104,8 @@
     void configure_tenants(const std::vector<std::string>& names)
     {
         std::vector<tenant_config> tenants;
-        for (const auto& name : names) {
-            tenants.push_back(make_tenant(name, {name}));
-        }
+        std::transform(names.begin(), names.end(), std::back_inserter(tenants),
+                       [](const std::string& name) { return make_tenant(name, {name}); });
         configure(tenant_directory::create(std::move(tenants)));
     }
 
