--- a/fuzz/decoder_fuzzer.cpp
+++ b/fuzz/decoder_fuzzer.cpp
@@ -147,7 +147,9 @@
     http_request request;
     request.m_method = "POST";
     request.m_path = text.substr(0, text.find('\0'));
-    request.m_headers = {{"Host", std::string{text}}, {"Deadline-Ms", std::string{text}}};
+    request.m_headers = {{"Host", std::string{text}},
+                         {"Deadline-Ms", std::string{text}},
+                         {"Credential", std::string{text}}};
     request.m_body = text;
     static_cast<void>(platform::read_call(request));
     static_cast<void>(platform::time_left(request));
