Look up queues without looking at each of them

What callers saw: nothing yet; with 1,400 more queues each call, and each job in each placement pass, compares all of them, on an owner with 0.12 to 0.5 of a core. Cause: two linear searches. Ruled out: a hash table by prefix, which needs a probe for each length of a path.

Queues are indexed by host and prefix and by key.

--- a/include/peridotrudder/scheduling/pool_config.hpp
+++ b/include/peridotrudder/scheduling/pool_config.hpp
@@ -6,7 +6,10 @@
 #include "peridotrudder/jobs/queue_config.hpp"
 #include "peridotrudder/tenants/tenant_directory.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,7 +25,8 @@
     bool m_guards_capacity{false};
 };
 
-/// One version of the configuration.
+/// One version of the configuration. Its lookups do not become slower with the number of queues,
+/// which may be thousands.
 class fleet_config {
 public:
     static fleet_config create(std::uint64_t version, std::vector<queue_config> queues,
@@ -38,8 +42,13 @@
     const pool_config* find_pool(std::string_view name) const;
 
 private:
+    using queue_index = std::map<std::string, std::size_t, std::less<>>;
+
     std::uint64_t m_version{0};
     std::vector<queue_config> m_queues;
+    /// Positions of the queues by host, then prefix, and by key.
+    std::map<std::string, queue_index, std::less<>> m_by_host;
+    queue_index m_by_key;
     std::vector<pool_config> m_pools;
     tenant_directory m_tenants;
 };
--- a/src/scheduling/pool_config.cpp
+++ b/src/scheduling/pool_config.cpp
@@ -1,5 +1,8 @@
 #include "peridotrudder/scheduling/pool_config.hpp"
 
+#include <algorithm>
+#include <iterator>
+
 namespace peridotrudder {
 
 fleet_config fleet_config::create(std::uint64_t version, std::vector<queue_config> queues,
@@ -8,6 +11,11 @@
     fleet_config config;
     config.m_version = version;
     config.m_queues = std::move(queues);
+    for (std::size_t position = 0; position < config.m_queues.size(); ++position) {
+        const auto& queue = config.m_queues[position];
+        config.m_by_host[queue.m_host].emplace(queue.m_prefix, position);
+        config.m_by_key.emplace(queue_key(queue), position);
+    }
     config.m_pools = std::move(pools);
     config.m_tenants = std::move(tenants);
     return config;
@@ -15,29 +23,31 @@
 
 const queue_config* fleet_config::match(std::string_view host, std::string_view path) const
 {
-    const queue_config* longest = nullptr;
-    for (const auto& queue : m_queues) {
-        const bool has_prefix = path.substr(0, queue.m_prefix.size()) == queue.m_prefix;
-        if (queue.m_host != host || !has_prefix) {
-            continue;
+    const auto prefixes = m_by_host.find(host);
+    if (prefixes == m_by_host.end()) {
+        return nullptr;
+    }
+    // A prefix of the path sorts before it. If the last one that does is no prefix itself, what it
+    // has in common with the path limits the length of all others.
+    auto limit = path;
+    while (true) {
+        const auto after = prefixes->second.upper_bound(limit);
+        if (after == prefixes->second.begin()) {
+            return nullptr;
         }
-        if (longest == nullptr || queue.m_prefix.size() > longest->m_prefix.size()) {
-            longest = &queue;
+        const auto& [prefix, position] = *std::prev(after);
+        if (path.substr(0, prefix.size()) == prefix) {
+            return &m_queues[position];
         }
+        const auto common = std::mismatch(limit.begin(), limit.end(), prefix.begin(), prefix.end());
+        limit = limit.substr(0, static_cast<std::size_t>(common.first - limit.begin()));
     }
-    return longest;
 }
 
 const queue_config* fleet_config::find_queue(std::string_view key) const
 {
-    for (const auto& queue : m_queues) {
-        if (key.size() == queue.m_host.size() + queue.m_prefix.size() &&
-            key.substr(0, queue.m_host.size()) == queue.m_host &&
-            key.substr(queue.m_host.size()) == queue.m_prefix) {
-            return &queue;
-        }
-    }
-    return nullptr;
+    const auto found = m_by_key.find(key);
+    return found == m_by_key.end() ? nullptr : &m_queues[found->second];
 }
 
 const pool_config* fleet_config::find_pool(std::string_view name) const
