Admission control by tenant

Callers of a tenant saw 429 alike for work within and beyond its contract, and for another tenant's backlog. With tenants in the configuration, a job is now judged by the work that is served before it: queues of higher priority, then contracted before excess, then weighted fair shares. A tenant at its quota waits for its own work only. Declared run times are off by half and more, so a contracted job is rejected only if it would be too late with 0.6 of them; an excess job counts the contracted work that still arrives. Without tenants decisions are unchanged.

--- a/include/peridotrudder/scheduling/admission.hpp
+++ b/include/peridotrudder/scheduling/admission.hpp
@@ -5,6 +5,7 @@
 
 #include "peridotrudder/jobs/job_spec.hpp"
 #include "peridotrudder/jobs/queue_config.hpp"
+#include "peridotrudder/scheduling/tenant_outlook.hpp"
 
 #include <cstdint>
 
@@ -23,6 +24,14 @@
     std::int64_t m_cpu{0};
     /// Total work of short jobs accepted before the measurement, in the unit of `m_backlog`.
     double m_accepted_work{0.0};
+    /// The backlog by priority and tenant; empty without tenants in the configuration.
+    priority_backlogs m_backlog_by_tenant{};
+    /// Contracted work that is accepted, a moving average over `contracted_averaging`, in
+    /// thousandths of a core. It is served before excess work that waits already.
+    double m_contracted_rate{0.0};
+    /// CPU, in thousandths of a core, that is neither used nor waited for; decreases with each job
+    /// that is accepted before the next measurement. Below zero, ready tasks wait.
+    double m_free_cpu{0.0};
 };
 
 struct admission_decision {
--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -6,6 +6,8 @@
 #include "peridotrudder/scheduling/run_tracker.hpp"
 #include "peridotrudder/scheduling/scheduler_state.hpp"
 #include "peridotrudder/scheduling/task_placer.hpp"
+#include "peridotrudder/scheduling/tenant_admission.hpp"
+#include "peridotrudder/tenants/arrival_meter.hpp"
 
 #include <memory>
 #include <optional>
@@ -52,8 +54,8 @@
     /// Sets the workers whose VMs are being drained.
     void set_leaving(std::set<std::string, std::less<>> workers);
 
-    /// Sets the measured backlog and CPU of each pool.
-    void set_outlooks(std::map<std::string, pool_outlook> outlooks);
+    /// Sets the measured backlog and CPU of each pool, and what the tenants' quotas allow.
+    void set_outlooks(std::map<std::string, pool_outlook> outlooks, tenant_outlooks tenants = {});
 
     /// Returns whether the call would add a job to the job store.
     bool is_new_job(const job_call& call);
@@ -106,6 +108,11 @@
     /// Rejects the job if it would end too late to be useful. Returns whether it was rejected.
     bool reject_if_overloaded(std::uint64_t token, const queue_config& queue, const std::string& id,
                               const job_spec& spec);
+    /// As `reject_if_overloaded`, where tenants share the pools.
+    bool reject_by_tenant(std::uint64_t token, const std::string& id, const tenant_job& submitted);
+    void reject(std::uint64_t token, const std::string& id, milliseconds retry_after,
+                std::string reason);
+    void count_accepted(const tenant_job& accepted);
     void cancel(std::uint64_t token, const queue_config& queue, const std::string& id,
                 const caller_identity& caller, moment now);
     void query(std::uint64_t token, const queue_config& queue, const std::string& id,
@@ -116,6 +123,7 @@
     scheduler_state m_state;
     run_tracker m_runs;
     task_placer m_placer;
+    arrival_meter m_arrivals;
     /// States that the batch in flight writes.
     std::map<std::string, job_state> m_states_in_flight;
     /// The newest recorded state of each job, which is what queries return.
--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -116,6 +116,8 @@
     ticket_cache m_tickets;
     /// By pool; no entry before the first measurement.
     std::map<std::string, pool_outlook> m_outlooks;
+    /// Of the tenants that have a quota.
+    tenant_outlooks m_tenant_outlooks;
     /// Workers that run a task without the owner's doing, and are to stop it.
     std::map<run_key, std::set<std::string>> m_strangers;
     /// Worker on which a task failed last.
--- /dev/null
+++ b/include/peridotrudder/scheduling/tenant_outlook.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+/// @file
+/// Waiting work and quota of each tenant, as admission control judges by them.
+
+#include "peridotrudder/jobs/job_spec.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <map>
+#include <string>
+
+namespace peridotrudder {
+
+/// Amount of each resource times milliseconds. Real numbers, since sums over jobs may exceed any
+/// integer.
+struct work_amount {
+    double m_cpu{0.0};
+    double m_memory{0.0};
+    double m_accelerators{0.0};
+
+    work_amount& operator+=(const work_amount& other);
+};
+
+work_amount operator+(work_amount left, const work_amount& right);
+
+/// Returns the estimated work of `tasks` tasks of a step. Best-effort tasks count with the CPU that
+/// they declare.
+work_amount work_of(const step_spec& step, double tasks);
+
+/// Returns the estimated work of one occurrence of a job.
+work_amount work_of(const job_spec& spec);
+
+/// Work of a tenant's tasks that have no run. Jobs that are too late to be useful are not counted,
+/// since they are placed last.
+struct tenant_backlog {
+    work_amount m_contracted;
+    work_amount m_excess;
+
+    work_amount& of(bool excess) { return excess ? m_excess : m_contracted; }
+};
+
+/// By tenant. Jobs without a tenant are under the empty name.
+using tenant_backlogs = std::map<std::string, tenant_backlog, std::less<>>;
+
+/// Backlog of a pool by the priority of the jobs' queues.
+using priority_backlogs = std::map<std::uint32_t, tenant_backlogs>;
+
+/// Time over which accepted contracted work is averaged: as long as the burst that a tenant may
+/// send at once, so that bursts of all tenants count as no more than their rates.
+inline constexpr milliseconds contracted_averaging{2'000};
+
+/// Amount of a resource that stands for no limit.
+inline constexpr std::int64_t unlimited = std::numeric_limits<std::int64_t>::max();
+
+/// What a tenant's quota means for its short tasks, in all pools together.
+struct tenant_outlook {
+    /// The quota keeps tasks from starting that are ready.
+    bool m_at_quota{false};
+    /// What the quota leaves to short tasks once long-running ones have theirs; `unlimited` without
+    /// a limit.
+    resources m_quota{unlimited, unlimited, unlimited};
+    /// Estimated time until enough runs have ended that the tenant is within its quota; zero if it
+    /// is. Longer only after the quota was lowered.
+    milliseconds m_until_within_quota{0};
+    /// CPU that the tenant's short tasks use, by pool, in thousandths of a core.
+    std::map<std::string, std::int64_t, std::less<>> m_used_cpu;
+};
+
+using tenant_outlooks = std::map<std::string, tenant_outlook, std::less<>>;
+
+} // namespace peridotrudder
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -23,6 +23,16 @@
                        [](unsigned char character) { return std::isxdigit(character) != 0; });
 }
 
+/// Returns the job's tenant and its kind for log lines; nothing for a job without a tenant.
+std::string describe_tenant(const tenant_job& submitted)
+{
+    if (submitted.m_tenant.empty()) {
+        return {};
+    }
+    return fmt::format(", tenant {}, {}", submitted.m_tenant,
+                       submitted.m_excess ? "excess" : "contracted");
+}
+
 call_answer status_only(call_status status)
 {
     call_answer answer;
@@ -38,6 +48,7 @@
     auto scheduler = std::unique_ptr<job_scheduler>{
         new job_scheduler{options, std::move(ports), std::move(store)}};
     scheduler->m_expired_at = now.m_at;
+    scheduler->m_arrivals = arrival_meter::restore(scheduler->m_state.m_job_store.jobs(), now);
     return scheduler;
 }
 
@@ -57,6 +68,7 @@
 {
     m_state.m_config = std::move(config);
     m_state.m_quotas.set_tenants(m_state.m_config.tenants());
+    m_arrivals.retain(m_state.m_config.tenants());
     // A queue may have moved to a pool that has free capacity.
     for (const auto& [id, stored_job] : m_state.m_job_store.jobs()) {
         if (stored_job.phase() == job_phase::active) {
@@ -110,9 +122,11 @@
     }
 }
 
-void job_scheduler::set_outlooks(std::map<std::string, pool_outlook> outlooks)
+void job_scheduler::set_outlooks(std::map<std::string, pool_outlook> outlooks,
+                                 tenant_outlooks tenants)
 {
     m_state.m_outlooks = std::move(outlooks);
+    m_state.m_tenant_outlooks = std::move(tenants);
 }
 
 void job_scheduler::set_leaving(std::set<std::string, std::less<>> workers)
@@ -228,24 +242,31 @@
         m_state.m_ports.m_answer(token, status_only(call_status::invalid));
         return;
     }
-    if (reject_if_above_quota(token, id, *call.m_spec, caller) ||
-        reject_if_overloaded(token, queue, id, *call.m_spec)) {
+    if (reject_if_above_quota(token, id, *call.m_spec, caller)) {
         return;
     }
+    tenant_job submitted{"", false, &*call.m_spec, &queue};
     std::optional<job_tenant> tenant;
     if (caller.m_tenant != nullptr) {
-        tenant = job_tenant{caller.m_tenant->m_name, false};
+        submitted.m_tenant = caller.m_tenant->m_name;
+        submitted.m_excess = !m_arrivals.is_contracted(*caller.m_tenant, now.m_at);
+        tenant = job_tenant{submitted.m_tenant, submitted.m_excess};
+    }
+    const bool rejected = m_state.m_config.tenants().enabled()
+                              ? reject_by_tenant(token, id, submitted)
+                              : reject_if_overloaded(token, queue, id, *call.m_spec);
+    if (rejected) {
+        return;
+    }
+    if (caller.m_tenant != nullptr && !submitted.m_excess) {
+        m_arrivals.accept_contracted(*caller.m_tenant, now.m_at);
     }
     m_state.m_job_store.add({id, queue, now.m_unix_ms, *call.m_spec, std::move(tenant)});
     m_state.m_schedulable_jobs.insert(id);
     if (!is_long_running(*call.m_spec)) {
-        auto& total = m_state.m_accepted_work[queue.m_pool];
-        const auto work = static_cast<double>(estimated_work(*call.m_spec));
-        total.m_work += work;
-        ++total.m_jobs;
-        total.m_work_by_chain += work * static_cast<double>(longest_chain(*call.m_spec).count());
+        count_accepted(submitted);
     }
-    m_state.log("job_accepted", id, "", queue.m_name);
+    m_state.log("job_accepted", id, "", queue.m_name + describe_tenant(submitted));
     answer_when_written(token, status_only(call_status::done), id);
 }
 
@@ -272,6 +293,20 @@
     return true;
 }
 
+void job_scheduler::count_accepted(const tenant_job& accepted)
+{
+    const auto& pool = accepted.m_queue->m_pool;
+    auto& total = m_state.m_accepted_work[pool];
+    const auto work = static_cast<double>(estimated_work(*accepted.m_spec));
+    total.m_work += work;
+    ++total.m_jobs;
+    total.m_work_by_chain += work * static_cast<double>(longest_chain(*accepted.m_spec).count());
+    const auto outlook = m_state.m_outlooks.find(pool);
+    if (m_state.m_config.tenants().enabled() && outlook != m_state.m_outlooks.end()) {
+        add_accepted(accepted, outlook->second);
+    }
+}
+
 bool job_scheduler::reject_if_overloaded(std::uint64_t token, const queue_config& queue,
                                          const std::string& id, const job_spec& spec)
 {
@@ -284,14 +319,35 @@
     if (decision.m_admitted) {
         return false;
     }
-    m_state.log("job_refused", id, "",
-                fmt::format("would end too late to be useful: backlog {:.0f} core ms, {} cores",
-                            outlook->second.m_backlog / static_cast<double>(millis_per_core),
-                            outlook->second.m_cpu / millis_per_core));
+    reject(token, id, decision.m_retry_after,
+           fmt::format("would end too late to be useful: backlog {:.0f} core ms, {} cores",
+                       outlook->second.m_backlog / static_cast<double>(millis_per_core),
+                       outlook->second.m_cpu / millis_per_core));
+    return true;
+}
+
+bool job_scheduler::reject_by_tenant(std::uint64_t token, const std::string& id,
+                                     const tenant_job& submitted)
+{
+    const fleet_outlook fleet{m_state.m_outlooks, m_state.m_tenant_outlooks,
+                              m_state.m_config.tenants()};
+    const auto decision = decide_tenant_admission(submitted, fleet);
+    if (decision.m_admitted) {
+        return false;
+    }
+    reject(token, id, decision.m_retry_after,
+           fmt::format("would end too late to be useful{}: {}", describe_tenant(submitted),
+                       describe(decision)));
+    return true;
+}
+
+void job_scheduler::reject(std::uint64_t token, const std::string& id, milliseconds retry_after,
+                           std::string reason)
+{
+    m_state.log("job_refused", id, "", std::move(reason));
     auto answer = status_only(call_status::overloaded);
-    answer.m_retry_after = decision.m_retry_after;
+    answer.m_retry_after = retry_after;
     m_state.m_ports.m_answer(token, answer);
-    return true;
 }
 
 void job_scheduler::cancel(std::uint64_t token, const queue_config& queue, const std::string& id,
--- /dev/null
+++ b/src/scheduling/tenant_admission.cpp
@@ -0,0 +1,277 @@
+#include "peridotrudder/scheduling/tenant_admission.hpp"
+
+#include "peridotrudder/scheduling/job_rank.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace peridotrudder {
+
+namespace {
+
+/// Limit of the time that a job is expected to wait; no job's estimates come near it.
+constexpr double max_wait_ms = 1e15;
+/// Limits of a tenant's weight, so that quotients of weights stay finite.
+constexpr double min_weight = 1e-6;
+constexpr double max_weight = 1e6;
+/// Declared run times are off by half and more. A contracted job is rejected only if it would be
+/// too late even if all of them are as much too long.
+constexpr double optimistic_estimate_factor = 0.6;
+/// The estimate is an upper bound after each round and changes little after a few.
+constexpr int quota_rounds = 8;
+/// Least share of a pool that excess work is expected to get, since a peak of contracted work ends
+/// after some seconds.
+constexpr double min_excess_share = 0.05;
+constexpr double millis_per_core = 1'000.0;
+
+/// One tenant's work that takes part in a pool's order, in thousandths of a core times
+/// milliseconds.
+struct queued_tenant {
+    /// Served before any work of the level that the job is on.
+    double m_before{0.0};
+    /// Served on that level, in fair shares.
+    double m_shared{0.0};
+    double m_weight{1.0};
+    /// CPU that the tenant can use at most, in thousandths of a core.
+    double m_max_cpu{0.0};
+};
+
+using queued_tenants = std::map<std::string, queued_tenant, std::less<>>;
+
+bool is_unlimited_tenant(const tenant_outlooks& tenants, std::string_view name)
+{
+    const auto found = tenants.find(name);
+    return found == tenants.end() || !found->second.m_at_quota;
+}
+
+/// Returns the CPU of the pool that the tenant can use at most: a tenant at its quota gets no more
+/// than it has now.
+double max_cpu_of(const tenant_outlooks& tenants, std::string_view name, const std::string& pool,
+                  std::int64_t pool_cpu)
+{
+    if (is_unlimited_tenant(tenants, name)) {
+        return static_cast<double>(pool_cpu);
+    }
+    const auto& used = tenants.find(name)->second.m_used_cpu;
+    const auto here = used.find(pool);
+    return here == used.end() ? 0.0 : static_cast<double>(std::min(here->second, pool_cpu));
+}
+
+/// Returns the work that the job's level and those before it have, by tenant.
+queued_tenants collect_queued(const tenant_job& submitted, const fleet_outlook& fleet,
+                              const pool_outlook& pool)
+{
+    queued_tenants queued;
+    for (const auto& [priority, tenants] : pool.m_backlog_by_tenant) {
+        if (priority > submitted.m_queue->m_priority) {
+            break;
+        }
+        for (const auto& [name, backlog] : tenants) {
+            auto& tenant = queued[name];
+            const auto contracted = backlog.m_contracted.m_cpu;
+            const auto excess = backlog.m_excess.m_cpu;
+            if (priority == submitted.m_queue->m_priority) {
+                tenant.m_before += submitted.m_excess ? contracted : 0.0;
+                tenant.m_shared += submitted.m_excess ? excess : contracted;
+                continue;
+            }
+            const bool excess_counts = submitted.m_excess || name == submitted.m_tenant;
+            tenant.m_before += contracted + (excess_counts ? excess : 0.0);
+        }
+    }
+    queued[submitted.m_tenant];
+    for (auto& [name, tenant] : queued) {
+        tenant.m_weight = share_weight(fleet.m_directory, name);
+        tenant.m_max_cpu = max_cpu_of(fleet.m_tenants, name, submitted.m_queue->m_pool, pool.m_cpu);
+    }
+    return queued;
+}
+
+/// Returns the estimated time until the tenant's own work and all that is served with or before it
+/// has been started.
+///
+/// On the shared level, while the tenant is served its own work, each other tenant is served the
+/// same amount by weight or all that it has. So the result exceeds neither the time for all work at
+/// the pool's full rate nor that for the tenant's own at its share.
+double fair_wait_ms(const queued_tenants& queued, const queued_tenant& own, double pool_cpu)
+{
+    const auto own_by_weight = own.m_shared / own.m_weight;
+    double wait = max_wait_ms;
+    for (int round = 0; round < quota_rounds; ++round) {
+        double work = 0.0;
+        for (const auto& [name, tenant] : queued) {
+            const auto served =
+                tenant.m_before + std::min(tenant.m_shared, own_by_weight * tenant.m_weight);
+            work += std::min(served, tenant.m_max_cpu * wait);
+        }
+        wait = std::min(wait, work / pool_cpu);
+    }
+    return wait;
+}
+
+/// Returns the CPU of the pool that the job's level gets, in thousandths of a core.
+double cpu_for(const tenant_job& submitted, const pool_outlook& pool)
+{
+    const auto pool_cpu = static_cast<double>(pool.m_cpu);
+    if (!submitted.m_excess) {
+        return pool_cpu;
+    }
+    return std::max(pool_cpu - pool.m_contracted_rate, pool_cpu * min_excess_share);
+}
+
+void estimate_pool_wait(const tenant_job& submitted, const fleet_outlook& fleet,
+                        const pool_outlook& pool, tenant_decision& decision)
+{
+    const auto queued = collect_queued(submitted, fleet, pool);
+    const auto& own = queued.find(submitted.m_tenant)->second;
+    const auto pool_cpu = cpu_for(submitted, pool);
+    double weights = own.m_weight;
+    for (const auto& [name, tenant] : queued) {
+        weights += &tenant != &own && tenant.m_shared > 0.0 ? tenant.m_weight : 0.0;
+    }
+    decision.m_cause = wait_cause::pool;
+    decision.m_own_backlog = own.m_before + own.m_shared;
+    decision.m_share = pool_cpu * own.m_weight / weights;
+    decision.m_wait = milliseconds{static_cast<std::int64_t>(fair_wait_ms(queued, own, pool_cpu))};
+}
+
+/// Returns the time that `amount` takes at the rate of `capacity`.
+double time_for(double amount, std::int64_t capacity)
+{
+    if (amount <= 0.0 || capacity == unlimited) {
+        return 0.0;
+    }
+    return capacity <= 0 ? max_wait_ms : amount / static_cast<double>(capacity);
+}
+
+/// Returns the tenant's work in all pools that is served before the job.
+work_amount own_backlog(const tenant_job& submitted, const fleet_outlook& fleet)
+{
+    work_amount total;
+    for (const auto& [name, pool] : fleet.m_pools) {
+        const bool same_pool = name == submitted.m_queue->m_pool;
+        for (const auto& [priority, tenants] : pool.m_backlog_by_tenant) {
+            const auto own = tenants.find(submitted.m_tenant);
+            const bool later = same_pool && priority > submitted.m_queue->m_priority;
+            if (own == tenants.end() || later) {
+                continue;
+            }
+            total += own->second.m_contracted;
+            const bool earlier = same_pool && priority < submitted.m_queue->m_priority;
+            if (submitted.m_excess || earlier) {
+                total += own->second.m_excess;
+            }
+        }
+    }
+    return total;
+}
+
+void estimate_quota_wait(const tenant_job& submitted, const fleet_outlook& fleet,
+                         const tenant_outlook& tenant, tenant_decision& decision)
+{
+    const auto backlog = own_backlog(submitted, fleet);
+    const auto backlog_ms =
+        std::max({time_for(backlog.m_cpu, tenant.m_quota.m_cpu_millis),
+                  time_for(backlog.m_memory, tenant.m_quota.m_memory_mb),
+                  time_for(backlog.m_accelerators, tenant.m_quota.m_accelerators)});
+    const auto wait = backlog_ms + static_cast<double>(tenant.m_until_within_quota.count());
+    decision.m_cause = wait_cause::quota;
+    decision.m_own_backlog = backlog.m_cpu;
+    decision.m_share = static_cast<double>(tenant.m_quota.m_cpu_millis);
+    decision.m_wait = milliseconds{static_cast<std::int64_t>(std::min(wait, max_wait_ms))};
+}
+
+/// Returns whether ready tasks wait for CPU. A burst can fill the pool between two measurements.
+bool has_waiting_tasks(const pool_outlook& pool)
+{
+    return pool.m_cpu > 0 && (pool.m_waiting_cpu > 0 || pool.m_free_cpu < 0.0);
+}
+
+/// Returns the CPU that the job's first tasks need, in thousandths of a core.
+double ready_cpu(const job_spec& spec)
+{
+    double cpu = 0.0;
+    for (const auto& step : spec.m_steps) {
+        if (step.m_depends_on.empty()) {
+            cpu += static_cast<double>(step.m_task_resources.m_cpu_millis) * step.m_count;
+        }
+    }
+    return cpu;
+}
+
+/// Returns the longest wait with which the job is admitted.
+milliseconds longest_wait(const tenant_job& submitted)
+{
+    const auto chain = longest_chain(*submitted.m_spec);
+    const auto useful = useful_time(chain, *submitted.m_queue);
+    const auto trust = submitted.m_excess ? 1.0 : optimistic_estimate_factor;
+    const auto end_ms = static_cast<double>(useful.count()) / trust;
+    // A job that could not be useful without any wait is no worse for a short one.
+    const auto wait_ms = std::max(0.0, end_ms - static_cast<double>(chain.count()));
+    return milliseconds{static_cast<std::int64_t>(std::min(wait_ms, max_wait_ms))};
+}
+
+} // namespace
+
+double share_weight(const tenant_directory& directory, std::string_view tenant)
+{
+    const auto* found = directory.find(tenant);
+    if (found != nullptr && found->m_weight > 0.0) {
+        return std::clamp(found->m_weight, min_weight, max_weight);
+    }
+    double smallest = max_weight;
+    for (const auto& other : directory.tenants()) {
+        if (other.m_weight > 0.0) {
+            smallest = std::min(smallest, other.m_weight);
+        }
+    }
+    return std::max(smallest, min_weight);
+}
+
+tenant_decision decide_tenant_admission(const tenant_job& submitted, const fleet_outlook& fleet)
+{
+    tenant_decision decision;
+    const auto pool = fleet.m_pools.find(submitted.m_queue->m_pool);
+    const auto& spec = *submitted.m_spec;
+    if (pool == fleet.m_pools.end() || spec.m_recurrence || is_long_running(spec)) {
+        return decision;
+    }
+    const auto tenant = fleet.m_tenants.find(submitted.m_tenant);
+    if (tenant != fleet.m_tenants.end() && tenant->second.m_at_quota) {
+        estimate_quota_wait(submitted, fleet, tenant->second, decision);
+    }
+    else if (has_waiting_tasks(pool->second)) {
+        estimate_pool_wait(submitted, fleet, pool->second, decision);
+    }
+    const auto longest = longest_wait(submitted);
+    if (decision.m_wait > longest) {
+        decision.m_admitted = false;
+        decision.m_retry_after = decision.m_wait - longest;
+    }
+    return decision;
+}
+
+std::string describe(const tenant_decision& decision)
+{
+    const auto share = decision.m_cause == wait_cause::quota ? "quota" : "share";
+    const auto limited = decision.m_share < static_cast<double>(unlimited);
+    return fmt::format("waits for the {}, own backlog {:.0f} core ms, {} {}, wait {} ms, retry "
+                       "after {} ms",
+                       to_string(decision.m_cause), decision.m_own_backlog / millis_per_core, share,
+                       limited ? fmt::format("{:.1f} cores", decision.m_share / millis_per_core)
+                               : "of other resources",
+                       decision.m_wait.count(), decision.m_retry_after.count());
+}
+
+void add_accepted(const tenant_job& accepted, pool_outlook& pool)
+{
+    auto& tenants = pool.m_backlog_by_tenant[accepted.m_queue->m_priority];
+    pool.m_free_cpu -= ready_cpu(*accepted.m_spec);
+    const auto work = work_of(*accepted.m_spec);
+    tenants[accepted.m_tenant].of(accepted.m_excess) += work;
+    if (!accepted.m_excess) {
+        pool.m_contracted_rate += work.m_cpu / static_cast<double>(contracted_averaging.count());
+    }
+}
+
+} // namespace peridotrudder
