Refuse no job while a worker is free that waiting tasks cannot use

Tasks that wait for a label, a ticket or a trial count as waiting for CPU, so a job was refused beside workers that it could have used. With tenants in the configuration, each placement records what it leaves free, and a job whose first tasks fit there is admitted.

--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -110,6 +110,9 @@
                               const job_spec& spec);
     /// As `reject_if_overloaded`, where tenants share the pools.
     bool reject_by_tenant(std::uint64_t token, const std::string& id, const tenant_job& submitted);
+    /// Returns whether a worker that the last placement left free can take one of the job's first
+    /// tasks. That worker then counts as taken.
+    bool take_free_worker(const tenant_job& submitted);
     void reject(std::uint64_t token, const std::string& id, milliseconds retry_after,
                 std::string reason);
     void count_accepted(const tenant_job& accepted);
--- a/include/peridotrudder/scheduling/placement.hpp
+++ b/include/peridotrudder/scheduling/placement.hpp
@@ -43,6 +43,9 @@
 /// Returns the resources that a task reserves on a worker. Best-effort tasks reserve no CPU.
 resources reserved_for(const step_spec& step);
 
+/// Returns whether the worker has the label that the step requires, if any.
+bool has_required_label(const step_spec& step, const worker_session& session);
+
 /// Returns the best candidate, or null if none fits.
 ///
 /// The queues' load peaks at different times. Tasks are packed on the fullest worker that fits them
--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -97,6 +97,12 @@
     std::int64_t m_jobs{0};
 };
 
+/// Capacity of a worker that no waiting task could use.
+struct free_worker {
+    std::string m_id;
+    resources m_room;
+};
+
 struct scheduler_state {
     scheduler_options m_options;
     scheduler_ports m_ports;
@@ -118,6 +124,8 @@
     std::map<std::string, pool_outlook> m_outlooks;
     /// Of the tenants that have a quota.
     tenant_outlooks m_tenant_outlooks;
+    /// What the newest placement left free, by pool. Recorded with tenants in the configuration.
+    std::map<std::string, std::vector<free_worker>> m_free_workers;
     /// Workers that run a task without the owner's doing, and are to stop it.
     std::map<run_key, std::set<std::string>> m_strangers;
     /// Worker on which a task failed last.
--- a/include/peridotrudder/scheduling/task_placer.hpp
+++ b/include/peridotrudder/scheduling/task_placer.hpp
@@ -51,6 +51,9 @@
     /// Requests tickets for the workers that the task fits on.
     void request_tickets(const waiting_job& waiting, const placement_request& request,
                          const std::vector<candidate>& candidates, time_point now);
+    /// Records what is left free after every waiting task of the pool was tried.
+    void note_free_workers(const std::string& pool, const std::vector<candidate>& candidates,
+                           time_point now);
     bool is_known_not_to_fit(const step_spec& step) const;
     void remember_size(const placement_request& request);
 
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -332,7 +332,8 @@
     const fleet_outlook fleet{m_state.m_outlooks, m_state.m_tenant_outlooks,
                               m_state.m_config.tenants()};
     const auto decision = decide_tenant_admission(submitted, fleet);
-    if (decision.m_admitted) {
+    if (decision.m_admitted ||
+        (decision.m_cause == wait_cause::pool && take_free_worker(submitted))) {
         return false;
     }
     reject(token, id, decision.m_retry_after,
@@ -341,6 +342,28 @@
     return true;
 }
 
+bool job_scheduler::take_free_worker(const tenant_job& submitted)
+{
+    // Tasks may wait although workers are free: for a label, a ticket or a trial, or since they are
+    // larger than what is left.
+    auto& free = m_state.m_free_workers[submitted.m_queue->m_pool];
+    const auto& steps = submitted.m_spec->m_steps;
+    const auto suits = [this](const step_spec& step, const free_worker& worker) {
+        const auto* session = m_state.find_worker(worker.m_id);
+        return session != nullptr && step.m_depends_on.empty() &&
+               fits(step.m_task_resources, worker.m_room) && has_required_label(step, *session);
+    };
+    const auto found = std::find_if(free.begin(), free.end(), [&](const free_worker& worker) {
+        return std::any_of(steps.begin(), steps.end(),
+                           [&](const step_spec& step) { return suits(step, worker); });
+    });
+    if (found == free.end()) {
+        return false;
+    }
+    free.erase(found);
+    return true;
+}
+
 void job_scheduler::reject(std::uint64_t token, const std::string& id, milliseconds retry_after,
                            std::string reason)
 {
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -34,12 +34,6 @@
     return count;
 }
 
-bool has_label(const worker_session& session, const std::string& label)
-{
-    const auto& labels = session.report().m_labels;
-    return std::find(labels.begin(), labels.end(), label) != labels.end();
-}
-
 bool has_room(const placement_request& request, const candidate& worker, time_point now)
 {
     const auto& session = *worker.m_session;
@@ -55,7 +49,7 @@
     if (worker.m_unhealthy && request.m_last_attempt) {
         return false;
     }
-    if (!step.m_required_label.empty() && !has_label(session, step.m_required_label)) {
+    if (!has_required_label(step, session)) {
         return false;
     }
     return step.m_max_per_worker == 0 || tasks_of_step(session, request) < step.m_max_per_worker;
@@ -105,6 +99,13 @@
 
 } // namespace
 
+bool has_required_label(const step_spec& step, const worker_session& session)
+{
+    const auto& labels = session.report().m_labels;
+    return step.m_required_label.empty() ||
+           std::find(labels.begin(), labels.end(), step.m_required_label) != labels.end();
+}
+
 resources reserved_for(const step_spec& step)
 {
     auto reserved = step.m_task_resources;
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -281,6 +281,21 @@
     return all;
 }
 
+void task_placer::note_free_workers(const std::string& pool,
+                                    const std::vector<candidate>& candidates, time_point now)
+{
+    auto& free = m_state->m_free_workers[pool];
+    free.clear();
+    for (const auto& worker : candidates) {
+        const auto& session = *worker.m_session;
+        const bool usable = !worker.m_unhealthy && !session.has_trial(now) &&
+                            session.kept_for(now) == nullptr && session.room().m_cpu_millis > 0;
+        if (usable) {
+            free.push_back({session.id(), session.room()});
+        }
+    }
+}
+
 void task_placer::place_all(moment now)
 {
     m_state->m_quotas.expire(now.m_at);
@@ -292,6 +307,9 @@
                 m_state->m_schedulable_jobs.erase(waiting.m_rank.m_id);
             }
         }
+        if (m_state->m_config.tenants().enabled()) {
+            note_free_workers(pool, candidates, now.m_at);
+        }
     }
     for (auto entry = m_state->m_schedulable_jobs.begin();
          entry != m_state->m_schedulable_jobs.end();) {
--- a/test/scheduling/tenant_submission_test.cpp
+++ b/test/scheduling/tenant_submission_test.cpp
@@ -28,6 +28,10 @@
     std::vector<decision> m_log;
     moment m_now{time_point{milliseconds{start_ms}}, start_ms};
     std::uint64_t m_token{0};
+    std::uint64_t m_epoch{0};
+    /// Label that the tasks of submitted jobs require.
+    std::string m_label;
+    std::vector<hold_order> m_holds;
 
     tenant_owners() { replace_owner(); }
 
@@ -57,7 +61,9 @@
         ports.m_start = [](const worker_report&, const start_order&) {};
         ports.m_stop = [](const worker_report&, const stop_order&) {};
         ports.m_pace = [](const worker_report&, const pace_order&) {};
-        ports.m_hold = [](const worker_report&, const hold_order&) {};
+        ports.m_hold = [this](const worker_report&, const hold_order& order) {
+            m_holds.push_back(order);
+        };
         ports.m_ask = [](const policy_request&) {};
         ports.m_answer = [this](std::uint64_t token, const call_answer& answer) {
             m_answers[token] = answer;
@@ -69,7 +75,9 @@
             records.push_back(record);
         }
         restore_report report;
-        m_scheduler = job_scheduler::create(scheduler_options{}, std::move(ports),
+        scheduler_options options;
+        options.m_fence = first_token(++m_epoch);
+        m_scheduler = job_scheduler::create(options, std::move(ports),
                                             job_store::restore(records, report), m_now);
         CPPUNIT_ASSERT(report.m_damaged.empty());
         m_scheduler->set_config(make_config(with_tenants));
@@ -93,6 +101,7 @@
             step.m_count = 4;
             step.m_task_resources.m_cpu_millis = 1'000;
             step.m_estimate = milliseconds{500};
+            step.m_required_label = m_label;
             made.m_spec = job_spec{};
             made.m_spec->m_steps.push_back(step);
         }
@@ -105,6 +114,19 @@
         return call(call_kind::submit, "/jobs/" + id_of(number), tenant);
     }
 
+    /// Sends the hold that is due, and answers it with no runs.
+    void answer_hold(const std::string& worker)
+    {
+        m_scheduler->tick(m_now);
+        CPPUNIT_ASSERT(!m_holds.empty());
+        hold_answer answer;
+        answer.m_result = order_result::accepted;
+        answer.m_born_ms = 500;
+        answer.m_clock_ms = m_now.m_unix_ms;
+        m_scheduler->hold_answered({{worker, 500}, m_holds.back().m_fence}, answer, m_now.m_at,
+                                   m_now);
+    }
+
     /// Records the changes and sends the answers that wait for them.
     void write()
     {
@@ -164,6 +186,7 @@
     CPPUNIT_TEST(repeated_submission_of_an_accepted_job_costs_no_token);
     CPPUNIT_TEST(contracted_job_is_admitted_where_an_excess_one_is_refused);
     CPPUNIT_TEST(refusal_is_logged_with_what_it_was_decided_by);
+    CPPUNIT_TEST(job_was_refused_while_a_worker_was_free_that_waiting_tasks_may_not_use);
     CPPUNIT_TEST(job_of_a_public_queue_has_no_tenant);
     CPPUNIT_TEST(without_tenants_refusals_are_as_before);
     CPPUNIT_TEST_SUITE_END();
@@ -264,6 +287,33 @@
             refused.m_detail);
     }
 
+    // Tasks that wait for a label count as waiting for CPU.
+    void job_was_refused_while_a_worker_was_free_that_waiting_tasks_may_not_use()
+    {
+        tenant_owners owners;
+        worker_report report;
+        report.m_instance = {"i-1", 500};
+        report.m_pool = "pool";
+        report.m_address = "10.0.0.1";
+        report.m_port = 80;
+        report.m_capacity = {4'000, 8'000, 0};
+        owners.m_scheduler->worker_listed(report, owners.m_now);
+        owners.answer_hold("i-1");
+        owners.pass(milliseconds{100});
+        owners.m_label = "special";
+        owners.submit(1, "big");
+        owners.write();
+        owners.fill_pool(4, "big", 60'000);
+        CPPUNIT_ASSERT(owners.status(owners.submit(2, "big")) == call_status::overloaded);
+        owners.m_label.clear();
+        const auto admitted = owners.submit(3, "big");
+        CPPUNIT_ASSERT(owners.status(owners.submit(4, "big")) == call_status::overloaded);
+        owners.write();
+        CPPUNIT_ASSERT(owners.status(admitted) == call_status::done);
+        // The worker is full now.
+        CPPUNIT_ASSERT(owners.status(owners.submit(5, "big")) == call_status::overloaded);
+    }
+
     void job_of_a_public_queue_has_no_tenant()
     {
         tenant_owners owners;
