Demand by tenant

VMs were moved to a pool, and kept there, for tasks that their tenant's quota keeps from running. A measurement now counts of such a tenant's ready tasks, accepted work and arriving work only what its quota leaves, shared among the pools that it uses; long-running tasks have the quota first. What is held back stays in the backlog by tenant, contracted and excess, which admission control judges by. Without tenants the loads are as before.

--- a/include/peridotrudder/planning/pool_demand.hpp
+++ b/include/peridotrudder/planning/pool_demand.hpp
@@ -3,36 +3,18 @@
 /// @file
 /// How many VMs each pool needs now.
 
+#include "peridotrudder/planning/pool_load.hpp"
+#include "peridotrudder/planning/quota_demand.hpp"
 #include "peridotrudder/scheduling/scheduler_state.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace peridotrudder {
 
-/// Processor demand of one pool, in thousandths of a core unless stated otherwise.
-struct pool_load {
-    /// Reserved by long-running tasks, whether placed or not.
-    std::int64_t m_long_running{0};
-    /// Number of VMs that the long-running tasks need because of the limit on tasks of a step per
-    /// worker.
-    std::uint32_t m_spread_vms{0};
-    /// Needed to finish the accepted jobs within their objectives.
-    std::int64_t m_accepted{0};
-    /// Rate of arriving work, a moving average over about a dozen jobs.
-    std::int64_t m_arriving{0};
-    /// Demand expected at the time when a VM that is ordered now serves.
-    std::int64_t m_forecast{0};
-    /// Needed by the short tasks that are ready to run and not placed.
-    std::int64_t m_waiting{0};
-    /// Reserved by the short tasks that are placed.
-    std::int64_t m_placed{0};
-    /// Estimated work of the tasks without a run, in thousandths of a core times milliseconds.
-    /// Jobs that can no longer end in time to be useful don't count.
-    double m_backlog{0.0};
-};
-
 /// Measures and forecasts the demand of each pool.
 ///
 /// Made for bursty queues that take turns: each demands several times its mean for some seconds
@@ -45,10 +27,17 @@
     static pool_demand create(milliseconds lead);
 
     /// Returns the load of each pool. Call it at short intervals, since it averages the arrivals
-    /// between calls.
+    /// between calls. Work that its tenant's quota keeps from running now is not part of the load;
+    /// it is part of the backlog.
     std::map<std::string, pool_load> measure(const scheduler_state& state, moment now);
+    /// Returns the tenants that have a quota, as of the newest measurement.
+    const tenant_outlooks& tenants() const { return m_tenants; }
 
 private:
+    struct tenant_average {
+        double m_last_work{0.0};
+        double m_work_rate{0.0};
+    };
     struct arrival_average {
         accepted_total m_last_total;
         double m_work_rate{0.0};
@@ -56,14 +45,24 @@
         double m_job_rate{0.0};
         /// Average duration of a job, weighted by its work.
         double m_duration_ms{800.0};
+        double m_contracted_rate{0.0};
+        /// Of the work rate, each tenant's part.
+        std::map<std::string, tenant_average, std::less<>> m_tenants;
     };
 
     void update_arrivals(const accepted_total& total, double passed_ms,
                          arrival_average& average) const;
+    static void update_tenants(const accepted_total& total, double passed_ms, double old_weight,
+                               arrival_average& average);
+    /// Returns the arriving work of a pool that its tenants may run.
+    double usable_work_rate(const arrival_average& average, const quota_demand& quotas) const;
+    /// Returns the tenant's arriving work in all pools.
+    double work_rate_of(std::string_view tenant) const;
 
     milliseconds m_lead{0};
 
     std::map<std::string, arrival_average> m_arrivals;
+    tenant_outlooks m_tenants;
     time_point m_measured_at;
 };
 
--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -95,6 +95,10 @@
     /// Sum of each job's work times the milliseconds of its longest chain.
     double m_work_by_chain{0.0};
     std::int64_t m_jobs{0};
+    /// Of the work, that of contracted jobs. Counted with tenants in the configuration.
+    double m_contracted_work{0.0};
+    /// The work by tenant, that of jobs without one under the empty name; counted likewise.
+    std::map<std::string, double, std::less<>> m_work_by_tenant;
 };
 
 /// Capacity of a worker that no waiting task could use.
--- a/include/peridotrudder/scheduling/tenant_admission.hpp
+++ b/include/peridotrudder/scheduling/tenant_admission.hpp
@@ -69,7 +69,7 @@
 /// Returns what the decision was made by, for log lines.
 std::string describe(const tenant_decision& decision);
 
-/// Adds an accepted short job to the backlog of the pool, until the next measurement.
-void add_accepted(const tenant_job& accepted, pool_outlook& pool);
+/// Adds an accepted short job to the outlooks of its pool and tenant, until the next measurement.
+void add_accepted(const tenant_job& accepted, pool_outlook& pool, tenant_outlooks& tenants);
 
 } // namespace peridotrudder
--- a/include/peridotrudder/scheduling/tenant_outlook.hpp
+++ b/include/peridotrudder/scheduling/tenant_outlook.hpp
@@ -13,14 +13,15 @@
 
 namespace peridotrudder {
 
-/// Amount of each resource times milliseconds. Real numbers, since sums over jobs may exceed any
-/// integer.
+/// Amount of each resource, or such an amount times milliseconds. Real numbers, since sums over
+/// jobs may exceed any integer.
 struct work_amount {
     double m_cpu{0.0};
     double m_memory{0.0};
     double m_accelerators{0.0};
 
     work_amount& operator+=(const work_amount& other);
+    work_amount& operator-=(const work_amount& other);
 };
 
 work_amount operator+(work_amount left, const work_amount& right);
@@ -29,6 +30,9 @@
 /// they declare.
 work_amount work_of(const step_spec& step, double tasks);
 
+/// Returns what `tasks` tasks of a step take at the same time.
+work_amount resources_of(const step_spec& step, double tasks);
+
 /// Returns the estimated work of one occurrence of a job.
 work_amount work_of(const job_spec& spec);
 
@@ -54,10 +58,15 @@
 /// Amount of a resource that stands for no limit.
 inline constexpr std::int64_t unlimited = std::numeric_limits<std::int64_t>::max();
 
+inline constexpr double unlimited_amount = std::numeric_limits<double>::infinity();
+
 /// What a tenant's quota means for its short tasks, in all pools together.
 struct tenant_outlook {
     /// The quota keeps tasks from starting that are ready.
     bool m_at_quota{false};
+    /// What the quota leaves beside the tasks that run or are ready. Decreases with each job that
+    /// is accepted before the next measurement; below zero, ready tasks wait.
+    work_amount m_room{unlimited_amount, unlimited_amount, unlimited_amount};
     /// What the quota leaves to short tasks once long-running ones have theirs; `unlimited` without
     /// a limit.
     resources m_quota{unlimited, unlimited, unlimited};
--- a/src/planning/fleet_planner.cpp
+++ b/src/planning/fleet_planner.cpp
@@ -348,11 +348,15 @@
         outlook.m_backlog = load.m_backlog;
         outlook.m_waiting_cpu = load.m_waiting;
         outlook.m_cpu = usable_vms * m_fleet->mean_cpu_millis() - load.m_long_running;
+        outlook.m_backlog_by_tenant = load.m_backlog_by_tenant;
+        outlook.m_contracted_rate = load.m_contracted_rate;
+        outlook.m_free_cpu = static_cast<double>(
+            std::max<std::int64_t>(outlook.m_cpu - load.m_placed - load.m_waiting, 0));
         outlook.m_accepted_work =
             accepted == scheduler.state().m_accepted_work.end() ? 0.0 : accepted->second.m_work;
         outlooks.emplace(pool, outlook);
     }
-    scheduler.set_outlooks(std::move(outlooks));
+    scheduler.set_outlooks(std::move(outlooks), m_demand.tenants());
 }
 
 void fleet_planner::report(const scheduler_state& state,
--- a/src/planning/pool_demand.cpp
+++ b/src/planning/pool_demand.cpp
@@ -95,24 +95,32 @@
     return work;
 }
 
-/// Returns the estimated work of the occurrence's tasks that have no run, in thousandths of a core
-/// times milliseconds.
-double waiting_work(const job& pool_job, std::uint32_t occurrence)
+/// Returns the estimated work of the occurrence's tasks that have no run.
+work_amount waiting_work(const job& pool_job, std::uint32_t occurrence)
 {
-    double work = 0.0;
+    work_amount work;
     for (std::uint32_t index = 0; index < pool_job.spec().m_steps.size(); ++index) {
         const auto& step = pool_job.spec().m_steps[index];
-        work += pool_job.waiting(occurrence, index) * work_of_task(step);
+        work += work_of(step, pool_job.waiting(occurrence, index));
     }
     return work;
 }
 
-void add_job(const job& pool_job, const queue_config& queue, std::int64_t now_ms, pool_load& load)
+void add_backlog(const job& pool_job, const queue_config& queue, std::uint32_t occurrence,
+                 bool by_tenant, pool_load& load)
 {
-    if (is_long_running(pool_job.spec())) {
-        add_long_running(pool_job, load);
-        return;
+    const auto work = waiting_work(pool_job, occurrence);
+    load.m_backlog += work.m_cpu;
+    if (by_tenant) {
+        const auto& tenant = pool_job.header().m_tenant;
+        auto& backlogs = load.m_backlog_by_tenant[queue.m_priority];
+        backlogs[tenant ? tenant->m_name : ""].of(tenant && tenant->m_excess) += work;
     }
+}
+
+void add_short(const job& pool_job, const queue_config& queue, std::int64_t now_ms, bool by_tenant,
+               pool_load& load)
+{
     for (std::uint32_t occurrence = 0; occurrence < pool_job.occurrences(); ++occurrence) {
         if (pool_job.spec().m_recurrence && pool_job.due_ms(occurrence) > now_ms) {
             return;
@@ -122,7 +130,7 @@
         const auto left_ms = limits.m_objective_ms - now_ms;
         if (pool_job.placed_tasks() < pool_job.unfinished_tasks() &&
             punctuality_of(pool_job, limits, now_ms) != punctuality::useless) {
-            load.m_backlog += waiting_work(pool_job, occurrence);
+            add_backlog(pool_job, queue, occurrence, by_tenant, load);
         }
         // More processor than the tasks can use at once would not make a late job faster.
         const auto needed_cpu = work / static_cast<double>(std::max(left_ms, min_time_left_ms));
@@ -131,6 +139,61 @@
     }
 }
 
+/// Adds a job of a tenant that has a quota.
+void add_limited(const job& pool_job, const queue_config& queue, std::int64_t now_ms,
+                 quota_demand& quotas)
+{
+    if (is_long_running(pool_job.spec())) {
+        quotas.add_long_running(pool_job, queue.m_pool);
+        return;
+    }
+    for (std::uint32_t occurrence = 0; occurrence < pool_job.occurrences(); ++occurrence) {
+        if (pool_job.spec().m_recurrence && pool_job.due_ms(occurrence) > now_ms) {
+            break;
+        }
+        quotas.add_short(pool_job, occurrence, queue.m_pool);
+    }
+    add_short(pool_job, queue, now_ms, true, quotas.load_of(pool_job, queue.m_pool));
+}
+
+using pool_loads = std::map<std::string, pool_load>;
+
+/// Adds each active job in a configured pool to the loads, those of limited tenants to `quotas`.
+void add_jobs(const scheduler_state& state, std::int64_t now_ms, pool_loads& loads,
+              quota_demand& quotas)
+{
+    const bool by_tenant = state.m_config.tenants().enabled();
+    for (const auto& [id, active_job] : state.m_job_store.jobs()) {
+        if (active_job.phase() != job_phase::active) {
+            continue;
+        }
+        const auto& queue = state.queue_of(active_job.header());
+        const auto load = loads.find(queue.m_pool);
+        if (load == loads.end()) {
+            continue;
+        }
+        if (quotas.limits(active_job)) {
+            add_limited(active_job, queue, now_ms, quotas);
+        }
+        else if (is_long_running(active_job.spec())) {
+            add_long_running(active_job, load->second);
+        }
+        else {
+            add_short(active_job, queue, now_ms, by_tenant, load->second);
+        }
+    }
+}
+
+/// Counts what limited tenants use, which must be known before what they may start.
+void add_usage(const scheduler_state& state, quota_demand& quotas)
+{
+    for (const auto& [id, active_job] : state.m_job_store.jobs()) {
+        if (active_job.phase() == job_phase::active && quotas.limits(active_job)) {
+            quotas.add_usage(active_job);
+        }
+    }
+}
+
 } // namespace
 
 pool_demand pool_demand::create(milliseconds lead)
@@ -146,29 +209,31 @@
     for (const auto& pool : state.m_config.pools()) {
         loads[pool.m_name];
     }
-    for (const auto& [id, active_job] : state.m_job_store.jobs()) {
-        if (active_job.phase() != job_phase::active) {
-            continue;
-        }
-        const auto& queue = state.queue_of(active_job.header());
-        const auto load = loads.find(queue.m_pool);
-        if (load != loads.end()) {
-            add_job(active_job, queue, now.m_unix_ms, load->second);
-        }
-    }
+    auto quotas = quota_demand::create(state.m_config.tenants());
+    add_usage(state, quotas);
+    add_jobs(state, now.m_unix_ms, loads, quotas);
+    m_tenants = quotas.apply(loads);
     const auto passed = static_cast<double>(remaining(m_measured_at, now.m_at).count());
     m_measured_at = now.m_at;
     for (auto& [pool, load] : loads) {
-        auto& average = m_arrivals[pool];
         const auto total = state.m_accepted_work.find(pool);
-        update_arrivals(total == state.m_accepted_work.end() ? accepted_total{} : total->second,
-                        passed, average);
-        load.m_arriving = static_cast<std::int64_t>(std::min(average.m_work_rate, max_cpu_millis));
+        if (total != state.m_accepted_work.end()) {
+            update_arrivals(total->second, passed, m_arrivals[pool]);
+        }
+        else {
+            update_arrivals({}, passed, m_arrivals[pool]);
+        }
+    }
+    for (auto& [pool, load] : loads) {
+        const auto& average = m_arrivals[pool];
+        const auto work_rate = usable_work_rate(average, quotas);
+        load.m_contracted_rate = average.m_contracted_rate;
+        load.m_arriving = static_cast<std::int64_t>(std::min(work_rate, max_cpu_millis));
         const double remaining_share =
             std::exp(-static_cast<double>(m_lead.count()) / average.m_duration_ms);
         load.m_forecast = static_cast<std::int64_t>(
             std::min(static_cast<double>(load.m_accepted) * remaining_share +
-                         average.m_work_rate * (1.0 - remaining_share),
+                         work_rate * (1.0 - remaining_share),
                      max_cpu_millis));
     }
     return loads;
@@ -180,7 +245,11 @@
     const auto work = total.m_work - average.m_last_total.m_work;
     const auto weighted = total.m_work_by_chain - average.m_last_total.m_work_by_chain;
     const auto jobs = static_cast<double>(total.m_jobs - average.m_last_total.m_jobs);
+    const auto contracted = total.m_contracted_work - average.m_last_total.m_contracted_work;
     average.m_last_total = total;
+    const auto averaging = static_cast<double>(contracted_averaging.count());
+    average.m_contracted_rate =
+        average.m_contracted_rate * std::exp(-passed_ms / averaging) + contracted / averaging;
     if (work > 0.0) {
         average.m_duration_ms += (weighted / work - average.m_duration_ms) * duration_weight;
     }
@@ -194,6 +263,39 @@
     const double old_weight = std::exp(-passed_ms / std::max(averaging_ms, min_averaging_ms));
     average.m_job_rate = average.m_job_rate * old_weight + newest_job_rate * (1.0 - old_weight);
     average.m_work_rate = average.m_work_rate * old_weight + work / passed_ms * (1.0 - old_weight);
+    update_tenants(total, passed_ms, old_weight, average);
+}
+
+// All tenants are averaged over the same time as the pool, so that their rates add up to its rate.
+void pool_demand::update_tenants(const accepted_total& total, double passed_ms, double old_weight,
+                                 arrival_average& average)
+{
+    for (const auto& [name, work] : total.m_work_by_tenant) {
+        auto& tenant = average.m_tenants[name];
+        const auto newest_rate = (work - tenant.m_last_work) / passed_ms;
+        tenant.m_last_work = work;
+        tenant.m_work_rate = tenant.m_work_rate * old_weight + newest_rate * (1.0 - old_weight);
+    }
+}
+
+double pool_demand::work_rate_of(std::string_view tenant) const
+{
+    double rate = 0.0;
+    for (const auto& [pool, average] : m_arrivals) {
+        const auto own = average.m_tenants.find(tenant);
+        rate += own == average.m_tenants.end() ? 0.0 : own->second.m_work_rate;
+    }
+    return rate;
+}
+
+double pool_demand::usable_work_rate(const arrival_average& average,
+                                     const quota_demand& quotas) const
+{
+    double rate = average.m_work_rate;
+    for (const auto& [name, tenant] : average.m_tenants) {
+        rate -= tenant.m_work_rate * (1.0 - quotas.usable_share(name, work_rate_of(name)));
+    }
+    return std::max(rate, 0.0);
 }
 
 std::uint32_t required_vms(const pool_load& load, std::int64_t vm_cpu)
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -301,9 +301,14 @@
     total.m_work += work;
     ++total.m_jobs;
     total.m_work_by_chain += work * static_cast<double>(longest_chain(*accepted.m_spec).count());
+    if (!m_state.m_config.tenants().enabled()) {
+        return;
+    }
+    total.m_contracted_work += accepted.m_excess ? 0.0 : work;
+    total.m_work_by_tenant[accepted.m_tenant] += work;
     const auto outlook = m_state.m_outlooks.find(pool);
-    if (m_state.m_config.tenants().enabled() && outlook != m_state.m_outlooks.end()) {
-        add_accepted(accepted, outlook->second);
+    if (outlook != m_state.m_outlooks.end()) {
+        add_accepted(accepted, outlook->second, m_state.m_tenant_outlooks);
     }
 }
 
--- a/src/scheduling/tenant_admission.cpp
+++ b/src/scheduling/tenant_admission.cpp
@@ -38,10 +38,17 @@
 
 using queued_tenants = std::map<std::string, queued_tenant, std::less<>>;
 
-bool is_unlimited_tenant(const tenant_outlooks& tenants, std::string_view name)
+/// Returns the tenant's outlook if its quota keeps ready tasks from starting, or null. A burst can
+/// reach the quota between two measurements.
+const tenant_outlook* find_at_quota(const tenant_outlooks& tenants, std::string_view name)
 {
     const auto found = tenants.find(name);
-    return found == tenants.end() || !found->second.m_at_quota;
+    if (found == tenants.end()) {
+        return nullptr;
+    }
+    const auto& room = found->second.m_room;
+    const bool exceeded = room.m_cpu < 0.0 || room.m_memory < 0.0 || room.m_accelerators < 0.0;
+    return found->second.m_at_quota || exceeded ? &found->second : nullptr;
 }
 
 /// Returns the CPU of the pool that the tenant can use at most: a tenant at its quota gets no more
@@ -49,12 +56,13 @@
 double max_cpu_of(const tenant_outlooks& tenants, std::string_view name, const std::string& pool,
                   std::int64_t pool_cpu)
 {
-    if (is_unlimited_tenant(tenants, name)) {
+    const auto* limited = find_at_quota(tenants, name);
+    if (limited == nullptr) {
         return static_cast<double>(pool_cpu);
     }
-    const auto& used = tenants.find(name)->second.m_used_cpu;
-    const auto here = used.find(pool);
-    return here == used.end() ? 0.0 : static_cast<double>(std::min(here->second, pool_cpu));
+    const auto here = limited->m_used_cpu.find(pool);
+    const auto used = here == limited->m_used_cpu.end() ? 0 : here->second;
+    return static_cast<double>(std::min(used, pool_cpu));
 }
 
 /// Returns the work that the job's level and those before it have, by tenant.
@@ -187,16 +195,16 @@
     return pool.m_cpu > 0 && (pool.m_waiting_cpu > 0 || pool.m_free_cpu < 0.0);
 }
 
-/// Returns the CPU that the job's first tasks need, in thousandths of a core.
-double ready_cpu(const job_spec& spec)
+/// Returns what the job's first tasks take.
+work_amount ready_resources(const job_spec& spec)
 {
-    double cpu = 0.0;
+    work_amount ready;
     for (const auto& step : spec.m_steps) {
         if (step.m_depends_on.empty()) {
-            cpu += static_cast<double>(step.m_task_resources.m_cpu_millis) * step.m_count;
+            ready += resources_of(step, step.m_count);
         }
     }
-    return cpu;
+    return ready;
 }
 
 /// Returns the longest wait with which the job is admitted.
@@ -236,9 +244,8 @@
     if (pool == fleet.m_pools.end() || spec.m_recurrence || is_long_running(spec)) {
         return decision;
     }
-    const auto tenant = fleet.m_tenants.find(submitted.m_tenant);
-    if (tenant != fleet.m_tenants.end() && tenant->second.m_at_quota) {
-        estimate_quota_wait(submitted, fleet, tenant->second, decision);
+    if (const auto* tenant = find_at_quota(fleet.m_tenants, submitted.m_tenant)) {
+        estimate_quota_wait(submitted, fleet, *tenant, decision);
     }
     else if (has_waiting_tasks(pool->second)) {
         estimate_pool_wait(submitted, fleet, pool->second, decision);
@@ -263,10 +270,15 @@
                        decision.m_wait.count(), decision.m_retry_after.count());
 }
 
-void add_accepted(const tenant_job& accepted, pool_outlook& pool)
+void add_accepted(const tenant_job& accepted, pool_outlook& pool, tenant_outlooks& tenants_by_name)
 {
+    const auto ready = ready_resources(*accepted.m_spec);
+    pool.m_free_cpu -= ready.m_cpu;
+    const auto limited = tenants_by_name.find(accepted.m_tenant);
+    if (limited != tenants_by_name.end()) {
+        limited->second.m_room -= ready;
+    }
     auto& tenants = pool.m_backlog_by_tenant[accepted.m_queue->m_priority];
-    pool.m_free_cpu -= ready_cpu(*accepted.m_spec);
     const auto work = work_of(*accepted.m_spec);
     tenants[accepted.m_tenant].of(accepted.m_excess) += work;
     if (!accepted.m_excess) {
--- a/test/planning/fleet_planner_test.cpp
+++ b/test/planning/fleet_planner_test.cpp
@@ -105,7 +105,7 @@
     }
 
     /// Submits a job of tasks of one core each, which wait because no worker is known.
-    void submit_waiting_tasks(std::uint32_t tasks)
+    void submit_waiting_tasks(std::uint32_t tasks, std::optional<std::string> key_digest = {})
     {
         job_call call{call_kind::submit, "host", "/queue/00000000000000bb", job_spec{}};
         step_spec step;
@@ -113,6 +113,7 @@
         step.m_task_resources.m_cpu_millis = 1'000;
         step.m_estimate = milliseconds{100};
         call.m_spec->m_steps.push_back(step);
+        call.m_key_digest = std::move(key_digest);
         m_scheduler->take_call(1, call, m_now);
     }
 
@@ -199,6 +200,7 @@
     CPPUNIT_TEST_SUITE(fleet_planner_test);
     CPPUNIT_TEST(all_idle_vms_but_one_are_moved_to_the_spare_pool);
     CPPUNIT_TEST(larger_vms_are_kept_in_smaller_numbers);
+    CPPUNIT_TEST(vms_were_kept_for_work_beyond_a_quota);
     CPPUNIT_TEST(order_is_recorded_before_it_is_sent);
     CPPUNIT_TEST(vm_ordered_by_a_predecessor_gets_no_order_during_its_lease);
     CPPUNIT_TEST(unanswered_order_is_repeated_and_its_worker_stays_marked_as_leaving);
@@ -250,6 +252,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, kept_with(32'000));
     }
 
+    // VMs were kept for tasks that their tenant may not run.
+    void vms_were_kept_for_work_beyond_a_quota()
+    {
+        const auto kept_with = [](std::int64_t quota) {
+            fleet_fixture fleet;
+            const auto& config = fleet.m_scheduler->state().m_config;
+            const tenant_config limited{"limited", {"digest"}, 1.0, {quota, 0, 0}};
+            fleet.m_scheduler->set_config(fleet_config::create(
+                2, config.queues(), config.pools(), tenant_directory::create({limited})));
+            fleet.submit_waiting_tasks(64, "digest");
+            fleet.advance(milliseconds{3'000});
+            return 8 - fleet.m_orders.size();
+        };
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, kept_with(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, kept_with(64'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, kept_with(8'000));
+    }
+
     void order_is_recorded_before_it_is_sent()
     {
         fleet_fixture fleet;
--- a/test/scheduling/tenant_admission_test.cpp
+++ b/test/scheduling/tenant_admission_test.cpp
@@ -253,7 +253,7 @@
         if (!excess) {
             m_meter.accept_contracted(tenant, now.m_at);
         }
-        add_accepted(submitted, m_pools[pool_name]);
+        add_accepted(submitted, m_pools[pool_name], m_tenants);
         m_waiting.push_back(
             {tenant.m_name, excess, m_now_ms, work, work * off, longest_chain(spec), 1.0 / off});
     }
@@ -374,6 +374,7 @@
     CPPUNIT_TEST(absurd_weights_and_backlogs_are_no_error);
     CPPUNIT_TEST(accepted_work_counts_before_the_next_measurement);
     CPPUNIT_TEST(burst_between_two_measurements_was_admitted_whole);
+    CPPUNIT_TEST(burst_of_a_tenant_near_its_quota_was_admitted_whole);
     CPPUNIT_TEST(job_is_admitted_after_its_retry_time);
     CPPUNIT_TEST(excess_work_of_others_rejects_no_contracted_job);
     CPPUNIT_TEST(nothing_is_rejected_while_no_ready_task_waits);
@@ -607,8 +608,8 @@
         admission_fixture fixture;
         // Each has 2,000 core ms, which are 31.25 ms of the pool.
         for (int accepted = 0; accepted < 64; ++accepted) {
-            add_accepted({"a", true, &fixture.m_spec, &fixture.m_queue},
-                         fixture.m_pools[pool_name]);
+            add_accepted({"a", true, &fixture.m_spec, &fixture.m_queue}, fixture.m_pools[pool_name],
+                         fixture.m_tenants);
         }
         CPPUNIT_ASSERT_EQUAL(std::int64_t{2'000}, fixture.wait_of("a", true));
         CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, fixture.wait_of("a", false));
@@ -623,13 +624,34 @@
         pool.m_free_cpu = cpu;
         int admitted = 0;
         while (fixture.decide("a", true).m_admitted && admitted < 1'000) {
-            add_accepted({"a", true, &fixture.m_spec, &fixture.m_queue}, pool);
+            add_accepted({"a", true, &fixture.m_spec, &fixture.m_queue}, pool, fixture.m_tenants);
             ++admitted;
         }
         // 3,700 ms of the pool, and the job that finds just as much.
         CPPUNIT_ASSERT_EQUAL(119, admitted);
     }
 
+    // The measurement said that the quota has room, while jobs for many times as much came after
+    // it.
+    void burst_of_a_tenant_near_its_quota_was_admitted_whole()
+    {
+        admission_fixture fixture;
+        auto& pool = fixture.m_pools[pool_name];
+        pool.m_waiting_cpu = 0;
+        pool.m_free_cpu = cpu;
+        auto& tenant = fixture.m_tenants["a"];
+        tenant.m_quota.m_memory_mb = 2'048;
+        tenant.m_room.m_memory = 2'048.0;
+        int admitted = 0;
+        while (fixture.decide("a", true).m_admitted && admitted < 1'000) {
+            add_accepted({"a", true, &fixture.m_spec, &fixture.m_queue}, pool, fixture.m_tenants);
+            ++admitted;
+        }
+        // Two run at a time: 3,700 ms of backlog at 250 ms each, and the job that finds just more.
+        CPPUNIT_ASSERT_EQUAL(15, admitted);
+        CPPUNIT_ASSERT(fixture.decide("b", true).m_admitted);
+    }
+
     void job_is_admitted_after_its_retry_time()
     {
         assert_property("job is admitted after its retry time", [] {
