Log, counters and explanation of refusals by tenant

Whether a refused or waiting job was contracted, and what it waited for, could not be told from the log. job_accepted and job_refused now name the tenant and the kind of the job; a refusal also has the tenant's backlog, its share or quota, the expected wait and the time of the retry. Once a second tenant_waiting tells of the ten tenants with the largest backlogs where tasks wait. Counters are kept by name for the ten tenants with the largest weights and in sum for the others. peridotctl explain job begins with a summary.

Lines and counters without tenants are as before.

--- a/apps/ctl_main.cpp
+++ b/apps/ctl_main.cpp
@@ -355,8 +355,10 @@
     return submit_change("PUT", "/v1/waves/" + id, request);
 }
 
-/// Prints the timeline of a job, worker or VM from the log files of scheduler nodes.
-int explain_by_logs(const std::string& id, gsl::span<const std::string> paths)
+/// Prints the timeline of a job, worker or VM from the log files of scheduler nodes, for a job
+/// after a summary.
+int explain_by_logs(const std::string& kind, const std::string& id,
+                    gsl::span<const std::string> paths)
 {
     std::vector<log_source> sources;
     for (const auto& path : paths) {
@@ -375,6 +377,11 @@
         std::cerr << "no log line contains " << id << '\n';
         return exit_refused;
     }
+    if (kind == "job") {
+        for (const auto& line : describe_summary(summarize_job(entries))) {
+            std::cout << line << '\n';
+        }
+    }
     for (const auto& entry : entries) {
         std::cout << fmt::format("{}  {:<14} {:<18} {}\n", entry.m_time, entry.m_node,
                                  entry.m_event, entry.m_fields);
@@ -414,7 +421,8 @@
     }
     constexpr std::size_t first_log_index = 3;
     if (arguments.size() > first_log_index && arguments[0] == "explain") {
-        return explain_by_logs(arguments[2], gsl::make_span(arguments).subspan(first_log_index));
+        return explain_by_logs(arguments[1], arguments[2],
+                               gsl::make_span(arguments).subspan(first_log_index));
     }
     if (matches("explain", "request", 3)) {
         return explain_request(arguments[2]);
--- a/include/peridotrudder/node/decision_log.hpp
+++ b/include/peridotrudder/node/decision_log.hpp
@@ -41,8 +41,12 @@
     node_metrics& metrics() { return m_metrics; }
 
 private:
+    log_budget& budget_for(const decision& made);
+
     node_metrics m_metrics;
     log_budget m_budget;
+    /// For refusals of tenants' jobs and what tenants wait for.
+    log_budget m_tenant_budget;
 };
 
 } // namespace peridotrudder
--- a/include/peridotrudder/planning/fleet_planner.hpp
+++ b/include/peridotrudder/planning/fleet_planner.hpp
@@ -87,6 +87,9 @@
     void update_outlooks(job_scheduler& scheduler, const std::map<std::string, pool_load>& loads,
                          time_point now);
     void report(const scheduler_state& state, const std::map<std::string, pool_load>& loads);
+    /// Reports the tenants with the largest backlogs, if ready tasks wait.
+    void report_tenants(const scheduler_state& state,
+                        const std::map<std::string, pool_load>& loads);
     void move_vms_to(const std::string& pool, std::uint32_t count, moment now);
     void move_idle_to_spare(const std::string& pool, std::uint32_t count, moment now);
     void move_tasks_off(managed_vm& managed, job_scheduler& scheduler, moment now);
--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -113,8 +113,9 @@
     /// Returns whether a worker that the last placement left free can take one of the job's first
     /// tasks. That worker then counts as taken.
     bool take_free_worker(const tenant_job& submitted);
-    void reject(std::uint64_t token, const std::string& id, milliseconds retry_after,
-                std::string reason);
+    void answer_overloaded(std::uint64_t token, milliseconds retry_after);
+    void log_submission(std::string_view event, const std::string& id, const tenant_job& submitted,
+                        std::string detail) const;
     void count_accepted(const tenant_job& accepted);
     void cancel(std::uint64_t token, const queue_config& queue, const std::string& id,
                 const caller_identity& caller, moment now);
--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -32,6 +32,10 @@
     std::string m_detail;
     /// Duration that led to the event, such as from a job's arrival to its end.
     std::optional<milliseconds> m_took{};
+    /// Tenant that the decision is about; empty for none.
+    std::string m_tenant{};
+    /// "contracted" or "excess" for a decision about one of the tenant's jobs.
+    std::string_view m_kind{};
 };
 
 /// Outgoing hooks of the scheduler. All must be set; none may call the scheduler synchronously.
--- a/include/peridotrudder/telemetry/node_metrics.hpp
+++ b/include/peridotrudder/telemetry/node_metrics.hpp
@@ -5,7 +5,9 @@
 
 #include "peridotrudder/base/clock.hpp"
 
+#include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -25,6 +27,12 @@
     void answered(std::string_view kind, std::string_view status, milliseconds latency);
     /// Counts a decision by the event name of its log line.
     void decided(std::string_view event);
+    /// Counts a decision about a job of a tenant, by the kind of the job and the event name.
+    /// Tenants that are not named are counted together.
+    void decided_for(std::string_view tenant, std::string_view kind, std::string_view event);
+    /// Sets the tenants that are counted by name. What was counted for others by name is added to
+    /// the common counters, so that sums never decrease.
+    void name_tenants(std::set<std::string, std::less<>> tenants);
     /// Records the time from a claim until the new owner served.
     void took_over(milliseconds time);
     /// Records a duration by the name of the decision or exchange that ended it.
--- a/include/peridotrudder/tenants/tenant_directory.hpp
+++ b/include/peridotrudder/tenants/tenant_directory.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +34,8 @@
     const tenant_config* find_by_key(std::string_view digest) const;
     /// Returns the tenant with the name, or null.
     const tenant_config* find(std::string_view name) const;
+    /// Returns the names of the `count` tenants with the largest weights.
+    std::set<std::string, std::less<>> largest(std::size_t count) const;
 
 private:
     using index = std::map<std::string, std::size_t, std::less<>>;
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -33,6 +33,7 @@
 constexpr milliseconds drain_time{2'300};
 /// Part of the grace period that is reserved for the exit of the process.
 constexpr milliseconds stop_reserve{700};
+constexpr std::size_t tenants_counted_by_name = 10;
 constexpr std::uint32_t status_ok = 200;
 constexpr std::uint32_t status_unavailable = 503;
 
@@ -368,6 +369,7 @@
             metrics.set_gauge("hungry_jobs", static_cast<double>(state.m_schedulable_jobs.size()));
             metrics.set_gauge("workers", static_cast<double>(state.m_workers.size()));
             metrics.set_gauge("config_version", static_cast<double>(state.m_config.version()));
+            metrics.name_tenants(state.m_config.tenants().largest(tenants_counted_by_name));
             metrics.set_gauge("journal_failing_ms",
                               static_cast<double>(m_owner->failing_for().count()));
             metrics.set_gauge("proof_age_ms", static_cast<double>(m_owner->proof_age().count()));
--- a/src/planning/fleet_planner.cpp
+++ b/src/planning/fleet_planner.cpp
@@ -1,5 +1,7 @@
 #include "peridotrudder/planning/fleet_planner.hpp"
 
+#include "peridotrudder/planning/tenant_report.hpp"
+
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -11,6 +13,8 @@
 /// Time from the end of a move until the VM's worker is listed and has answered.
 constexpr milliseconds arrival_slack{200};
 constexpr milliseconds report_interval{1'000};
+/// Most lines about waiting tenants in a report.
+constexpr std::size_t max_tenant_lines = 10;
 
 /// Returns how many tasks of the step that `ref` belongs to are not fully working.
 std::uint32_t count_missing_tasks(const scheduler_state& state, const job& owning_job,
@@ -323,6 +327,7 @@
     if (now.m_at - m_reported_at >= report_interval) {
         m_reported_at = now.m_at;
         report(state, loads);
+        report_tenants(state, loads);
     }
     for (const auto& [pool, count] : missing) {
         move_vms_to(pool, count, now);
@@ -381,6 +386,19 @@
     m_ports.m_decided({"pools", "", "", detail});
 }
 
+void fleet_planner::report_tenants(const scheduler_state& state,
+                                   const std::map<std::string, pool_load>& loads)
+{
+    if (!state.m_config.tenants().enabled()) {
+        return;
+    }
+    for (auto& waiting : waiting_tenants(loads, m_demand.tenants(), max_tenant_lines)) {
+        decision made{"tenant_waiting", "", "", std::move(waiting.m_detail)};
+        made.m_tenant = std::move(waiting.m_tenant);
+        m_ports.m_decided(made);
+    }
+}
+
 void fleet_planner::move_vms_to(const std::string& pool, std::uint32_t count, moment now)
 {
     // Take VMs from the spare pool first, then idle ones from other pools.
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -23,16 +23,6 @@
                        [](unsigned char character) { return std::isxdigit(character) != 0; });
 }
 
-/// Returns the job's tenant and its kind for log lines; nothing for a job without a tenant.
-std::string describe_tenant(const tenant_job& submitted)
-{
-    if (submitted.m_tenant.empty()) {
-        return {};
-    }
-    return fmt::format(", tenant {}, {}", submitted.m_tenant,
-                       submitted.m_excess ? "excess" : "contracted");
-}
-
 call_answer status_only(call_status status)
 {
     call_answer answer;
@@ -266,7 +256,7 @@
     if (!is_long_running(*call.m_spec)) {
         count_accepted(submitted);
     }
-    m_state.log("job_accepted", id, "", queue.m_name + describe_tenant(submitted));
+    log_submission("job_accepted", id, submitted, queue.m_name);
     answer_when_written(token, status_only(call_status::done), id);
 }
 
@@ -324,10 +314,11 @@
     if (decision.m_admitted) {
         return false;
     }
-    reject(token, id, decision.m_retry_after,
-           fmt::format("would end too late to be useful: backlog {:.0f} core ms, {} cores",
-                       outlook->second.m_backlog / static_cast<double>(millis_per_core),
-                       outlook->second.m_cpu / millis_per_core));
+    m_state.log("job_refused", id, "",
+                fmt::format("would end too late to be useful: backlog {:.0f} core ms, {} cores",
+                            outlook->second.m_backlog / static_cast<double>(millis_per_core),
+                            outlook->second.m_cpu / millis_per_core));
+    answer_overloaded(token, decision.m_retry_after);
     return true;
 }
 
@@ -341,12 +332,23 @@
         (decision.m_cause == wait_cause::pool && take_free_worker(submitted))) {
         return false;
     }
-    reject(token, id, decision.m_retry_after,
-           fmt::format("would end too late to be useful{}: {}", describe_tenant(submitted),
-                       describe(decision)));
+    log_submission("job_refused", id, submitted,
+                   "would end too late to be useful: " + describe(decision));
+    answer_overloaded(token, decision.m_retry_after);
     return true;
 }
 
+void job_scheduler::log_submission(std::string_view event, const std::string& id,
+                                   const tenant_job& submitted, std::string detail) const
+{
+    decision made{event, id, "", std::move(detail)};
+    if (!submitted.m_tenant.empty()) {
+        made.m_tenant = submitted.m_tenant;
+        made.m_kind = submitted.m_excess ? "excess" : "contracted";
+    }
+    m_state.m_ports.m_log(made);
+}
+
 bool job_scheduler::take_free_worker(const tenant_job& submitted)
 {
     // Tasks may wait although workers are free: for a label, a ticket or a trial, or since they are
@@ -369,10 +371,8 @@
     return true;
 }
 
-void job_scheduler::reject(std::uint64_t token, const std::string& id, milliseconds retry_after,
-                           std::string reason)
+void job_scheduler::answer_overloaded(std::uint64_t token, milliseconds retry_after)
 {
-    m_state.log("job_refused", id, "", std::move(reason));
     auto answer = status_only(call_status::overloaded);
     answer.m_retry_after = retry_after;
     m_state.m_ports.m_answer(token, answer);
--- a/src/telemetry/node_metrics.cpp
+++ b/src/telemetry/node_metrics.cpp
@@ -8,7 +8,10 @@
 
 #include <functional>
 #include <map>
+#include <mutex>
+#include <set>
 #include <string>
+#include <tuple>
 
 namespace peridotrudder {
 
@@ -43,6 +46,18 @@
             .Name("peridot_decisions_total")
             .Help("Decisions, by the name of their log line")
             .Register(m_registry);
+    /// Tenant, kind and event.
+    using tenant_key = std::tuple<std::string, std::string, std::string>;
+    /// Guards the members below it that are about tenants.
+    std::mutex m_tenants_mutex;
+    std::set<std::string, std::less<>> m_named_tenants;
+    std::map<tenant_key, prometheus::Counter*> m_tenant_counters;
+    prometheus::Family<prometheus::Counter>& m_tenant_decisions =
+        prometheus::BuildCounter()
+            .Name("peridot_tenant_jobs_total")
+            .Help("Decisions about jobs of a tenant, by kind; an empty tenant stands for all that "
+                  "are not named")
+            .Register(m_registry);
     prometheus::Family<prometheus::Histogram>& m_take_overs =
         prometheus::BuildHistogram()
             .Name("peridot_take_over_seconds")
@@ -59,6 +74,17 @@
                                                           .Name("peridot_node")
                                                           .Help("States of the node, by name")
                                                           .Register(m_registry);
+
+    void count_for_tenant(const tenant_key& key, double amount)
+    {
+        auto& counter = m_tenant_counters[key];
+        if (counter == nullptr) {
+            const auto& [tenant, kind, event] = key;
+            counter =
+                &m_tenant_decisions.Add({{"tenant", tenant}, {"kind", kind}, {"event", event}});
+        }
+        counter->Increment(amount);
+    }
 };
 
 node_metrics::node_metrics() : m_implementation{std::make_unique<implementation>()} {}
@@ -78,6 +104,35 @@
     m_implementation->m_decisions.Add({{"event", std::string{event}}}).Increment();
 }
 
+void node_metrics::decided_for(std::string_view tenant, std::string_view kind,
+                               std::string_view event)
+{
+    const std::lock_guard lock{m_implementation->m_tenants_mutex};
+    const bool named = m_implementation->m_named_tenants.count(tenant) != 0;
+    m_implementation->count_for_tenant(
+        {std::string{named ? tenant : ""}, std::string{kind}, std::string{event}}, 1.0);
+}
+
+void node_metrics::name_tenants(std::set<std::string, std::less<>> tenants)
+{
+    const std::lock_guard lock{m_implementation->m_tenants_mutex};
+    auto& counters = m_implementation->m_tenant_counters;
+    // The empty name stands for the others.
+    tenants.erase("");
+    for (const auto& name : m_implementation->m_named_tenants) {
+        auto first = counters.lower_bound({name, "", ""});
+        while (tenants.count(name) == 0 && first != counters.end() &&
+               std::get<0>(first->first) == name) {
+            const auto [key, counter] = *first;
+            first = counters.erase(first);
+            m_implementation->count_for_tenant({"", std::get<1>(key), std::get<2>(key)},
+                                               counter->Value());
+            m_implementation->m_tenant_decisions.Remove(counter);
+        }
+    }
+    m_implementation->m_named_tenants = std::move(tenants);
+}
+
 void node_metrics::took_over(milliseconds time)
 {
     m_implementation->m_take_overs.Add({}, latency_bounds).Observe(to_seconds(time));
--- a/src/tenants/tenant_directory.cpp
+++ b/src/tenants/tenant_directory.cpp
@@ -1,5 +1,9 @@
 #include "peridotrudder/tenants/tenant_directory.hpp"
 
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
 namespace peridotrudder {
 
 tenant_directory tenant_directory::create(std::vector<tenant_config> tenants)
@@ -27,6 +31,26 @@
     return find_in(m_by_name, name);
 }
 
+std::set<std::string, std::less<>> tenant_directory::largest(std::size_t count) const
+{
+    std::vector<std::pair<double, std::string_view>> ranked;
+    for (const auto& tenant : m_tenants) {
+        // NaN cannot be compared.
+        ranked.emplace_back(tenant.m_weight > 0.0 ? tenant.m_weight : 0.0, tenant.m_name);
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const auto& left, const auto& right) {
+        return std::tie(right.first, left.second) < std::tie(left.first, right.second);
+    });
+    std::set<std::string, std::less<>> names;
+    for (const auto& [weight, name] : ranked) {
+        if (names.size() == count) {
+            break;
+        }
+        names.emplace(name);
+    }
+    return names;
+}
+
 const tenant_config* tenant_directory::find_in(const index& positions, std::string_view key) const
 {
     const auto found = positions.find(key);
--- a/test/scheduling/tenant_submission_test.cpp
+++ b/test/scheduling/tenant_submission_test.cpp
@@ -278,11 +278,13 @@
         owners.fill_pool(10, "small", 20'000);
         owners.submit(1, "small");
         const auto& refused = owners.m_log.back();
+        CPPUNIT_ASSERT_EQUAL(std::string{"small"}, refused.m_tenant);
+        CPPUNIT_ASSERT_EQUAL(std::string{"contracted"}, std::string{refused.m_kind});
         CPPUNIT_ASSERT_EQUAL(std::string{"job_refused"}, std::string{refused.m_event});
         CPPUNIT_ASSERT_EQUAL(id_of(1), refused.m_job);
         CPPUNIT_ASSERT_EQUAL(
-            std::string{"would end too late to be useful, tenant small, contracted: waits for the "
-                        "pool, own backlog 200000 core ms, share 10.0 cores, wait 20000 ms, retry "
+            std::string{"would end too late to be useful: waits for the pool, own backlog 200000 "
+                        "core ms, share 10.0 cores, wait 20000 ms, retry "
                         "after 13500 ms"},
             refused.m_detail);
     }
--- a/test/telemetry/log_timeline_test.cpp
+++ b/test/telemetry/log_timeline_test.cpp
@@ -19,6 +19,18 @@
         second, event, job, detail);
 }
 
+std::string tenant_line(int second, const std::string& event, const std::string& job,
+                        const std::string& tenant, const std::string& kind,
+                        const std::string& detail = "", const std::string& took_ms = "")
+{
+    return fmt::format(
+        R"({{ "timestamp": "2026-01-03 06:06:{:02},500", "level": "INFO", "message": "{}", )"
+        R"("context_map": {{ "job": "{}", "tenant": "{}", "kind": "{}", "detail": "{}", )"
+        R"("took_ms": "{}" }} }})"
+        "\n",
+        second, event, job, tenant, kind, detail, took_ms);
+}
+
 std::string events_of(const std::vector<timeline_entry>& entries)
 {
     std::string events;
@@ -35,6 +47,9 @@
     CPPUNIT_TEST(lines_of_several_nodes_are_sorted_by_time);
     CPPUNIT_TEST(changes_of_owner_in_between_are_shown);
     CPPUNIT_TEST(pools_are_shown_only_while_the_job_waits);
+    CPPUNIT_TEST(waiting_of_the_jobs_own_tenant_is_shown_only);
+    CPPUNIT_TEST(summary_tells_tenant_kind_refusals_and_wait);
+    CPPUNIT_TEST(summary_of_a_job_without_tenant_is_empty_unless_it_was_refused);
     CPPUNIT_TEST(unknown_id_gives_no_lines);
     CPPUNIT_TEST(arbitrary_text_never_crashes);
     CPPUNIT_TEST_SUITE_END();
@@ -74,6 +89,51 @@
                              events_of(build_timeline("aa", logs)));
     }
 
+    void waiting_of_the_jobs_own_tenant_is_shown_only()
+    {
+        const std::vector<log_source> logs{
+            {"a", tenant_line(1, "tenant_waiting", "", "big", "") +
+                      tenant_line(2, "job_accepted", "aa", "big", "contracted") +
+                      tenant_line(3, "tenant_waiting", "", "small", "") +
+                      tenant_line(4, "tenant_waiting", "", "big", "") + line(5, "job_begun", "aa") +
+                      tenant_line(6, "tenant_waiting", "", "big", "") +
+                      line(7, "job_ended", "aa")}};
+        const auto entries = build_timeline("aa", logs);
+        CPPUNIT_ASSERT_EQUAL(
+            std::string{"a:job_accepted a:tenant_waiting a:job_begun a:job_ended "},
+            events_of(entries));
+        CPPUNIT_ASSERT_EQUAL(std::string{"big"}, entries[1].m_tenant);
+    }
+
+    void summary_tells_tenant_kind_refusals_and_wait()
+    {
+        const std::vector<log_source> logs{
+            {"a",
+             tenant_line(1, "job_refused", "aa", "big", "excess", "would end too late: first") +
+                 tenant_line(2, "job_refused", "aa", "big", "excess", "would end too late") +
+                 tenant_line(3, "job_accepted", "aa", "big", "contracted", "queue") +
+                 tenant_line(4, "tenant_waiting", "", "big", "", "pool: 5 core ms") +
+                 tenant_line(5, "job_begun", "aa", "", "", "", "1700")}};
+        const auto lines = describe_summary(summarize_job(build_timeline("aa", logs)));
+        const std::vector<std::string> expected{
+            "tenant big, contracted",
+            "refused 2 time(s), at last because it would end too late",
+            "waited 1700 ms for its first start",
+            "its tenant's waiting work then: pool: 5 core ms",
+        };
+        CPPUNIT_ASSERT(expected == lines);
+    }
+
+    void summary_of_a_job_without_tenant_is_empty_unless_it_was_refused()
+    {
+        const std::vector<log_source> logs{
+            {"a", line(1, "job_accepted", "aa") + line(2, "job_begun", "aa") +
+                      line(3, "job_refused", "bb", "would end too late")}};
+        CPPUNIT_ASSERT(describe_summary(summarize_job(build_timeline("aa", logs))).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             describe_summary(summarize_job(build_timeline("bb", logs))).size());
+    }
+
     void unknown_id_gives_no_lines()
     {
         const std::vector<log_source> logs{{"a", line(1, "owner_loaded", "bb")}};
--- a/test/tenants/arrival_meter_test.cpp
+++ b/test/tenants/arrival_meter_test.cpp
@@ -163,15 +163,15 @@
         CPPUNIT_ASSERT_EQUAL(9, owner.submit_many(tenant, 100, 130, 1));
     }
 
-    // Two seconds of records alone hold as many jobs as the bucket gets tokens, so that it would
-    // seem full.
+    // The records that are replayed hold as many contracted jobs as the bucket gets tokens, so that
+    // it would seem full.
     void successor_knows_that_a_steady_sender_had_no_tokens()
     {
         metered_owner owner;
         const auto tenant = make_tenant(10.0);
-        owner.submit_many(tenant, 0, 30'000, 20);
-        owner.replace(moment_at(30'000));
-        CPPUNIT_ASSERT(owner.submit_many(tenant, 30'000, 30'050, 1) <= 2);
+        owner.submit_many(tenant, 0, 100'000, 20);
+        owner.replace(moment_at(100'000));
+        CPPUNIT_ASSERT(owner.submit_many(tenant, 100'000, 100'050, 1) <= 2);
     }
 
     void successor_gives_each_tenant_its_own_tokens()
