--- a/src/planning/quota_demand.cpp
+++ b/src/planning/quota_demand.cpp
@@ -57,7 +57,10 @@
 
 double room_beside(std::int64_t room, double ready)
 {
-    return room == unlimited ? unlimited_amount : std::max(static_cast<double>(room) - ready, 0.0);
+    if (room == unlimited) {
+        return unlimited_amount;
+    }
+    return std::max(static_cast<double>(room) - ready, 0.0);
 }
 
 work_amount room_beside(const resources& room, const work_amount& ready)
