Count no recurring or best-effort job against the free CPU

Between two measurements an accepted job uses up the CPU that was free at the first. Recurring jobs may be due much later, and best-effort tasks reserve no CPU, so other jobs could be refused for them.

Measured: test_scheduling, 133 tests pass.

--- a/src/scheduling/tenant_admission.cpp
+++ b/src/scheduling/tenant_admission.cpp
@@ -195,16 +195,20 @@
     return pool.m_cpu > 0 && (pool.m_waiting_cpu > 0 || pool.m_free_cpu < 0.0);
 }
 
-/// Returns what the job's first tasks take.
-work_amount ready_resources(const job_spec& spec)
+/// Takes what the job's first tasks need from what is free. Best-effort tasks reserve no CPU, but
+/// count with it against their tenant's quota.
+void take_ready_resources(const job_spec& spec, pool_outlook& pool, tenant_outlook* tenant)
 {
-    work_amount ready;
     for (const auto& step : spec.m_steps) {
-        if (step.m_depends_on.empty()) {
-            ready += resources_of(step, step.m_count);
+        if (!step.m_depends_on.empty()) {
+            continue;
+        }
+        const auto required = resources_of(step, step.m_count);
+        pool.m_free_cpu -= step.m_best_effort ? 0.0 : required.m_cpu;
+        if (tenant != nullptr) {
+            tenant->m_room -= required;
         }
     }
-    return ready;
 }
 
 /// Returns the longest wait with which the job is admitted.
@@ -272,12 +276,13 @@
 
 void add_accepted(const tenant_job& accepted, pool_outlook& pool, tenant_outlooks& tenants_by_name)
 {
-    const auto ready = ready_resources(*accepted.m_spec);
-    pool.m_free_cpu -= ready.m_cpu;
-    const auto limited = tenants_by_name.find(accepted.m_tenant);
-    if (limited != tenants_by_name.end()) {
-        limited->second.m_room -= ready;
+    if (accepted.m_spec->m_recurrence) {
+        // It may be due later; once it is due, it is measured.
+        return;
     }
+    const auto limited = tenants_by_name.find(accepted.m_tenant);
+    take_ready_resources(*accepted.m_spec, pool,
+                         limited == tenants_by_name.end() ? nullptr : &limited->second);
     auto& tenants = pool.m_backlog_by_tenant[accepted.m_queue->m_priority];
     const auto work = work_of(*accepted.m_spec);
     tenants[accepted.m_tenant].of(accepted.m_excess) += work;
--- a/test/scheduling/tenant_admission_test.cpp
+++ b/test/scheduling/tenant_admission_test.cpp
@@ -375,6 +375,7 @@
     CPPUNIT_TEST(accepted_work_counts_before_the_next_measurement);
     CPPUNIT_TEST(burst_between_two_measurements_was_admitted_whole);
     CPPUNIT_TEST(burst_of_a_tenant_near_its_quota_was_admitted_whole);
+    CPPUNIT_TEST(recurring_and_best_effort_jobs_take_no_free_cpu);
     CPPUNIT_TEST(job_is_admitted_after_its_retry_time);
     CPPUNIT_TEST(excess_work_of_others_rejects_no_contracted_job);
     CPPUNIT_TEST(nothing_is_rejected_while_no_ready_task_waits);
@@ -652,6 +653,24 @@
         CPPUNIT_ASSERT(fixture.decide("b", true).m_admitted);
     }
 
+    // Jobs were refused for work that is due tomorrow, or that takes only what others leave.
+    void recurring_and_best_effort_jobs_take_no_free_cpu()
+    {
+        admission_fixture fixture;
+        auto& pool = fixture.m_pools[pool_name];
+        pool.m_waiting_cpu = 0;
+        pool.m_free_cpu = 1'000.0;
+        auto spec = make_spec();
+        spec.m_recurrence = recurrence{1, 10'000'000, 0};
+        add_accepted({"a", false, &spec, &fixture.m_queue}, pool, fixture.m_tenants);
+        CPPUNIT_ASSERT(pool.m_backlog_by_tenant.empty());
+        CPPUNIT_ASSERT_EQUAL(1'000.0, pool.m_free_cpu);
+        spec = make_spec();
+        spec.m_steps[0].m_best_effort = true;
+        add_accepted({"a", false, &spec, &fixture.m_queue}, pool, fixture.m_tenants);
+        CPPUNIT_ASSERT_EQUAL(1'000.0, pool.m_free_cpu);
+    }
+
     void job_is_admitted_after_its_retry_time()
     {
         assert_property("job is admitted after its retry time", [] {
