Judge jobs behind a quota by the declared run times

A contracted job that waits for its tenant's quota was admitted up to 1.7 times the time in which it is useful. So the allowance for run times that are declared too long applies to waits for the pool only. An expected retry time in tenant_admission_test changes with it: 9,000 ms less 3,700 instead of 6,500.

The replay can also serve a tenant's short jobs first, as job_rank does. Other tenants are served as usual in both orders.

--- a/src/scheduling/tenant_admission.cpp
+++ b/src/scheduling/tenant_admission.cpp
@@ -14,8 +14,10 @@
 /// Limits of a tenant's weight, so that quotients of weights stay finite.
 constexpr double min_weight = 1e-6;
 constexpr double max_weight = 1e6;
-/// Declared run times are off by half and more. A contracted job is rejected only if it would be
-/// too late even if all of them are as much too long.
+/// Declared run times are off by half and more, and the backlog includes work that a new job
+/// overtakes. So a contracted job that waits for the pool is rejected only if it would be too late
+/// even if all run times are as much too long. Behind its tenant's quota this would only add jobs
+/// that become useless.
 constexpr double optimistic_estimate_factor = 0.6;
 /// The estimate is an upper bound after each round and changes little after a few.
 constexpr int quota_rounds = 8;
@@ -212,11 +214,12 @@
 }
 
 /// Returns the longest wait with which the job is admitted.
-milliseconds longest_wait(const tenant_job& submitted)
+milliseconds longest_wait(const tenant_job& submitted, wait_cause cause)
 {
     const auto chain = longest_chain(*submitted.m_spec);
     const auto useful = useful_time(chain, *submitted.m_queue);
-    const auto trust = submitted.m_excess ? 1.0 : optimistic_estimate_factor;
+    const bool optimistic = !submitted.m_excess && cause == wait_cause::pool;
+    const auto trust = optimistic ? optimistic_estimate_factor : 1.0;
     const auto end_ms = static_cast<double>(useful.count()) / trust;
     // A job that could not be useful without any wait is no worse for a short one.
     const auto wait_ms = std::max(0.0, end_ms - static_cast<double>(chain.count()));
@@ -254,7 +257,7 @@
     else if (has_waiting_tasks(pool->second)) {
         estimate_pool_wait(submitted, fleet, pool->second, decision);
     }
-    const auto longest = longest_wait(submitted);
+    const auto longest = longest_wait(submitted, decision.m_cause);
     if (decision.m_wait > longest) {
         decision.m_admitted = false;
         decision.m_retry_after = decision.m_wait - longest;
--- a/test/scheduling/tenant_admission_test.cpp
+++ b/test/scheduling/tenant_admission_test.cpp
@@ -11,6 +11,7 @@
 #include <limits>
 #include <list>
 #include <random>
+#include <tuple>
 
 namespace peridotrudder {
 
@@ -102,6 +103,9 @@
     /// Until then callers hold back what they would send, and nothing is served.
     std::int64_t m_outage_until_ms{0};
     std::int64_t m_until_ms{20'000};
+    /// Within a tenant, jobs that can be in time come first, then the shortest, as `job_rank` has
+    /// it; otherwise first come, first served.
+    bool m_by_rank{false};
 };
 
 /// Number of a tenant's jobs by outcome.
@@ -117,8 +121,8 @@
 
 using replay_outcome = std::map<std::string, tenant_outcome>;
 
-/// A pool that serves work at a fixed rate in the order that admission control assumes, first come
-/// first served within a tenant. Declared run times are off by up to half.
+/// A pool that serves work at a fixed rate: by kind, then in fair shares, within a tenant in the
+/// order of the plan. Declared run times are off by up to half.
 class pool_replay {
 public:
     pool_replay(replay_plan plan, std::uint32_t seed) : m_plan{std::move(plan)}
@@ -176,6 +180,18 @@
                waiting.m_arrived_ms + useful_time(waiting.m_chain, m_queue).count();
     }
 
+    /// Returns a key by which a tenant's jobs are served.
+    std::tuple<bool, milliseconds, std::int64_t> rank_of(const waiting_job& waiting) const
+    {
+        if (!m_plan.m_by_rank) {
+            return {false, milliseconds{0}, waiting.m_arrived_ms};
+        }
+        const auto objective = useful_time(waiting.m_chain, m_queue) / 3;
+        const auto earliest_end = m_now_ms + waiting.m_chain.count();
+        const bool late = earliest_end > waiting.m_arrived_ms + objective.count();
+        return {late, waiting.m_chain, waiting.m_arrived_ms};
+    }
+
     void measure()
     {
         auto& pool = m_pools[pool_name];
@@ -269,8 +285,13 @@
                 const bool on_level = is_useless(waiting) == useless &&
                                       (useless || waiting.m_excess == excess) &&
                                       waiting.m_left > 0.0 && allowed[waiting.m_tenant] > 1.0;
-                if (on_level && first.emplace(waiting.m_tenant, &waiting).second) {
-                    weights += m_directory.find(waiting.m_tenant)->m_weight;
+                if (!on_level) {
+                    continue;
+                }
+                const auto [position, is_first] = first.emplace(waiting.m_tenant, &waiting);
+                weights += is_first ? m_directory.find(waiting.m_tenant)->m_weight : 0.0;
+                if (rank_of(waiting) < rank_of(*position->second)) {
+                    position->second = &waiting;
                 }
             }
             if (first.empty()) {
@@ -380,6 +401,7 @@
     CPPUNIT_TEST(excess_work_of_others_rejects_no_contracted_job);
     CPPUNIT_TEST(nothing_is_rejected_while_no_ready_task_waits);
     CPPUNIT_TEST(others_are_served_as_usual_beside_a_tenant_at_seven_times_its_rate);
+    CPPUNIT_TEST(others_are_served_as_usual_also_if_short_jobs_come_first);
     CPPUNIT_TEST(twenty_tenants_with_skewed_weights_lose_excess_work_only);
     CPPUNIT_TEST(quota_cut_to_a_tenth_rejects_its_tenant_only);
     CPPUNIT_TEST(burst_after_an_outage_loses_no_contracted_job);
@@ -549,7 +571,7 @@
         tenant.m_until_within_quota = milliseconds{9'000};
         const auto decision = fixture.decide("a", false);
         CPPUNIT_ASSERT(!decision.m_admitted);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{2'500}, std::int64_t{decision.m_retry_after.count()});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{5'300}, std::int64_t{decision.m_retry_after.count()});
     }
 
     void quota_of_each_resource_limits()
@@ -770,6 +792,36 @@
         }
     }
 
+    // Short jobs overtake the longest ones, of which some become useless: they are not refused,
+    // since the backlog that is served before a new job stays small.
+    void others_are_served_as_usual_also_if_short_jobs_come_first()
+    {
+        for (std::uint32_t seed = 1; seed <= 5; ++seed) {
+            replay_plan plan;
+            plan.m_by_rank = true;
+            plan.m_senders = make_senders(10, 0.0, 0.7);
+            const auto usual = pool_replay{plan, seed}.run();
+            plan.m_senders.back().m_later_rate *= 7.0;
+            plan.m_change_ms = 5'000;
+            const auto heavy = pool_replay{plan, seed}.run();
+            const auto& name = plan.m_senders.back().m_tenant.m_name;
+            for (const auto& [tenant, counts] : heavy) {
+                const auto context =
+                    "seed " + std::to_string(seed) + ", " + describe(tenant, counts);
+                const auto& before = usual.at(tenant);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(context, 0, counts.m_refused_with_room);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(context, 0, counts.m_contracted_refused);
+                if (tenant == name) {
+                    CPPUNIT_ASSERT_MESSAGE(context, counts.m_useful >= before.m_useful);
+                    continue;
+                }
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(context, 0, counts.m_excess_refused);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(context, before.m_sent, counts.m_sent);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(context, before.m_useful, counts.m_useful);
+            }
+        }
+    }
+
     void twenty_tenants_with_skewed_weights_lose_excess_work_only()
     {
         for (std::uint32_t seed = 1; seed <= 3; ++seed) {
