Divide full pools between tenants by weighted max-min fairness

A tenant that asked for several times its rate had most of a full pool, as its jobs ranked among all others. With tenants in the configuration, free capacity now goes to long-running jobs, then by the queue's priority, then to useful jobs before useless ones, then to contracted jobs before excess, and among these to the tenant with the lowest dominant share of the pool divided by its weight; the job rank decides within a tenant. The share is compared again after each placed task. Jobs are sorted once a pass; a heap of tenants changes only when the turn goes to another one. Without tenants the order is unchanged.

Tested: test_shares (new; drawn histories, judged by what runs on the workers).

--- a/include/peridotrudder/scheduling/task_placer.hpp
+++ b/include/peridotrudder/scheduling/task_placer.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// Places waiting tasks on workers.
 
+#include "peridotrudder/scheduling/fair_order.hpp"
 #include "peridotrudder/scheduling/job_rank.hpp"
 #include "peridotrudder/scheduling/run_tracker.hpp"
 
@@ -12,7 +13,8 @@
 
 namespace peridotrudder {
 
-/// Places waiting tasks in order of job rank, one pool after the other. Not thread-safe.
+/// Places waiting tasks, one pool after the other: in order of job rank, or of `fair_order` if the
+/// configuration has tenants. Not thread-safe.
 class task_placer {
 public:
     explicit task_placer(scheduler_state& state) : m_state{&state} {}
@@ -30,6 +32,12 @@
     };
 
     std::map<std::string, std::vector<waiting_job>> collect(moment now);
+    void place_by_rank(std::vector<waiting_job>& jobs, std::vector<candidate>& candidates,
+                       moment now);
+    void place_fairly(const std::string& pool, const std::vector<waiting_job>& jobs,
+                      std::vector<candidate>& candidates, moment now);
+    /// Returns whether another tenant is to place the next task.
+    bool turn_is_over() const { return m_order != nullptr && !m_order->keeps_turn(); }
     std::vector<candidate> candidates_of(const std::string& pool, time_point now);
     /// Returns whether the job needs no further pass until it changes.
     bool place_job(const waiting_job& waiting, std::vector<candidate>& candidates, moment now);
@@ -60,6 +68,8 @@
     scheduler_state* m_state;
     /// Sizes that did not fit in this pass's pool; tasks at least as large are not tried.
     std::vector<resources> m_sizes_without_room;
+    /// The order of the pool that is being placed; null without tenants.
+    fair_order* m_order{nullptr};
 };
 
 } // namespace peridotrudder
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -27,11 +27,6 @@
         by_pool[queue.m_pool].push_back({rank_job(*target, queue, now.m_unix_ms), target, &queue,
                                          &m_state->account_of(target->header())});
     }
-    for (auto& [pool, jobs] : by_pool) {
-        std::sort(jobs.begin(), jobs.end(), [](const waiting_job& left, const waiting_job& right) {
-            return left.m_rank < right.m_rank;
-        });
-    }
     return by_pool;
 }
 
@@ -203,6 +198,10 @@
             if (on_trial) {
                 end_reservation(request.key(), candidates, now.m_at);
             }
+            if (turn_is_over()) {
+                // The job's next turn, in the same pass, shows what is left to place.
+                return false;
+            }
             continue;
         }
         all = false;
@@ -275,6 +274,9 @@
         for (std::uint32_t step = 0; step < target.spec().m_steps.size(); ++step) {
             if (has_waiting(target, occurrence, step)) {
                 all = place_step(waiting, occurrence, step, candidates, now) && all;
+                if (turn_is_over()) {
+                    return false;
+                }
             }
         }
     }
@@ -296,20 +298,59 @@
     }
 }
 
+void task_placer::place_by_rank(std::vector<waiting_job>& jobs, std::vector<candidate>& candidates,
+                                moment now)
+{
+    std::sort(jobs.begin(), jobs.end(), [](const waiting_job& left, const waiting_job& right) {
+        return left.m_rank < right.m_rank;
+    });
+    for (const auto& waiting : jobs) {
+        if (place_job(waiting, candidates, now)) {
+            m_state->m_schedulable_jobs.erase(waiting.m_rank.m_id);
+        }
+    }
+}
+
+void task_placer::place_fairly(const std::string& pool, const std::vector<waiting_job>& jobs,
+                               std::vector<candidate>& candidates, moment now)
+{
+    resources capacity;
+    for (const auto& worker : candidates) {
+        capacity = capacity + worker.m_session->report().m_capacity;
+    }
+    std::vector<fair_job> offered;
+    offered.reserve(jobs.size());
+    for (const auto& waiting : jobs) {
+        const auto& tenant = waiting.m_job->header().m_tenant;
+        offered.push_back({&waiting.m_rank, waiting.m_account, tenant && tenant->m_excess});
+    }
+    fair_order order{offered, pool, capacity};
+    m_order = &order;
+    while (const auto index = order.next()) {
+        const bool all = place_job(jobs[*index], candidates, now);
+        if (all) {
+            m_state->m_schedulable_jobs.erase(jobs[*index].m_rank.m_id);
+        }
+        if (all || order.keeps_turn()) {
+            order.remove_current();
+        }
+    }
+    m_order = nullptr;
+}
+
 void task_placer::place_all(moment now)
 {
     m_state->m_quotas.expire(now.m_at);
     for (auto& [pool, jobs] : collect(now)) {
         auto candidates = candidates_of(pool, now.m_at);
         m_sizes_without_room.clear();
-        for (auto& waiting : jobs) {
-            if (place_job(waiting, candidates, now)) {
-                m_state->m_schedulable_jobs.erase(waiting.m_rank.m_id);
-            }
-        }
         if (m_state->m_config.tenants().enabled()) {
+            place_fairly(pool, jobs, candidates, now);
             note_free_workers(pool, candidates, now.m_at);
         }
+        else {
+            place_by_rank(jobs, candidates, now);
+        }
     }
     for (auto entry = m_state->m_schedulable_jobs.begin();
          entry != m_state->m_schedulable_jobs.end();) {
--- a/test/scheduling/owner_fixture.hpp
+++ b/test/scheduling/owner_fixture.hpp
@@ -76,13 +76,23 @@
 
     /// Applies a configuration of one queue with these tenants.
     void set_tenants(tenant_directory tenants)
+    {
+        set_config({queue_at("/queue/")}, std::move(tenants));
+    }
+
+    static queue_config queue_at(const std::string& prefix)
     {
         queue_config queue;
         queue.m_host = "host";
-        queue.m_prefix = "/queue/";
+        queue.m_prefix = prefix;
         queue.m_pool = "pool";
-        m_scheduler->set_config(
-            fleet_config::create(1, {queue}, {{"pool", false, false}}, std::move(tenants)));
+        return queue;
+    }
+
+    void set_config(std::vector<queue_config> queues, tenant_directory tenants)
+    {
+        m_scheduler->set_config(fleet_config::create(1, std::move(queues), {{"pool", false, false}},
+                                                     std::move(tenants)));
     }
 
     void pass(milliseconds time)
@@ -102,11 +112,18 @@
     /// Submits a job of one step, whose tasks are of one core.
     void submit_step(const std::string& id, step_spec step)
     {
-        job_call call{call_kind::submit, "host", "/queue/" + id, job_spec{}, m_key_digest};
         step.m_task_resources.m_cpu_millis = 1'000;
         step.m_estimate = milliseconds{100};
-        call.m_spec->m_steps.push_back(step);
-        m_scheduler->take_call(1, call, m_now);
+        job_spec spec;
+        spec.m_steps.push_back(step);
+        submit_job(id, spec);
+    }
+
+    void submit_job(const std::string& id, const job_spec& spec,
+                    const std::string& prefix = "/queue/")
+    {
+        m_scheduler->take_call(1, {call_kind::submit, "host", prefix + id, spec, m_key_digest},
+                               m_now);
     }
 
     void write() { m_scheduler->written(m_scheduler->take_batch(m_now), m_now); }
