Count late starts against quotas also after a takeover

A start that a worker's list ruled out can be carried out by a later incarnation. The records of jobs of tenants now name runs that their tasks no longer have: starts given up while open, unknown runs, gang members left behind by a success and runs replaced by the success of an older one. A successor counts them until their workers have listed their runs, or they are certainly over. Records of other jobs are unchanged.

--- a/include/peridotrudder/jobs/job.hpp
+++ b/include/peridotrudder/jobs/job.hpp
@@ -90,6 +90,18 @@
     std::string m_checkpoint;
 };
 
+/// A run that may be on a worker, or be started there late, though no task has it any more: its
+/// task has another run, waits or is done.
+struct leftover_run {
+    task_ref m_task;
+    std::uint32_t m_run{0};
+    std::string m_worker;
+    /// Unix milliseconds at which the task no longer had the run.
+    std::int64_t m_noted_ms{0};
+    /// The start was answered or seen to be carried out.
+    bool m_settled{false};
+};
+
 /// How a run ended.
 enum class run_end {
     done,
@@ -213,6 +225,12 @@
     /// into the record with the job's next change.
     void settle_start(const task_ref& ref, std::uint32_t run);
 
+    /// Notes that a run which its task no longer has may still be on a worker. Only jobs of tenants
+    /// have such notes: successors count these runs against the quota.
+    void note_leftover(leftover_run leftover);
+    /// Returns the runs noted in the last minute before the newest note.
+    const std::vector<leftover_run>& leftovers() const { return m_leftovers; }
+
     /// Reverts a placed task to waiting after a run that certainly never started, or that is
     /// certainly over with an unknown result.
     void void_run(const task_ref& ref);
@@ -242,7 +260,8 @@
 
 private:
     task& find(const task_ref& ref);
-    void finish_task(const task_ref& ref, task& finished, std::int64_t now_ms);
+    /// `run` is the number of the successful run.
+    void finish_task(const task_ref& ref, std::uint32_t run, std::int64_t now_ms);
     void count_failure(const task_ref& ref);
     void fail_task(const task_ref& ref, std::uint32_t attempts, std::int64_t now_ms);
     void finish(job_phase phase, std::int64_t now_ms);
@@ -259,6 +278,7 @@
     std::vector<std::vector<std::uint32_t>> m_open;
     std::uint64_t m_open_total{0};
     std::uint32_t m_placed{0};
+    std::vector<leftover_run> m_leftovers;
 };
 
 } // namespace peridotrudder
--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -130,6 +130,8 @@
 struct hold_outcome {
     /// The answer came from another incarnation than the one before.
     bool m_restarted{false};
+    /// Whether the worker listed all runs that it has, and the ends of all others.
+    bool m_complete{false};
     /// New ends, in order.
     std::vector<ended_entry> m_ended;
     /// Whether the worker listed ends that it had not listed before, readable or not.
--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -50,9 +50,13 @@
 private:
     /// Gives up a recorded start that its tenant's quota does not allow any more, with all members
     /// of its gang.
-    void withdraw_start(const start_effect& start);
-    /// Counts a run that is given up against its tenant's quota while it may still be started.
-    void keep_charge(const worker_session& session, const worker_run& run);
+    void withdraw_start(const start_effect& start, moment now);
+    /// Counts a run that is given up against its tenant's quota while it may still be started, also
+    /// with a successor.
+    void keep_charge(const worker_session& session, const run_key& key, moment now);
+    /// Lets the job's next record tell a successor of a run that its task does not have.
+    void note_leftover(const run_key& key, std::uint32_t run, const std::string& worker,
+                       bool settled, moment now);
     /// Lets the job's next record tell a successor that the start of the run is not open.
     void note_settled_start(const run_key& key, std::uint32_t run);
     void handle_end(worker_session& session, const ended_entry& ended, moment now);
@@ -60,7 +64,8 @@
     void judge_unclear_end(worker_session& session, const unclear_end& end);
     void update_worker_health(worker_session& session, const job& target, const run_key& key,
                               run_end end, time_point now);
-    void mark_run_lost(worker_session& session, const run_key& key, std::string_view reason);
+    void mark_run_lost(worker_session& session, const run_key& key, std::string_view reason,
+                       moment now);
     /// Marks runs as lost with their worker, which was last heard of at `last_heard_at`, and blames
     /// the tasks that it may have crashed under.
     void mark_lost_in_crash(worker_session& session, const std::vector<run_key>& keys,
@@ -77,7 +82,7 @@
     void stop_not_begun(worker_session& session, const run_key& key, time_point now);
     /// Gives up what an unreachable worker had, once it is certainly over.
     void give_up_unreachable(worker_session& session, moment now);
-    void stop_unknown_run(worker_session& session, const running_entry& unknown, time_point now);
+    void stop_unknown_run(worker_session& session, const running_entry& unknown, moment now);
     void stop_stalled(worker_session& session, time_point now);
     /// Throttles best-effort runs that slow down latency-sensitive ones, and speeds them up again.
     void pace_best_effort(worker_session& session, time_point now);
--- a/include/peridotrudder/tenants/quota_ledger.hpp
+++ b/include/peridotrudder/tenants/quota_ledger.hpp
@@ -48,7 +48,8 @@
                  const resources& amount);
     quota_charge(const quota_charge& other);
     quota_charge(quota_charge&& other) noexcept;
-    quota_charge& operator=(quota_charge other) noexcept;
+    quota_charge& operator=(const quota_charge& other);
+    quota_charge& operator=(quota_charge&& other) noexcept;
     ~quota_charge();
 
     const resources& amount() const { return m_amount; }
@@ -56,6 +57,7 @@
 
 private:
     void add(const resources& amount);
+    void swap(quota_charge& other) noexcept;
 
     std::shared_ptr<tenant_account> m_account;
     resources* m_in_pool{nullptr};
@@ -89,8 +91,7 @@
     /// Returns a tenant's account; valid for the ledger's lifetime. Jobs without a tenant have the
     /// name "".
     tenant_account& account_of(const std::string& tenant);
-    quota_charge charge(const std::string& tenant, std::string_view pool,
-                        const resources& amount);
+    quota_charge charge(const std::string& tenant, std::string_view pool, const resources& amount);
 
     /// Returns whether the tenant's quota allows to start runs with these resources in total.
     bool may_start(const std::string& tenant, const resources& required);
@@ -100,9 +101,14 @@
     /// Returns whether the quota allows such a start if nothing else runs.
     bool may_ever_start(const tenant_account& account, const resources& required) const;
 
-    /// Keeps a charge until a time, for a run that is given up and may still be started late.
-    void keep_until(quota_charge charge, time_point until);
-    /// Ends charges whose time has passed.
+    /// Keeps the charge of a run that no session has any more and that may still be on a worker.
+    /// Its start may be carried out until `open_until`; at `over_at` the run is certainly over.
+    void keep(quota_charge charge, const std::string& worker, time_point open_until,
+              time_point over_at);
+    /// Ends kept charges of a worker that has listed all its runs in the answer to a hold that was
+    /// sent at a time: runs that it listed have charges of their own.
+    void worker_listed_runs(const std::string& worker, time_point sent_at);
+    /// Ends kept charges of runs that are certainly over.
     void expire(time_point now);
 
     /// Notes that a start was withheld because of the tenant's quota.
@@ -117,13 +123,21 @@
 private:
     enum class mode { unknown, disabled, enabled };
 
+    struct kept_charge {
+        quota_charge m_charge;
+        std::string m_worker;
+        time_point m_open_until;
+        time_point m_over_at;
+    };
+
     const std::shared_ptr<tenant_account>& find_or_add(const std::string& tenant);
 
     mode m_mode{mode::unknown};
     /// Of tenants that are not configured.
     double m_smallest_weight{1.0};
     account_map m_accounts;
-    std::multimap<time_point, quota_charge> m_kept;
+    /// Few: a run is given up with an open start only when a worker restarts or an answer is lost.
+    std::vector<kept_charge> m_kept;
     std::vector<quota_wait_change> m_wait_changes;
     /// Tenants that count as waiting.
     std::map<std::string, tenant_account*> m_waiting;
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -43,6 +43,9 @@
     return row;
 }
 
+/// Longer than any order is under way and any lease lasts.
+constexpr std::int64_t longest_leftover_ms = 60'000;
+
 std::uint32_t number_at(const nlohmann::json& row, std::size_t index)
 {
     std::uint32_t value = 0;
@@ -80,6 +83,34 @@
     return stored;
 }
 
+nlohmann::json to_rows(const std::vector<leftover_run>& leftovers)
+{
+    auto rows = nlohmann::json::array();
+    for (const auto& leftover : leftovers) {
+        rows.push_back({leftover.m_task.m_occurrence, leftover.m_task.m_step,
+                        leftover.m_task.m_index, leftover.m_run, leftover.m_worker,
+                        leftover.m_noted_ms, leftover.m_settled});
+    }
+    return rows;
+}
+
+std::vector<leftover_run> leftovers_from(const nlohmann::json& rows)
+{
+    constexpr std::size_t run_index = 3;
+    constexpr std::size_t worker_index = 4;
+    constexpr std::size_t noted_index = 5;
+    constexpr std::size_t settled_index = 6;
+    std::vector<leftover_run> leftovers;
+    for (const auto& row : rows) {
+        leftovers.push_back({{number_at(row, 0), number_at(row, 1), number_at(row, 2)},
+                             number_at(row, run_index),
+                             row.at(worker_index).get<std::string>(),
+                             std::max<std::int64_t>(row.at(noted_index).get<std::int64_t>(), 0),
+                             row.at(settled_index).get<bool>()});
+    }
+    return leftovers;
+}
+
 /// The distinct worker instances of a record.
 class instance_table {
 public:
@@ -268,6 +299,21 @@
     m_begun = m_begun || entry.m_start_settled;
 }
 
+void job::note_leftover(leftover_run leftover)
+{
+    if (!m_header.m_tenant) {
+        return;
+    }
+    const auto is_replaced = [&leftover](const leftover_run& known) {
+        const bool same = known.m_task == leftover.m_task && known.m_run == leftover.m_run &&
+                          known.m_worker == leftover.m_worker;
+        return same || known.m_noted_ms < leftover.m_noted_ms - longest_leftover_ms;
+    };
+    m_leftovers.erase(std::remove_if(m_leftovers.begin(), m_leftovers.end(), is_replaced),
+                      m_leftovers.end());
+    m_leftovers.push_back(std::move(leftover));
+}
+
 void job::void_run(const task_ref& ref)
 {
     auto& entry = find(ref);
@@ -289,7 +335,7 @@
     m_begun = true;
     const bool long_running = spec().m_steps[ref.m_step].m_long_running;
     if (kind == run_end::done && !long_running) {
-        finish_task(ref, ended, now_ms);
+        finish_task(ref, run, now_ms);
         return true;
     }
     if (ended.m_phase != task_phase::placed || run != ended.m_run) {
@@ -308,11 +354,19 @@
     return true;
 }
 
-void job::finish_task(const task_ref& ref, task& finished, std::int64_t now_ms)
+void job::finish_task(const task_ref& ref, std::uint32_t run, std::int64_t now_ms)
 {
-    const auto complete = [this, &ref](task& member) {
+    const auto complete = [&](std::uint32_t index) {
+        auto& member = m_tasks[ref.m_occurrence][ref.m_step][index];
         if (member.m_phase == task_phase::placed) {
             --m_placed;
+            if (index != ref.m_index || member.m_run != run) {
+                note_leftover({{ref.m_occurrence, ref.m_step, index},
+                               member.m_run,
+                               member.m_placed_on.m_worker,
+                               now_ms,
+                               member.m_start_settled});
+            }
         }
         if (member.m_phase != task_phase::done) {
             --m_open[ref.m_occurrence][ref.m_step];
@@ -322,11 +376,11 @@
         member.m_placed_on = {};
         member.m_checkpoint.clear();
     };
-    complete(finished);
+    complete(ref.m_index);
     if (spec().m_steps[ref.m_step].m_gang) {
         // The success of one member completes the whole gang.
-        for (auto& member : m_tasks[ref.m_occurrence][ref.m_step]) {
-            complete(member);
+        for (std::uint32_t index = 0; index < spec().m_steps[ref.m_step].m_count; ++index) {
+            complete(index);
         }
     }
     if (m_open_total == 0) {
@@ -440,13 +494,16 @@
             }
         }
     }
-    const nlohmann::json record{static_cast<unsigned>(m_phase),
-                                m_ended_ms,
-                                m_begun,
-                                encode_packed(instances.instances()),
-                                std::move(rows),
-                                m_placed_ms,
-                                settled.to_json()};
+    nlohmann::json record{static_cast<unsigned>(m_phase),
+                          m_ended_ms,
+                          m_begun,
+                          encode_packed(instances.instances()),
+                          std::move(rows),
+                          m_placed_ms,
+                          settled.to_json()};
+    if (!m_leftovers.empty()) {
+        record.push_back(to_rows(m_leftovers));
+    }
     return nlohmann::json::to_cbor(record);
 }
 
@@ -455,6 +512,7 @@
     constexpr std::size_t fields = 5;
     constexpr std::size_t placed_index = 5;
     constexpr std::size_t settled_index = 6;
+    constexpr std::size_t leftovers_index = 7;
     const auto record = parse_cbor(state);
     if (!record) {
         return tl::make_unexpected(record.error());
@@ -482,6 +540,14 @@
         const auto settled = record->size() > settled_index
                                  ? bit_list::from_json((*record)[settled_index])
                                  : bit_list{};
+        if (record->size() > leftovers_index) {
+            created.m_leftovers = leftovers_from((*record)[leftovers_index]);
+            for (const auto& leftover : created.m_leftovers) {
+                if (!created.has(leftover.m_task)) {
+                    return tl::make_unexpected(decode_error{decode_fault::out_of_range, "task"});
+                }
+            }
+        }
         std::size_t row_number = 0;
         for (const auto& row : (*record)[4]) {
             const auto stored = from_array(row);
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -430,6 +430,7 @@
         // A run that is not named may be on a row that is not there or cannot be read.
         return;
     }
+    outcome.m_complete = true;
     release_all_beside();
     for (const auto& entry : answer.m_ended) {
         listed.insert(entry.m_key);
--- a/src/scheduling/run_adoption.cpp
+++ b/src/scheduling/run_adoption.cpp
@@ -48,6 +48,23 @@
     session.reserve(key, run);
 }
 
+/// Counts a run that no task has, but that may still be on its worker, against its tenant's quota.
+void charge_leftover(scheduler_state& state, const job& source, const leftover_run& leftover,
+                     moment now)
+{
+    const auto& lease = state.m_options.m_lease;
+    const auto age = milliseconds{std::max<std::int64_t>(now.m_unix_ms - leftover.m_noted_ms, 0)};
+    const auto may_start_until =
+        now.m_at - age + lease.m_longest_order_delay + lease.m_predecessor_start_slack;
+    const auto open_until = leftover.m_settled ? now.m_at : std::max(now.m_at, may_start_until);
+    const auto over_at =
+        std::max(now.m_at + lease.m_predecessor_grace, may_start_until) + 2 * lease.m_max_lease;
+    if (now.m_at < may_start_until + 2 * lease.m_max_lease) {
+        state.m_quotas.keep(state.charge_for(source, leftover.m_task.m_step), leftover.m_worker,
+                            open_until, over_at);
+    }
+}
+
 } // namespace
 
 void adopt_recorded_runs(scheduler_state& state, moment now)
@@ -59,6 +76,9 @@
         for (const auto& ref : stored_job.placed_refs()) {
             adopt(state, {id, ref}, stored_job, now);
         }
+        for (const auto& leftover : stored_job.leftovers()) {
+            charge_leftover(state, stored_job, leftover, now);
+        }
     }
 }
 
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -70,19 +70,19 @@
     // A successor reckons by the record's time until when the start may have been sent.
     const bool recent = now.m_at - run->m_placed_at <= longest_placement_age;
     if (!runnable || !has_room || !recent || !session->takes_work(now.m_at)) {
-        mark_run_lost(*session, start.m_key, "not sent");
+        mark_run_lost(*session, start.m_key, "not sent", now);
         return;
     }
     // The quota may have been lowered while the start was being recorded.
     if (!m_state->quota_allows(m_state->account_of(target->header()), {}, now.m_at)) {
-        withdraw_start(start);
+        withdraw_start(start, now);
         return;
     }
     const auto step = step_of(start.m_key);
     const bool restricted = m_state->queue_of(target->header()).m_policy.has_value();
     const auto ticket = m_state->m_tickets.ticket_for(step, start.m_instance, now.m_at);
     if (restricted && ticket.empty()) {
-        mark_run_lost(*session, start.m_key, "ticket expired");
+        mark_run_lost(*session, start.m_key, "ticket expired", now);
         return;
     }
     start_order order;
@@ -101,7 +101,7 @@
     m_state->m_ports.m_start(session->report(), order);
 }
 
-void run_tracker::withdraw_start(const start_effect& start)
+void run_tracker::withdraw_start(const start_effect& start, moment now)
 {
     constexpr std::string_view reason = "above its tenant's quota";
     const auto* target = m_state->m_job_store.find(start.m_key.m_job);
@@ -120,17 +120,31 @@
         auto* session = m_state->find_instance(instance);
         const auto* run = session == nullptr ? nullptr : session->find(key);
         if (run != nullptr && run->m_run == start.m_run && run->m_phase == run_phase::recording) {
-            mark_run_lost(*session, key, reason);
+            mark_run_lost(*session, key, reason, now);
         }
     }
 }
 
-void run_tracker::keep_charge(const worker_session& session, const worker_run& run)
+void run_tracker::keep_charge(const worker_session& session, const run_key& key, moment now)
 {
+    const auto& run = session.runs().at(key);
     const auto* account = run.m_charge.account();
-    if (run.m_start_open_until && account != nullptr && !account->m_tenant.empty()) {
-        m_state->m_quotas.keep_until(run.m_charge,
-                                     *run.m_start_open_until + session.longest_lease());
+    if (!run.start_is_open(now.m_at) || account == nullptr || account->m_tenant.empty()) {
+        return;
+    }
+    // Answers to holds that are lost may have renewed the lease of a run that was started late.
+    const auto over_at = *run.m_start_open_until + 2 * session.longest_lease();
+    m_state->m_quotas.keep(run.m_charge, session.id(), *run.m_start_open_until, over_at);
+    note_leftover(key, run.m_run, session.id(), false, now);
+}
+
+void run_tracker::note_leftover(const run_key& key, std::uint32_t run, const std::string& worker,
+                                bool settled, moment now)
+{
+    auto* target = m_state->m_job_store.find(key.m_job);
+    if (target != nullptr && target->header().m_tenant && target->has(key.m_task)) {
+        target->note_leftover({key.m_task, run, worker, now.m_unix_ms, settled});
+        m_state->m_job_store.mark_changed(key.m_job);
     }
 }
 
@@ -187,7 +201,7 @@
     }
     if (run->m_phase == run_phase::ordered) {
         run->settle_start();
-        mark_run_lost(*session, key, to_string(answer.m_result));
+        mark_run_lost(*session, key, to_string(answer.m_result), now);
     }
 }
 
@@ -271,7 +285,10 @@
         stop_not_begun(*session, item, now.m_at);
     }
     for (const auto& item : outcome.m_unknown_runs) {
-        stop_unknown_run(*session, item, now.m_at);
+        stop_unknown_run(*session, item, now);
+    }
+    if (outcome.m_complete) {
+        m_state->m_quotas.worker_listed_runs(session->id(), sent_at);
     }
     if (outcome.m_new_ends || session->newest_end() > newest_end) {
         m_state->m_effects.emplace_back(ends_effect{session->instance(), session->newest_end()});
@@ -298,7 +315,7 @@
             crashed.push_back(key);
         }
         else {
-            mark_run_lost(session, key, "not listed by the worker");
+            mark_run_lost(session, key, "not listed by the worker", now);
         }
     }
     if (crashed.empty() && !outcome.m_restarted) {
@@ -407,14 +424,14 @@
 }
 
 void run_tracker::mark_run_lost(worker_session& session, const run_key& key,
-                                std::string_view reason)
+                                std::string_view reason, moment now)
 {
     const auto* run = session.find(key);
     if (run == nullptr) {
         return;
     }
     const auto number = run->m_run;
-    keep_charge(session, *run);
+    keep_charge(session, key, now);
     session.release(key);
     auto* target = m_state->m_job_store.find(key.m_job);
     if (target == nullptr || !target->has(key.m_task)) {
@@ -460,7 +477,7 @@
     const auto suspects =
         m_crashes.suspects(session, keys, last_heard_at, crash_is_certain, now.m_at);
     for (const auto& key : keys) {
-        mark_run_lost(session, key, reason);
+        mark_run_lost(session, key, reason, now);
     }
     for (const auto& suspect : suspects) {
         if (m_crashes.blame(suspect, instance, reason, now)) {
@@ -506,7 +523,7 @@
 }
 
 void run_tracker::stop_unknown_run(worker_session& session, const running_entry& unknown,
-                                   time_point now)
+                                   moment now)
 {
     m_state->log("stranger_stopped", unknown.m_key.m_job, session.id(),
                  fmt::format("run {}", unknown.m_run));
@@ -515,11 +532,12 @@
         // The run occupies capacity until it has ended.
         auto run = make_charged_run(*m_state, *target, unknown.m_key.m_task.m_step, unknown.m_run);
         m_state->m_strangers[unknown.m_key].insert(session.id());
+        note_leftover(unknown.m_key, unknown.m_run, session.id(), true, now);
         if (session.find(unknown.m_key) == nullptr) {
             run.m_phase = run_phase::running;
-            run.m_confirmed_at = now;
+            run.m_confirmed_at = now.m_at;
             session.reserve(unknown.m_key, run);
-            stop_run(session, unknown.m_key, now);
+            stop_run(session, unknown.m_key, now.m_at);
             return;
         }
         session.reserve_beside(unknown.m_key, run);
--- a/src/tenants/quota_ledger.cpp
+++ b/src/tenants/quota_ledger.cpp
@@ -74,11 +74,17 @@
 {
 }
 
-quota_charge& quota_charge::operator=(quota_charge other) noexcept
+quota_charge& quota_charge::operator=(const quota_charge& other)
 {
-    std::swap(m_account, other.m_account);
-    std::swap(m_in_pool, other.m_in_pool);
-    std::swap(m_amount, other.m_amount);
+    quota_charge copy{other};
+    swap(copy);
+    return *this;
+}
+
+quota_charge& quota_charge::operator=(quota_charge&& other) noexcept
+{
+    quota_charge moved{std::move(other)};
+    swap(moved);
     return *this;
 }
 
@@ -87,6 +93,13 @@
     add(resources{} - m_amount);
 }
 
+void quota_charge::swap(quota_charge& other) noexcept
+{
+    std::swap(m_account, other.m_account);
+    std::swap(m_in_pool, other.m_in_pool);
+    std::swap(m_amount, other.m_amount);
+}
+
 void quota_charge::add(const resources& amount)
 {
     if (m_account != nullptr) {
@@ -171,14 +184,24 @@
     return !enabled() || is_within(required, {}, account.m_quota);
 }
 
-void quota_ledger::keep_until(quota_charge charge, time_point until)
+void quota_ledger::keep(quota_charge charge, const std::string& worker, time_point open_until,
+                        time_point over_at)
+{
+    m_kept.push_back({std::move(charge), worker, open_until, over_at});
+}
+
+void quota_ledger::worker_listed_runs(const std::string& worker, time_point sent_at)
 {
-    m_kept.emplace(until, std::move(charge));
+    const auto is_settled = [&worker, sent_at](const kept_charge& kept) {
+        return kept.m_worker == worker && kept.m_open_until <= sent_at;
+    };
+    m_kept.erase(std::remove_if(m_kept.begin(), m_kept.end(), is_settled), m_kept.end());
 }
 
 void quota_ledger::expire(time_point now)
 {
-    m_kept.erase(m_kept.begin(), m_kept.upper_bound(now));
+    const auto is_over = [now](const kept_charge& kept) { return kept.m_over_at <= now; };
+    m_kept.erase(std::remove_if(m_kept.begin(), m_kept.end(), is_over), m_kept.end());
 }
 
 void quota_ledger::note_wait(tenant_account& account, time_point now)
--- a/test/jobs/job_test.cpp
+++ b/test/jobs/job_test.cpp
@@ -37,6 +37,13 @@
     return make_job({step});
 }
 
+job with_tenant(const job& source)
+{
+    auto header = source.header();
+    header.m_tenant = job_tenant{"acme", false};
+    return job::create(std::move(header));
+}
+
 /// Places all members; returns the number of their run.
 std::uint32_t place_members(job& gang)
 {
@@ -100,6 +107,10 @@
     CPPUNIT_TEST(cancelled_job_stays_cancelled);
     CPPUNIT_TEST(state_is_restored_from_its_record);
     CPPUNIT_TEST(damaged_record_is_rejected_or_read_without_a_crash);
+    CPPUNIT_TEST(runs_that_tasks_no_longer_have_are_recorded_for_jobs_of_tenants);
+    CPPUNIT_TEST(gang_members_left_behind_by_a_success_are_recorded);
+    CPPUNIT_TEST(leftover_runs_are_forgotten_after_a_minute);
+    CPPUNIT_TEST(damaged_record_with_leftover_runs_causes_no_crash);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -327,6 +338,57 @@
             static_cast<void>(job::restore(example.header(), state));
         });
     }
+
+    // A successor counted only the runs that tasks have, and started more than the quota allows.
+    void runs_that_tasks_no_longer_have_are_recorded_for_jobs_of_tenants()
+    {
+        auto example = with_tenant(make_job({make_step(2)}));
+        auto without_tenant = make_job({make_step(2)});
+        for (auto* each : {&example, &without_tenant}) {
+            each->place({0, 0, 1}, some_worker);
+            each->void_run({0, 0, 1});
+            each->note_leftover({{0, 0, 1}, 1, "i-1", now_ms, false});
+            each->note_leftover({{0, 0, 1}, 1, "i-1", now_ms + 10, true});
+        }
+        CPPUNIT_ASSERT(restored(without_tenant).leftovers().empty());
+        const auto copy = restored(example);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, copy.leftovers().size());
+        const auto& leftover = copy.leftovers().front();
+        CPPUNIT_ASSERT(leftover.m_task == (task_ref{0, 0, 1}));
+        CPPUNIT_ASSERT_EQUAL(1U, leftover.m_run);
+        CPPUNIT_ASSERT_EQUAL(std::string{"i-1"}, leftover.m_worker);
+        CPPUNIT_ASSERT_EQUAL(now_ms + 10, leftover.m_noted_ms);
+        CPPUNIT_ASSERT(leftover.m_settled);
+    }
+
+    void gang_members_left_behind_by_a_success_are_recorded()
+    {
+        auto gang = with_tenant(make_gang(3));
+        const auto run = place_members(gang);
+        gang.end({0, 0, 1}, run, run_end::done, "", attempts, now_ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, restored(gang).leftovers().size());
+    }
+
+    void leftover_runs_are_forgotten_after_a_minute()
+    {
+        auto example = with_tenant(make_job({make_step(2)}));
+        example.note_leftover({{0, 0, 0}, 1, "i-1", now_ms, true});
+        example.note_leftover({{0, 0, 1}, 1, "i-1", now_ms + 60'001, true});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, example.leftovers().size());
+    }
+
+    void damaged_record_with_leftover_runs_causes_no_crash()
+    {
+        assert_property("a damaged record with leftover runs causes no crash", [] {
+            auto example = with_tenant(make_job({make_step(3)}));
+            example.note_leftover({{0, 0, 1}, 1, "i-1", now_ms, true});
+            example.note_leftover({{0, 0, 2}, 1, "i-2", now_ms, false});
+            auto state = example.encode_state();
+            const auto index = *rc::gen::inRange<std::size_t>(0, state.size());
+            state[index] = *rc::gen::arbitrary<std::uint8_t>();
+            static_cast<void>(job::restore(example.header(), state));
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(job_test);
