--- a/include/peridotrudder/telemetry/node_metrics.hpp
+++ b/include/peridotrudder/telemetry/node_metrics.hpp
@@ -10,9 +10,17 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace peridotrudder {
 
+/// One value of a tenant.
+struct tenant_gauge {
+    std::string m_tenant;
+    std::string m_name;
+    double m_value{0.0};
+};
+
 /// Counts what a node does. Thread-safe.
 class node_metrics {
 public:
@@ -39,6 +47,8 @@
     void measured(std::string_view name, milliseconds time);
     /// Sets a gauge, such as "owned_epoch" or "waiting_calls".
     void set_gauge(const std::string& name, double value);
+    /// Replaces the gauges of all tenants.
+    void set_tenant_gauges(const std::vector<tenant_gauge>& gauges);
 
     /// Returns all metrics in Prometheus' text format.
     std::string expose() const;
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -8,6 +8,7 @@
 #include "peridotrudder/node/fleet_owner.hpp"
 #include "peridotrudder/node/order_relay.hpp"
 #include "peridotrudder/ownership/cluster_agent.hpp"
+#include "peridotrudder/scheduling/tenant_summary.hpp"
 #include "peridotrudder/telemetry/log.hpp"
 
 #include <asio/io_context.hpp>
@@ -35,6 +36,8 @@
 constexpr milliseconds stop_reserve{700};
 constexpr std::size_t tenants_counted_by_name = 10;
 constexpr std::uint32_t status_ok = 200;
+/// The others are summed up, which bounds the number of metrics.
+constexpr std::size_t tenants_in_metrics = 10;
 constexpr std::uint32_t status_unavailable = 503;
 
 /// Reads the clocks. The monotonic one also counts while the VM is suspended, as leases do.
@@ -375,6 +378,26 @@
             metrics.set_gauge("proof_age_ms", static_cast<double>(m_owner->proof_age().count()));
             metrics.set_gauge("config_age_ms", static_cast<double>(m_owner->config_age().count()));
         }
+        metrics.set_tenant_gauges(scheduler == nullptr ? std::vector<tenant_gauge>{}
+                                                       : tenant_gauges(scheduler->state()));
+    }
+
+    static std::vector<tenant_gauge> tenant_gauges(const scheduler_state& state)
+    {
+        std::vector<tenant_gauge> gauges;
+        for (const auto& summary : summarize_tenants(state, tenants_in_metrics)) {
+            const auto add = [&](const char* name, auto value) {
+                gauges.push_back({summary.m_tenant, name, static_cast<double>(value)});
+            };
+            add("used_cpu_millis", summary.m_used.m_cpu_millis);
+            add("used_memory_mb", summary.m_used.m_memory_mb);
+            add("used_accelerators", summary.m_used.m_accelerators);
+            add("quota_cpu_millis", summary.m_quota.m_cpu_millis);
+            add("quota_memory_mb", summary.m_quota.m_memory_mb);
+            add("quota_accelerators", summary.m_quota.m_accelerators);
+            add("waiting_jobs", summary.m_waiting_jobs);
+        }
+        return gauges;
     }
 
     void end_ownership()
--- a/src/telemetry/node_metrics.cpp
+++ b/src/telemetry/node_metrics.cpp
@@ -48,7 +48,7 @@
             .Register(m_registry);
     /// Tenant, kind and event.
     using tenant_key = std::tuple<std::string, std::string, std::string>;
-    /// Guards the members below it that are about tenants.
+    /// Guards the members about tenants.
     std::mutex m_tenants_mutex;
     std::set<std::string, std::less<>> m_named_tenants;
     std::map<tenant_key, prometheus::Counter*> m_tenant_counters;
@@ -74,6 +74,13 @@
                                                           .Name("peridot_node")
                                                           .Help("States of the node, by name")
                                                           .Register(m_registry);
+    prometheus::Family<prometheus::Gauge>& m_tenants =
+        prometheus::BuildGauge()
+            .Name("peridot_tenant")
+            .Help("Usage, quota and waiting jobs, by tenant and name")
+            .Register(m_registry);
+    /// Those of the last call; guarded by `m_tenants_mutex`.
+    std::set<prometheus::Gauge*> m_tenant_gauges;
 
     void count_for_tenant(const tenant_key& key, double amount)
     {
@@ -155,6 +162,22 @@
     m_implementation->m_gauges.Add({{"name", name}}).Set(value);
 }
 
+void node_metrics::set_tenant_gauges(const std::vector<tenant_gauge>& gauges)
+{
+    const std::lock_guard lock{m_implementation->m_tenants_mutex};
+    auto& known = m_implementation->m_tenant_gauges;
+    for (auto* gauge : known) {
+        m_implementation->m_tenants.Remove(gauge);
+    }
+    known.clear();
+    for (const auto& gauge : gauges) {
+        auto& added =
+            m_implementation->m_tenants.Add({{"tenant", gauge.m_tenant}, {"name", gauge.m_name}});
+        added.Set(gauge.m_value);
+        known.insert(&added);
+    }
+}
+
 std::string node_metrics::expose() const
 {
     return prometheus::TextSerializer{}.Serialize(m_implementation->m_registry.Collect());
--- a/test/quotas/quota_test.cpp
+++ b/test/quotas/quota_test.cpp
@@ -1,6 +1,9 @@
 #include "scheduling/fleet_simulation.hpp"
 #include "scheduling/owner_fixture.hpp"
 
+#include "peridotrudder/scheduling/run_adoption.hpp"
+#include "peridotrudder/scheduling/tenant_summary.hpp"
+
 #include "property.hpp"
 
 #include <fmt/format.h>
@@ -91,6 +94,8 @@
     CPPUNIT_TEST(successor_counts_adopted_runs_before_its_first_start);
     CPPUNIT_TEST(owner_lost_before_the_record_has_started_nothing);
     CPPUNIT_TEST(waits_for_a_quota_are_logged_when_they_begin_and_end);
+    CPPUNIT_TEST(largest_tenants_are_summarized_and_the_others_added_up);
+    CPPUNIT_TEST(successor_counts_gang_members_that_a_success_left_behind);
     CPPUNIT_TEST(quotas_hold_in_any_history);
     CPPUNIT_TEST(quotas_hold_in_any_history_of_forgotten_workers);
     CPPUNIT_TEST(quotas_hold_though_later_incarnations_carry_out_late_starts);
@@ -415,6 +420,63 @@
         CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1}, count("quota_wait_ended"));
     }
 
+    void largest_tenants_are_summarized_and_the_others_added_up()
+    {
+        m_owner.add_worker("i-2");
+        std::vector<tenant_config> tenants;
+        for (int index = 0; index < 5; ++index) {
+            tenants.push_back(
+                tenant_of_cores("tenant-" + std::to_string(index), index + 1, index + 1));
+        }
+        m_owner.set_tenants(tenant_directory::create(tenants));
+        submit("tenant-4", 1, tasks(6));
+        submit("tenant-0", 2, tasks(2));
+        submit("tenant-1", 3, tasks(2));
+        m_owner.write();
+        const auto summaries = summarize_tenants(m_owner.m_scheduler->state(), 2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, summaries.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"tenant-4"}, summaries[0].m_tenant);
+        CPPUNIT_ASSERT_EQUAL(5 * core, summaries[0].m_used.m_cpu_millis);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, summaries[0].m_waiting_jobs);
+        CPPUNIT_ASSERT_EQUAL(std::string{"tenant-3"}, summaries[1].m_tenant);
+        CPPUNIT_ASSERT_EQUAL(std::string{}, summaries[2].m_tenant);
+        CPPUNIT_ASSERT_EQUAL(3 * core, summaries[2].m_used.m_cpu_millis);
+        CPPUNIT_ASSERT_EQUAL(6 * core, summaries[2].m_quota.m_cpu_millis);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, summaries[2].m_waiting_jobs);
+        m_owner.set_tenants({});
+        CPPUNIT_ASSERT(summarize_tenants(m_owner.m_scheduler->state(), 2).empty());
+    }
+
+    // The record shows all tasks of the gang as done while the others still run.
+    void successor_counts_gang_members_that_a_success_left_behind()
+    {
+        job_header header;
+        header.m_id = id_of(1);
+        header.m_queue = owner_fixture::queue_at("/queue/");
+        auto gang = tasks(3);
+        gang.m_gang = true;
+        gang.m_task_resources.m_cpu_millis = core;
+        header.m_spec.m_steps.push_back(gang);
+        header.m_tenant = job_tenant{"acme", false};
+        job_store predecessor;
+        auto& placed = predecessor.add(header);
+        const std::vector<worker_instance> workers(3, {"i-1", first_birth_ms});
+        const auto run = placed.place_gang(0, 0, workers);
+        placed.end({0, 0, 1}, run, run_end::done, "", 1, m_owner.m_now.m_unix_ms);
+
+        restore_report report;
+        scheduler_state successor;
+        successor.m_job_store = job_store::restore(predecessor.take_changes(), report);
+        successor.m_quotas.set_tenants(one_tenant_of_cores(3));
+        adopt_recorded_runs(successor, m_owner.m_now);
+        CPPUNIT_ASSERT(successor.m_quotas.may_start("acme", {core, 0, 0}));
+        CPPUNIT_ASSERT(!successor.m_quotas.may_start("acme", {2 * core, 0, 0}));
+        // Their starts had no answer, so they may still be carried out.
+        m_owner.pass(milliseconds{22'000});
+        successor.m_quotas.worker_listed_runs("i-1", m_owner.m_now.m_at);
+        CPPUNIT_ASSERT(successor.m_quotas.may_start("acme", {3 * core, 0, 0}));
+    }
+
     void quotas_hold_in_any_history()
     {
         assert_property("no start brings a tenant above its quota in any history", [] {
--- a/test/telemetry/node_metrics_test.cpp
+++ b/test/telemetry/node_metrics_test.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(answers_are_counted_by_kind_and_status);
     CPPUNIT_TEST(tenants_without_a_name_of_their_own_are_counted_together);
     CPPUNIT_TEST(counts_of_a_tenant_that_loses_its_name_are_kept_in_the_sum);
+    CPPUNIT_TEST(gauges_of_tenants_are_replaced_together);
     CPPUNIT_TEST_SUITE_END();
 
     node_metrics m_metrics;
@@ -63,6 +64,18 @@
         CPPUNIT_ASSERT_EQUAL(3, series_count());
     }
 
+    // A tenant that is removed, or a node that has lost its ownership, must not show old values.
+    void gauges_of_tenants_are_replaced_together()
+    {
+        m_metrics.set_tenant_gauges({{"acme", "waiting_jobs", 3}, {"base", "waiting_jobs", 4}});
+        CPPUNIT_ASSERT(shows(R"(peridot_tenant{name="waiting_jobs",tenant="acme"} 3)"));
+        m_metrics.set_tenant_gauges({{"base", "waiting_jobs", 5}, {"base", "waiting_jobs", 6}});
+        CPPUNIT_ASSERT(!shows(R"(tenant="acme")"));
+        CPPUNIT_ASSERT(shows(R"(peridot_tenant{name="waiting_jobs",tenant="base"} 6)"));
+        m_metrics.set_tenant_gauges({});
+        CPPUNIT_ASSERT(!shows("peridot_tenant{"));
+    }
+
 private:
     /// Returns the name of a tenant's counter with its labels, which are sorted by name.
     static std::string series(const std::string& tenant, const std::string& kind,
