Let larger nodes claim first also after a restart of all nodes and on suspicion

What callers saw: after all nodes had lost power, 7 s without an owner: a node with 0.12 of a core claimed, took 2 s to load 1,635 jobs and handed over; others suspected it meanwhile, and the next one was small too. Cause: three ways past the order of claims. Nodes that start at once have no links yet, so no node waited for a larger one; a claim that a registration overtook was repeated after 250 ms, which let small nodes win; claims on suspicion were not ordered at all. Ruled out: hand-overs to a named node, which need a new record and help only after the first election.

Nodes that have just registered count for the order without a link; an overtaken claim is repeated after 20 ms and the node's own delay; claims on suspicion keep the order. That a loading owner is suspected is a matter of its own.

Test: claim_that_a_registration_overtook_is_repeated_at_once fails without the repetition. The other two have no test of their own.

--- a/include/peridotrudder/ownership/owner_election.hpp
+++ b/include/peridotrudder/ownership/owner_election.hpp
@@ -134,6 +134,10 @@
     /// Returns what this node waits for before it claims; nothing if it owns the fleet or does not
     /// suspect the owner.
     std::optional<election_status> status(time_point now) const;
+    /// Records that a claim was certainly not made, because the topic had grown meanwhile. It is
+    /// repeated soon, with the same delay as before: the records of nodes that register at the same
+    /// time must not let a later claim win.
+    void claim_refused(time_point now);
     /// Returns the next step. A claim that did not succeed is returned again later.
     election_step tick(time_point now);
 
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -276,10 +276,13 @@
                                -node.m_started_ms, node.m_name);
     };
     const auto own_rank = rank_of(m_options.m_self);
+    const auto now_ms = m_ports.m_loop.m_now().m_unix_ms;
     milliseconds wait{0};
     for (const auto& [name, node] : m_members.nodes()) {
-        const bool linked = m_open_links.count(node.m_incarnation) != 0;
-        wait += linked && rank_of(node) < own_rank ? claim_spacing : milliseconds{0};
+        // Where all nodes start at once, the owner is elected before links are open.
+        const bool starting = now_ms - node.m_started_ms < settling_time.count();
+        const bool present = starting || m_open_links.count(node.m_incarnation) != 0;
+        wait += present && rank_of(node) < own_rank ? claim_spacing : milliseconds{0};
     }
     return std::min(wait, longest_stagger);
 }
@@ -421,6 +424,9 @@
             (*agent)->learn(won);
             return;
         }
+        if (answer.m_result == log_result::moved_on) {
+            (*agent)->m_election.claim_refused((*agent)->m_ports.m_loop.m_now().m_at);
+        }
         // Without an answer, the topic's follower learns whether the claim was appended.
         (*agent)->m_ports.m_log_event(
             "claim_refused", fmt::format("{} at {}", to_string(answer.m_result), expected));
--- a/src/ownership/owner_election.cpp
+++ b/src/ownership/owner_election.cpp
@@ -10,6 +10,8 @@
 /// Pause before a claim is repeated: longer than the few log calls that a claim takes.
 constexpr milliseconds claim_interval{250};
 constexpr milliseconds check_interval{2'000};
+/// Time in which the record that was in the way of a claim is read.
+constexpr milliseconds refused_claim_pause{20};
 
 } // namespace
 
@@ -172,6 +174,11 @@
         status.m_peers_hearing_owner, checked, status.m_journal_silent ? " and silent" : "");
 }
 
+void owner_election::claim_refused(time_point now)
+{
+    m_next_claim_at = std::min(m_next_claim_at, now + refused_claim_pause + m_options.m_stagger);
+}
+
 election_step owner_election::tick(time_point now)
 {
     if (is_owner() || now < m_next_claim_at) {
@@ -202,6 +209,12 @@
     }
     const auto hearing = peers_hearing_owner();
     if (majority_lost_owner() || outnumbers_owner() || (m_journal_silent && hearing == 0)) {
+        // Before the peers are asked anew.
+        const auto delay =
+            std::min(m_options.m_stagger, (m_options.m_ask_interval - m_options.m_ask_timeout) / 2);
+        if (now - *m_asked_at < m_options.m_ask_timeout + delay) {
+            return election_step::none;
+        }
         m_next_claim_at = now + claim_interval;
         m_asked_at.reset();
         m_journal_silent = false;
--- a/test/ownership/cluster_agent_test.cpp
+++ b/test/ownership/cluster_agent_test.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(owner_that_loses_its_majority_and_regains_it_records_both);
     CPPUNIT_TEST(group_larger_than_the_owners_claims_though_it_is_no_majority);
     CPPUNIT_TEST(node_that_has_handed_over_does_not_claim_at_once);
+    CPPUNIT_TEST(claim_that_a_registration_overtook_is_repeated_at_once);
     CPPUNIT_TEST(node_that_has_handed_over_claims_if_no_node_is_left);
     CPPUNIT_TEST_SUITE_END();
 
@@ -362,6 +363,21 @@
         CPPUNIT_ASSERT(test.events("claiming") > 1);
     }
 
+    // After all nodes had restarted, the claims of the larger ones were refused because others
+    // registered at the same time; a small node claimed before they tried again.
+    void claim_that_a_registration_overtook_is_repeated_at_once()
+    {
+        agent_fixture test;
+        test.m_agent->start();
+        while (test.events("claiming") == 0) {
+            test.run_for(milliseconds{5});
+        }
+        test.m_log.put_node(make_node("other", "other-1"));
+        test.run_for(milliseconds{100});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.events("claim_refused"));
+        CPPUNIT_ASSERT(test.m_agent->owns());
+    }
+
     void node_that_has_handed_over_claims_if_no_node_is_left()
     {
         owner_fixture test;
