Record a run that is listed again and again only every five seconds

A worker lists an unknown run in each answer until it has stopped it, and each answer wrote the job's record. Tested: test_jobs, test_quotas, test_shares (max_success=1000).

--- a/include/peridotrudder/jobs/job.hpp
+++ b/include/peridotrudder/jobs/job.hpp
@@ -226,8 +226,9 @@
     void settle_start(const task_ref& ref, std::uint32_t run);
 
     /// Notes that a run which its task no longer has may still be on a worker. Only jobs of tenants
-    /// have such notes: successors count these runs against the quota.
-    void note_leftover(leftover_run leftover);
+    /// have such notes: successors count these runs against the quota. Returns whether it is to be
+    /// recorded; a note that is repeated within seconds is not.
+    bool note_leftover(leftover_run leftover);
     /// Returns the runs noted in the last minute before the newest note.
     const std::vector<leftover_run>& leftovers() const { return m_leftovers; }
 
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -45,6 +45,8 @@
 
 /// Longer than any order is under way and any lease lasts.
 constexpr std::int64_t longest_leftover_ms = 60'000;
+/// Pause between records of a run that a worker lists again and again.
+constexpr std::int64_t leftover_repeat_ms = 5'000;
 
 std::uint32_t number_at(const nlohmann::json& row, std::size_t index)
 {
@@ -299,19 +301,29 @@
     m_begun = m_begun || entry.m_start_settled;
 }
 
-void job::note_leftover(leftover_run leftover)
+bool job::note_leftover(leftover_run leftover)
 {
     if (!m_header.m_tenant) {
-        return;
+        return false;
+    }
+    const auto is_same = [&leftover](const leftover_run& known) {
+        return known.m_task == leftover.m_task && known.m_run == leftover.m_run &&
+               known.m_worker == leftover.m_worker;
+    };
+    const auto is_repeated = [&](const leftover_run& known) {
+        return is_same(known) && known.m_settled == leftover.m_settled &&
+               leftover.m_noted_ms - known.m_noted_ms < leftover_repeat_ms;
+    };
+    if (std::any_of(m_leftovers.begin(), m_leftovers.end(), is_repeated)) {
+        return false;
     }
-    const auto is_replaced = [&leftover](const leftover_run& known) {
-        const bool same = known.m_task == leftover.m_task && known.m_run == leftover.m_run &&
-                          known.m_worker == leftover.m_worker;
-        return same || known.m_noted_ms < leftover.m_noted_ms - longest_leftover_ms;
+    const auto is_replaced = [&](const leftover_run& known) {
+        return is_same(known) || known.m_noted_ms < leftover.m_noted_ms - longest_leftover_ms;
     };
     m_leftovers.erase(std::remove_if(m_leftovers.begin(), m_leftovers.end(), is_replaced),
                       m_leftovers.end());
     m_leftovers.push_back(std::move(leftover));
+    return true;
 }
 
 void job::void_run(const task_ref& ref)
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -142,8 +142,8 @@
                                 bool settled, moment now)
 {
     auto* target = m_state->m_job_store.find(key.m_job);
-    if (target != nullptr && target->header().m_tenant && target->has(key.m_task)) {
-        target->note_leftover({key.m_task, run, worker, now.m_unix_ms, settled});
+    if (target != nullptr && target->has(key.m_task) &&
+        target->note_leftover({key.m_task, run, worker, now.m_unix_ms, settled})) {
         m_state->m_job_store.mark_changed(key.m_job);
     }
 }
--- a/test/jobs/job_test.cpp
+++ b/test/jobs/job_test.cpp
@@ -110,6 +110,7 @@
     CPPUNIT_TEST(runs_that_tasks_no_longer_have_are_recorded_for_jobs_of_tenants);
     CPPUNIT_TEST(gang_members_left_behind_by_a_success_are_recorded);
     CPPUNIT_TEST(leftover_runs_are_forgotten_after_a_minute);
+    CPPUNIT_TEST(run_that_is_listed_again_and_again_is_recorded_every_five_seconds);
     CPPUNIT_TEST(damaged_record_with_leftover_runs_causes_no_crash);
     CPPUNIT_TEST_SUITE_END();
 
@@ -377,6 +378,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, example.leftovers().size());
     }
 
+    // A worker lists an unknown run in each answer to a hold until it has stopped it.
+    void run_that_is_listed_again_and_again_is_recorded_every_five_seconds()
+    {
+        auto example = with_tenant(make_job({make_step(2)}));
+        int records = 0;
+        for (std::int64_t passed_ms = 0; passed_ms < 12'000; passed_ms += 40) {
+            records +=
+                example.note_leftover({{0, 0, 1}, 1, "i-1", now_ms + passed_ms, true}) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(3, records);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, example.leftovers().size());
+    }
+
     void damaged_record_with_leftover_runs_causes_no_crash()
     {
         assert_property("a damaged record with leftover runs causes no crash", [] {
--- a/test/quotas/quota_test.cpp
+++ b/test/quotas/quota_test.cpp
@@ -423,8 +423,10 @@
     void largest_tenants_are_summarized_and_the_others_added_up()
     {
         m_owner.add_worker("i-2");
+        constexpr int count = 5;
         std::vector<tenant_config> tenants;
-        for (int index = 0; index < 5; ++index) {
+        tenants.reserve(count);
+        for (int index = 0; index < count; ++index) {
             tenants.push_back(
                 tenant_of_cores("tenant-" + std::to_string(index), index + 1, index + 1));
         }
--- a/test/shares/shares_test.cpp
+++ b/test/shares/shares_test.cpp
@@ -59,7 +59,7 @@
     std::string submit(const std::optional<std::string>& tenant, const job_spec& spec,
                        const std::string& prefix = "/queue/")
     {
-        const auto id = id_of(++m_submitted);
+        auto id = id_of(++m_submitted);
         m_owner.m_key_digest = tenant;
         m_owner.submit_job(id, spec, prefix);
         return id;
@@ -68,7 +68,7 @@
     /// Adds a job beyond its tenant's contracted rate.
     std::string add_excess(const std::string& tenant, const job_spec& spec)
     {
-        const auto id = id_of(++m_submitted);
+        auto id = id_of(++m_submitted);
         auto& state = m_owner.m_scheduler->mutable_state();
         state.m_job_store.add({id, owner_fixture::queue_at("/queue/"), m_owner.m_now.m_unix_ms,
                                spec, job_tenant{tenant, true}});
@@ -261,6 +261,7 @@
     static void set_weights(tenant_pool& pool, const std::map<std::string, double>& weights)
     {
         std::vector<tenant_config> tenants;
+        tenants.reserve(weights.size());
         for (const auto& [name, weight] : weights) {
             tenants.push_back(tenant_of_weight(name, weight));
         }
