--- a/test/shares/shares_test.cpp
+++ b/test/shares/shares_test.cpp
@@ -166,9 +166,12 @@
 /// Checks starts against the rule of the page, from what runs on the workers.
 class share_oracle {
 public:
-    share_oracle(tenant_pool& pool, std::map<std::string, double> weights, std::uint32_t workers)
+    /// The quotas are in thousandths of a core; zero for no limit.
+    share_oracle(tenant_pool& pool, std::map<std::string, double> weights,
+                 std::map<std::string, std::int64_t> quotas, std::uint32_t workers)
         : m_pool{&pool},
           m_weights{std::move(weights)},
+          m_quotas{std::move(quotas)},
           m_workers{workers}
     {
     }
@@ -196,12 +199,17 @@
             const auto tenant = m_pool->tenant_of(order.m_key);
             auto& room = m_room[to.m_instance.m_worker];
             for (const auto& [other, cpu] : waiting) {
-                if (other != tenant && cpu <= room && share(other) < share(tenant)) {
+                const auto quota = m_quotas.at(other);
+                const bool may_start = quota == 0 || m_used[other] + cpu <= quota;
+                if (other != tenant && may_start && cpu <= room && share(other) < share(tenant)) {
                     return fmt::format("{} of {} starts while {} waits",
                                        to_text(order.m_key.m_task), tenant, other);
                 }
             }
             m_used[tenant] += m_pool->cpu_of(order.m_key);
+            if (m_quotas.at(tenant) != 0 && m_used[tenant] > m_quotas.at(tenant)) {
+                return fmt::format("{} is above its quota", tenant);
+            }
             room -= m_pool->cpu_of(order.m_key);
         }
         return {};
@@ -232,6 +240,7 @@
 
     tenant_pool* m_pool;
     std::map<std::string, double> m_weights;
+    std::map<std::string, std::int64_t> m_quotas;
     std::uint32_t m_workers;
     std::map<std::string, std::int64_t> m_used;
     std::map<std::string, std::int64_t> m_room;
@@ -482,8 +491,18 @@
                 {"acme", 10.0}, {"base", 3.0}, {"cove", 1.0}, {"deep", 0.5}};
             const auto workers = *rc::gen::inRange(1U, 7U);
             tenant_pool pool{workers};
-            set_weights(pool, weights);
-            share_oracle oracle{pool, weights, workers};
+            std::map<std::string, std::int64_t> quotas;
+            std::vector<tenant_config> tenants;
+            tenants.reserve(weights.size());
+            for (const auto& [name, weight] : weights) {
+                // Half of the tenants have none; a task is at most of four cores.
+                quotas[name] = std::max(0, *rc::gen::inRange(-8, 12)) * core;
+                quotas[name] = quotas[name] < 4 * core ? 0 : quotas[name];
+                tenants.push_back(tenant_of_weight(name, weight));
+                tenants.back().m_quota.m_cpu_millis = quotas[name];
+            }
+            pool.owner().set_tenants(tenant_directory::create(tenants));
+            share_oracle oracle{pool, weights, quotas, workers};
             const auto rounds = *rc::gen::inRange(1, 8);
             for (int round = 0; round < rounds; ++round) {
                 const auto jobs =
@@ -502,8 +521,7 @@
                 }
                 pool.end(ended);
                 oracle.begin();
-                const auto starts = pool.place();
-                RC_ASSERT(oracle.judge(starts) == "");
+                RC_ASSERT(oracle.judge(pool.place()) == "");
             }
         });
     }
