Load jobs and adopt their runs in steps

Callers saw owners with thousands of jobs replaced again and again: a new owner restored all jobs, adopted all their runs and handled all waiting calls in one turn of its loop, and on a slow processor sent no heartbeat for longer than its peers wait. It now handles at most 100 jobs, or waiting calls, in a turn, and serves once all runs are adopted, as before. While it loads it renews its proof of ownership, by which it also learns that it has been deposed.

--- a/include/peridotrudder/jobs/job_store.hpp
+++ b/include/peridotrudder/jobs/job_store.hpp
@@ -24,6 +24,12 @@
     std::uint64_t m_offset{0};
 };
 
+/// Prefixes of the keys of a job's two records, which its id follows.
+namespace job_records {
+inline constexpr std::string_view header_prefix = "job/";
+inline constexpr std::string_view state_prefix = "run/";
+} // namespace job_records
+
 /// Result of restoring the jobs from records.
 struct restore_report {
     std::size_t m_jobs{0};
@@ -40,6 +46,8 @@
     /// Restores the jobs from the records. Records of other kinds are ignored.
     static job_store restore(const std::vector<keyed_record>& records, restore_report& report);
 
+    /// Adds a job that the journal has as it is. Returns false if there is one with its id.
+    bool add_restored(job restored);
     /// Adds a job; its id must be new.
     job& add(job_header header);
     job* find(std::string_view id);
--- a/include/peridotrudder/node/fleet_owner.hpp
+++ b/include/peridotrudder/node/fleet_owner.hpp
@@ -4,6 +4,7 @@
 /// Runs the scheduler of an owner: claims the journal, loads it, and serves until it is fenced.
 
 #include "peridotrudder/base/loop_port.hpp"
+#include "peridotrudder/jobs/job_reader.hpp"
 #include "peridotrudder/node/buffered_follower.hpp"
 #include "peridotrudder/node/platform_ports.hpp"
 #include "peridotrudder/ownership/journal_writer.hpp"
@@ -11,7 +12,9 @@
 #include "peridotrudder/planning/fleet_planner.hpp"
 #include "peridotrudder/scheduling/job_scheduler.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -63,6 +66,9 @@
     milliseconds m_refuse_jobs_after{350};
     /// Interval at which `tick` is called. Late ticks indicate a lack of processor time.
     milliseconds m_tick_interval{10};
+    /// Most jobs that are restored, or whose runs are adopted, in one turn of the loop, and most
+    /// calls that are handled in one turn after they have waited for the owner to load.
+    std::size_t m_jobs_per_turn{100};
 };
 
 enum class owner_phase { claiming, loading, serving, ended };
@@ -94,18 +100,34 @@
     /// Returns how long ago the configuration was certainly the newest.
     milliseconds config_age() const;
     const job_scheduler* scheduler() const { return m_scheduler.get(); }
+    /// Returns how many jobs have been restored and how many have been adopted so far.
+    std::size_t restored_jobs() const { return m_restored_jobs; }
+    std::size_t adopted_jobs() const { return m_adopted_jobs; }
 
 private:
     fleet_owner(owner_options options, owner_ports ports);
 
     void journal_written();
     void journal_fenced();
-    void load();
-    void serve_when_loaded();
+    /// Begins to load once the journal, the configuration and the list of workers have been read.
+    void load_when_read();
+    /// Takes the next step of loading, and plans the one after it.
+    void load_some();
+    /// Handles at most `max_jobs` jobs of the journal. Returns whether all are restored and
+    /// adopted.
+    bool load_jobs(std::size_t max_jobs);
+    void create_scheduler();
+    void serve();
+    void serve_early_calls();
+    /// Calls `step` in a later turn of the loop, unless the owner has ended by then.
+    void in_next_turn(void (fleet_owner::*step)());
+    /// Writes a proof of ownership if the newest one is about to become too old.
+    void renew_proof(moment now);
     void read_journal();
     void follow_operators();
     void follow_workers();
     void take_operator_records(const std::vector<keyed_record>& records);
+    void handle_call(std::uint64_t token, const job_call& call);
     /// Handles a call that has waited for `waited`. Returns false if it has to wait longer.
     bool serve_call(std::uint64_t token, const job_call& call, milliseconds waited);
     void take_answer(std::uint64_t token, const call_answer& answer);
@@ -145,7 +167,13 @@
     bool m_journal_read{false};
     std::optional<write_batch> m_writing;
     time_point m_writing_since;
-    std::vector<std::pair<std::uint64_t, job_call>> m_early_calls;
+    /// Jobs that are being restored from the journal; null before and after.
+    std::unique_ptr<job_reader> m_reader;
+    restore_report m_restored;
+    std::size_t m_restored_jobs{0};
+    std::size_t m_adopted_jobs{0};
+    /// Calls that came while the owner loaded, and those that came before these were handled.
+    std::deque<std::pair<std::uint64_t, job_call>> m_early_calls;
     /// Calls and their answers, which wait for a proof or for the configuration to be read.
     struct held_call {
         std::uint64_t m_token{0};
--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// Scheduler of an owner's pools: accepts jobs, places their tasks and reports their state.
 
+#include "peridotrudder/scheduling/run_adoption.hpp"
 #include "peridotrudder/scheduling/run_tracker.hpp"
 #include "peridotrudder/scheduling/scheduler_state.hpp"
 #include "peridotrudder/scheduling/task_placer.hpp"
@@ -47,7 +48,13 @@
     /// Marks the runs that a worker had at `seen_at` as lost because its VM was down then, or gone.
     /// Ignored if the worker has answered since.
     void worker_ended(std::string_view id, vm_fate fate, time_point seen_at, moment now);
-    /// Adopts the recorded runs. Call once, after the first list of workers.
+    /// Adopts the recorded runs of at most `max_jobs` further jobs, and returns their number. Call
+    /// after the first list of workers and before any other event than further entries of the list
+    /// and configurations, until `has_begun`.
+    std::size_t begin_some(std::size_t max_jobs, moment now);
+    /// Returns whether all recorded runs are adopted.
+    bool has_begun() const { return m_adoption.complete(); }
+    /// Adopts all recorded runs at once.
     void begin(moment now);
     /// Sets the pause between holds to a worker; it is longer while the owner is short of CPU.
     void set_hold_pause(milliseconds pause);
@@ -125,6 +132,7 @@
     void answer_when_written(std::uint64_t token, const call_answer& answer, const std::string& id);
 
     scheduler_state m_state;
+    run_adoption m_adoption;
     run_tracker m_runs;
     task_placer m_placer;
     arrival_meter m_arrivals;
--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -1,64 +1,36 @@
 #include "peridotrudder/jobs/job_store.hpp"
 
 #include "peridotrudder/base/packed_cbor.hpp"
+#include "peridotrudder/jobs/job_reader.hpp"
 
 namespace peridotrudder {
 
 namespace {
 
-constexpr std::string_view header_prefix = "job/";
-constexpr std::string_view state_prefix = "run/";
-
-bool begins_with(std::string_view text, std::string_view prefix)
-{
-    return text.substr(0, prefix.size()) == prefix;
-}
+constexpr auto header_prefix = job_records::header_prefix;
+constexpr auto state_prefix = job_records::state_prefix;
 
 std::string key_of(std::string_view prefix, std::string_view id)
 {
     return std::string{prefix}.append(id);
 }
 
-tl::expected<job, decode_error> read_job(const std::vector<std::uint8_t>& header,
-                                         const std::vector<std::uint8_t>* state)
-{
-    auto read = from_packed_cbor<job_header>(header);
-    if (!read) {
-        return tl::make_unexpected(read.error());
-    }
-    if (check_spec(read->m_spec) != spec_fault::none) {
-        return tl::make_unexpected(decode_error{decode_fault::out_of_range, "spec"});
-    }
-    return state == nullptr ? job::create(std::move(*read))
-                            : job::restore(std::move(*read), *state);
-}
-
 } // namespace
 
 job_store job_store::restore(const std::vector<keyed_record>& records, restore_report& report)
 {
-    std::map<std::string_view, const std::vector<std::uint8_t>*> states;
-    for (const auto& record : records) {
-        if (record.m_value && begins_with(record.m_key, state_prefix)) {
-            states[std::string_view{record.m_key}.substr(state_prefix.size())] = &*record.m_value;
-        }
+    auto reader = job_reader::create(records);
+    while (!reader.complete()) {
+        reader.read(records.size());
     }
-    job_store store;
-    for (const auto& record : records) {
-        if (!record.m_value || !begins_with(record.m_key, header_prefix)) {
-            continue;
-        }
-        const auto id = record.m_key.substr(header_prefix.size());
-        const auto state = states.find(id);
-        auto read = read_job(*record.m_value, state == states.end() ? nullptr : state->second);
-        if (!read || read->header().m_id != id) {
-            report.m_damaged.push_back(record.m_key);
-            continue;
-        }
-        store.m_jobs.emplace(id, std::move(*read));
-    }
-    report.m_jobs = store.m_jobs.size();
-    return store;
+    report = reader.report();
+    return reader.take_store();
+}
+
+bool job_store::add_restored(job restored)
+{
+    const auto id = restored.header().m_id;
+    return m_jobs.emplace(id, std::move(restored)).second;
 }
 
 job& job_store::add(job_header header)
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -23,6 +23,8 @@
 constexpr double lag_for_double_pause_ms = 10.0;
 constexpr milliseconds max_hold_pause{250};
 constexpr milliseconds status_retry{200};
+/// Pause between two steps of loading, in which the loop handles whatever else is due.
+constexpr milliseconds turn_pause{1};
 
 } // namespace
 
@@ -108,7 +110,7 @@
         }
         owner.m_journal_records = std::move(answer.m_records);
         owner.m_journal_read = true;
-        owner.serve_when_loaded();
+        owner.load_when_read();
     });
 }
 
@@ -122,7 +124,7 @@
         [this](const std::vector<keyed_record>& records, bool /*snapshot*/) {
             take_operator_records(records);
         },
-        [this] { serve_when_loaded(); });
+        [this] { load_when_read(); });
     m_operators->start();
 }
 
@@ -136,40 +138,100 @@
         [this](const std::vector<keyed_record>& records, bool snapshot) {
             take_worker_records(records, snapshot);
         },
-        [this] { serve_when_loaded(); });
+        [this] { load_when_read(); });
     m_worker_list->start();
 }
 
-void fleet_owner::serve_when_loaded()
+void fleet_owner::load_when_read()
 {
-    const bool loaded = m_journal_read && m_operators != nullptr && m_operators->complete() &&
-                        m_worker_list != nullptr && m_worker_list->complete();
-    if (!loaded || m_scheduler != nullptr) {
+    const bool all_read = m_journal_read && m_operators != nullptr && m_operators->complete() &&
+                          m_worker_list != nullptr && m_worker_list->complete();
+    if (m_phase != owner_phase::loading || !all_read || m_reader || m_scheduler) {
         return;
     }
-    const auto now = m_ports.m_loop.m_now();
-    restore_report report;
-    auto store = job_store::restore(m_journal_records, report);
     m_ports.m_decided(
-        {"owner_loaded", "", "",
-         fmt::format("{} jobs, {} damaged records", report.m_jobs, report.m_damaged.size())});
-    m_scheduler =
-        job_scheduler::create(m_options.m_scheduler, make_scheduler_ports(), std::move(store), now);
+        {"owner_loading", "", "", fmt::format("{} records", m_journal_records.size())});
+    m_reader = std::make_unique<job_reader>(job_reader::create(std::move(m_journal_records)));
+    m_journal_records.clear();
+    load_some();
+}
+
+// All jobs at once would take longer on a slow processor than peers wait for a heartbeat.
+void fleet_owner::load_some()
+{
+    if (m_phase != owner_phase::loading) {
+        return;
+    }
+    if (load_jobs(m_options.m_jobs_per_turn)) {
+        serve();
+        return;
+    }
+    in_next_turn(&fleet_owner::load_some);
+}
+
+bool fleet_owner::load_jobs(std::size_t max_jobs)
+{
+    if (m_reader) {
+        const auto used = m_reader->read(max_jobs);
+        m_restored_jobs = m_reader->report().m_jobs;
+        if (!m_reader->complete() || used >= max_jobs) {
+            return false;
+        }
+        create_scheduler();
+        max_jobs -= used;
+    }
+    m_adopted_jobs += m_scheduler->begin_some(max_jobs, m_ports.m_loop.m_now());
+    return m_scheduler->has_begun();
+}
+
+void fleet_owner::create_scheduler()
+{
+    const auto now = m_ports.m_loop.m_now();
+    m_restored = m_reader->report();
+    m_scheduler = job_scheduler::create(m_options.m_scheduler, make_scheduler_ports(),
+                                        m_reader->take_store(), now);
     m_planner = fleet_planner::create(m_options.m_planner, m_options.m_epoch, make_planner_ports());
-    m_planner->restore(m_journal_records, now);
+    m_planner->restore(m_reader->records(), now);
     m_planner->mark_leaving(*m_scheduler, now);
-    m_journal_records.clear();
+    m_reader.reset();
     m_operators->release();
     m_worker_list->release();
-    m_scheduler->begin(now);
+}
+
+void fleet_owner::serve()
+{
+    m_ports.m_decided({"owner_loaded", "", "",
+                       fmt::format("{} jobs, {} damaged records", m_restored.m_jobs,
+                                   m_restored.m_damaged.size())});
     m_phase = owner_phase::serving;
-    auto early = std::move(m_early_calls);
-    for (const auto& [token, call] : early) {
-        take_call(token, call);
-    }
+    serve_early_calls();
     write_pending();
 }
 
+void fleet_owner::serve_early_calls()
+{
+    for (std::size_t count = 0; count < m_options.m_jobs_per_turn && !m_early_calls.empty() &&
+                                m_phase == owner_phase::serving;
+         ++count) {
+        const auto [token, call] = std::move(m_early_calls.front());
+        m_early_calls.pop_front();
+        handle_call(token, call);
+    }
+    if (!m_early_calls.empty()) {
+        in_next_turn(&fleet_owner::serve_early_calls);
+    }
+}
+
+void fleet_owner::in_next_turn(void (fleet_owner::*step)())
+{
+    const std::weak_ptr<fleet_owner*> self = m_self;
+    m_ports.m_loop.m_after(turn_pause, [self, step] {
+        if (const auto alive = self.lock()) {
+            ((**alive).*step)();
+        }
+    });
+}
+
 void fleet_owner::take_operator_records(const std::vector<keyed_record>& records)
 {
     const auto now = m_ports.m_loop.m_now();
@@ -246,10 +308,16 @@
         m_ports.m_answer(token, {call_status::not_owner, {}, 0, milliseconds{0}});
         return;
     }
-    if (m_phase != owner_phase::serving) {
+    // Calls are handled in the order in which they come.
+    if (m_phase != owner_phase::serving || !m_early_calls.empty()) {
         m_early_calls.emplace_back(token, call);
         return;
     }
+    handle_call(token, call);
+}
+
+void fleet_owner::handle_call(std::uint64_t token, const job_call& call)
+{
     if (!m_configured) {
         m_ports.m_answer(token, {call_status::unavailable, {}, 0, milliseconds{1'000}});
         return;
@@ -373,6 +441,10 @@
 {
     const auto now = m_ports.m_loop.m_now();
     m_journal->tick(now.m_at);
+    if (m_phase == owner_phase::loading) {
+        // Shows peers that read the journal that the owner runs, and the owner that it is deposed.
+        renew_proof(now);
+    }
     if (m_phase != owner_phase::serving) {
         return;
     }
@@ -382,13 +454,20 @@
     m_scheduler->tick(now);
     m_planner->tick(*m_scheduler, now);
     write_pending();
-    if (m_phase == owner_phase::serving && !m_journal->busy() &&
-        now.m_at - m_journal->proven_at() > m_options.m_proof_interval) {
-        const auto text = std::to_string(now.m_unix_ms);
-        m_journal->write(
-            {{std::string{proof_key}, std::vector<std::uint8_t>{text.begin(), text.end()}, 0}},
-            now.m_at);
+    if (m_phase == owner_phase::serving) {
+        renew_proof(now);
+    }
+}
+
+void fleet_owner::renew_proof(moment now)
+{
+    if (m_journal->busy() || now.m_at - m_journal->proven_at() <= m_options.m_proof_interval) {
+        return;
     }
+    const auto text = std::to_string(now.m_unix_ms);
+    m_journal->write(
+        {{std::string{proof_key}, std::vector<std::uint8_t>{text.begin(), text.end()}, 0}},
+        now.m_at);
 }
 
 void fleet_owner::adapt_to_lag(time_point now)
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -1,9 +1,8 @@
 #include "peridotrudder/scheduling/job_scheduler.hpp"
 
-#include "peridotrudder/scheduling/run_adoption.hpp"
-
 #include <algorithm>
 #include <fmt/format.h>
+#include <limits>
 
 namespace peridotrudder {
 
@@ -49,9 +48,6 @@
     m_state.m_options = options;
     m_state.m_ports = std::move(ports);
     m_state.m_job_store = std::move(store);
-    for (const auto& [id, stored_job] : m_state.m_job_store.jobs()) {
-        m_recorded_states.emplace(id, visible_state(stored_job));
-    }
 }
 
 void job_scheduler::set_config(fleet_config config)
@@ -101,7 +97,21 @@
 
 void job_scheduler::begin(moment now)
 {
-    adopt_recorded_runs(m_state, now);
+    begin_some(std::numeric_limits<std::size_t>::max(), now);
+}
+
+std::size_t job_scheduler::begin_some(std::size_t max_jobs, moment now)
+{
+    std::size_t adopted = 0;
+    while (adopted < max_jobs) {
+        const auto* stored_job = m_adoption.adopt_next(m_state, now);
+        if (stored_job == nullptr) {
+            break;
+        }
+        m_recorded_states.emplace(stored_job->header().m_id, visible_state(*stored_job));
+        ++adopted;
+    }
+    return adopted;
 }
 
 void job_scheduler::set_hold_pause(milliseconds pause)
--- a/src/scheduling/run_adoption.cpp
+++ b/src/scheduling/run_adoption.cpp
@@ -4,6 +4,7 @@
 #include "peridotrudder/scheduling/run_tracker.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace peridotrudder {
 
@@ -67,19 +68,27 @@
 
 } // namespace
 
-void adopt_recorded_runs(scheduler_state& state, moment now)
+const job* run_adoption::adopt_next(scheduler_state& state, moment now)
 {
-    for (const auto& [id, stored_job] : state.m_job_store.jobs()) {
-        if (stored_job.phase() == job_phase::active) {
-            state.m_schedulable_jobs.insert(id);
-        }
-        for (const auto& ref : stored_job.placed_refs()) {
-            adopt(state, {id, ref}, stored_job, now);
-        }
-        for (const auto& leftover : stored_job.leftovers()) {
-            charge_leftover(state, stored_job, leftover, now);
-        }
+    const auto& jobs = state.m_job_store.jobs();
+    const auto next = m_last_job ? jobs.upper_bound(*m_last_job) : jobs.begin();
+    if (next == jobs.end()) {
+        m_complete = true;
+        return nullptr;
     }
+    const auto& [id, stored_job] = *next;
+    if (stored_job.phase() == job_phase::active) {
+        state.m_schedulable_jobs.insert(id);
+    }
+    for (const auto& ref : stored_job.placed_refs()) {
+        adopt(state, {id, ref}, stored_job, now);
+    }
+    for (const auto& leftover : stored_job.leftovers()) {
+        charge_leftover(state, stored_job, leftover, now);
+    }
+    m_last_job = id;
+    m_complete = std::next(next) == jobs.end();
+    return &stored_job;
 }
 
 } // namespace peridotrudder
