--- a/test/node/fleet_owner_fixture.hpp
+++ b/test/node/fleet_owner_fixture.hpp
@@ -43,6 +43,10 @@
     std::vector<std::uint8_t> m_versions{1};
     /// Keys of the only tenant in each version that has tenants.
     std::map<std::uint8_t, std::vector<std::string>> m_keys;
+    /// Quota of that tenant; none while zero.
+    resources m_quota;
+    /// Most jobs that an owner handles in one turn of the loop while it loads.
+    std::size_t m_jobs_per_turn{owner_options{}.m_jobs_per_turn};
     /// How many reads of the operators' topic from now on are on a silent connection.
     int m_silent_reads{0};
     std::size_t m_operator_reads{0};
@@ -65,6 +69,7 @@
     {
         owner_options options;
         options.m_epoch = epoch;
+        options.m_jobs_per_turn = m_jobs_per_turn;
         owner_ports ports;
         ports.m_loop.m_now = [this] { return m_now; };
         ports.m_loop.m_after = [this](milliseconds delay, std::function<void()> action) {
@@ -138,6 +143,7 @@
                 tenant_config tenant;
                 tenant.m_name = "tenant";
                 tenant.m_key_digests = keys->second;
+                tenant.m_quota = m_quota;
                 return tl::expected<fleet_config, decode_error>{
                     fleet_config::create(config->version(), config->queues(), config->pools(),
                                          tenant_directory::create({tenant}))};
