Bound the placement pass, and pause after futile ones

The first batch after a takeover placed every task of a free fleet at once, and while thousands of jobs waited each answer of a worker led to a whole pass. A pass now starts about 1,000 tasks at most, and a pass that started nothing is followed by a pause of three times its duration, during which records and answers are still written.

--- a/include/peridotrudder/node/fleet_owner.hpp
+++ b/include/peridotrudder/node/fleet_owner.hpp
@@ -140,6 +140,10 @@
     bool key_is_uncertain(const job_call& call, bool lacks_key) const;
     void take_worker_records(const std::vector<keyed_record>& records, bool snapshot);
     void write_pending();
+    /// Places tasks, and returns what there is to write.
+    write_batch place();
+    /// Returns whether it is too early for the next placement pass.
+    bool pass_must_wait() const;
     void end();
     void report_wave_state(const std::string& key, bool completed);
     fleet_planner_ports make_planner_ports();
@@ -167,6 +171,7 @@
     bool m_journal_read{false};
     std::optional<write_batch> m_writing;
     time_point m_writing_since;
+    time_point m_next_pass_at;
     /// Jobs that are being restored from the journal; null before and after.
     std::unique_ptr<job_reader> m_reader;
     restore_report m_restored;
--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -85,7 +85,12 @@
 
     /// Returns whether there are records to write, effects that wait for a write, or jobs to place.
     bool needs_write() const;
+    /// Places the tasks that fit, and returns what there is to write.
     write_batch take_batch(moment now);
+    /// Returns whether there are records to write or effects that wait for a write.
+    bool has_changes() const;
+    /// Returns what there is to write, without placing anything.
+    write_batch take_changes();
     void written(const write_batch& batch, moment now);
 
     /// Returns the state, for planners and operators.
--- a/include/peridotrudder/scheduling/task_placer.hpp
+++ b/include/peridotrudder/scheduling/task_placer.hpp
@@ -7,6 +7,7 @@
 #include "peridotrudder/scheduling/job_rank.hpp"
 #include "peridotrudder/scheduling/run_tracker.hpp"
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
@@ -19,7 +20,8 @@
 public:
     explicit task_placer(scheduler_state& state) : m_state{&state} {}
 
-    /// Places every waiting task that fits. Starts are sent only after they are recorded.
+    /// Places the waiting tasks that fit, up to a bounded number; the jobs of the others remain
+    /// schedulable. Starts are sent only after they are recorded.
     void place_all(moment now);
 
 private:
@@ -70,6 +72,9 @@
     std::vector<resources> m_sizes_without_room;
     /// The order of the pool that is being placed; null without tenants.
     fair_order* m_order{nullptr};
+    /// Tasks placed so far in this pass's pool, and the most that may be.
+    std::size_t m_starts{0};
+    std::size_t m_max_starts{0};
 };
 
 } // namespace peridotrudder
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <variant>
 
 namespace peridotrudder {
 
@@ -23,6 +24,10 @@
 constexpr double lag_for_double_pause_ms = 10.0;
 constexpr milliseconds max_hold_pause{250};
 constexpr milliseconds status_retry{200};
+/// Pause after a placement pass that started nothing, as a multiple of its duration. Over thousands
+/// of waiting jobs a pass takes milliseconds; one for each answer of a worker would use up a slow
+/// processor.
+constexpr int pause_per_pass_time = 3;
 /// Pause between two steps of loading, in which the loop handles whatever else is due.
 constexpr milliseconds turn_pause{1};
 
@@ -417,10 +422,12 @@
 {
     while (m_phase == owner_phase::serving && !m_journal->busy()) {
         auto planned = m_planner->take_changes();
-        if (planned.empty() && !m_scheduler->needs_write()) {
+        const bool places = !pass_must_wait();
+        if (planned.empty() &&
+            !(places ? m_scheduler->needs_write() : m_scheduler->has_changes())) {
             return;
         }
-        auto batch = m_scheduler->take_batch(m_ports.m_loop.m_now());
+        auto batch = places ? place() : m_scheduler->take_changes();
         batch.m_records.insert(batch.m_records.end(), std::make_move_iterator(planned.begin()),
                                std::make_move_iterator(planned.end()));
         if (!batch.m_records.empty()) {
@@ -437,6 +444,25 @@
     }
 }
 
+write_batch fleet_owner::place()
+{
+    const auto begun = m_ports.m_loop.m_now();
+    auto batch = m_scheduler->take_batch(begun);
+    const bool has_starts =
+        std::any_of(batch.m_effects.begin(), batch.m_effects.end(), [](const auto& effect) {
+            return std::holds_alternative<start_effect>(effect);
+        });
+    const auto ended_at = m_ports.m_loop.m_now().m_at;
+    m_next_pass_at =
+        has_starts ? ended_at : ended_at + remaining(begun.m_at, ended_at) * pause_per_pass_time;
+    return batch;
+}
+
+bool fleet_owner::pass_must_wait() const
+{
+    return m_ports.m_loop.m_now().m_at < m_next_pass_at;
+}
+
 void fleet_owner::tick()
 {
     const auto now = m_ports.m_loop.m_now();
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -488,8 +488,7 @@
 
 bool job_scheduler::needs_write() const
 {
-    return m_state.m_job_store.has_changes() || !m_state.m_effects.empty() ||
-           !m_state.m_schedulable_jobs.empty();
+    return has_changes() || !m_state.m_schedulable_jobs.empty();
 }
 
 write_batch job_scheduler::take_batch(moment now)
@@ -498,6 +497,16 @@
     if (const auto request = m_state.m_tickets.next_policy_request(now.m_at)) {
         m_state.m_ports.m_ask(*request);
     }
+    return take_changes();
+}
+
+bool job_scheduler::has_changes() const
+{
+    return m_state.m_job_store.has_changes() || !m_state.m_effects.empty();
+}
+
+write_batch job_scheduler::take_changes()
+{
     write_batch batch;
     for (const auto& id : m_state.m_job_store.dirty_ids()) {
         const auto* changed = m_state.m_job_store.find(id);
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// Starts of one pass. More in one turn of the loop would delay an owner's heartbeats on a slow
+/// processor when a whole fleet is free, as after a takeover that outlasts the runs.
+constexpr std::size_t max_starts_per_pass = 1'000;
+
 bool has_waiting(const job& source, std::uint32_t occurrence, std::uint32_t step)
 {
     return source.waiting(occurrence, step) != 0 && source.unblocked(occurrence, step);
@@ -90,6 +94,7 @@
     chosen.m_session->note_start(now.m_at + crash_window, run.m_on_trial);
     m_state->m_job_store.mark_changed(key.m_job);
     m_state->m_effects.emplace_back(start_effect{instance, key, number});
+    ++m_starts;
 }
 
 bool task_placer::has_stranger_of_step(const run_key& first, std::uint32_t count) const
@@ -156,6 +161,7 @@
         m_state->m_effects.emplace_back(start_effect{instances[index], key, number});
     }
     m_state->m_job_store.mark_changed(target.header().m_id);
+    m_starts += count;
     return true;
 }
 
@@ -305,6 +311,10 @@
         return left.m_rank < right.m_rank;
     });
     for (const auto& waiting : jobs) {
+        if (m_starts >= m_max_starts) {
+            // The others remain schedulable, for the pass after the next write.
+            return;
+        }
         if (place_job(waiting, candidates, now)) {
             m_state->m_schedulable_jobs.erase(waiting.m_rank.m_id);
         }
@@ -327,6 +337,9 @@
     fair_order order{offered, pool, capacity};
     m_order = &order;
     while (const auto index = order.next()) {
+        if (m_starts >= m_max_starts) {
+            break;
+        }
         const bool all = place_job(jobs[*index], candidates, now);
         if (all) {
             m_state->m_schedulable_jobs.erase(jobs[*index].m_rank.m_id);
@@ -341,9 +354,12 @@
 void task_placer::place_all(moment now)
 {
     m_state->m_quotas.expire(now.m_at);
-    for (auto& [pool, jobs] : collect(now)) {
+    auto by_pool = collect(now);
+    m_max_starts = max_starts_per_pass / std::max<std::size_t>(by_pool.size(), 1) + 1;
+    for (auto& [pool, jobs] : by_pool) {
         auto candidates = candidates_of(pool, now.m_at);
         m_sizes_without_room.clear();
+        m_starts = 0;
         if (m_state->m_config.tenants().enabled()) {
             place_fairly(pool, jobs, candidates, now);
             note_free_workers(pool, candidates, now.m_at);
