Send the first holds in bounded numbers, and show that an owner loads

The answers to the first holds of 350 workers kept the loop busy in one go; now 50 workers get their first hold in a tick. The pause after a futile placement pass is at most 100 ms. Gauges owner_loading, restored_jobs and adopted_jobs.

--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -266,6 +266,8 @@
     std::optional<hold_order> next_hold(time_point now);
     /// Returns when the next hold is due; nothing if none can be sent now.
     std::optional<time_point> hold_due() const;
+    /// Returns whether no hold has been sent yet.
+    bool never_held() const { return m_hold_sent_at == time_point{}; }
     /// Applies the answer to the hold that was sent at `sent_at`.
     hold_outcome hold_answered(const hold_answer& answer, time_point sent_at, time_point now);
     /// Notes that the start of a run was sent just now, or may have been sent until now.
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -28,6 +28,7 @@
 /// of waiting jobs a pass takes milliseconds; one for each answer of a worker would use up a slow
 /// processor.
 constexpr int pause_per_pass_time = 3;
+constexpr milliseconds max_pass_pause{100};
 /// Pause between two steps of loading, in which the loop handles whatever else is due.
 constexpr milliseconds turn_pause{1};
 
@@ -453,8 +454,8 @@
             return std::holds_alternative<start_effect>(effect);
         });
     const auto ended_at = m_ports.m_loop.m_now().m_at;
-    m_next_pass_at =
-        has_starts ? ended_at : ended_at + remaining(begun.m_at, ended_at) * pause_per_pass_time;
+    const auto pause = remaining(begun.m_at, ended_at) * pause_per_pass_time;
+    m_next_pass_at = has_starts ? ended_at : ended_at + std::min(pause, max_pass_pause);
     return batch;
 }
 
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -365,6 +365,12 @@
         metrics.set_gauge("lost_log_lines", static_cast<double>(lost_log_lines()));
         metrics.set_gauge(
             "relays", m_distributor ? static_cast<double>(m_distributor->relays().size()) : 0.0);
+        const bool loads = m_owner && m_owner->phase() == owner_phase::loading;
+        metrics.set_gauge("owner_loading", loads ? 1.0 : 0.0);
+        metrics.set_gauge("restored_jobs",
+                          m_owner ? static_cast<double>(m_owner->restored_jobs()) : 0.0);
+        metrics.set_gauge("adopted_jobs",
+                          m_owner ? static_cast<double>(m_owner->adopted_jobs()) : 0.0);
         const auto* scheduler = m_owner ? m_owner->scheduler() : nullptr;
         if (scheduler != nullptr) {
             const auto& state = scheduler->state();
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -24,6 +24,9 @@
 constexpr int stall_estimate_percent = 4;
 constexpr int percent_per_whole = 100;
 constexpr std::uint32_t full_percent = 100;
+/// All workers of a fleet answer their first holds at once, and the answers list all their runs.
+/// More at a time would delay the heartbeats of a new owner on a slow processor.
+constexpr std::size_t max_first_holds_per_tick = 50;
 
 milliseconds stall_timeout(const worker_run& run)
 {
@@ -608,6 +611,7 @@
 void run_tracker::tick(moment now)
 {
     static const std::map<run_key, worker_run> no_runs;
+    std::size_t first_holds = 0;
     for (auto entry = m_state->m_workers.begin(); entry != m_state->m_workers.end();) {
         auto& session = entry->second;
         const bool unreachable = session.silent() || session.report().m_port == 0;
@@ -633,8 +637,11 @@
         for (const auto& key : repeated_stops) {
             stop_run(session, key, now.m_at);
         }
-        if (session.report().m_port != 0) {
+        const bool is_first = session.never_held();
+        const bool must_wait = is_first && first_holds >= max_first_holds_per_tick;
+        if (session.report().m_port != 0 && !must_wait) {
             if (const auto hold = session.next_hold(now.m_at)) {
+                first_holds += is_first ? 1 : 0;
                 m_state->m_ports.m_hold(session.report(), *hold);
             }
         }
--- a/test/node/fleet_owner_fixture.hpp
+++ b/test/node/fleet_owner_fixture.hpp
@@ -43,6 +43,8 @@
     std::vector<std::uint8_t> m_versions{1};
     /// Keys of the only tenant in each version that has tenants.
     std::map<std::uint8_t, std::vector<std::string>> m_keys;
+    /// Time that passes at each reading of the clock, as on a slow processor.
+    milliseconds m_time_per_reading{0};
     /// Quota of that tenant; none while zero.
     resources m_quota;
     /// Most jobs that an owner handles in one turn of the loop while it loads.
@@ -71,7 +73,11 @@
         options.m_epoch = epoch;
         options.m_jobs_per_turn = m_jobs_per_turn;
         owner_ports ports;
-        ports.m_loop.m_now = [this] { return m_now; };
+        ports.m_loop.m_now = [this] {
+            m_now.m_at += m_time_per_reading;
+            m_now.m_unix_ms += m_time_per_reading.count();
+            return m_now;
+        };
         ports.m_loop.m_after = [this](milliseconds delay, std::function<void()> action) {
             m_due.emplace(m_now.m_at + delay, std::move(action));
         };
--- a/test/node/owner_loading_test.cpp
+++ b/test/node/owner_loading_test.cpp
@@ -94,6 +94,8 @@
     CPPUNIT_TEST(nothing_starts_before_all_runs_count);
     CPPUNIT_TEST(nothing_starts_above_a_quota_that_adopted_runs_use_up);
     CPPUNIT_TEST(configuration_that_comes_while_jobs_load_is_in_force_afterwards);
+    CPPUNIT_TEST(calls_are_answered_while_placement_pauses);
+    CPPUNIT_TEST(freed_room_is_used_after_the_pause_of_placement);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -329,6 +331,32 @@
         it.pass(milliseconds{500});
         CPPUNIT_ASSERT_EQUAL(4, it.m_starts);
     }
+
+    // After slow passes that start nothing, records and answers must not wait for the next one.
+    void calls_are_answered_while_placement_pauses()
+    {
+        loading_fixture it;
+        it.leave_jobs();
+        it.m_time_per_reading = milliseconds{3};
+        it.pass(milliseconds{10});
+        it.m_time_per_reading = milliseconds{0};
+        const auto token = it.submit(job_id(many_jobs));
+        it.pass(milliseconds{6});
+        CPPUNIT_ASSERT_EQUAL(std::string{"done"}, it.status(token));
+        CPPUNIT_ASSERT_EQUAL(many_jobs + 1, it.recorded_jobs());
+    }
+
+    // The pause must end without a further event.
+    void freed_room_is_used_after_the_pause_of_placement()
+    {
+        loading_fixture it;
+        it.leave_jobs();
+        it.m_time_per_reading = milliseconds{1};
+        it.pass(milliseconds{100});
+        it.m_running.clear();
+        it.pass(milliseconds{3'000});
+        CPPUNIT_ASSERT(it.m_starts > 4);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(owner_loading_test);
