Let tasks wait for the rack of their data or group while that pays

Callers saw jobs that want a hot rack end late: their tasks started at once on other racks, where they take two to three times as long, and so filled these racks in turn.

Cause: placement preferred the data rack only if it had room at that moment, and knew neither how long runs take nor when room comes; m_same_rack was not used at all.

Change: run_times learns run times by queue, image and resources, and the speed of workers. locality_wait compares the expected completion on the wanted rack with the one on the worker that is free now; rack_placement applies it to a placement pass. A wait reserves nothing and has a deadline.

--- /dev/null
+++ b/bench/uneven_load_main.cpp
@@ -0,0 +1,80 @@
+/// @file
+/// Prints what waiting for racks, and copies of slow runs, change under an uneven load.
+
+#include "scheduling/uneven_load.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace peridotrudder;
+
+constexpr std::uint64_t seeds = 5;
+constexpr int peaks = 3;
+
+struct summary {
+    double m_mean_ms{0.0};
+    double m_p95_ms{0.0};
+    double m_in_time{0.0};
+    double m_near{0.0};
+    std::size_t m_waits{0};
+    std::size_t m_missed{0};
+};
+
+summary replay(uneven_load_options options)
+{
+    summary sum;
+    for (options.m_seed = 1; options.m_seed <= seeds; ++options.m_seed) {
+        uneven_load load{options};
+        load.play(peaks);
+        const auto report = load.report();
+        if (!report.m_violation.empty()) {
+            fmt::print("seed {}: {}\n", options.m_seed, report.m_violation);
+        }
+        constexpr auto count = static_cast<double>(seeds);
+        sum.m_mean_ms += report.m_mean_ms / count;
+        sum.m_p95_ms += static_cast<double>(report.m_p95.count()) / count;
+        sum.m_in_time += report.m_in_time_share / count;
+        sum.m_near += static_cast<double>(report.m_near_starts) /
+                      static_cast<double>(std::max<std::size_t>(report.m_starts, 1)) / count;
+        sum.m_waits += report.events("rack_wait");
+        sum.m_missed += report.events("rack_missed");
+    }
+    return sum;
+}
+
+void print(const std::string& name, uneven_load_options options)
+{
+    const auto result = replay(options);
+    fmt::print("{:<38} mean {:5.0f} ms, p95 {:5.0f} ms, in time {:.3f}, near {:.3f}, waits {}, "
+               "missed {}\n",
+               name, result.m_mean_ms, result.m_p95_ms, result.m_in_time, result.m_near,
+               result.m_waits, result.m_missed);
+}
+
+} // namespace
+
+int main()
+{
+    for (const bool same_rack : {false, true}) {
+        for (const double far : {2.0, 3.0}) {
+            for (const double rate : {10.0, 20.0, 30.0, 40.0}) {
+                uneven_load_options options;
+                options.m_same_rack = same_rack;
+                options.m_far_factor = far;
+                options.m_peak_jobs_per_second = rate;
+                const auto name = fmt::format("{}, {:.0f} times, {:.0f} jobs/s",
+                                              same_rack ? "group" : "data", far, rate);
+                options.m_known_far_factor = 1.0;
+                print(name + ", no waits", options);
+                options.m_known_far_factor = far;
+                print(name + ", waits", options);
+            }
+        }
+    }
+    return 0;
+}
--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -50,6 +50,10 @@
     bool m_best_effort{false};
     milliseconds m_latency_target{0};
     milliseconds m_estimate{0};
+    /// Expected run time on this worker; zero if the run was not placed by this owner.
+    milliseconds m_expected{0};
+    /// Factor by which the run takes longer because of its rack.
+    double m_place_factor{1.0};
     /// The worker refuses the start after this time, in Unix milliseconds on its own clock; zero if
     /// this owner sent no start to the present incarnation.
     std::int64_t m_start_deadline_ms{0};
--- a/include/peridotrudder/node/node_settings.hpp
+++ b/include/peridotrudder/node/node_settings.hpp
@@ -47,6 +47,8 @@
     milliseconds m_vm_lease{3'000};
     milliseconds m_move_time{1'500};
     milliseconds m_maintenance_time{2'000};
+    /// Factor by which a task takes longer on another rack than its data or its group.
+    double m_far_factor{1.0};
 };
 
 /// Returns the settings in an INI file, or all errors in it. Unknown sections and keys are errors,
--- a/include/peridotrudder/scheduling/placement.hpp
+++ b/include/peridotrudder/scheduling/placement.hpp
@@ -33,6 +33,8 @@
     bool m_last_attempt{false};
     /// The task is suspected of crashing its workers, so it starts where nothing else just has.
     bool m_on_trial{false};
+    /// Rack that the task runs fastest on; empty for none.
+    std::string m_preferred_rack;
     /// Tickets that restrict the workers; null if no placement policy applies.
     const ticket_cache* m_tickets{nullptr};
 
@@ -46,6 +48,9 @@
 /// Returns whether the worker has the label that the step requires, if any.
 bool has_required_label(const step_spec& step, const worker_session& session);
 
+/// Returns whether the worker has room for the task now and meets its constraints but for tickets.
+bool has_room(const placement_request& request, const candidate& worker, time_point now);
+
 /// Returns the best candidate, or null if none fits.
 ///
 /// The queues' load peaks at different times. Tasks are packed on the fullest worker that fits them
--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -60,6 +60,9 @@
     /// Lets the job's next record tell a successor that the start of the run is not open.
     void note_settled_start(const run_key& key, std::uint32_t run);
     void handle_end(worker_session& session, const ended_entry& ended, moment now);
+    /// Learns from a run that succeeded how long such runs take.
+    void learn_run_time(const worker_session& session, const worker_run& run,
+                        const ended_entry& ended, time_point now);
     /// Lets an unclear end be acknowledged if its task will not start again.
     void judge_unclear_end(worker_session& session, const unclear_end& end);
     void update_worker_health(worker_session& session, const job& target, const run_key& key,
--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -9,6 +9,7 @@
 #include "peridotrudder/scheduling/admission.hpp"
 #include "peridotrudder/scheduling/job_call.hpp"
 #include "peridotrudder/scheduling/pool_config.hpp"
+#include "peridotrudder/scheduling/run_times.hpp"
 #include "peridotrudder/scheduling/ticket_cache.hpp"
 #include "peridotrudder/tenants/quota_ledger.hpp"
 
@@ -89,6 +90,9 @@
     lease_options m_lease;
     /// Time for which an ended job is kept for queries.
     milliseconds m_retention{120'000};
+    /// Factor by which a task takes longer on another rack than its data or its group; 1 or less
+    /// lets no task wait for a rack.
+    double m_far_factor{1.0};
 };
 
 /// Totals over accepted jobs, based on their estimates. They grow as long as the owner serves,
@@ -111,6 +115,9 @@
     resources m_room;
 };
 
+/// Returns the class of tasks that a step's tasks belong to.
+run_class class_of(const job& source, std::uint32_t step);
+
 struct scheduler_state {
     scheduler_options m_options;
     scheduler_ports m_ports;
@@ -138,6 +145,8 @@
     std::map<run_key, std::set<std::string>> m_strangers;
     /// Worker on which a task failed last.
     std::map<run_key, std::string> m_failed_on;
+    /// Learned run times. Only the quality of choices depends on them.
+    run_times m_run_times;
     /// Effects to carry out once the next batch is written.
     std::vector<write_effect> m_effects;
     bool m_deposed{false};
--- a/include/peridotrudder/scheduling/task_placer.hpp
+++ b/include/peridotrudder/scheduling/task_placer.hpp
@@ -5,6 +5,7 @@
 
 #include "peridotrudder/scheduling/fair_order.hpp"
 #include "peridotrudder/scheduling/job_rank.hpp"
+#include "peridotrudder/scheduling/rack_placement.hpp"
 #include "peridotrudder/scheduling/run_tracker.hpp"
 
 #include <cstddef>
@@ -18,7 +19,7 @@
 /// configuration has tenants. Not thread-safe.
 class task_placer {
 public:
-    explicit task_placer(scheduler_state& state) : m_state{&state} {}
+    explicit task_placer(scheduler_state& state) : m_state{&state}, m_racks{state} {}
 
     /// Places the waiting tasks that fit, up to a bounded number; the jobs of the others remain
     /// schedulable. Starts are sent only after they are recorded.
@@ -50,7 +51,7 @@
     bool has_stranger_of_step(const run_key& first, std::uint32_t count) const;
     bool place_gang(const waiting_job& waiting, std::uint32_t occurrence, std::uint32_t step,
                     std::vector<candidate>& candidates, moment now);
-    placement_request make_placement_request(const waiting_job& waiting, const task_ref& ref) const;
+    placement_request make_placement_request(const waiting_job& waiting, const task_ref& ref);
     /// Returns a worker that the task may start on now, or null. Then asks for tickets.
     candidate* find_worker(const waiting_job& waiting, const placement_request& request,
                            std::vector<candidate>& candidates, time_point now);
@@ -68,6 +69,7 @@
     void remember_size(const placement_request& request);
 
     scheduler_state* m_state;
+    rack_placement m_racks;
     /// Sizes that did not fit in this pass's pool; tasks at least as large are not tried.
     std::vector<resources> m_sizes_without_room;
     /// The order of the pool that is being placed; null without tenants.
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -1,5 +1,6 @@
 #include "peridotrudder/node/node_settings.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace peridotrudder {
@@ -51,6 +52,16 @@
     return static_cast<std::int64_t>(value * thousandths);
 }
 
+/// Reads a factor of 1 or more; 1 if the key is absent or empty.
+double read_factor(ini_reader& reader, const std::string& section, const std::string& key)
+{
+    if (reader.optional_text(section, key).empty()) {
+        return 1.0;
+    }
+    const auto value = read_thousandths(reader, section, key);
+    return std::max(static_cast<double>(value) / thousandths, 1.0);
+}
+
 milliseconds read_seconds(ini_reader& reader, const std::string& section, const std::string& key)
 {
     return milliseconds{read_thousandths(reader, section, key)};
@@ -86,6 +97,7 @@
     settings.m_vm_lease = read_ms(reader, "limits", "vm_lease_ms");
     settings.m_move_time = read_seconds(reader, "limits", "move_s");
     settings.m_maintenance_time = read_seconds(reader, "limits", "maintenance_s");
+    settings.m_far_factor = read_factor(reader, "limits", "far_factor");
     auto errors = reader.finish();
     if (!errors.empty()) {
         return tl::make_unexpected(std::move(errors));
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -52,6 +52,7 @@
 
 void job_scheduler::set_config(fleet_config config)
 {
+    forget_changed_queues(config);
     m_state.m_config = std::move(config);
     m_state.m_quotas.set_tenants(m_state.m_config.tenants());
     m_arrivals.retain(m_state.m_config.tenants());
@@ -63,6 +64,17 @@
     }
 }
 
+void job_scheduler::forget_changed_queues(const fleet_config& config)
+{
+    for (const auto& queue : m_state.m_config.queues()) {
+        const auto key = queue_key(queue);
+        const auto* next = config.find_queue(key);
+        if (next == nullptr || encode_packed(*next) != encode_packed(queue)) {
+            m_state.m_run_times.forget_queue(key);
+        }
+    }
+}
+
 void job_scheduler::worker_listed(const worker_report& report, moment now)
 {
     auto* session = m_state.find_worker(report.m_instance.m_worker);
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -34,27 +34,6 @@
     return count;
 }
 
-bool has_room(const placement_request& request, const candidate& worker, time_point now)
-{
-    const auto& session = *worker.m_session;
-    const auto& step = *request.m_step;
-    if (!session.takes_work(now) || !fits(reserved_for(step), session.room())) {
-        return false;
-    }
-    const bool kept_for_other =
-        session.kept_for(now) != nullptr && !is_kept_for(worker, request.key(), now);
-    if (session.has_trial(now) || kept_for_other) {
-        return false;
-    }
-    if (worker.m_unhealthy && request.m_last_attempt) {
-        return false;
-    }
-    if (!has_required_label(step, session)) {
-        return false;
-    }
-    return step.m_max_per_worker == 0 || tasks_of_step(session, request) < step.m_max_per_worker;
-}
-
 bool may_run(const placement_request& request, const candidate& worker, time_point now)
 {
     const bool permitted =
@@ -77,24 +56,24 @@
 {
     const auto& session = *worker.m_session;
     const auto& step = *request.m_step;
-    const bool off_data_rack =
-        !step.m_data_rack.empty() && session.report().m_rack != step.m_data_rack;
+    const bool off_rack =
+        !request.m_preferred_rack.empty() && session.report().m_rack != request.m_preferred_rack;
     const bool avoided = session.id() == request.m_avoid;
     const auto room = session.room().m_cpu_millis;
     if (request.m_on_trial) {
         // As few runs as possible would be lost with the worker.
-        return {worker.m_unhealthy, avoided, off_data_rack,
+        return {worker.m_unhealthy, avoided, off_rack,
                 static_cast<std::int64_t>(session.runs().size()), room};
     }
     if (step.m_best_effort) {
-        return {worker.m_unhealthy, avoided, off_data_rack, session.best_effort_cpu_millis() - room,
+        return {worker.m_unhealthy, avoided, off_rack, session.best_effort_cpu_millis() - room,
                 room};
     }
     if (step.m_long_running) {
-        return {worker.m_unhealthy, avoided, off_data_rack,
-                -std::int64_t{session.long_running_runs()}, room};
+        return {worker.m_unhealthy, avoided, off_rack, -std::int64_t{session.long_running_runs()},
+                room};
     }
-    return {worker.m_unhealthy, avoided, off_data_rack, room, 0};
+    return {worker.m_unhealthy, avoided, off_rack, room, 0};
 }
 
 } // namespace
@@ -115,6 +94,27 @@
     return reserved;
 }
 
+bool has_room(const placement_request& request, const candidate& worker, time_point now)
+{
+    const auto& session = *worker.m_session;
+    const auto& step = *request.m_step;
+    if (!session.takes_work(now) || !fits(reserved_for(step), session.room())) {
+        return false;
+    }
+    const bool kept_for_other =
+        session.kept_for(now) != nullptr && !is_kept_for(worker, request.key(), now);
+    if (session.has_trial(now) || kept_for_other) {
+        return false;
+    }
+    if (worker.m_unhealthy && request.m_last_attempt) {
+        return false;
+    }
+    if (!has_required_label(step, session)) {
+        return false;
+    }
+    return step.m_max_per_worker == 0 || tasks_of_step(session, request) < step.m_max_per_worker;
+}
+
 std::vector<worker_instance> workers_with_room(const placement_request& request,
                                                const std::vector<candidate>& candidates,
                                                time_point now)
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -346,6 +346,7 @@
 {
     const auto* run = session.find(ended.m_key);
     if (run != nullptr && run->m_run == ended.m_run) {
+        learn_run_time(session, *run, ended, now.m_at);
         session.release(ended.m_key);
     }
     auto* target = m_state->m_job_store.find(ended.m_key.m_job);
@@ -377,6 +378,26 @@
     }
 }
 
+void run_tracker::learn_run_time(const worker_session& session, const worker_run& run,
+                                 const ended_entry& ended, time_point now)
+{
+    // Adopted runs began at an unknown time, and tasks with a checkpoint had done part of the work.
+    const bool measured = ended.m_run_end == run_end::done && run.m_ordered_at &&
+                          run.m_phase == run_phase::running && !run.m_stopping &&
+                          !run.m_best_effort && !run.m_long_running;
+    const auto* source = measured ? m_state->m_job_store.find(ended.m_key.m_job) : nullptr;
+    if (source == nullptr || !source->has(ended.m_key.m_task)) {
+        return;
+    }
+    const auto& step = source->spec().m_steps[ended.m_key.m_task.m_step];
+    if (step.m_gang || !source->at(ended.m_key.m_task).m_checkpoint.empty()) {
+        return;
+    }
+    m_state->m_run_times.learn({class_of(*source, ended.m_key.m_task.m_step), session.instance(),
+                                step.m_estimate, remaining(run.m_confirmed_at, now),
+                                run.m_place_factor});
+}
+
 void run_tracker::judge_unclear_end(worker_session& session, const unclear_end& end)
 {
     const auto* target = m_state->m_job_store.find(end.m_key.m_job);
--- a/src/scheduling/scheduler_state.cpp
+++ b/src/scheduling/scheduler_state.cpp
@@ -10,6 +10,12 @@
     return fmt::format("{}.{}.{}", task.m_occurrence, task.m_step, task.m_index);
 }
 
+run_class class_of(const job& source, std::uint32_t step)
+{
+    const auto& spec = source.spec().m_steps[step];
+    return {queue_key(source.header().m_queue), spec.m_image, spec.m_task_resources};
+}
+
 namespace {
 
 /// Lower than for forwarded calls, because a worker that fails every run at once becomes free at
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -52,7 +52,7 @@
 }
 
 placement_request task_placer::make_placement_request(const waiting_job& waiting,
-                                                      const task_ref& ref) const
+                                                      const task_ref& ref)
 {
     placement_request request;
     request.m_step = &waiting.m_job->spec().m_steps[ref.m_step];
@@ -67,6 +67,7 @@
     request.m_last_attempt = !request.m_step->m_long_running &&
                              waiting.m_job->failures(ref) + 1 >= waiting.m_queue->m_attempts;
     request.m_on_trial = is_on_trial(waiting.m_job->at(ref));
+    request.m_preferred_rack = m_racks.preferred_rack(*waiting.m_job, ref.m_occurrence, ref.m_step);
     request.m_tickets = waiting.m_queue->m_policy ? &m_state->m_tickets : nullptr;
     return request;
 }
@@ -90,6 +91,7 @@
     auto run = make_charged_run(*m_state, target, ref.m_step, number);
     run.m_placed_at = now.m_at;
     run.m_on_trial = is_on_trial(target.at(ref));
+    m_racks.set_expectation(run, target, ref, *chosen.m_session);
     chosen.m_session->reserve(key, run);
     chosen.m_session->note_start(now.m_at + crash_window, run.m_on_trial);
     m_state->m_job_store.mark_changed(key.m_job);
@@ -198,7 +200,15 @@
             return false;
         }
         const auto request = make_placement_request(waiting, ref);
+        if (m_racks.still_waits(request, now.m_at)) {
+            all = false;
+            continue;
+        }
         if (auto* chosen = find_worker(waiting, request, candidates, now.m_at)) {
+            if (m_racks.waits(request, *chosen, now.m_at)) {
+                all = false;
+                continue;
+            }
             suspects.m_on_trial += on_trial ? 1 : 0;
             place_task(target, ref, *chosen, now);
             if (on_trial) {
@@ -359,6 +369,7 @@
     for (auto& [pool, jobs] : by_pool) {
         auto candidates = candidates_of(pool, now.m_at);
         m_sizes_without_room.clear();
+        m_racks.begin_pass(pool, candidates, now.m_at);
         m_starts = 0;
         if (m_state->m_config.tenants().enabled()) {
             place_fairly(pool, jobs, candidates, now);
--- a/test/node/node_settings_test.cpp
+++ b/test/node/node_settings_test.cpp
@@ -49,6 +49,7 @@
 class node_settings_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(node_settings_test);
     CPPUNIT_TEST(valid_settings_are_read);
+    CPPUNIT_TEST(far_factor_may_be_absent_or_empty);
     CPPUNIT_TEST(wrong_or_missing_keys_are_reported);
     CPPUNIT_TEST_SUITE_END();
 
@@ -69,6 +70,22 @@
         CPPUNIT_ASSERT(read->m_policy.empty());
     }
 
+    // Platforms without racks do not define the factor.
+    void far_factor_may_be_absent_or_empty()
+    {
+        const auto factor_in = [](const std::string& line) {
+            const auto read = parse_node_settings("node.ini", valid_settings + line);
+            CPPUNIT_ASSERT(read.has_value());
+            return read->m_far_factor;
+        };
+        CPPUNIT_ASSERT_EQUAL(1.0, factor_in(""));
+        CPPUNIT_ASSERT_EQUAL(1.0, factor_in("far_factor =\n"));
+        CPPUNIT_ASSERT_EQUAL(1.0, factor_in("far_factor = 0.5\n"));
+        CPPUNIT_ASSERT_EQUAL(2.5, factor_in("far_factor = 2.5\n"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"wrong_type"},
+                             first_fault(std::string{valid_settings} + "far_factor = twice\n"));
+    }
+
     void wrong_or_missing_keys_are_reported()
     {
         CPPUNIT_ASSERT_EQUAL(std::string{"missing_key"},
--- a/test/scheduling/fleet_simulation.hpp
+++ b/test/scheduling/fleet_simulation.hpp
@@ -125,6 +125,7 @@
             call.m_spec->m_steps.push_back(step_of(second_tasks, {0}));
         }
         take_key(call, id);
+        set_preferences(*call.m_spec);
         m_specs[id] = *call.m_spec;
         for (std::uint32_t index = 0; index < std::min(m_deadly_tasks, first_tasks); ++index) {
             m_deadly.insert({id, {0, 0, index}});
@@ -380,6 +381,8 @@
     /// starts.
     void set_policy(bool restricted) { m_restricted = restricted; }
     void set_faults(order_faults faults) { m_faults = faults; }
+    /// Puts the workers in two racks, which tasks prefer. Call before the first owner starts.
+    void set_racks(bool in_racks) { m_in_racks = in_racks; }
     /// Lets no worker carry out a late start that a former incarnation had come to refuse. Workers
     /// do carry it out; this leaves out one known fault, which has a test of its own
     /// (`ruled_out_starts`).
@@ -493,6 +496,12 @@
     }
     /// Returns the last logged duration of each event.
     const std::map<std::string, milliseconds>& timed() const { return m_timed; }
+    /// Returns how often owners logged an event.
+    std::size_t events(const std::string& name) const
+    {
+        const auto found = m_events.find(name);
+        return found == m_events.end() ? 0 : found->second;
+    }
     /// Returns the number of starts without a valid ticket where one was required.
     std::size_t bad_tickets() const { return m_bad_tickets; }
     std::size_t accepted() const { return m_accepted.size(); }
@@ -535,6 +544,20 @@
         return step;
     }
 
+    std::string rack_of(std::uint64_t number) const
+    {
+        return m_in_racks ? "rack-" + std::to_string(number % 2) : std::string{};
+    }
+
+    /// Lets the tasks of a job's steps prefer a rack, that of their data or of each other.
+    void set_preferences(job_spec& spec) const
+    {
+        for (auto& step : spec.m_steps) {
+            step.m_data_rack = m_submitted % 3 == 0 ? std::string{} : rack_of(m_submitted);
+            step.m_same_rack = m_in_racks && step.m_data_rack.empty();
+        }
+    }
+
     static std::string job_id(std::uint32_t number)
     {
         char id[17];
@@ -625,6 +648,7 @@
         report.m_address = worker.m_instance.m_worker + " " + std::to_string(worker.m_moves);
         report.m_port = 80;
         report.m_capacity = {worker.m_capacity, 1'000'000, 0};
+        report.m_rack = rack_of(worker.m_instance.m_worker.back());
         return report;
     }
 
@@ -724,6 +748,7 @@
         restore_report report;
         scheduler_options options;
         options.m_fence = first_token(fresh.m_epoch);
+        options.m_far_factor = m_in_racks ? 2.5 : 1.0;
         m_journal_epoch = fresh.m_epoch;
         fresh.m_ownership_proven_at = m_now;
         fresh.m_scheduler = job_scheduler::create(options, make_ports(fresh),
@@ -873,6 +898,7 @@
             take_answer(token, answer);
         };
         ports.m_log = [this](const decision& entry) {
+            ++m_events[std::string{entry.m_event}];
             if (entry.m_took) {
                 m_timed[std::string{entry.m_event}] = *entry.m_took;
             }
@@ -1511,9 +1537,11 @@
     std::map<std::pair<std::string, std::uint32_t>, std::set<run_key>> m_stopped_tasks;
     static constexpr milliseconds ticket_time{1'500};
     bool m_restricted{false};
+    bool m_in_racks{false};
     std::map<std::string, time_point> m_tickets;
     std::size_t m_bad_tickets{0};
     std::map<std::string, milliseconds> m_timed;
+    std::map<std::string, std::size_t> m_events;
     bool m_judges_failed_jobs{false};
     std::uint32_t m_deadly_tasks{0};
     std::set<run_key> m_deadly;
--- a/test/scheduling/job_scheduler_test.cpp
+++ b/test/scheduling/job_scheduler_test.cpp
@@ -110,6 +110,7 @@
     CPPUNIT_TEST(task_whose_crashed_workers_stay_silent_was_started_without_end);
     CPPUNIT_TEST(neighbours_of_a_task_that_crashes_its_workers_are_completed);
     CPPUNIT_TEST(invariants_hold_in_any_history);
+    CPPUNIT_TEST(tasks_that_prefer_racks_complete_in_any_history);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -706,6 +707,30 @@
         }
     }
 
+    // A wait that is not ended by the loss of the rack or of the owner would keep a job for ever.
+    void tasks_that_prefer_racks_complete_in_any_history()
+    {
+        std::size_t waits = 0;
+        assert_property("tasks that prefer racks complete in any history", [&waits] {
+            fleet_simulation simulation{*rc::gen::arbitrary<std::uint64_t>()};
+            simulation.set_racks(true);
+            simulation.keep_former_refusals();
+            simulation.change_owner(false);
+            const auto actions = *rc::gen::container<std::vector<std::pair<int, std::uint32_t>>>(
+                rc::gen::pair(rc::gen::inRange(0, 16), rc::gen::inRange(0U, 1'000U)));
+            for (const auto& [action, number] : actions) {
+                apply_action(simulation, action, number);
+                simulation.pass(short_time * (number % 9 + 1));
+                RC_ASSERT(simulation.violation().empty());
+            }
+            const bool all_completed = simulation.completes_all_jobs(settling_time);
+            RC_ASSERT(simulation.violation() == "");
+            RC_ASSERT(all_completed);
+            waits += simulation.events("rack_wait");
+        });
+        CPPUNIT_ASSERT(waits > 0);
+    }
+
     void invariants_hold_in_any_history()
     {
         assert_property(
