--- a/include/peridotrudder/scheduling/rack_placement.hpp
+++ b/include/peridotrudder/scheduling/rack_placement.hpp
@@ -44,6 +44,8 @@
         std::vector<const candidate*> m_workers;
         /// CPU of the tasks that wait for the rack and come first, in thousandths of a core.
         std::int64_t m_waiting_cpu_millis{0};
+        /// Sizes that did not fit; tasks at least as large are not tried.
+        std::vector<resources> m_sizes_without_room;
     };
 
     /// Pool, rack, size, label and limit for each worker.
@@ -59,7 +61,7 @@
 
     double far_factor() const { return m_state->m_options.m_far_factor; }
     bool may_wait(const placement_request& request) const;
-    void index_racks();
+    /// Returns the workers of a rack; null if it has none that takes work.
     rack_pass* find_rack(const std::string& rack);
     bool has_room_on_rack(const placement_request& request, time_point now);
     const place_list& places_for(const placement_request& request, time_point now);
@@ -71,7 +73,7 @@
     milliseconds usual_time(const job& source, std::uint32_t occurrence, std::uint32_t step);
     std::string rack_with_most_runs(const job& source, std::uint32_t occurrence,
                                     std::uint32_t step) const;
-    std::string rack_with_most_room(const step_spec& step);
+    std::string rack_with_most_room(const step_spec& step) const;
 
     scheduler_state* m_state;
     rack_waits m_waits;
--- a/src/scheduling/locality_wait.cpp
+++ b/src/scheduling/locality_wait.cpp
@@ -12,7 +12,7 @@
 constexpr int whole_percent = 100;
 /// Interval between decisions for a task whose rack has no room. Each compares all workers of the
 /// pool, and an owner may have an eighth of a core.
-constexpr milliseconds judge_interval{30};
+constexpr milliseconds judge_interval{100};
 constexpr milliseconds prune_interval{5'000};
 /// Time after which a task that was not judged again is forgotten.
 constexpr milliseconds keep_time{30'000};
--- a/src/scheduling/rack_placement.cpp
+++ b/src/scheduling/rack_placement.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <fmt/format.h>
+#include <string_view>
+#include <unordered_map>
 
 namespace peridotrudder {
 
@@ -53,21 +55,19 @@
     }
 }
 
-void rack_placement::index_racks()
+rack_placement::rack_pass* rack_placement::find_rack(const std::string& rack)
 {
-    if (!m_racks.empty() || m_candidates == nullptr) {
-        return;
+    const auto known = m_racks.find(rack);
+    if (known != m_racks.end()) {
+        return known->second.m_workers.empty() ? nullptr : &known->second;
     }
+    auto& pass = m_racks[rack];
     for (const auto& worker : *m_candidates) {
-        m_racks[worker.m_session->report().m_rack].m_workers.push_back(&worker);
+        if (worker.m_session->report().m_rack == rack) {
+            pass.m_workers.push_back(&worker);
+        }
     }
-}
-
-rack_placement::rack_pass* rack_placement::find_rack(const std::string& rack)
-{
-    index_racks();
-    const auto found = m_racks.find(rack);
-    return found == m_racks.end() ? nullptr : &found->second;
+    return pass.m_workers.empty() ? nullptr : &pass;
 }
 
 std::string rack_placement::preferred_rack(const job& source, std::uint32_t occurrence,
@@ -109,23 +109,20 @@
     return most == runs.end() ? std::string{} : most->first;
 }
 
-std::string rack_placement::rack_with_most_room(const step_spec& step)
+std::string rack_placement::rack_with_most_room(const step_spec& step) const
 {
-    index_racks();
-    std::string best;
-    std::int64_t most = 0;
+    std::unordered_map<std::string_view, std::int64_t> places;
     const auto each = std::max<std::int64_t>(reserved_for(step).m_cpu_millis, 1);
-    for (const auto& [rack, pass] : m_racks) {
-        std::int64_t places = 0;
-        for (const auto* worker : pass.m_workers) {
-            places += worker->m_session->room().m_cpu_millis / each;
-        }
-        if (places > most) {
-            most = places;
+    std::string_view best;
+    for (const auto& worker : *m_candidates) {
+        const auto& session = *worker.m_session;
+        const auto& rack = session.report().m_rack;
+        places[rack] += session.room().m_cpu_millis / each;
+        if (best.empty() || places[rack] > places[best]) {
             best = rack;
         }
     }
-    return best;
+    return std::string{best};
 }
 
 bool rack_placement::may_wait(const placement_request& request) const
@@ -139,10 +136,26 @@
 
 bool rack_placement::has_room_on_rack(const placement_request& request, time_point now)
 {
-    const auto* rack = find_rack(request.m_preferred_rack);
-    return rack != nullptr &&
-           std::any_of(rack->m_workers.begin(), rack->m_workers.end(),
-                       [&](const auto* worker) { return has_room(request, *worker, now); });
+    auto* rack = find_rack(request.m_preferred_rack);
+    if (rack == nullptr) {
+        return false;
+    }
+    // Room only shrinks in a pass.
+    const auto required = reserved_for(*request.m_step);
+    auto& too_large = rack->m_sizes_without_room;
+    if (std::any_of(too_large.begin(), too_large.end(),
+                    [&required](const resources& size) { return fits(size, required); })) {
+        return false;
+    }
+    const auto& workers = rack->m_workers;
+    if (std::any_of(workers.begin(), workers.end(),
+                    [&](const auto* worker) { return has_room(request, *worker, now); })) {
+        return true;
+    }
+    if (request.m_step->m_required_label.empty() && request.m_step->m_max_per_worker == 0) {
+        too_large.push_back(required);
+    }
+    return false;
 }
 
 const rack_placement::place_list& rack_placement::places_for(const placement_request& request,
