--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -165,6 +165,8 @@
     bool quota_allows(tenant_account& account, const resources& required, time_point now);
     /// Logs which tenants have begun or ceased to wait for their quotas.
     void log_quota_waits(time_point now);
+    /// Returns whether the expected run times of tasks decide on anything.
+    bool uses_run_times() const { return m_options.m_far_factor > 1.0; }
     /// Returns whether a worker still has a run of the task that it is to stop.
     bool has_stranger(const run_key& key);
     worker_health& health_of(const std::string& pool);
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -390,7 +390,8 @@
         return;
     }
     const auto& step = source->spec().m_steps[ended.m_key.m_task.m_step];
-    if (step.m_gang || !source->at(ended.m_key.m_task).m_checkpoint.empty()) {
+    if (step.m_gang || !m_state->uses_run_times() ||
+        !source->at(ended.m_key.m_task).m_checkpoint.empty()) {
         return;
     }
     m_state->m_run_times.learn({class_of(*source, ended.m_key.m_task.m_step), session.instance(),
