--- a/test/quotas/quota_test.cpp
+++ b/test/quotas/quota_test.cpp
@@ -470,7 +470,10 @@
         scheduler_state successor;
         successor.m_job_store = job_store::restore(predecessor.take_changes(), report);
         successor.m_quotas.set_tenants(one_tenant_of_cores(3));
-        adopt_recorded_runs(successor, m_owner.m_now);
+        run_adoption adoption;
+        while (!adoption.complete()) {
+            adoption.adopt_next(successor, m_owner.m_now);
+        }
         CPPUNIT_ASSERT(successor.m_quotas.may_start("acme", {core, 0, 0}));
         CPPUNIT_ASSERT(!successor.m_quotas.may_start("acme", {2 * core, 0, 0}));
         // Their starts had no answer, so they may still be carried out.
