Judge shares in the property with contracted jobs only

With admission by tenant beside it, jobs beyond a tenant's weight a second are excess, and contracted jobs come first; the oracle of the property knows shares, not excess. Its weights are now so large that no job is excess, in the same ratios, so that its check of shares is as strict as before.

--- a/test/shares/shares_test.cpp
+++ b/test/shares/shares_test.cpp
@@ -487,8 +487,9 @@
     void no_tenant_below_its_share_waits_while_one_above_it_starts()
     {
         assert_property("free capacity goes to the tenant with the lowest weighted share", [] {
+            // So large that no job exceeds its tenant's contracted rate.
             const std::map<std::string, double> weights{
-                {"acme", 10.0}, {"base", 3.0}, {"cove", 1.0}, {"deep", 0.5}};
+                {"acme", 10'000.0}, {"base", 3'000.0}, {"cove", 1'000.0}, {"deep", 500.0}};
             const auto workers = *rc::gen::inRange(1U, 7U);
             tenant_pool pool{workers};
             std::map<std::string, std::int64_t> quotas;
