--- a/include/peridotrudder/scheduling/fair_order.hpp
+++ b/include/peridotrudder/scheduling/fair_order.hpp
@@ -54,6 +54,10 @@
         std::size_t m_index{0};
         /// Sorts before the tenant's share.
         std::uint64_t m_class{0};
+        /// Copies from the rank, which sorting would otherwise have to fetch again and again.
+        punctuality m_punctuality{punctuality::in_time};
+        std::int64_t m_remaining_chain_ms{0};
+        std::int64_t m_objective_ms{0};
     };
 
     /// The jobs of one tenant in one class that were not removed.
--- a/src/scheduling/fair_order.cpp
+++ b/src/scheduling/fair_order.cpp
@@ -40,14 +40,17 @@
 {
     m_entries.reserve(jobs.size());
     for (std::size_t index = 0; index < jobs.size(); ++index) {
-        m_entries.push_back({jobs[index], index, class_of(jobs[index])});
+        const auto& rank = *jobs[index].m_rank;
+        m_entries.push_back({jobs[index], index, class_of(jobs[index]), rank.m_punctuality,
+                             rank.m_remaining_chain.count(), rank.m_objective_ms});
     }
     std::sort(m_entries.begin(), m_entries.end(), [](const entry& left, const entry& right) {
-        const auto group = [](const entry& each) {
-            return std::tuple{each.m_class, each.m_job.m_account};
+        const auto key = [](const entry& each) {
+            return std::tie(each.m_class, each.m_job.m_account, each.m_punctuality,
+                            each.m_remaining_chain_ms, each.m_objective_ms);
         };
-        return group(left) != group(right) ? group(left) < group(right)
-                                           : *left.m_job.m_rank < *right.m_job.m_rank;
+        return key(left) != key(right) ? key(left) < key(right)
+                                       : *left.m_job.m_rank < *right.m_job.m_rank;
     });
 }
 
