--- a/bench/takeover_bench.cpp
+++ b/bench/takeover_bench.cpp
@@ -26,7 +26,8 @@
 constexpr std::uint32_t job_count = 3'500;
 constexpr std::uint32_t worker_count = 350;
 constexpr std::uint32_t tasks_per_step = 8;
-constexpr std::uint32_t runs_per_worker = job_count * tasks_per_step / worker_count;
+constexpr std::uint32_t total_runs = job_count * tasks_per_step;
+constexpr std::uint32_t runs_per_worker = total_runs / worker_count;
 constexpr std::int64_t task_cpu_millis = 750;
 /// Runs of each worker that have ended by the time of the takeover, unless the argument says so.
 constexpr std::size_t few_ended_runs = 4;
@@ -498,7 +499,7 @@
     node.start_owner(1);
     node.run(milliseconds{3'000}, [] { return false; });
     node.submit_jobs();
-    node.run(milliseconds{60'000}, [&node] { return node.starts() == job_count * tasks_per_step; });
+    node.run(milliseconds{60'000}, [&node] { return node.starts() == total_runs; });
     fmt::print("predecessor: {} runs on {} workers\n", node.starts(), worker_count);
     node.run(milliseconds{1'000}, [] { return false; });
     node.stop_owner();
--- a/test/node/owner_loading_test.cpp
+++ b/test/node/owner_loading_test.cpp
@@ -133,7 +133,7 @@
         it.pass(milliseconds{50});
         it.m_owner = it.make_owner(8);
         it.m_owner->start();
-        while (it.m_owner->restored_jobs() == 0) {
+        for (int turns = 0; it.m_owner->restored_jobs() == 0 && turns < 100; ++turns) {
             it.pass(turn);
         }
         CPPUNIT_ASSERT(it.m_owner->phase() == owner_phase::serving);
@@ -170,10 +170,11 @@
         const auto added = it.submit(job_id(many_jobs));
         const auto query = it.m_next_token++;
         it.m_owner->take_call(query, it.call_for(call_kind::query, job_id(many_jobs - 2)));
-        while (it.m_owner->phase() == owner_phase::loading) {
+        for (int turns = 0; it.m_owner->phase() == owner_phase::loading && turns < 1'000; ++turns) {
             CPPUNIT_ASSERT(it.m_answers.empty());
             it.pass(turn);
         }
+        CPPUNIT_ASSERT_EQUAL(many_jobs, it.m_owner->adopted_jobs());
         it.pass(milliseconds{30});
         CPPUNIT_ASSERT_EQUAL(std::string{"done"}, it.status(repeated));
         CPPUNIT_ASSERT_EQUAL(std::string{"done"}, it.status(added));
@@ -279,11 +280,12 @@
         it.m_jobs_per_turn = 10;
         it.succeed();
         const auto held = it.m_holds.size();
-        while (it.m_owner->phase() != owner_phase::serving) {
+        for (int turns = 0; it.m_owner->phase() != owner_phase::serving && turns < 1'000; ++turns) {
             it.pass(turn);
             CPPUNIT_ASSERT(it.m_owner->phase() == owner_phase::serving ||
                            it.m_holds.size() == held);
         }
+        CPPUNIT_ASSERT_EQUAL(many_jobs, it.m_owner->adopted_jobs());
         it.pass(milliseconds{2'000});
         CPPUNIT_ASSERT_EQUAL_MESSAGE("the worker is full with adopted runs", 4, it.m_starts);
         CPPUNIT_ASSERT_EQUAL(std::size_t{4},
@@ -322,9 +324,10 @@
         it.leave_jobs();
         it.m_jobs_per_turn = 1;
         it.succeed();
-        while (it.m_owner->adopted_jobs() < many_jobs / 2) {
+        for (int turns = 0; it.m_owner->adopted_jobs() < many_jobs / 2 && turns < 2'000; ++turns) {
             it.pass(turn);
         }
+        CPPUNIT_ASSERT(it.m_owner->phase() == owner_phase::loading);
         it.write_config(2);
         it.load();
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, it.m_owner->scheduler()->state().m_config.version());
