Bound what callers can make a process hold

In a trial, callers that nobody controls ended a process: it ran out of memory. RESTinio keeps a record for each chunk of a body, unfinished requests and long headers had no common bound, and its acceptor ends for good at the first failed accept, so that a process whose descriptors had run out answered nobody any more.

All HTTP servers of a process now share a caller budget of memory, connections and descriptors. A socket type of our own stands between RESTinio and the socket. It follows each request with http_parser, checks its length at the announcement, at chunk headers and as bytes arrive, and passes chunks on as few larger ones. Requests with long bodies wait for each other and leave a reserve to all others; if there is no room, the connection that has been idle or unfinished for longest is closed. Requests over the limits now get 413, 431 or 400; before, their connection was closed without an answer.

The next pipelined request is read after the answer to the one before is sent: RESTinio resets its parser then, and closed such a connection if it had begun to read. Found by a test of this change.

Ruled out: the limits and the listener of RESTinio 0.6.16, which know neither chunks nor the sum over connections (docs/design/caller-limits.md).

The test no longer starts a process without the limits in its settings.

--- a/include/peridotrudder/links/http_server.hpp
+++ b/include/peridotrudder/links/http_server.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// An HTTP server; the only module that depends on RESTinio.
 
+#include "peridotrudder/links/caller_budget.hpp"
 #include "peridotrudder/links/http.hpp"
 
 #include <asio/io_context.hpp>
@@ -27,8 +28,16 @@
     std::string m_address;
     std::uint16_t m_port{0};
     std::size_t m_threads{1};
-    /// Longest body accepted; a longer one closes the connection with status 413.
+    /// Longest body accepted, in bytes; a longer one is refused with status 413 as soon as that is
+    /// known, and its connection closed.
     std::size_t m_max_body_bytes{1'048'576};
+    /// Longest request line with headers, in bytes; a longer one is refused with status 431.
+    std::size_t m_max_header_bytes{32'768};
+    /// Most open connections. For another one, the connection is closed that has been idle or
+    /// unfinished for longest.
+    std::size_t m_max_connections{SIZE_MAX};
+    /// Shared by the servers of a process; without it, only the limits above hold.
+    std::shared_ptr<caller_budget> m_budget;
     /// Time limit for reading one request, so that a slow client does not hold a connection
     /// forever. Also limits writing a response.
     milliseconds m_read_timeout{10'000};
--- a/include/peridotrudder/node/node_settings.hpp
+++ b/include/peridotrudder/node/node_settings.hpp
@@ -8,6 +8,7 @@
 
 #include <tl/expected.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -49,6 +50,14 @@
     milliseconds m_maintenance_time{2'000};
     /// Factor by which a task takes longer on another rack than its data or its group.
     double m_far_factor{1.0};
+    /// Memory and open descriptors that the process may use; callers get a part of each.
+    std::size_t m_memory_bytes{0};
+    std::size_t m_max_descriptors{0};
+    /// Longest body, and longest request line with headers, in bytes.
+    std::size_t m_max_body_bytes{0};
+    std::size_t m_max_header_bytes{0};
+    /// Most connections to the callers' port.
+    std::size_t m_max_connections{0};
 };
 
 /// Returns the settings in an INI file, or all errors in it. Unknown sections and keys are errors,
--- a/include/peridotrudder/settings/entry_settings.hpp
+++ b/include/peridotrudder/settings/entry_settings.hpp
@@ -40,6 +40,13 @@
     std::string m_cluster_token;
     std::string m_operator_token;
     std::uint64_t m_max_body_bytes{0};
+    /// Longest request line with headers, in bytes.
+    std::uint64_t m_max_header_bytes{0};
+    /// Most connections to the callers' port.
+    std::uint64_t m_max_connections{0};
+    /// Memory and open descriptors that the process may use; callers get a part of each.
+    std::uint64_t m_memory_bytes{0};
+    std::uint64_t m_max_descriptors{0};
     std::uint64_t m_caller_threads{0};
     slot_policy m_slot_policy{slot_policy::leases};
     /// Maximum duration of a request to the upstream.
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <fmt/format.h>
 #include <map>
 #include <set>
 #include <thread>
@@ -58,6 +59,12 @@
     return options;
 }
 
+void log_refusal(caller_refusal cause, std::uint64_t count)
+{
+    log_event(log_level::warning, "callers_refused",
+              {{"cause", std::string{to_string(cause)}}, {"count", std::to_string(count)}});
+}
+
 } // namespace
 
 class entry_process::implementation {
@@ -65,6 +72,12 @@
     explicit implementation(const entry_settings& settings)
         : m_settings{settings},
           m_self{random_hex(incarnation_bytes)},
+          m_caller_budget{std::make_shared<caller_budget>(
+              make_caller_limits(settings.m_memory_bytes,
+                                 std::max<std::size_t>(settings.m_max_body_bytes,
+                                                       http_server_options{}.m_max_body_bytes),
+                                 settings.m_max_descriptors),
+              log_refusal)},
           m_platform{settings.m_platform_url, settings.m_name},
           m_vm_list{m_platform},
           m_spans{max_spans},
@@ -167,11 +180,22 @@
                    {"reason", error.m_reason}});
     }
 
-    bool start_operator_server()
+    http_server_options listen_at(std::uint16_t port, std::size_t max_connections) const
     {
         http_server_options options;
         options.m_address = m_settings.m_address;
-        options.m_port = m_settings.m_operator_port;
+        options.m_port = port;
+        options.m_max_header_bytes = m_settings.m_max_header_bytes;
+        options.m_max_connections = max_connections;
+        options.m_budget = m_caller_budget;
+        return options;
+    }
+
+    bool start_operator_server()
+    {
+        constexpr std::size_t connections_share = 8;
+        auto options =
+            listen_at(m_settings.m_operator_port, m_settings.m_max_connections / connections_share);
         options.m_threads = operator_threads;
         return start_server(options, m_operator_server,
                             [this](http_request request, const http_responder& respond) {
@@ -181,9 +205,7 @@
 
     bool start_caller_server()
     {
-        http_server_options options;
-        options.m_address = m_settings.m_address;
-        options.m_port = m_settings.m_caller_port;
+        auto options = listen_at(m_settings.m_caller_port, m_settings.m_max_connections);
         options.m_threads = m_settings.m_caller_threads;
         options.m_max_body_bytes = m_settings.m_max_body_bytes;
         options.m_closing_response = closing_response();
@@ -383,6 +405,20 @@
                             static_cast<double>(m_router.partitions().record_count()));
         m_metrics.set_gauge("open_partitions",
                             static_cast<double>(m_router.partitions().open_count()));
+        update_caller_gauges();
+    }
+
+    void update_caller_gauges()
+    {
+        m_metrics.set_gauge("caller_connections",
+                            static_cast<double>(m_caller_budget->connections()));
+        m_metrics.set_gauge("caller_bytes", static_cast<double>(m_caller_budget->used_bytes()));
+        m_metrics.set_gauge("waiting_bodies", static_cast<double>(m_caller_budget->waiting()));
+        for (const auto name : enum_names<caller_refusal>::values) {
+            const auto cause = *from_string<caller_refusal>(name);
+            m_metrics.set_gauge(fmt::format("refused_{}", name),
+                                static_cast<double>(m_caller_budget->refusals(cause)));
+        }
     }
 
     void run_heartbeats()
@@ -459,6 +495,7 @@
 
     entry_settings m_settings;
     std::string m_self;
+    std::shared_ptr<caller_budget> m_caller_budget;
     platform_client m_platform;
     vm_list_reader m_vm_list;
     entry_metrics m_metrics;
--- a/src/links/http_server.cpp
+++ b/src/links/http_server.cpp
@@ -1,5 +1,6 @@
 #include "peridotrudder/links/http_server.hpp"
 
+#include "links/guarded_socket.hpp"
 #include "links/open_connections.hpp"
 
 #include <restinio/all.hpp>
@@ -18,17 +19,17 @@
 
 struct server_traits : public restinio::default_traits_t {
     using request_handler_t = restinio_handler;
-    using stream_socket_t = internal::recorded_socket;
+    using stream_socket_t = internal::guarded_socket<internal::recorded_socket>;
 };
 
 /// Traits for a server whose loop is run by one thread.
 struct loop_traits : public restinio::default_single_thread_traits_t {
     using request_handler_t = restinio_handler;
+    using stream_socket_t = internal::guarded_socket<asio::ip::tcp::socket>;
 };
 
 constexpr std::size_t max_url_bytes = 8'192;
-constexpr std::size_t max_header_bytes = 16'384;
-constexpr std::size_t max_headers = 64;
+constexpr std::size_t max_headers = 256;
 /// Time in which a closing server must have answered the requests that it has read.
 constexpr milliseconds answer_time{1'000};
 /// Time for which a closing server waits for callers to close their connections after the farewell.
@@ -105,8 +106,8 @@
         .handle_request_timeout(options.m_handle_timeout)
         .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
                                       .max_url_size(max_url_bytes)
-                                      .max_field_name_size(max_header_bytes)
-                                      .max_field_value_size(max_header_bytes)
+                                      .max_field_name_size(options.m_max_header_bytes)
+                                      .max_field_value_size(options.m_max_header_bytes)
                                       .max_field_count(max_headers)
                                       .max_body_size(options.m_max_body_bytes))
         .acceptor_options_setter(
@@ -121,6 +122,19 @@
     return settings;
 }
 
+/// Announces the limits to the sockets that RESTinio makes from the loop, and returns the loop.
+asio::io_context& prepare_loop(asio::io_context& loop, const http_server_options& options)
+{
+    const auto budget =
+        options.m_budget ? options.m_budget : std::make_shared<caller_budget>(caller_limits{});
+    auto server = std::make_shared<internal::guarded_server>();
+    server->m_table = budget->table();
+    server->m_max_connections = options.m_max_connections;
+    server->m_limits = {options.m_max_header_bytes, max_headers, options.m_max_body_bytes};
+    asio::use_service<internal::server_registry>(loop).set_current(std::move(server));
+    return loop;
+}
+
 } // namespace
 
 class http_server::implementation {
@@ -153,7 +167,7 @@
     threaded_server(const http_server_options& options, http_handler handler)
         : m_closing_response{options.m_closing_response},
           m_connections{asio::use_service<internal::open_connections>(m_loop)},
-          m_server{restinio::external_io_context(m_loop),
+          m_server{restinio::external_io_context(prepare_loop(m_loop, options)),
                    make_own_settings(options, std::move(handler))}
     {
         m_server.open_sync();
@@ -228,7 +242,7 @@
 class loop_server : public http_server::implementation {
 public:
     loop_server(asio::io_context& loop, const http_server_options& options, http_handler handler)
-        : m_server{restinio::external_io_context(loop),
+        : m_server{restinio::external_io_context(prepare_loop(loop, options)),
                    make_settings<loop_traits>(options, std::move(handler))}
     {
         m_server.open_sync();
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -16,6 +16,7 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <ctime>
 #include <fmt/format.h>
@@ -60,12 +61,10 @@
     log_event(log_level::info, event, {{"detail", std::move(detail)}});
 }
 
-http_server_options listen_at(const endpoint& local)
+void log_refusal(caller_refusal cause, std::uint64_t count)
 {
-    http_server_options options;
-    options.m_address = local.m_address;
-    options.m_port = local.m_port;
-    return options;
+    log_event(log_level::warning, "callers_refused",
+              {{"cause", std::string{to_string(cause)}}, {"count", std::to_string(count)}});
 }
 
 } // namespace
@@ -75,6 +74,10 @@
     implementation(const node_settings& settings, node_platform platform)
         : m_settings{settings},
           m_platform{std::move(platform)},
+          m_caller_budget{std::make_shared<caller_budget>(
+              make_caller_limits(settings.m_memory_bytes, settings.m_max_body_bytes,
+                                 settings.m_max_descriptors),
+              log_refusal)},
           m_timer{m_loop},
           m_signals{m_loop, SIGTERM, SIGINT, SIGHUP},
           m_log_client{http_client::create_on(m_loop)},
@@ -110,7 +113,7 @@
         }
         m_mesh = std::move(*mesh);
         auto ready = http_server::create_on(
-            m_loop, listen_at(m_settings.m_ready),
+            m_loop, listen_at(m_settings.m_ready, other_connections()),
             [this](const http_request& /*request*/, const http_responder& respond) {
                 respond(json_response(is_ready() ? status_ok : status_unavailable, "{}"));
             });
@@ -118,17 +121,17 @@
             return tl::make_unexpected(ready.error());
         }
         m_ready_server = std::move(*ready);
-        auto callers =
-            http_server::create_on(m_loop, listen_at(m_settings.m_callers),
-                                   [this](const http_request& request, http_responder respond) {
-                                       take_request(request, std::move(respond));
-                                   });
+        auto callers = http_server::create_on(
+            m_loop, listen_at(m_settings.m_callers, m_settings.m_max_connections),
+            [this](const http_request& request, http_responder respond) {
+                take_request(request, std::move(respond));
+            });
         if (!callers) {
             return tl::make_unexpected(callers.error());
         }
         m_caller_server = std::move(*callers);
         auto metrics = http_server::create_on(
-            m_loop, listen_at(m_settings.m_metrics),
+            m_loop, listen_at(m_settings.m_metrics, other_connections()),
             [this](const http_request& /*request*/, const http_responder& respond) {
                 http_response response;
                 response.m_headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
@@ -157,6 +160,25 @@
     }
 
 private:
+    http_server_options listen_at(const endpoint& local, std::size_t max_connections) const
+    {
+        http_server_options options;
+        options.m_address = local.m_address;
+        options.m_port = local.m_port;
+        options.m_max_body_bytes = m_settings.m_max_body_bytes;
+        options.m_max_header_bytes = m_settings.m_max_header_bytes;
+        options.m_max_connections = max_connections;
+        options.m_budget = m_caller_budget;
+        return options;
+    }
+
+    /// Returns how many connections the ports for the readiness check and for metrics may have.
+    std::size_t other_connections() const
+    {
+        constexpr std::size_t share = 8;
+        return std::max<std::size_t>(m_settings.m_max_connections / share, 2);
+    }
+
     void after(milliseconds delay, std::function<void()> action)
     {
         if (delay.count() == 0) {
@@ -364,6 +386,7 @@
         metrics.set_gauge("linked_peers", static_cast<double>(contact.m_linked_peers));
         metrics.set_gauge("waiting_calls", static_cast<double>(m_router.waiting()));
         metrics.set_gauge("lost_log_lines", static_cast<double>(lost_log_lines()));
+        set_caller_gauges(metrics);
         metrics.set_gauge(
             "relays", m_distributor ? static_cast<double>(m_distributor->relays().size()) : 0.0);
         const bool loads = m_owner && m_owner->phase() == owner_phase::loading;
@@ -407,6 +430,20 @@
         return gauges;
     }
 
+    void set_caller_gauges(node_metrics& metrics) const
+    {
+        const auto set = [&](const std::string& name, std::uint64_t value) {
+            metrics.set_gauge(name, static_cast<double>(value));
+        };
+        set("caller_connections", m_caller_budget->connections());
+        set("caller_bytes", m_caller_budget->used_bytes());
+        set("waiting_bodies", m_caller_budget->waiting());
+        for (const auto name : enum_names<caller_refusal>::values) {
+            const auto cause = *from_string<caller_refusal>(name);
+            set(fmt::format("refused_{}", name), m_caller_budget->refusals(cause));
+        }
+    }
+
     void end_ownership()
     {
         m_agent->set_failing(milliseconds{0});
@@ -547,6 +584,7 @@
 
     node_settings m_settings;
     node_platform m_platform;
+    std::shared_ptr<caller_budget> m_caller_budget;
     asio::io_context m_loop{1};
     asio::steady_timer m_timer;
     asio::signal_set m_signals;
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -11,6 +11,19 @@
 constexpr double thousandths = 1'000.0;
 constexpr double max_value = 86'400.0;
 constexpr std::uint64_t max_ms = 3'600'000;
+constexpr std::uint64_t bytes_per_mb = 1'048'576;
+constexpr std::uint64_t default_memory_mb = 160;
+constexpr std::uint64_t max_memory_mb = 1'048'576;
+constexpr std::uint64_t default_max_fds = 4'100;
+constexpr std::uint64_t min_fds = 128;
+constexpr std::uint64_t max_fds = 1'048'576;
+constexpr std::uint64_t default_max_body_bytes = 262'144;
+/// More than the platform's limit of 16,384 for headers, since the request line counts too.
+constexpr std::uint64_t default_max_header_bytes = 32'768;
+constexpr std::uint64_t most_connections = 65'536;
+constexpr std::uint64_t default_max_connections = 1'024;
+/// Part of the descriptors that are callers' connections.
+constexpr std::uint64_t connection_parts = 4;
 
 endpoint read_endpoint(ini_reader& reader, const std::string& section, const std::string& key)
 {
@@ -72,6 +85,23 @@
     return milliseconds{reader.number(section, key, 0, max_ms)};
 }
 
+void read_caller_limits(ini_reader& reader, node_settings& settings)
+{
+    settings.m_memory_bytes =
+        reader.number_or("limits", "memory_mb", 16, max_memory_mb, default_memory_mb) *
+        bytes_per_mb;
+    settings.m_max_descriptors =
+        reader.number_or("limits", "max_fds", min_fds, max_fds, default_max_fds);
+    settings.m_max_body_bytes =
+        reader.number_or("limits", "max_body_bytes", 1'024, 16'777'216, default_max_body_bytes);
+    settings.m_max_header_bytes =
+        reader.number_or("limits", "max_header_bytes", 1'024, 65'536, default_max_header_bytes);
+    settings.m_max_connections =
+        reader.number_or("limits", "max_connections", 16, most_connections,
+                         std::min<std::uint64_t>(default_max_connections,
+                                                 settings.m_max_descriptors / connection_parts));
+}
+
 tl::expected<node_settings, std::vector<settings_error>> read_settings(ini_reader reader)
 {
     node_settings settings;
@@ -98,6 +128,7 @@
     settings.m_move_time = read_seconds(reader, "limits", "move_s");
     settings.m_maintenance_time = read_seconds(reader, "limits", "maintenance_s");
     settings.m_far_factor = read_factor(reader, "limits", "far_factor");
+    read_caller_limits(reader, settings);
     auto errors = reader.finish();
     if (!errors.empty()) {
         return tl::make_unexpected(std::move(errors));
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -4,6 +4,7 @@
 
 #include <asio/ip/address.hpp>
 
+#include <algorithm>
 #include <set>
 
 namespace peridotrudder {
@@ -14,6 +15,17 @@
 constexpr std::uint64_t min_port = 1'024;
 constexpr std::size_t min_token_length = 16;
 constexpr std::uint64_t default_max_body_bytes = 1'048'576;
+constexpr std::uint64_t bytes_per_mb = 1'048'576;
+constexpr std::uint64_t default_memory_mb = 512;
+constexpr std::uint64_t max_memory_mb = 1'048'576;
+constexpr std::uint64_t default_max_fds = 8'192;
+constexpr std::uint64_t min_fds = 128;
+constexpr std::uint64_t max_fds = 1'048'576;
+constexpr std::uint64_t default_max_header_bytes = 32'768;
+constexpr std::uint64_t most_connections = 65'536;
+constexpr std::uint64_t default_max_connections = 2'048;
+/// Part of the descriptors that are callers' connections; each may need one to its worker.
+constexpr std::uint64_t connection_parts = 4;
 constexpr std::uint64_t default_caller_threads = 2;
 constexpr std::uint64_t default_upstream_timeout_ms = 60'000;
 constexpr std::uint64_t max_upstream_timeout_ms = 600'000;
@@ -122,6 +134,17 @@
     settings.m_operator_token = read_token(reader, "operator_token");
     settings.m_max_body_bytes =
         reader.number_or("limits", "max_body_bytes", 1'024, 16'777'216, default_max_body_bytes);
+    settings.m_max_header_bytes =
+        reader.number_or("limits", "max_header_bytes", 1'024, 65'536, default_max_header_bytes);
+    settings.m_memory_bytes =
+        reader.number_or("limits", "memory_mb", 16, max_memory_mb, default_memory_mb) *
+        bytes_per_mb;
+    settings.m_max_descriptors =
+        reader.number_or("limits", "max_fds", min_fds, max_fds, default_max_fds);
+    settings.m_max_connections =
+        reader.number_or("limits", "max_connections", 16, most_connections,
+                         std::min<std::uint64_t>(default_max_connections,
+                                                 settings.m_max_descriptors / connection_parts));
     settings.m_caller_threads =
         reader.number_or("limits", "caller_threads", 1, 64, default_caller_threads);
     settings.m_upstream_timeout =
--- a/test/links/http_server_test.cpp
+++ b/test/links/http_server_test.cpp
@@ -44,10 +44,10 @@
 public:
     raw_caller() { m_socket.connect({asio::ip::make_address("127.0.0.1"), server_port}); }
 
-    void send()
+    void send(std::string_view text = request_text)
     {
         asio::error_code ignored;
-        asio::write(m_socket, asio::buffer(request_text), ignored);
+        asio::write(m_socket, asio::buffer(text), ignored);
     }
 
     /// Waits until bytes of the server have arrived, without reading them.
@@ -140,6 +140,11 @@
     CPPUNIT_TEST(connection_that_waits_to_be_accepted_gets_the_closing_response);
     CPPUNIT_TEST(response_that_was_given_before_the_stop_arrives);
     CPPUNIT_TEST(idle_callers_hold_up_the_stop_for_less_than_a_second);
+    CPPUNIT_TEST(body_within_the_limits_arrives_whole_however_it_is_chunked);
+    CPPUNIT_TEST(body_over_the_limit_is_refused_with_413_before_it_is_sent);
+    CPPUNIT_TEST(long_bodies_beyond_the_budget_are_served_one_after_the_other);
+    CPPUNIT_TEST(pipelined_requests_get_their_answers_in_order);
+    CPPUNIT_TEST(connections_beyond_the_limit_do_not_keep_a_caller_out);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -237,6 +242,126 @@
         server.reset();
         CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < std::chrono::seconds{1});
     }
+
+    // A budget must not refuse a single request that is within the limits.
+    void body_within_the_limits_arrives_whole_however_it_is_chunked()
+    {
+        auto server = start_limited_server();
+        const std::string body(max_body, 'b');
+        for (const std::size_t length : {std::size_t{1}, std::size_t{5'000}, max_body}) {
+            raw_caller caller;
+            caller.send(chunked(body, length));
+            CPPUNIT_ASSERT_EQUAL(std::to_string(max_body), answer_of(caller));
+        }
+        raw_caller caller;
+        caller.send(fmt::format("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{}",
+                                max_body, body));
+        CPPUNIT_ASSERT_EQUAL(std::to_string(max_body), answer_of(caller));
+    }
+
+    // Guards against a connection that was closed without the answer that the pages name.
+    void body_over_the_limit_is_refused_with_413_before_it_is_sent()
+    {
+        auto server = start_limited_server();
+        raw_caller announcing;
+        announcing.send(
+            fmt::format("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n", max_body + 1));
+        CPPUNIT_ASSERT(announcing.read_all().first.find("HTTP/1.1 413") == 0);
+        raw_caller chunking;
+        chunking.send(chunked(std::string(max_body + 1, 'b'), 1'000));
+        CPPUNIT_ASSERT(chunking.read_all().first.find("HTTP/1.1 413") == 0);
+    }
+
+    // Guards against long bodies that block each other half-way.
+    void long_bodies_beyond_the_budget_are_served_one_after_the_other()
+    {
+        auto server = start_limited_server();
+        std::vector<std::future<std::string>> answers;
+        answers.reserve(12);
+        for (int count = 0; count < 12; ++count) {
+            answers.push_back(std::async(std::launch::async, [] {
+                raw_caller caller;
+                caller.send(chunked(std::string(max_body, 'b'), 3'000));
+                return answer_of(caller);
+            }));
+        }
+        for (auto& answer : answers) {
+            CPPUNIT_ASSERT_EQUAL(std::to_string(max_body), answer.get());
+        }
+    }
+
+    // Guards against a parser that is reset while the next request is being read.
+    void pipelined_requests_get_their_answers_in_order()
+    {
+        auto server = start_limited_server();
+        raw_caller caller;
+        std::string requests;
+        for (const std::size_t length : {std::size_t{7}, std::size_t{20'000}, std::size_t{0}}) {
+            requests += chunked(std::string(length, 'b'), 2'000);
+        }
+        caller.send(requests);
+        const auto text = caller.read_until("end=0;");
+        const auto first = text.find("end=7;");
+        const auto second = text.find("end=20000;");
+        CPPUNIT_ASSERT(first != std::string::npos);
+        CPPUNIT_ASSERT(second != std::string::npos && first < second);
+        CPPUNIT_ASSERT(text.find("end=0;") > second);
+    }
+
+    // Guards against idle connections that take all that a server may have.
+    void connections_beyond_the_limit_do_not_keep_a_caller_out()
+    {
+        auto server = start_limited_server();
+        std::vector<std::unique_ptr<raw_caller>> idle;
+        for (int count = 0; count < 50; ++count) {
+            idle.push_back(std::make_unique<raw_caller>());
+        }
+        raw_caller caller;
+        caller.send(chunked("body", 4));
+        CPPUNIT_ASSERT_EQUAL(std::string{"4"}, answer_of(caller));
+    }
+
+private:
+    static constexpr std::size_t max_body = 60'000;
+    /// Callers get a fifth, half of which is for three long bodies.
+    static constexpr std::size_t memory_bytes = 10'485'760;
+
+    /// Starts a server that answers with the length of the body, and has the memory for two long
+    /// bodies.
+    static std::unique_ptr<http_server> start_limited_server()
+    {
+        auto options = make_options(2);
+        options.m_max_body_bytes = max_body;
+        options.m_max_connections = 20;
+        options.m_budget =
+            std::make_shared<caller_budget>(make_caller_limits(memory_bytes, max_body, 1'000'000));
+        auto server = http_server::create(
+            options, [](const http_request& request, const http_responder& respond) {
+                respond(json_response(200, fmt::format("end={};", request.m_body.size())));
+            });
+        CPPUNIT_ASSERT(server.has_value());
+        return std::move(*server);
+    }
+
+    static std::string chunked(std::string_view body, std::size_t length)
+    {
+        std::string text = "POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+        for (; !body.empty(); body.remove_prefix(std::min(length, body.size()))) {
+            const auto chunk = body.substr(0, length);
+            text += fmt::format("{:x}\r\n{}\r\n", chunk.size(), chunk);
+        }
+        return text + "0\r\n\r\n";
+    }
+
+    /// Returns the length of the body that the server has read.
+    static std::string answer_of(raw_caller& caller)
+    {
+        const auto text = caller.read_until(";");
+        const auto begin = text.find("end=");
+        return begin == std::string::npos
+                   ? "no answer: " + text
+                   : text.substr(begin + 4, text.find(';', begin) - begin - 4);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_server_test);
--- a/test/node/node_settings_test.cpp
+++ b/test/node/node_settings_test.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(valid_settings_are_read);
     CPPUNIT_TEST(far_factor_may_be_absent_or_empty);
     CPPUNIT_TEST(wrong_or_missing_keys_are_reported);
+    CPPUNIT_TEST(callers_limits_have_defaults_within_the_smallest_machine);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -99,6 +100,20 @@
             std::string{"unknown_key"},
             first_fault(replaced(valid_settings, "zone = north", "zone = north\nspeed = 2")));
     }
+
+    // Guards against defaults that an ordinary caller or the smallest machine can't live with.
+    void callers_limits_have_defaults_within_the_smallest_machine()
+    {
+        const auto read = parse_node_settings("node.ini", valid_settings);
+        CPPUNIT_ASSERT(read->m_memory_bytes == std::size_t{160} * 1'048'576);
+        CPPUNIT_ASSERT(read->m_max_body_bytes >= 262'144);
+        CPPUNIT_ASSERT(read->m_max_header_bytes >= 8'192 + 16'384);
+        CPPUNIT_ASSERT(read->m_max_connections >= 1'000);
+        const auto small = parse_node_settings("node.ini", valid_settings + "max_fds = 256\n");
+        CPPUNIT_ASSERT(small->m_max_connections == 64);
+        CPPUNIT_ASSERT_EQUAL(std::string{"out_of_range"},
+                             first_fault(valid_settings + "memory_mb = 1\n"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(node_settings_test);
--- a/test/system/caller_crowd.py
+++ b/test/system/caller_crowd.py
@@ -260,26 +260,17 @@
                                           "/vms")[0] is not None)
         if self.server != "entry":
             self._configure()
-        if not self._start_process(LIMITS):
-            # A program from before the limits refuses a file that sets them.
-            self._start_process("")
+        self._start_process()
         self._wait_for(lambda: self.ordinary() in (200, 401))
         self.process.watch()
 
-    def _start_process(self, limits):
+    def _start_process(self):
         settings = f"{self._folder}/settings.ini"
         with open(settings, "w", encoding="utf-8") as file:
             file.write((ENTRY if self.server == "entry" else SCHEDULER).format(**self._ports))
-            file.write(limits)
-        log = f"{self._folder}/process.log"
-        self.process = Watched([*self._command, f"--settings={settings}"], log)
-        time.sleep(0.5)
-        if self.process.lives():
-            return True
-        with open(log, encoding="utf-8") as text:
-            if "unknown_key" not in text.read():
-                raise SystemExit(f"the process ended at its start, see {log}")
-        return False
+            file.write(LIMITS)
+        self.process = Watched([*self._command, f"--settings={settings}"],
+                               f"{self._folder}/process.log")
 
     def _configure(self):
         content = (b'{"version": 8, "routes": [{"name": "quick", "host": "soak.example", '
