--- a/include/peridotrudder/jobs/job_spec.hpp
+++ b/include/peridotrudder/jobs/job_spec.hpp
@@ -105,6 +105,9 @@
     }
 };
 
+/// Limits the memory that one job takes in the owner. Each step has at least one task.
+constexpr std::uint64_t max_job_tasks = 20'000;
+
 struct job_spec {
     /// Passed to every task unchanged.
     std::string m_payload;
--- a/src/jobs/job_spec.cpp
+++ b/src/jobs/job_spec.cpp
@@ -7,8 +7,6 @@
 namespace {
 
 constexpr std::size_t max_payload_bytes = 4'000;
-/// Limits the memory that one job takes in the owner.
-constexpr std::uint64_t max_tasks = 20'000;
 /// Limit of a job's estimated work, so that sums over all jobs do not overflow: 31 years of a core.
 constexpr double max_work = 1e15;
 
@@ -73,13 +71,13 @@
         if (schedule.m_times == 0 || schedule.m_interval_ms < 0 || is_long_running(spec)) {
             return spec_fault::bad_recurrence;
         }
-        if (tasks > max_tasks) {
+        if (tasks > max_job_tasks) {
             // The product would wrap.
             return spec_fault::too_many_tasks;
         }
         tasks *= schedule.m_times;
     }
-    return tasks > max_tasks ? spec_fault::too_many_tasks : spec_fault::none;
+    return tasks > max_job_tasks ? spec_fault::too_many_tasks : spec_fault::none;
 }
 
 milliseconds longest_chain(const job_spec& spec)
--- a/src/links/connection_table.cpp
+++ b/src/links/connection_table.cpp
@@ -105,19 +105,17 @@
     finish(held);
 }
 
-void connection_table::request_began(entry& connection, time_point now)
-{
-    const lock held{m_mutex};
-    connection.m_since = now;
-}
-
-bool connection_table::hold(entry& connection, std::size_t bytes, time_point now)
+bool connection_table::hold(entry& connection, std::size_t bytes, bool is_whole, time_point now)
 {
     lock held{m_mutex};
+    // Since its first bytes, a request has held something.
+    connection.m_since = connection.m_request_bytes == 0 ? now : connection.m_since;
     const auto more = bytes - std::min(bytes, connection.m_request_bytes);
     const bool has_room = !connection.m_is_evicted && make_room(&connection, more, now);
     if (has_room) {
         change_held(connection, bytes);
+        connection.m_is_reading = !is_whole;
+        connection.m_has_called = connection.m_has_called || is_whole;
     }
     else if (!connection.m_is_evicted) {
         count(caller_refusal::memory, now);
@@ -134,6 +132,7 @@
     if (connection->m_is_evicted) {
         return body_grant::refused;
     }
+    connection->m_since = connection->m_request_bytes == 0 ? now : connection->m_since;
     connection->m_wanted_bytes = std::max(bytes, connection->m_request_bytes);
     connection->m_is_waiting = true;
     m_waiting.push_back(connection);
--- a/src/links/connection_table.hpp
+++ b/src/links/connection_table.hpp
@@ -47,10 +47,9 @@
 
     /// The connection waits for its next request; the one before holds nothing any longer.
     void begin_request(entry& connection, time_point now);
-    /// The first bytes of a request have arrived.
-    void request_began(entry& connection, time_point now);
-    /// The request now holds `bytes`. Returns whether there is room for it.
-    bool hold(entry& connection, std::size_t bytes, time_point now);
+    /// More of a request has arrived; it now holds `bytes`, and is whole or not. Returns whether
+    /// there is room for it.
+    bool hold(entry& connection, std::size_t bytes, bool is_whole, time_point now);
     /// Asks for all the memory that a request with a long body may need.
     body_grant hold_long(const entry_ptr& connection, std::size_t bytes, time_point now);
     /// More of a long body has arrived.
--- a/src/links/guarded_connection.cpp
+++ b/src/links/guarded_connection.cpp
@@ -105,7 +105,6 @@
     if (m_framing.state() == framing_state::complete) {
         m_framing.start_next();
         m_has_long_body = false;
-        m_is_between_requests = true;
         m_server->m_table->begin_request(*m_entry, now_point());
     }
     if (!m_pending.empty() && !m_is_refused) {
@@ -126,9 +125,6 @@
 
 read_step guarded_connection::follow(const asio::mutable_buffer& buffer, std::string_view raw)
 {
-    if (std::exchange(m_is_between_requests, false)) {
-        m_server->m_table->request_began(*m_entry, now_point());
-    }
     const auto taken = m_framing.feed(raw, m_ready);
     switch (m_framing.state()) {
     case framing_state::header_too_long:
@@ -150,6 +146,7 @@
 {
     auto& table = *m_server->m_table;
     const auto now = now_point();
+    const bool is_whole = m_framing.state() == framing_state::complete;
     if (m_has_long_body) {
         table.body_received(*m_entry, m_framing.body_bytes(), now);
     }
@@ -164,10 +161,13 @@
             return {read_step::action::end, 0};
         }
     }
-    else if (!table.hold(*m_entry, short_request_bytes(m_framing), now)) {
+    else if (!table.hold(*m_entry, short_request_bytes(m_framing), is_whole, now)) {
         say(caller_refusal::memory);
         return {read_step::action::end, 0};
     }
+    else {
+        return deliver(buffer);
+    }
     return granted(buffer);
 }
 
@@ -176,6 +176,11 @@
     if (m_framing.state() == framing_state::complete) {
         m_server->m_table->request_ended(*m_entry);
     }
+    return deliver(buffer);
+}
+
+read_step guarded_connection::deliver(const asio::mutable_buffer& buffer)
+{
     return m_ready.empty() ? read_step{} : read_step{read_step::action::deliver, take(buffer)};
 }
 
--- a/src/links/guarded_connection.hpp
+++ b/src/links/guarded_connection.hpp
@@ -93,6 +93,7 @@
 
 private:
     read_step follow(const asio::mutable_buffer& buffer, std::string_view raw);
+    read_step deliver(const asio::mutable_buffer& buffer);
     read_step charge(const asio::mutable_buffer& buffer);
     /// Moves bytes that are ready to the server's buffer. Returns how many.
     std::size_t take(const asio::mutable_buffer& buffer);
@@ -111,7 +112,6 @@
     std::size_t m_discarded_bytes{0};
     bool m_is_refused{false};
     bool m_has_long_body{false};
-    bool m_is_between_requests{true};
     bool m_is_writing{false};
     std::function<void()> m_after_write;
 
--- a/test/links/connection_table_test.cpp
+++ b/test/links/connection_table_test.cpp
@@ -116,7 +116,7 @@
         CPPUNIT_ASSERT(ask(0) == body_grant::granted);
         CPPUNIT_ASSERT(ask(1) == body_grant::granted);
         CPPUNIT_ASSERT(ask(2) == body_grant::waits);
-        CPPUNIT_ASSERT(test.m_table.hold(*callers.at(3), memory / 4, test.m_now));
+        CPPUNIT_ASSERT(test.m_table.hold(*callers.at(3), memory / 4, false, test.m_now));
         CPPUNIT_ASSERT(test.m_resumed.empty());
         test.m_table.begin_request(*callers.at(0), test.m_now);
         CPPUNIT_ASSERT(test.m_resumed.at(2) == std::vector<bool>{true});
@@ -149,9 +149,9 @@
         const auto other = test.add();
         test.m_table.request_ended(*unread);
         test.m_table.answer_began(*unread, memory / 2, test.m_now);
-        CPPUNIT_ASSERT(!test.m_table.hold(*other, memory / 2, test.m_now));
+        CPPUNIT_ASSERT(!test.m_table.hold(*other, memory / 2, false, test.m_now));
         test.pass(milliseconds{1'000});
-        CPPUNIT_ASSERT(test.m_table.hold(*other, memory / 2, test.m_now));
+        CPPUNIT_ASSERT(test.m_table.hold(*other, memory / 2, false, test.m_now));
         CPPUNIT_ASSERT_EQUAL(1, test.m_cut[0]);
     }
 
@@ -182,7 +182,7 @@
                     break;
                 case 3:
                     if (!caller->m_is_granted && !caller->m_is_waiting) {
-                        test.m_table.hold(*caller, bytes, test.m_now);
+                        test.m_table.hold(*caller, bytes, false, test.m_now);
                     }
                     break;
                 case 4:
--- a/test/system/caller_crowd.py
+++ b/test/system/caller_crowd.py
@@ -137,9 +137,15 @@
     return 150, call * 2_000
 
 
+def dense_bodies():
+    # As many steps as fit into a body within the limits; each takes far more than its text.
+    body = b'{"spec": "{}", "steps": [' + b"{}," * 87_000 + b"{}]}"
+    return 40, head(len(body)) + body
+
+
 KINDS = {kind.__name__: kind for kind in (
     announced_sent, announced_silent, unannounced, large_chunks, tiny_chunks, endless_headers,
-    many_headers, slow, idle, unread_answers)}
+    many_headers, slow, idle, unread_answers, dense_bodies)}
 
 
 class Crowd:
