--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -43,7 +43,7 @@
     return row;
 }
 
-/// Longer than any order is under way and any lease lasts.
+/// Longer than an order is under way and a lease of some seconds lasts.
 constexpr std::int64_t longest_leftover_ms = 60'000;
 /// Pause between records of a run that a worker lists again and again.
 constexpr std::int64_t leftover_repeat_ms = 5'000;
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -351,7 +351,11 @@
     if (key_is_uncertain(call, lacks_key)) {
         m_ports.m_decided({"key_uncertain", "", "",
                            fmt::format("configuration {} ms old", config_age().count())});
-        m_ports.m_answer(token, {call_status::unavailable, {}, 0, refused_retry_after});
+        // An earlier copy of a submission may have been accepted, which only a caller with a valid
+        // key may learn.
+        const auto status = call.m_kind == call_kind::submit ? call_status::unknown_outcome
+                                                             : call_status::unavailable;
+        m_ports.m_answer(token, {status, {}, 0, refused_retry_after});
         return true;
     }
     m_call_in_hand = token;
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace peridotrudder {
 
@@ -280,7 +281,7 @@
     milliseconds wait{0};
     for (const auto& [name, node] : m_members.nodes()) {
         // Where all nodes start at once, the owner is elected before links are open.
-        const bool starting = now_ms - node.m_started_ms < settling_time.count();
+        const bool starting = std::abs(now_ms - node.m_started_ms) < settling_time.count();
         const bool present = starting || m_open_links.count(node.m_incarnation) != 0;
         wait += present && rank_of(node) < own_rank ? claim_spacing : milliseconds{0};
     }
--- a/src/scheduling/locality_wait.cpp
+++ b/src/scheduling/locality_wait.cpp
@@ -11,12 +11,14 @@
 constexpr int least_gain_percent = 25;
 constexpr int whole_percent = 100;
 /// Interval between decisions for a task whose rack has no room. Each compares all workers of the
-/// pool, and an owner may have an eighth of a core.
+/// pool.
 constexpr milliseconds judge_interval{100};
 constexpr milliseconds prune_interval{5'000};
 /// Time after which a task that was not judged again is forgotten.
 constexpr milliseconds keep_time{30'000};
 constexpr std::size_t max_waits = 20'000;
+/// Places of one worker that are looked at. Callers choose how small a task is.
+constexpr std::uint32_t max_places_per_worker = 256;
 
 bool pays(const rack_choice& choice)
 {
@@ -32,9 +34,11 @@
         return left.m_at < right.m_at;
     });
     auto room = worker.m_room;
+    const auto most = max_per_worker == 0 ? max_places_per_worker
+                                          : std::min(max_per_worker, max_places_per_worker);
     std::uint32_t found = 0;
     const auto take = [&](time_point at) {
-        while (fits(each, room) && (max_per_worker == 0 || found < max_per_worker)) {
+        while (fits(each, room) && found < most) {
             room = room - each;
             places.push_back(std::max(at, now));
             ++found;
--- a/src/scheduling/scheduler_state.cpp
+++ b/src/scheduling/scheduler_state.cpp
@@ -61,7 +61,9 @@
     if (m_quotas.may_start(account, required)) {
         return true;
     }
-    m_quotas.note_wait(account, now);
+    if (m_quotas.enabled()) {
+        m_quotas.note_wait(account, now);
+    }
     return false;
 }
 
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -374,6 +374,10 @@
         if (m_state->m_config.tenants().enabled()) {
             place_fairly(pool, jobs, candidates, now);
             note_free_workers(pool, candidates, now.m_at);
+            if (m_starts >= m_max_starts) {
+                // Tasks that the pass did not come to will take them.
+                m_state->m_free_workers[pool].clear();
+            }
         }
         else {
             place_by_rank(jobs, candidates, now);
--- a/src/scheduling/tenant_admission.cpp
+++ b/src/scheduling/tenant_admission.cpp
@@ -20,7 +20,7 @@
 /// that become useless.
 constexpr double optimistic_estimate_factor = 0.6;
 /// The estimate is an upper bound after each round and changes little after a few.
-constexpr int quota_rounds = 8;
+constexpr int wait_estimate_rounds = 8;
 /// Least share of a pool that excess work is expected to get, since a peak of contracted work ends
 /// after some seconds.
 constexpr double min_excess_share = 0.05;
@@ -107,7 +107,7 @@
 {
     const auto own_by_weight = own.m_shared / own.m_weight;
     double wait = max_wait_ms;
-    for (int round = 0; round < quota_rounds; ++round) {
+    for (int round = 0; round < wait_estimate_rounds; ++round) {
         double work = 0.0;
         for (const auto& [name, tenant] : queued) {
             const auto served =
--- a/test/node/owner_keys_test.cpp
+++ b/test/node/owner_keys_test.cpp
@@ -163,6 +163,7 @@
     CPPUNIT_TEST(key_removed_while_reads_hung_was_served_once_writes_failed);
     CPPUNIT_TEST(outage_of_the_log_for_all_stops_no_tenant);
     CPPUNIT_TEST(job_without_a_key_was_refused_as_unavailable_while_the_log_failed);
+    CPPUNIT_TEST(submission_was_refused_as_not_run_though_an_earlier_copy_may_run);
     CPPUNIT_TEST(call_to_a_queue_without_keys_is_served_by_an_old_reading);
     CPPUNIT_TEST(successor_does_not_serve_a_key_that_its_predecessor_refused);
     CPPUNIT_TEST(unreadable_configuration_leaves_the_last_good_version_in_force);
@@ -286,6 +287,18 @@
         assert_status("unauthorized", it.status(it.submit("0123456789abcdef")));
     }
 
+    // A 503 promises that the job never runs.
+    void submission_was_refused_as_not_run_though_an_earlier_copy_may_run()
+    {
+        keys_fixture it;
+        it.serve_key_a();
+        it.m_silent_reads = 1'000;
+        it.pass(milliseconds{2'600});
+        const auto token = it.submit("0123456789abcdef");
+        it.pass(owner_options{}.m_config_longest_wait + milliseconds{50});
+        assert_status("unknown_outcome", it.status(token));
+    }
+
     void call_to_a_queue_without_keys_is_served_by_an_old_reading()
     {
         keys_fixture it;
