Accept callers again after a failed accept

Cause: RESTinio's acceptor does nothing in its handler when accept has failed, so it never accepts again. Accept fails if no descriptor is free, which comes about when accepting outpaces closing: an evicted connection is shut down at once, but closed by a thread of the loop after it got that event from the reactor. If the thread that runs the reactor gets no processor, another one goes on accepting.

Ruled out: a deadlock of the table's mutex and a connection's. The first is held while the second is taken (cut), never the other way round; what a connection calls under its own mutex is send and shutdown only.

Change: caller_acceptor stands in for RESTinio's acceptor.

Seen to fail before, in http_server_test: threaded_server_accepts_again_after_a_shortage_of_descriptors, server_on_a_loop_accepts_again_after_a_shortage_of_descriptors and idle_connection_makes_room_when_no_descriptor_is_free.

--- a/include/peridotrudder/links/caller_budget.hpp
+++ b/include/peridotrudder/links/caller_budget.hpp
@@ -25,13 +25,16 @@
     memory,
     /// A long body came too slowly while others waited for its memory.
     slow_body,
+    /// A connection could not be accepted, mostly for want of a descriptor. It waits in the
+    /// listener's queue and is tried again.
+    accept_failed,
 };
 
 template <>
 struct enum_names<caller_refusal> {
-    static constexpr std::array<std::string_view, 7> values{
+    static constexpr std::array<std::string_view, 8> values{
         "body_too_long", "header_too_long", "malformed", "connections",
-        "descriptors",   "memory",          "slow_body"};
+        "descriptors",   "memory",          "slow_body", "accept_failed"};
 };
 
 /// Bounds for all callers of a process. By default nothing is bounded.
--- a/src/links/connection_table.cpp
+++ b/src/links/connection_table.cpp
@@ -90,6 +90,7 @@
     lock held{m_mutex};
     stop_waiting(connection, false);
     release(*connection);
+    m_closing -= connection->m_is_evicted ? 1 : 0;
     m_connections.erase(connection->m_position);
     grant_waiting(now);
     finish(held);
@@ -202,6 +203,17 @@
     finish(held);
 }
 
+void connection_table::accept_failed(time_point now)
+{
+    lock held{m_mutex};
+    count(caller_refusal::accept_failed, now);
+    const auto victim = m_closing == 0 ? find_victim(nullptr, nullptr, now) : nullptr;
+    if (victim) {
+        evict(victim, caller_refusal::descriptors, now);
+    }
+    finish(held);
+}
+
 std::uint64_t connection_table::refusals(caller_refusal cause) const
 {
     const lock held{m_mutex};
@@ -226,6 +238,12 @@
     return m_waiting.size();
 }
 
+std::size_t connection_table::closing() const
+{
+    const lock held{m_mutex};
+    return m_closing;
+}
+
 bool connection_table::make_room(const entry* beneficiary, std::size_t more_bytes, time_point now)
 {
     while (m_used_bytes + more_bytes > m_limits.m_memory_bytes) {
@@ -268,6 +286,7 @@
     stop_waiting(victim, false);
     release(*victim);
     victim->m_is_evicted = true;
+    ++m_closing;
     victim->m_hooks.m_cut();
 }
 
--- a/src/links/connection_table.hpp
+++ b/src/links/connection_table.hpp
@@ -60,11 +60,15 @@
     void answer_ended(entry& connection, time_point now);
 
     void refused(caller_refusal cause, time_point now);
+    /// A connection could not be accepted. Evicts one, since its descriptor may be what is missing.
+    void accept_failed(time_point now);
 
     std::uint64_t refusals(caller_refusal cause) const;
     std::size_t used_bytes() const;
     std::size_t connections() const;
     std::size_t waiting() const;
+    /// Returns how many evicted connections are still open.
+    std::size_t closing() const;
 
 private:
     struct resumed {
@@ -91,6 +95,7 @@
     mutable std::mutex m_mutex;
     std::size_t m_used_bytes{0};
     std::size_t m_long_bytes{0};
+    std::size_t m_closing{0};
     std::list<entry_ptr> m_connections;
     std::list<entry_ptr> m_waiting;
     /// Calls to make after the lock is released.
--- a/src/links/guarded_connection.cpp
+++ b/src/links/guarded_connection.cpp
@@ -40,6 +40,7 @@
     case caller_refusal::descriptors:
     case caller_refusal::memory:
     case caller_refusal::slow_body:
+    case caller_refusal::accept_failed:
         break;
     }
     return "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\n"
--- a/src/links/http_server.cpp
+++ b/src/links/http_server.cpp
@@ -1,5 +1,6 @@
 #include "peridotrudder/links/http_server.hpp"
 
+#include "links/caller_acceptor.hpp"
 #include "links/guarded_socket.hpp"
 #include "links/open_connections.hpp"
 
@@ -28,6 +29,28 @@
     using stream_socket_t = internal::guarded_socket<asio::ip::tcp::socket>;
 };
 
+} // namespace
+
+} // namespace peridotrudder
+
+// RESTinio's server has no setting for its acceptor. These specializations must come before the
+// servers' first use.
+template <>
+class restinio::impl::acceptor_t<peridotrudder::server_traits>
+    : public peridotrudder::internal::caller_acceptor<peridotrudder::server_traits> {
+    using caller_acceptor::caller_acceptor;
+};
+
+template <>
+class restinio::impl::acceptor_t<peridotrudder::loop_traits>
+    : public peridotrudder::internal::caller_acceptor<peridotrudder::loop_traits> {
+    using caller_acceptor::caller_acceptor;
+};
+
+namespace peridotrudder {
+
+namespace {
+
 constexpr std::size_t max_url_bytes = 8'192;
 constexpr std::size_t max_headers = 256;
 /// Time in which a closing server must have answered the requests that it has read.
@@ -114,8 +137,6 @@
             [](auto& setter) { setter.set_option(asio::ip::tcp::acceptor::reuse_address{true}); })
         .socket_options_setter(
             [](auto& setter) { setter.set_option(asio::ip::tcp::no_delay{true}); })
-        // Concurrent accepts would race for RESTinio's connection ids.
-        .concurrent_accepts_count(1)
         .request_handler([handler = std::move(handler)](const restinio::request_handle_t& handle) {
             return dispatch(handler, handle);
         });
--- a/test/links/connection_table_test.cpp
+++ b/test/links/connection_table_test.cpp
@@ -58,6 +58,8 @@
     CPPUNIT_TEST(oldest_idle_connection_makes_room_for_a_new_one);
     CPPUNIT_TEST(connection_whose_call_waits_is_not_closed);
     CPPUNIT_TEST(high_descriptor_is_given_only_for_another);
+    CPPUNIT_TEST(evicted_connection_counts_as_closing_until_it_is_closed);
+    CPPUNIT_TEST(failed_accept_evicts_one_idle_connection_at_a_time);
     CPPUNIT_TEST(long_bodies_leave_the_reserve_and_wait_for_each_other);
     CPPUNIT_TEST(long_body_that_stalls_makes_room_for_one_that_waits);
     CPPUNIT_TEST(unread_answer_is_given_up_when_memory_is_short);
@@ -65,6 +67,40 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against accepting that outpaces the closing of evicted connections.
+    void evicted_connection_counts_as_closing_until_it_is_closed()
+    {
+        trial test;
+        const auto first = test.add(10, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, test.m_table.closing());
+        const auto second = test.add(10, 1);
+        CPPUNIT_ASSERT_EQUAL(1, test.m_cut[0]);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.m_table.closing());
+        test.m_table.remove(first, test.m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, test.m_table.closing());
+        test.m_table.remove(second, test.m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, test.m_table.closing());
+    }
+
+    // Guards against a process without free descriptors that closes all its idle connections,
+    // though the first one that it closes will do.
+    void failed_accept_evicts_one_idle_connection_at_a_time()
+    {
+        trial test;
+        const auto first = test.add();
+        test.pass(milliseconds{1});
+        test.add();
+        test.m_table.accept_failed(test.m_now);
+        test.m_table.accept_failed(test.m_now);
+        CPPUNIT_ASSERT_EQUAL(1, test.m_cut[0]);
+        CPPUNIT_ASSERT_EQUAL(0, test.m_cut[1]);
+        test.m_table.remove(first, test.m_now);
+        test.m_table.accept_failed(test.m_now);
+        CPPUNIT_ASSERT_EQUAL(1, test.m_cut[1]);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3},
+                             test.m_table.refusals(caller_refusal::accept_failed));
+    }
+
     // Guards against idle connections that keep ordinary callers out.
     void oldest_idle_connection_makes_room_for_a_new_one()
     {
--- a/test/links/http_server_test.cpp
+++ b/test/links/http_server_test.cpp
@@ -5,8 +5,12 @@
 #include <asio.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
+#include <poll.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <atomic>
+#include <functional>
 #include <future>
 #include <thread>
 
@@ -42,7 +46,12 @@
 /// A caller with one connection, which it keeps open.
 class raw_caller {
 public:
-    raw_caller() { m_socket.connect({asio::ip::make_address("127.0.0.1"), server_port}); }
+    raw_caller() : raw_caller{asio::ip::tcp::v4()} { connect(); }
+
+    /// Has a descriptor, and connects later.
+    explicit raw_caller(const asio::ip::tcp& protocol) { m_socket.open(protocol); }
+
+    void connect() { m_socket.connect({asio::ip::make_address("127.0.0.1"), server_port}); }
 
     void send(std::string_view text = request_text)
     {
@@ -66,6 +75,13 @@
         return text;
     }
 
+    /// Returns whether bytes of the server, or the connection's end, arrive in this time.
+    bool gets_bytes_within(milliseconds time)
+    {
+        pollfd awaited{m_socket.native_handle(), POLLIN, 0};
+        return ::poll(&awaited, 1, static_cast<int>(time.count())) == 1;
+    }
+
     /// Returns everything until the server closes the connection, and how it did. Closes it too.
     std::pair<std::string, asio::error_code> read_all()
     {
@@ -86,6 +102,82 @@
     return text.find("HTTP/1.1 503") == 0 && text.find("closing") != std::string::npos;
 }
 
+/// Uses up the descriptors of this process.
+class descriptor_shortage {
+public:
+    descriptor_shortage()
+    {
+        constexpr rlim_t most = 256;
+        ::getrlimit(RLIMIT_NOFILE, &m_before);
+        const rlimit lowered{std::min(most, m_before.rlim_max), m_before.rlim_max};
+        ::setrlimit(RLIMIT_NOFILE, &lowered);
+        for (int taken = ::dup(STDERR_FILENO); taken >= 0; taken = ::dup(STDERR_FILENO)) {
+            m_taken.push_back(taken);
+        }
+    }
+
+    descriptor_shortage(const descriptor_shortage&) = delete;
+    descriptor_shortage& operator=(const descriptor_shortage&) = delete;
+    descriptor_shortage(descriptor_shortage&&) = delete;
+    descriptor_shortage& operator=(descriptor_shortage&&) = delete;
+
+    ~descriptor_shortage()
+    {
+        for (const auto taken : m_taken) {
+            ::close(taken);
+        }
+        ::setrlimit(RLIMIT_NOFILE, &m_before);
+    }
+
+private:
+    rlimit m_before{};
+    std::vector<int> m_taken;
+};
+
+/// A loop that one thread runs.
+class running_loop {
+public:
+    running_loop() = default;
+    running_loop(const running_loop&) = delete;
+    running_loop& operator=(const running_loop&) = delete;
+    running_loop(running_loop&&) = delete;
+    running_loop& operator=(running_loop&&) = delete;
+
+    ~running_loop()
+    {
+        m_loop.stop();
+        m_thread.join();
+    }
+
+    std::unique_ptr<http_server> start_server()
+    {
+        std::unique_ptr<http_server> started;
+        act([this, &started] {
+            auto server = http_server::create_on(m_loop, make_options(1), answer_at_once);
+            started = server ? std::move(*server) : nullptr;
+        });
+        CPPUNIT_ASSERT(started != nullptr);
+        return started;
+    }
+
+    void stop_server(std::unique_ptr<http_server> server)
+    {
+        act([&server] { server.reset(); });
+    }
+
+private:
+    void act(std::function<void()> action)
+    {
+        std::packaged_task<void()> task{std::move(action)};
+        asio::post(m_loop, [&task] { task(); });
+        task.get_future().get();
+    }
+
+    asio::io_context m_loop;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work{m_loop.get_executor()};
+    std::thread m_thread{[this] { m_loop.run(); }};
+};
+
 /// Keeps a number of calls under way and counts how they end.
 class steady_load {
 public:
@@ -145,6 +237,9 @@
     CPPUNIT_TEST(long_bodies_beyond_the_budget_are_served_one_after_the_other);
     CPPUNIT_TEST(pipelined_requests_get_their_answers_in_order);
     CPPUNIT_TEST(connections_beyond_the_limit_do_not_keep_a_caller_out);
+    CPPUNIT_TEST(threaded_server_accepts_again_after_a_shortage_of_descriptors);
+    CPPUNIT_TEST(server_on_a_loop_accepts_again_after_a_shortage_of_descriptors);
+    CPPUNIT_TEST(idle_connection_makes_room_when_no_descriptor_is_free);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -321,7 +416,57 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"4"}, answer_of(caller));
     }
 
+    // Guards against an acceptor that ends for good at the first failed `accept`.
+    void threaded_server_accepts_again_after_a_shortage_of_descriptors()
+    {
+        const auto server = start_server(2, answer_at_once);
+        check_accepting_after_shortage();
+    }
+
+    // The same for the second kind of server.
+    void server_on_a_loop_accepts_again_after_a_shortage_of_descriptors()
+    {
+        running_loop loop;
+        auto server = loop.start_server();
+        check_accepting_after_shortage();
+        loop.stop_server(std::move(server));
+    }
+
+    // Guards against idle connections that keep callers out by holding the last descriptors.
+    void idle_connection_makes_room_when_no_descriptor_is_free()
+    {
+        const auto server = start_server(2, answer_at_once);
+        raw_caller idle;
+        idle.send();
+        CPPUNIT_ASSERT(idle.read_until("done").find("HTTP/1.1 200") == 0);
+        raw_caller caller{asio::ip::tcp::v4()};
+        const descriptor_shortage shortage;
+        caller.connect();
+        CPPUNIT_ASSERT(is_answered(caller));
+    }
+
 private:
+    static bool is_answered(raw_caller& caller)
+    {
+        caller.send();
+        return caller.gets_bytes_within(milliseconds{5'000}) &&
+               caller.read_until("done").find("HTTP/1.1 200") == 0;
+    }
+
+    static void check_accepting_after_shortage()
+    {
+        raw_caller during{asio::ip::tcp::v4()};
+        {
+            const descriptor_shortage shortage;
+            during.connect();
+            // Time for an `accept` that fails; a later one fails too.
+            std::this_thread::sleep_for(milliseconds{100});
+        }
+        raw_caller after;
+        CPPUNIT_ASSERT(is_answered(after));
+        CPPUNIT_ASSERT(is_answered(during));
+    }
+
     static constexpr std::size_t max_body = 60'000;
     /// Callers get a fifth, half of which is for three long bodies.
     static constexpr std::size_t memory_bytes = 10'485'760;
