Test that strangers on the peers' port exhaust nothing and shut no node out

caller_crowd.py gets the server `peers`. An ordinary request is there a handshake with the cluster's token followed by a caller's submission: a process without descriptors serves neither. Two kinds are new: `short_headers` (an unfinished header of 2,300 short lines) and `reopened` (each connection that the process closes is replaced until an ordinary request has got its answer). The bounds for memory and descriptors are those of the callers' ports; in addition the descriptors may grow by the quarter that callers can't take, which holds handshakes, links, the log and workers.

--- a/test/system/caller_crowd.py
+++ b/test/system/caller_crowd.py
@@ -8,7 +8,9 @@
 """
 
 import argparse
+import base64
 import http.client
+import json
 import os
 import resource
 import selectors
@@ -28,6 +30,8 @@
 # are the reserve for peers, the log, workers and the readiness check.
 MAX_FDS = 256
 FDS_BOUND = 200
+# Growth of the open descriptors on the peers' port: what callers can't take of the limit.
+PEERS_FDS_GROWTH_BOUND = MAX_FDS // 4
 LIMITS = f"memory_mb = 40\nmax_fds = {MAX_FDS}\n"
 # Inside the limits that the pages name.
 ORDINARY_S = 30.0
@@ -132,6 +136,18 @@
     return 2 * MAX_FDS, b""
 
 
+def short_headers():
+    # The header stays unfinished; a server that keeps each line by itself needs far more memory
+    # than the text.
+    lines = b"".join(b"%x:\r\n" % i for i in range(2_300))
+    return 150, b"GET / HTTP/1.1\r\nHost: soak.example\r\n" + lines
+
+
+def reopened():
+    # Each connection that the process closes is replaced until an ordinary request got its answer.
+    return 2 * MAX_FDS, b""
+
+
 def unread_answers():
     call = b"GET /quick/0123456789abcdef HTTP/1.1\r\nHost: soak.example\r\n\r\n"
     return 150, call * 2_000
@@ -145,7 +161,7 @@
 
 KINDS = {kind.__name__: kind for kind in (
     announced_sent, announced_silent, unannounced, large_chunks, tiny_chunks, endless_headers,
-    many_headers, slow, idle, unread_answers, dense_bodies)}
+    many_headers, slow, idle, unread_answers, dense_bodies, short_headers, reopened)}
 
 
 class Crowd:
@@ -198,10 +214,45 @@
             member.close()
 
 
+class Reopeners:
+    """Connections that send nothing; each that the process closes is replaced at once."""
+
+    def __init__(self, port, count):
+        self._port = port
+        self._selector = selectors.DefaultSelector()
+        self.opened = 0
+        self._ended = threading.Event()
+        for _ in range(count):
+            self._open()
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+
+    def _open(self):
+        member = socket.socket()
+        member.setblocking(False)
+        member.connect_ex(("127.0.0.1", self._port))
+        self._selector.register(member, selectors.EVENT_READ)
+        self.opened += 1
+
+    def _run(self):
+        while not self._ended.is_set():
+            for key, _ in self._selector.select(0.1):
+                self._selector.unregister(key.fileobj)
+                key.fileobj.close()
+                self._open()
+
+    def close(self):
+        self._ended.set()
+        self._thread.join()
+        for key in list(self._selector.get_map().values()):
+            key.fileobj.close()
+
+
 class Watched:
     """A process whose memory and descriptors are sampled."""
 
     def __init__(self, command, log):
+        self.fds_before = 0
         self.most_fds = 0
         self.samples = 0
         with open(log, "ab") as file:
@@ -212,6 +263,7 @@
         self._sampler = threading.Thread(target=self._sample)
 
     def watch(self):
+        self.fds_before = len(os.listdir(f"/proc/{self.child.pid}/fd"))
         self._sampler.start()
 
     def _sample(self):
@@ -267,7 +319,7 @@
         if self.server != "entry":
             self._configure()
         self._start_process()
-        self._wait_for(lambda: self.ordinary() in (200, 401))
+        self._wait_for(self.ordinary_is_answered)
         self.process.watch()
 
     def _start_process(self):
@@ -290,25 +342,47 @@
     def ordinary(self):
         """Makes one ordinary request on a connection of its own. Returns its status, or None."""
         if self.server == "callers":
-            path = f"/quick/{os.urandom(8).hex()}"
-            return self._call(self.port, "POST", path, JOB)[0]
+            return self._submit()
+        if self.server == "peers":
+            # A process that is out of descriptors serves neither its peers nor its callers.
+            return self._submit() if self._open_link() == 101 else None
         path = {"ready": "/-/ready", "metrics": "/metrics", "entry": "/v1/reports/x"}[self.server]
         return self._call(self.port, "GET", path)[0]
 
+    def _submit(self):
+        path = f"/quick/{os.urandom(8).hex()}"
+        return self._call(self._ports["callers"], "POST", path, JOB)[0]
+
+    def _open_link(self):
+        """Opens a link as a node does, and closes it. Returns the handshake's status, or None."""
+        return self._call(self._ports["peers"], "GET", "/", headers={
+            "Connection": "Upgrade", "Upgrade": "websocket", "Sec-WebSocket-Version": "13",
+            "Sec-WebSocket-Key": base64.b64encode(os.urandom(16)).decode(),
+            "Authorization": "Bearer crowd", "X-Peridot-Incarnation": "node-1-0123456789abcdef",
+            "X-Peridot-Target": self._incarnation()})[0]
+
+    def _incarnation(self):
+        with open(f"{self._folder}/process.log", encoding="utf-8") as log:
+            started = [json.loads(line) for line in log if '"started"' in line]
+        return started[0]["context_map"]["incarnation"] if started else ""
+
+    def ordinary_is_answered(self):
+        return self.ordinary() in (200, 401)
+
     def is_answered(self):
         """Whether an ordinary request gets its answer, tried until it does."""
         until = time.monotonic() + ORDINARY_S
         while time.monotonic() < until:
-            if self.ordinary() in (200, 401):
+            if self.ordinary_is_answered():
                 return True
             time.sleep(0.1)
         return False
 
     @staticmethod
-    def _call(port, method, path, body=None):
+    def _call(port, method, path, body=None, headers=None):
         connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
         try:
-            connection.request(method, path, body, {"Host": "soak.example"})
+            connection.request(method, path, body, {"Host": "soak.example", **(headers or {})})
             answer = connection.getresponse()
             return answer.status, answer.read()
         except (OSError, http.client.HTTPException):
@@ -341,28 +415,40 @@
     def call_beside():
         while not ended.wait(0.2):
             ordinary["calls"] += 1
-            ordinary["answers"] += 1 if system.ordinary() in (200, 401) else 0
+            ordinary["answers"] += 1 if system.ordinary_is_answered() else 0
 
     beside = threading.Thread(target=call_beside)
     beside.start()
-    crowd = Crowd(system.port, count, content, 1 if kind == "slow" else None)
-    crowd.send()
+    faults = []
+    sent = 0
+    if kind == "reopened":
+        crowd = Reopeners(system.port, count)
+        time.sleep(QUIET_S)
+        if not system.is_answered():
+            faults.append("no ordinary request is answered while connections are opened")
+        count = crowd.opened
+    else:
+        crowd = Crowd(system.port, count, content, 1 if kind == "slow" else None)
+        crowd.send()
+        sent = crowd.sent
     crowd.close()
     ended.set()
     beside.join()
-    faults = []
     answered = system.process.lives() and system.is_answered()
     if not system.process.lives():
         return [f"the process ended with code {system.process.child.returncode}"]
     growth_kb = system.process.memory_kb("VmHWM") - before_kb
-    print(f"{system.server} {kind}: {count} connections sent {crowd.sent / 1e6:.1f} MB; memory "
+    print(f"{system.server} {kind}: {count} connections sent {sent / 1e6:.1f} MB; memory "
           f"{before_kb} kB before, {growth_kb} kB more at most; {system.process.most_fds} "
-          f"descriptors at most in {system.process.samples} samples; beside it "
-          f"{ordinary['answers']} of {ordinary['calls']} ordinary requests answered")
+          f"descriptors at most ({system.process.fds_before} before) in {system.process.samples} "
+          f"samples; beside it {ordinary['answers']} of {ordinary['calls']} ordinary requests answered")
     if growth_kb > GROWTH_BOUND_KB:
         faults.append(f"memory grew by {growth_kb} kB, the bound is {GROWTH_BOUND_KB}")
     if system.process.most_fds > FDS_BOUND:
         faults.append(f"{system.process.most_fds} descriptors, the bound is {FDS_BOUND}")
+    fds_growth = system.process.most_fds - system.process.fds_before
+    if system.server == "peers" and fds_growth > PEERS_FDS_GROWTH_BOUND:
+        faults.append(f"{fds_growth} more descriptors, the bound is {PEERS_FDS_GROWTH_BOUND}")
     if not answered:
         faults.append("no ordinary request is answered afterwards")
     return faults
@@ -370,7 +456,7 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("server", choices=("callers", "ready", "metrics", "entry"))
+    parser.add_argument("server", choices=("callers", "ready", "metrics", "entry", "peers"))
     parser.add_argument("kind", choices=KINDS)
     parser.add_argument("--build", default="build")
     parser.add_argument("--base_port", type=int, default=19800)
