Split relayed orders and answers by their size too

Seen in the code: a message carries up to 64 orders or answers, whatever their length. A start has up to 4,000 bytes of payload and a checkpoint whose length the worker decides; an answer has a worker's whole list. 64 of them can be longer than a peer accepts, and the peer then closes the link.

A message now also ends at about 1 MiB, unless one entry alone is longer. The sizes are estimated from the texts, which decide them, instead of encoding each entry twice. Messages of usual orders are split as before.

--- a/src/node/order_relay.cpp
+++ b/src/node/order_relay.cpp
@@ -40,21 +40,60 @@
     });
 }
 
-/// Sends the batch for a peer in messages of a limited number of entries.
+std::size_t size_of(const run_key& key, const std::string& checkpoint)
+{
+    // The numbers of an entry take less than this.
+    constexpr std::size_t numbers = 64;
+    return key.m_job.size() + checkpoint.size() + numbers;
+}
+
+/// Returns about how many bytes the order takes in a message.
+std::size_t size_of(const relayed_order& order)
+{
+    return order.m_start ? size_of(order.m_start->m_key, order.m_start->m_checkpoint) +
+                               order.m_start->m_payload.size() + order.m_start->m_ticket.size()
+                         : 0;
+}
+
+/// Returns about how many bytes the answer takes in a message.
+std::size_t size_of(const relayed_answer& answer)
+{
+    std::size_t size = 0;
+    if (answer.m_hold) {
+        for (const auto& run : answer.m_hold->m_running) {
+            size += size_of(run.m_key, run.m_checkpoint);
+        }
+        for (const auto& run : answer.m_hold->m_ended) {
+            size += size_of(run.m_key, run.m_checkpoint);
+        }
+    }
+    return size;
+}
+
+/// Sends the batch for a peer in messages of a limited number of entries, and of a limited size
+/// unless one entry alone is larger.
 template <typename Entry, typename Send>
 void send_batches(std::map<std::string, std::vector<Entry>>& gathered, const std::string& peer,
                   const Send& send)
 {
     // Orders carry payloads of kilobytes; small messages keep the link free for others.
     constexpr std::size_t max_entries = 64;
+    // Far below the longest frame that a node accepts.
+    constexpr std::size_t max_bytes = 1'048'576;
     auto entries = std::move(gathered[peer]);
     gathered.erase(peer);
-    for (std::size_t first = 0; first < entries.size(); first += max_entries) {
-        const auto last = std::min(first + max_entries, entries.size());
-        std::vector<Entry> part;
-        for (auto index = first; index < last; ++index) {
-            part.push_back(std::move(entries[index]));
+    std::vector<Entry> part;
+    std::size_t part_bytes = 0;
+    for (auto& entry : entries) {
+        const auto bytes = size_of(entry);
+        if (part.size() == max_entries || (!part.empty() && part_bytes + bytes > max_bytes)) {
+            send(std::exchange(part, {}));
+            part_bytes = 0;
         }
+        part.push_back(std::move(entry));
+        part_bytes += bytes;
+    }
+    if (!part.empty()) {
         send(std::move(part));
     }
 }
--- a/test/node/order_relay_test.cpp
+++ b/test/node/order_relay_test.cpp
@@ -125,6 +125,7 @@
     CPPUNIT_TEST(sends_orders_directly_while_the_fleet_is_small);
     CPPUNIT_TEST(relays_orders_of_a_large_fleet_through_a_few_large_nodes);
     CPPUNIT_TEST(batches_orders_and_returns_their_answers);
+    CPPUNIT_TEST(orders_that_are_long_together_are_split);
     CPPUNIT_TEST(sends_all_orders_to_a_worker_through_one_relay);
     CPPUNIT_TEST(orders_at_a_lost_relay_count_as_unanswered);
     CPPUNIT_TEST(drops_a_silent_relay_until_its_backoff_ends);
@@ -241,6 +242,24 @@
         CPPUNIT_ASSERT_EQUAL(5, accepted);
     }
 
+    // Guards against a frame of many long checkpoints, which is longer than a peer accepts.
+    void orders_that_are_long_together_are_split()
+    {
+        const auto relay = make_relay(large_fleet);
+        for (std::uint32_t index = 0; index < 5; ++index) {
+            auto order = start_of(index);
+            order.m_checkpoint = std::string(400'000, 'x');
+            relay->port().m_start(worker_named("w-1"), order, [](const order_answer&) {});
+        }
+        m_fixture.pass(relay_options{}.m_batch_delay);
+
+        std::vector<std::size_t> counts;
+        for (const auto& sent : m_fixture.m_sent) {
+            counts.push_back(std::get<relayed_orders>(sent.second).m_orders.size());
+        }
+        CPPUNIT_ASSERT(counts == (std::vector<std::size_t>{2, 2, 1}));
+    }
+
     void sends_all_orders_to_a_worker_through_one_relay()
     {
         const auto relay = make_relay(large_fleet);
