Bound unfinished handshakes on the peers' port, and the length of frames

Cause: websocketpp accepts without a limit, keeps 16 KiB and up to 16,000 bytes of header as a map for each connection for 20 s, and reads bodies of up to 32 MB.

Ruled out: websocketpp's own hooks see a connection when its header is read, so they can count connections but not bound what each of them holds; the length of a header is a constant of the library. TCP_DEFER_ACCEPT keeps silent connections from being accepted, but neither slow nor endless headers. Eviction by age alone would let strangers at other addresses displace nodes.

Change: `handshake_listener` accepts and passes a connection on when its whole header is in the kernel's buffer; `pending_handshakes` decides which connection is closed beyond `max_handshakes`, or if there is no descriptor. An eighth of the descriptors is the most. Frames between nodes may have 4 MiB and twice the longest body instead of 16 MiB; the sender drops a longer one and counts it, since a receiver closes the link.

--- a/include/peridotrudder/links/caller_budget.hpp
+++ b/include/peridotrudder/links/caller_budget.hpp
@@ -49,6 +49,11 @@
 caller_limits make_caller_limits(std::size_t memory_bytes, std::size_t max_body_bytes,
                                  std::size_t max_descriptors);
 
+/// Returns how many connections to the peers' port of a process may be in their handshakes, at most
+/// the number set: half of the descriptors that callers can't take, since links to peers, the log
+/// and workers need the others.
+std::size_t make_handshake_limit(std::size_t max_handshakes, std::size_t max_descriptors);
+
 namespace internal {
 class connection_table;
 }
--- a/include/peridotrudder/links/peer_mesh.hpp
+++ b/include/peridotrudder/links/peer_mesh.hpp
@@ -4,6 +4,7 @@
 /// The links between entries; the only module that depends on websocketpp.
 
 #include "peridotrudder/base/clock.hpp"
+#include "peridotrudder/base/enum_names.hpp"
 #include "peridotrudder/links/http_server.hpp"
 
 #include <asio/io_context.hpp>
@@ -26,7 +27,11 @@
     std::string m_self;
     /// Secret shared by all entries.
     std::string m_cluster_token;
-    std::size_t m_max_message_bytes{16'777'216};
+    /// Longest frame that is sent or accepted; the same in all processes, since a process closes a
+    /// link on which a longer one comes. Entries forward answers of 16 MiB with their headers.
+    std::size_t m_max_message_bytes{16'908'288};
+    /// Most connections that have not finished their handshake.
+    std::size_t m_max_handshakes{512};
     /// Interval at which missing links are opened and open ones are checked.
     milliseconds m_check_interval{200};
     /// Gets log lines about links that cannot be opened; runs on the mesh's loop. May be empty.
@@ -61,6 +66,20 @@
 /// Called when a link changes; runs on the mesh's loop.
 using link_handler = std::function<void(const std::string& peer, link_change change)>;
 
+/// Why a connection to the peers' port was closed before its handshake had ended.
+enum class handshake_refusal {
+    /// There were too many of them, or too few descriptors; it was the first to close.
+    evicted,
+    timed_out,
+    header_too_long,
+};
+
+template <>
+struct enum_names<handshake_refusal> {
+    static constexpr std::array<std::string_view, 3> values{"evicted", "timed_out",
+                                                            "header_too_long"};
+};
+
 /// Bytes and messages that the mesh has sent and received.
 struct peer_traffic {
     std::uint64_t m_sent_messages{0};
@@ -68,6 +87,8 @@
     std::uint64_t m_received_messages{0};
     std::uint64_t m_received_bytes{0};
     std::uint64_t m_rejected_messages{0};
+    /// Frames that were not sent since they were longer than allowed.
+    std::uint64_t m_oversized_messages{0};
 };
 
 /// Maintains one link to each peer and sends frames over it, in order and at most once each.
@@ -102,6 +123,11 @@
 
     peer_traffic traffic() const;
 
+    /// Returns how many connections have not finished their handshake.
+    std::size_t pending_handshakes() const;
+    /// Returns how many connections were closed before, by a cause.
+    std::uint64_t refusals(handshake_refusal cause) const;
+
     /// Stops the mesh's own thread, if it has one: no message is sent or handled any more.
     void stop();
 
--- a/include/peridotrudder/node/node_settings.hpp
+++ b/include/peridotrudder/node/node_settings.hpp
@@ -58,6 +58,8 @@
     std::size_t m_max_header_bytes{0};
     /// Most connections to the callers' port.
     std::size_t m_max_connections{0};
+    /// Most connections to the peers' port that have not finished their handshake.
+    std::size_t m_max_handshakes{0};
 };
 
 /// Returns the settings in an INI file, or all errors in it. Unknown sections and keys are errors,
--- a/include/peridotrudder/ownership/node_messages.hpp
+++ b/include/peridotrudder/ownership/node_messages.hpp
@@ -233,6 +233,17 @@
                  member_query, member_view, forwarded_job_call, forwarded_job_answer,
                  relayed_orders, relayed_answers>;
 
+/// Returns the longest frame between nodes that take calls with bodies up to this length.
+///
+/// A call takes less than twice the bytes of its body, and 20 for each of the 20,000 steps that a
+/// job may have. Orders and answers of several workers are split into frames of about 1 MiB; one
+/// worker's list takes 4 MiB with 1,000 runs and checkpoints of 4,000 bytes.
+constexpr std::size_t max_node_frame_bytes(std::size_t max_body_bytes)
+{
+    constexpr std::size_t longest_other = 4'194'304;
+    return longest_other + 2 * max_body_bytes;
+}
+
 /// Returns the message as CBOR.
 std::vector<std::uint8_t> encode_node_message(const node_message& message);
 
--- a/include/peridotrudder/settings/entry_settings.hpp
+++ b/include/peridotrudder/settings/entry_settings.hpp
@@ -44,6 +44,8 @@
     std::uint64_t m_max_header_bytes{0};
     /// Most connections to the callers' port.
     std::uint64_t m_max_connections{0};
+    /// Most connections to the peers' port that have not finished their handshake.
+    std::uint64_t m_max_handshakes{0};
     /// Memory and open descriptors that the process may use; callers get a part of each.
     std::uint64_t m_memory_bytes{0};
     std::uint64_t m_max_descriptors{0};
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -156,6 +156,8 @@
         options.m_port = m_settings.m_peer_port;
         options.m_self = m_self;
         options.m_cluster_token = m_settings.m_cluster_token;
+        options.m_max_handshakes =
+            make_handshake_limit(m_settings.m_max_handshakes, m_settings.m_max_descriptors);
         auto mesh = peer_mesh::create(
             options, [this](const std::string& from, gsl::span<const std::uint8_t> frame) {
                 const auto message = decode_peer_message(frame);
@@ -396,6 +398,14 @@
         m_metrics.set_gauge("peer_received_bytes", static_cast<double>(traffic.m_received_bytes));
         m_metrics.set_gauge("peer_rejected_messages",
                             static_cast<double>(traffic.m_rejected_messages));
+        m_metrics.set_gauge("peer_oversized_messages",
+                            static_cast<double>(traffic.m_oversized_messages));
+        m_metrics.set_gauge("peer_handshakes", static_cast<double>(m_mesh->pending_handshakes()));
+        for (const auto name : enum_names<handshake_refusal>::values) {
+            const auto cause = *from_string<handshake_refusal>(name);
+            m_metrics.set_gauge(fmt::format("handshakes_{}", name),
+                                static_cast<double>(m_mesh->refusals(cause)));
+        }
         m_metrics.set_gauge("log_next_offset", static_cast<double>(m_log.state()->next_offset()));
         m_metrics.set_gauge("log_connected", m_log.is_connected() ? 1 : 0);
         m_metrics.set_gauge("view_members",
--- a/src/links/connection_table.cpp
+++ b/src/links/connection_table.cpp
@@ -376,22 +376,38 @@
 
 } // namespace internal
 
+namespace {
+
+/// Callers get no descriptor of the last one of these parts.
+constexpr std::size_t descriptor_parts = 4;
+
+std::size_t allowed_descriptors(std::size_t wanted)
+{
+    rlimit allowed{};
+    return ::getrlimit(RLIMIT_NOFILE, &allowed) == 0
+               ? std::min<std::size_t>(wanted, allowed.rlim_cur)
+               : wanted;
+}
+
+} // namespace
+
+std::size_t make_handshake_limit(std::size_t max_handshakes, std::size_t max_descriptors)
+{
+    return std::min(max_handshakes, allowed_descriptors(max_descriptors) / descriptor_parts / 2);
+}
+
 caller_limits make_caller_limits(std::size_t memory_bytes, std::size_t max_body_bytes,
                                  std::size_t max_descriptors)
 {
     // The other parts are for the process's own state, and for the log, peers and workers.
     constexpr std::size_t memory_parts = 5;
-    constexpr std::size_t descriptor_parts = 4;
     caller_limits limits;
     limits.m_memory_bytes = memory_bytes / memory_parts;
     // One request with a body within the limit is served in any case.
     limits.m_long_body_memory_bytes =
         std::max(limits.m_memory_bytes / 2, internal::long_request_bytes(max_body_bytes));
     limits.m_memory_bytes = std::max(limits.m_memory_bytes, 2 * limits.m_long_body_memory_bytes);
-    rlimit allowed{};
-    if (::getrlimit(RLIMIT_NOFILE, &allowed) == 0) {
-        max_descriptors = std::min<std::size_t>(max_descriptors, allowed.rlim_cur);
-    }
+    max_descriptors = allowed_descriptors(max_descriptors);
     limits.m_first_reserved_descriptor =
         static_cast<int>(max_descriptors - max_descriptors / descriptor_parts);
     return limits;
--- a/src/links/peer_mesh.cpp
+++ b/src/links/peer_mesh.cpp
@@ -1,5 +1,6 @@
 #include "peridotrudder/links/peer_mesh.hpp"
 
+#include "links/handshake_listener.hpp"
 #include "peridotrudder/base/hash.hpp"
 #include "peridotrudder/links/link_attempts.hpp"
 #include "peridotrudder/links/link_keepalive.hpp"
@@ -31,7 +32,10 @@
 /// pings of an idle link.
 constexpr int accepted_silence_limit = 150;
 /// Longer than any peer waits for its handshake: the peer decides when to give up.
-constexpr long accepted_handshake_limit_ms = 20'000;
+constexpr milliseconds accepted_handshake_limit{20'000};
+/// Longest header of a peer's handshake without the token: those that a websocket needs, and two
+/// incarnations.
+constexpr std::size_t max_header_bytes = 2'048;
 /// Frames are dropped while a link has more unsent bytes than this, since its peer does not read.
 constexpr std::size_t max_buffered_bytes = 33'554'432;
 constexpr const char* incarnation_header = "X-Peridot-Incarnation";
@@ -105,8 +109,9 @@
     {
         const asio::ip::tcp::endpoint endpoint{asio::ip::make_address(m_options.m_address),
                                                m_options.m_port};
-        m_server.listen(endpoint);
-        m_server.start_accept();
+        m_listener = internal::handshake_listener::create(
+            m_context, make_listener_options(endpoint), make_listener_hooks());
+        m_listener->start();
         schedule_check();
         if (m_own_context) {
             m_thread = std::thread{[this] { m_context.run(); }};
@@ -120,6 +125,11 @@
 
     bool send(const std::string& to, std::vector<std::uint8_t> frame)
     {
+        // The peer would close the link, and all that is on its way would be lost.
+        if (frame.size() > m_options.m_max_message_bytes) {
+            ++m_oversized_messages;
+            return false;
+        }
         connection_hdl connection;
         {
             const std::lock_guard<std::mutex> lock{m_mutex};
@@ -143,10 +153,14 @@
 
     peer_traffic traffic() const
     {
-        return {m_sent_messages, m_sent_bytes, m_received_messages, m_received_bytes,
-                m_rejected_messages};
+        return {m_sent_messages,  m_sent_bytes,        m_received_messages,
+                m_received_bytes, m_rejected_messages, m_oversized_messages};
     }
 
+    std::size_t pending_handshakes() const { return m_listener->pending(); }
+
+    std::uint64_t refusals(handshake_refusal cause) const { return m_listener->refusals(cause); }
+
 private:
     template <typename Endpoint>
     static void disable_logging(Endpoint& endpoint)
@@ -180,11 +194,12 @@
     {
         disable_logging(m_server);
         m_server.init_asio(&m_context);
-        m_server.set_reuse_addr(true);
         m_server.set_max_message_size(m_options.m_max_message_bytes);
-        m_server.set_open_handshake_timeout(accepted_handshake_limit_ms);
+        // A peer's request has no body; by default up to 32 MB of one are read.
+        m_server.set_max_http_body_size(0);
+        // `handshake_listener` has the limit.
+        m_server.set_open_handshake_timeout(0);
         m_server.set_validate_handler([this](const connection_hdl& hdl) { return is_peer(hdl); });
-        m_server.set_open_handler([this](const connection_hdl& hdl) { accept(hdl); });
         m_server.set_close_handler([this](const connection_hdl& hdl) { forget_accepted(hdl); });
         m_server.set_message_handler([this](const connection_hdl& hdl, const auto& message) {
             receive(hdl, message->get_payload());
@@ -205,6 +220,65 @@
         m_client.set_open_handshake_timeout(0);
     }
 
+    internal::handshake_listener_options
+    make_listener_options(const asio::ip::tcp::endpoint& endpoint) const
+    {
+        return {endpoint, m_options.m_max_handshakes,
+                max_header_bytes + m_options.m_cluster_token.size(), accepted_handshake_limit};
+    }
+
+    internal::handshake_listener_hooks make_listener_hooks()
+    {
+        internal::handshake_listener_hooks hooks;
+        hooks.m_is_peer_address = [this](const asio::ip::address& address) {
+            return m_peer_addresses.count(address) != 0;
+        };
+        hooks.m_header_arrived = [this](asio::ip::tcp::socket socket,
+                                        internal::handshake_number number) {
+            answer_handshake(std::move(socket), number);
+        };
+        hooks.m_close = [this](internal::handshake_number number) { end_handshake(number); };
+        hooks.m_report = [this](handshake_refusal cause, std::uint64_t count) {
+            report("handshakes_refused", fmt::format("{}: {}", to_string(cause), count));
+        };
+        return hooks;
+    }
+
+    /// Answers a request whose header can be read.
+    void answer_handshake(asio::ip::tcp::socket socket, internal::handshake_number number)
+    {
+        const auto connection = m_server.get_connection();
+        if (!connection) {
+            m_listener->ended(number);
+            return;
+        }
+        connection->get_raw_socket() = std::move(socket);
+        m_answered[number] = connection->get_handle();
+        connection->set_open_handler([this, number](const connection_hdl& hdl) {
+            forget_handshake(number);
+            accept(hdl);
+        });
+        connection->set_termination_handler(
+            [this, number](const auto& /*connection*/) { forget_handshake(number); });
+        connection->start();
+    }
+
+    void forget_handshake(internal::handshake_number number)
+    {
+        m_answered.erase(number);
+        m_listener->ended(number);
+    }
+
+    /// Closes a connection whose answer is under way.
+    void end_handshake(internal::handshake_number number)
+    {
+        const auto found = m_answered.find(number);
+        if (found != m_answered.end()) {
+            const auto hdl = found->second;
+            terminate(m_server, hdl);
+        }
+    }
+
     bool is_peer(const connection_hdl& hdl)
     {
         const auto connection = m_server.get_con_from_hdl(hdl);
@@ -301,8 +375,22 @@
         }
     }
 
+    /// Keeps the addresses that are numeric; a name is not resolved for this.
+    void replace_peer_addresses(const std::vector<peer_endpoint>& peers)
+    {
+        m_peer_addresses.clear();
+        for (const auto& peer : peers) {
+            asio::error_code error;
+            const auto address = asio::ip::make_address(peer.m_address, error);
+            if (!error) {
+                m_peer_addresses.insert(address);
+            }
+        }
+    }
+
     void replace_peers(const std::vector<peer_endpoint>& peers)
     {
+        replace_peer_addresses(peers);
         std::vector<connection_hdl> closed;
         std::vector<connection_hdl> abandoned;
         std::vector<std::string> dropped;
@@ -337,7 +425,7 @@
             close(connection);
         }
         for (const auto& connection : abandoned) {
-            abandon(connection);
+            terminate(m_client, connection);
         }
         for (const auto& incarnation : dropped) {
             notify_link(incarnation, link_change::dropped);
@@ -358,6 +446,7 @@
             if (!error) {
                 check_opened_links();
                 check_accepted_links();
+                m_listener->close_overdue();
                 connect_missing(true);
                 schedule_check();
             }
@@ -421,11 +510,12 @@
         connection->terminate(make_error_code(websocketpp::error::general));
     }
 
-    /// Ends an attempt to open a link, whatever it waits for.
-    void abandon(const connection_hdl& hdl)
+    /// Ends a connection that is not open yet, whatever it waits for.
+    template <typename Endpoint>
+    static void terminate(Endpoint& endpoint, const connection_hdl& hdl)
     {
         websocketpp::lib::error_code error;
-        const auto connection = m_client.get_con_from_hdl(hdl, error);
+        const auto connection = endpoint.get_con_from_hdl(hdl, error);
         if (error) {
             return;
         }
@@ -459,7 +549,7 @@
             }
         }
         for (const auto& connection : given_up) {
-            abandon(connection);
+            terminate(m_client, connection);
         }
         for (const auto& failure : failures) {
             report_failure(failure);
@@ -643,6 +733,10 @@
     asio::steady_timer m_check_timer;
     ws_server m_server;
     ws_client m_client;
+    std::shared_ptr<internal::handshake_listener> m_listener;
+    /// Connections whose handshake is being answered.
+    std::map<internal::handshake_number, connection_hdl> m_answered;
+    std::set<asio::ip::address> m_peer_addresses;
     std::mutex m_mutex;
     /// Spreads the attempts to open links.
     std::minstd_rand m_random{std::random_device{}()};
@@ -655,6 +749,7 @@
     std::atomic<std::uint64_t> m_received_messages{0};
     std::atomic<std::uint64_t> m_received_bytes{0};
     std::atomic<std::uint64_t> m_rejected_messages{0};
+    std::atomic<std::uint64_t> m_oversized_messages{0};
     std::thread m_thread;
 };
 
@@ -711,4 +806,14 @@
     return m_implementation->traffic();
 }
 
+std::size_t peer_mesh::pending_handshakes() const
+{
+    return m_implementation->pending_handshakes();
+}
+
+std::uint64_t peer_mesh::refusals(handshake_refusal cause) const
+{
+    return m_implementation->refusals(cause);
+}
+
 } // namespace peridotrudder
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -200,6 +200,9 @@
         options.m_port = m_settings.m_peers.m_port;
         options.m_self = m_self;
         options.m_cluster_token = m_settings.m_cluster_token;
+        options.m_max_message_bytes = max_node_frame_bytes(m_settings.m_max_body_bytes);
+        options.m_max_handshakes =
+            make_handshake_limit(m_settings.m_max_handshakes, m_settings.m_max_descriptors);
         options.m_log_event = log_detail;
         return peer_mesh::create_on(
             m_loop, options,
@@ -387,6 +390,7 @@
         metrics.set_gauge("waiting_calls", static_cast<double>(m_router.waiting()));
         metrics.set_gauge("lost_log_lines", static_cast<double>(lost_log_lines()));
         set_caller_gauges(metrics);
+        set_mesh_gauges(metrics);
         metrics.set_gauge(
             "relays", m_distributor ? static_cast<double>(m_distributor->relays().size()) : 0.0);
         const bool loads = m_owner && m_owner->phase() == owner_phase::loading;
@@ -444,6 +448,19 @@
         }
     }
 
+    void set_mesh_gauges(node_metrics& metrics) const
+    {
+        const auto set = [&](const std::string& name, std::uint64_t value) {
+            metrics.set_gauge(name, static_cast<double>(value));
+        };
+        set("peer_handshakes", m_mesh->pending_handshakes());
+        set("peer_oversized_messages", m_mesh->traffic().m_oversized_messages);
+        for (const auto name : enum_names<handshake_refusal>::values) {
+            const auto cause = *from_string<handshake_refusal>(name);
+            set(fmt::format("handshakes_{}", name), m_mesh->refusals(cause));
+        }
+    }
+
     void end_ownership()
     {
         m_agent->set_failing(milliseconds{0});
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -21,6 +21,8 @@
 /// More than the platform's limit of 16,384 for headers, since the request line counts too.
 constexpr std::uint64_t default_max_header_bytes = 32'768;
 constexpr std::uint64_t most_connections = 65'536;
+/// More than the nodes of a cluster of several hundred, which may all open their links at once.
+constexpr std::uint64_t default_max_handshakes = 512;
 constexpr std::uint64_t default_max_connections = 1'024;
 /// Part of the descriptors that are callers' connections.
 constexpr std::uint64_t connection_parts = 4;
@@ -100,6 +102,8 @@
         reader.number_or("limits", "max_connections", 16, most_connections,
                          std::min<std::uint64_t>(default_max_connections,
                                                  settings.m_max_descriptors / connection_parts));
+    settings.m_max_handshakes =
+        reader.number_or("limits", "max_handshakes", 16, most_connections, default_max_handshakes);
 }
 
 tl::expected<node_settings, std::vector<settings_error>> read_settings(ini_reader reader)
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -23,6 +23,8 @@
 constexpr std::uint64_t max_fds = 1'048'576;
 constexpr std::uint64_t default_max_header_bytes = 32'768;
 constexpr std::uint64_t most_connections = 65'536;
+/// More than the nodes of a cluster of several hundred, which may all open their links at once.
+constexpr std::uint64_t default_max_handshakes = 512;
 constexpr std::uint64_t default_max_connections = 2'048;
 /// Part of the descriptors that are callers' connections; each may need one to its worker.
 constexpr std::uint64_t connection_parts = 4;
@@ -145,6 +147,8 @@
         reader.number_or("limits", "max_connections", 16, most_connections,
                          std::min<std::uint64_t>(default_max_connections,
                                                  settings.m_max_descriptors / connection_parts));
+    settings.m_max_handshakes =
+        reader.number_or("limits", "max_handshakes", 16, most_connections, default_max_handshakes);
     settings.m_caller_threads =
         reader.number_or("limits", "caller_threads", 1, 64, default_caller_threads);
     settings.m_upstream_timeout =
--- a/test/node/node_settings_test.cpp
+++ b/test/node/node_settings_test.cpp
@@ -111,6 +111,8 @@
         CPPUNIT_ASSERT(read->m_max_connections >= 1'000);
         const auto small = parse_node_settings("node.ini", valid_settings + "max_fds = 256\n");
         CPPUNIT_ASSERT(small->m_max_connections == 64);
+        // A cluster of several hundred nodes may open all its links at once.
+        CPPUNIT_ASSERT(read->m_max_handshakes >= 500);
         CPPUNIT_ASSERT_EQUAL(std::string{"out_of_range"},
                              first_fault(valid_settings + "memory_mb = 1\n"));
     }
--- a/test/ownership/node_messages_test.cpp
+++ b/test/ownership/node_messages_test.cpp
@@ -26,6 +26,7 @@
 class node_messages_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(node_messages_test);
     CPPUNIT_TEST(call_is_decoded_as_encoded);
+    CPPUNIT_TEST(longest_call_and_longest_list_of_a_worker_fit_into_a_frame);
     CPPUNIT_TEST(claim_is_decoded_as_encoded);
     CPPUNIT_TEST(message_of_an_unknown_kind_is_refused);
     CPPUNIT_TEST(view_with_and_without_a_reached_owner_is_decoded);
@@ -45,6 +46,31 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"payload"}, call.m_call.m_spec->m_payload);
     }
 
+    // Guards against a limit for frames that cuts the link of a node that forwards such a call.
+    void longest_call_and_longest_list_of_a_worker_fit_into_a_frame()
+    {
+        constexpr std::size_t max_body = 262'144;
+        auto call = make_call();
+        call.m_call.m_path = std::string(65'536, 'p');
+        call.m_call.m_spec->m_steps.assign(max_job_tasks, step_spec{});
+        // The shortest step in JSON is "{},"; the rest of the body is a list of dependencies, which
+        // takes most of CBOR's bytes for a number of JSON with an exponent: 5 for "1e9,".
+        constexpr std::size_t rest = max_body - 3 * max_job_tasks;
+        call.m_call.m_spec->m_steps.back().m_depends_on.assign(rest / 4, 1'000'000'000);
+        CPPUNIT_ASSERT(encode_node_message(call).size() <= max_node_frame_bytes(max_body));
+
+        relayed_answer answer;
+        auto& list = answer.m_hold.emplace().m_running;
+        running_entry run;
+        run.m_key.m_job = "0123456789abcdef";
+        run.m_run = 1'000'000;
+        run.m_checkpoint = std::string(4'000, 'x');
+        run.m_load = 1'000'000;
+        list.assign(1'000, run);
+        CPPUNIT_ASSERT(encode_node_message(relayed_answers{1, {answer}}).size() <=
+                       max_node_frame_bytes(max_body));
+    }
+
     void claim_is_decoded_as_encoded()
     {
         ownership_claim claim;
