Split the cluster agent: order of claims, support by peers, questions about routes, calls of the log

Four of them are modules of their own now, without a change in behavior: `claim_order` (who claims first, and to whom an owner hands over), `owner_support` (when an owner asks its peers, and whether a majority has confirmed it), `route_inquiry` (when peers are asked whether they reach the owner, and which) and `cluster_log` (what is read from and written to the log about the ownership).

--- a/include/peridotrudder/ownership/cluster_agent.hpp
+++ b/include/peridotrudder/ownership/cluster_agent.hpp
@@ -4,6 +4,7 @@
 /// A node's view of the cluster: its members, the owner of the fleet, and changes of both.
 
 #include "peridotrudder/base/loop_port.hpp"
+#include "peridotrudder/ownership/cluster_log.hpp"
 #include "peridotrudder/ownership/member_list.hpp"
 #include "peridotrudder/ownership/member_removal.hpp"
 #include "peridotrudder/ownership/node_messages.hpp"
@@ -11,6 +12,8 @@
 #include "peridotrudder/ownership/owner_election.hpp"
 #include "peridotrudder/ownership/owner_group.hpp"
 #include "peridotrudder/ownership/owner_routes.hpp"
+#include "peridotrudder/ownership/owner_support.hpp"
+#include "peridotrudder/ownership/route_inquiry.hpp"
 #include "peridotrudder/ownership/self_registration.hpp"
 #include "peridotrudder/ownership/topic_follower.hpp"
 
@@ -120,6 +123,8 @@
     void learn(const ownership_claim& claim);
     void claim();
     void append_claim(bool released);
+    void claim_answered(ownership_claim own_claim, std::uint64_t expected_end,
+                        const append_answer& answer);
     void check_journal();
     void broadcast(const node_message& message);
     void send_heartbeat(time_point now);
@@ -133,7 +138,6 @@
     void ask_for_route(time_point now);
     std::string unreachable_cause() const;
     void report_suspicion(time_point now);
-    milliseconds stagger() const;
     void yield_to_larger_node(moment now);
 
     void handle(const std::string& from, const owner_heartbeat& message);
@@ -170,17 +174,14 @@
     owner_routes m_routes;
     /// The route when the ports were last told.
     owner_route m_route;
-    time_point m_peers_asked_at;
+    cluster_log m_log;
+    route_inquiry m_route_inquiry;
     milliseconds m_failing_for{0};
     time_point m_heartbeat_sent_at;
     time_point m_probe_at;
     milliseconds m_proof_age{0};
-    time_point m_support_asked_at;
-    /// Peers that hear this owner, and when they were asked.
-    std::map<std::string, time_point> m_supporters;
+    owner_support m_support;
     time_point m_suspicion_reported_at;
-    /// Callbacks of pending calls hold a weak pointer to it, to detect that the agent is destroyed.
-    std::shared_ptr<cluster_agent*> m_self;
 };
 
 } // namespace peridotrudder
--- a/src/ownership/cluster_agent.cpp
+++ b/src/ownership/cluster_agent.cpp
@@ -1,40 +1,19 @@
 #include "peridotrudder/ownership/cluster_agent.hpp"
 
 #include "peridotrudder/base/packed_cbor.hpp"
+#include "peridotrudder/ownership/claim_order.hpp"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cstdlib>
 
 namespace peridotrudder {
 
 namespace {
 
-constexpr std::string_view owner_key = "owner";
-constexpr std::string_view owner_group_key = "owner_group";
-/// Timeout of appends to the cluster's topic.
-constexpr milliseconds append_timeout{800};
 /// With the time limit of a read, less than the time in which a silent connection must be replaced.
 constexpr milliseconds follow_wait{1'200};
 constexpr milliseconds probe_interval{100};
-/// An owner writes to its journal more often than this.
-constexpr milliseconds journal_silence{1'200};
-/// Age of the proof of ownership from which on the peers are asked whether they hear the owner.
-constexpr milliseconds support_after{600};
-constexpr milliseconds support_interval{200};
-/// How long a peer's word that it hears the owner counts.
-constexpr milliseconds support_time{600};
-/// Delay between the claims of two nodes: about the duration of a claim.
-constexpr milliseconds claim_spacing{12};
-constexpr milliseconds longest_stagger{150};
-constexpr milliseconds settling_time{1'000};
-/// Longer than the interval at which the election asks, whose answers are used too.
-constexpr milliseconds route_ask_interval{350};
-/// Usual time until a question is answered.
-constexpr milliseconds route_answer_time{100};
-/// While there is no owner, there will soon be one that tells itself.
-constexpr milliseconds ownerless_ask_interval{1'000};
 /// Two answers may be lost.
 constexpr milliseconds max_route_age{1'000};
 /// Time for which a node that has handed over does not claim: longer than a claim takes while the
@@ -65,8 +44,8 @@
       m_registration{make_registration()},
       m_removal{m_options.m_removal},
       m_routes{owner_routes::create(max_route_age)},
-      m_peers_asked_at{m_ports.m_loop.m_now().m_at},
-      m_self{std::make_shared<cluster_agent*>(this)}
+      m_log{m_ports.m_log, m_options.m_topic, m_options.m_journal_topic},
+      m_route_inquiry{m_ports.m_loop.m_now().m_at}
 {
 }
 
@@ -97,7 +76,7 @@
     registration_options options;
     options.m_self = m_options.m_self;
     options.m_topic = m_options.m_topic;
-    options.m_append_timeout = append_timeout;
+    options.m_append_timeout = cluster_append_timeout;
     registration_ports ports;
     ports.m_loop = m_ports.m_loop;
     ports.m_log = m_ports.m_log;
@@ -179,7 +158,7 @@
     if (own_claim && m_owned_epoch == 0) {
         m_owned_epoch = m_election.claim().m_epoch;
         m_owned_since = m_ports.m_loop.m_now().m_at;
-        m_supporters.clear();
+        m_support.reset();
         m_group_report = {};
         m_ports.m_became_owner(m_election.claim());
     }
@@ -247,13 +226,14 @@
     if (!m_topic_read || !m_may_claim || leaves_claim) {
         return;
     }
-    m_election.set_stagger(stagger());
+    m_election.set_stagger(claim_delay(m_options.m_self, m_members.nodes(), m_open_links,
+                                       m_ports.m_loop.m_now().m_unix_ms));
     m_election.set_linked(linked_nodes().size());
     switch (m_election.tick(now)) {
     case election_step::none:
         return;
     case election_step::ask_peers:
-        m_peers_asked_at = now;
+        m_route_inquiry.asked(now);
         broadcast(owner_query{m_election.claim().m_epoch});
         return;
     case election_step::check_journal:
@@ -265,29 +245,6 @@
     }
 }
 
-milliseconds cluster_agent::stagger() const
-{
-    // The nodes with the most processor capacity claim first, since the owner's work is not shared.
-    // Among equal nodes the last started claims first: in a rolling restart the nodes that have
-    // been restarted will not be stopped again soon. A process that has just started comes last,
-    // since it may not know its peers yet.
-    const auto rank_of = [this](const node_record& node) {
-        const auto age_ms = m_ports.m_loop.m_now().m_unix_ms - node.m_started_ms;
-        return std::make_tuple(age_ms < settling_time.count(), -std::int64_t{node.m_cpu_millis},
-                               -node.m_started_ms, node.m_name);
-    };
-    const auto own_rank = rank_of(m_options.m_self);
-    const auto now_ms = m_ports.m_loop.m_now().m_unix_ms;
-    milliseconds wait{0};
-    for (const auto& [name, node] : m_members.nodes()) {
-        // Where all nodes start at once, the owner is elected before links are open.
-        const bool starting = std::abs(now_ms - node.m_started_ms) < settling_time.count();
-        const bool present = starting || m_open_links.count(node.m_incarnation) != 0;
-        wait += present && rank_of(node) < own_rank ? claim_spacing : milliseconds{0};
-    }
-    return std::min(wait, longest_stagger);
-}
-
 void cluster_agent::update_reachability()
 {
     const auto current = route();
@@ -322,18 +279,17 @@
 
 void cluster_agent::ask_for_route(time_point now)
 {
-    const auto interval = m_election.owner_has_gone() ? ownerless_ask_interval : route_ask_interval;
-    if (m_route.m_direct || now - m_peers_asked_at < interval) {
-        return;
-    }
-    m_peers_asked_at = now;
     const owner_query question{epoch()};
-    if (m_routes.is_newer_than(interval + route_answer_time, m_route.m_peer, now)) {
+    switch (m_route_inquiry.next(m_route, m_routes, m_election.owner_has_gone(), now)) {
+    case route_question::none:
+        return;
+    case route_question::ask_route:
         m_ports.m_send(m_route.m_peer, question);
         return;
+    case route_question::ask_all:
+        broadcast(question);
+        return;
     }
-    // There is no route, or its peer has not answered the last question.
-    broadcast(question);
 }
 
 void cluster_agent::not_passed_on(const std::string& peer)
@@ -407,66 +363,33 @@
     own_claim.m_after_release = released
                                     ? m_election.predecessors_are_over(m_ports.m_loop.m_now().m_at)
                                     : m_election.follows_release();
-    append_request request;
-    request.m_topic = m_options.m_topic;
-    request.m_timeout = append_timeout;
-    request.m_expected_end = m_topic_end;
-    request.m_records.push_back({std::string{owner_key}, to_packed_cbor(own_claim), 0});
-    const std::weak_ptr<cluster_agent*> self = m_self;
     const auto expected = m_topic_end;
-    m_ports.m_log.m_append(request, [self, own_claim, expected](const append_answer& answer) {
-        const auto agent = self.lock();
-        if (!agent) {
-            return;
-        }
-        if (answer.m_result == log_result::ok) {
-            auto won = own_claim;
-            won.m_epoch = answer.m_offset + 1;
-            (*agent)->learn(won);
-            return;
-        }
-        if (answer.m_result == log_result::moved_on) {
-            (*agent)->m_election.claim_refused((*agent)->m_ports.m_loop.m_now().m_at);
-        }
-        // Without an answer, the topic's follower learns whether the claim was appended.
-        (*agent)->m_ports.m_log_event(
-            "claim_refused", fmt::format("{} at {}", to_string(answer.m_result), expected));
+    m_log.append_claim(own_claim, expected, [this, own_claim, expected](const auto& answer) {
+        claim_answered(own_claim, expected, answer);
     });
 }
 
+void cluster_agent::claim_answered(ownership_claim own_claim, std::uint64_t expected_end,
+                                   const append_answer& answer)
+{
+    if (answer.m_result == log_result::ok) {
+        own_claim.m_epoch = answer.m_offset + 1;
+        learn(own_claim);
+        return;
+    }
+    if (answer.m_result == log_result::moved_on) {
+        m_election.claim_refused(m_ports.m_loop.m_now().m_at);
+    }
+    // Without an answer, the topic's follower learns whether the claim was appended.
+    m_ports.m_log_event("claim_refused",
+                        fmt::format("{} at {}", to_string(answer.m_result), expected_end));
+}
+
 void cluster_agent::check_journal()
 {
-    const auto epoch = m_election.claim().m_epoch;
-    read_request request;
-    request.m_topic = m_options.m_journal_topic;
-    request.m_max_kb = 1;
-    const std::weak_ptr<cluster_agent*> self = m_self;
-    const auto read_after_end = [self, epoch](std::uint64_t end) {
-        const auto agent = self.lock();
-        if (!agent) {
-            return;
-        }
-        read_request next;
-        next.m_topic = (*agent)->m_options.m_journal_topic;
-        next.m_from = end;
-        next.m_wait = journal_silence;
-        next.m_max_kb = 1;
-        (*agent)->m_ports.m_log.m_read(next, [self, epoch](const read_answer& answer) {
-            const auto agent_again = self.lock();
-            if (agent_again && answer.m_result == log_result::ok) {
-                (*agent_again)
-                    ->m_election.journal_view(epoch, !answer.m_records.empty(),
-                                              (*agent_again)->m_ports.m_loop.m_now().m_at);
-            }
-        });
-    };
-    // Read from the end only; the first records may have been trimmed.
-    m_ports.m_log.m_newest(m_options.m_journal_topic,
-                           [read_after_end](const newest_answer& answer) {
-                               if (answer.m_result == log_result::ok) {
-                                   read_after_end(answer.m_end);
-                               }
-                           });
+    m_log.watch_journal([this, epoch = epoch()](bool written) {
+        m_election.journal_view(epoch, written, m_ports.m_loop.m_now().m_at);
+    });
 }
 
 void cluster_agent::broadcast(const node_message& message)
@@ -494,19 +417,14 @@
 
 void cluster_agent::ask_for_support(time_point now)
 {
-    if (m_proof_age >= support_after && now - m_support_asked_at >= support_interval) {
-        m_support_asked_at = now;
+    if (m_support.ask(m_proof_age, now)) {
         broadcast(owner_query{m_owned_epoch, milliseconds_of(now)});
     }
 }
 
 bool cluster_agent::is_supported() const
 {
-    const auto now = m_ports.m_loop.m_now().m_at;
-    const auto supporters =
-        std::count_if(m_supporters.begin(), m_supporters.end(),
-                      [now](const auto& entry) { return now - entry.second <= support_time; });
-    return owns() && (static_cast<std::size_t>(supporters) + 1) * 2 > m_members.nodes().size();
+    return owns() && m_support.is_majority(m_members.nodes().size(), m_ports.m_loop.m_now().m_at);
 }
 
 void cluster_agent::report_group(time_point now)
@@ -519,17 +437,10 @@
     m_ports.m_log_event("owner_group",
                         fmt::format("epoch {}, reaches {} of {} nodes", m_owned_epoch,
                                     linked_nodes().size() + 1, m_members.nodes().size()));
-    append_request request;
-    request.m_topic = m_options.m_topic;
-    request.m_timeout = append_timeout;
-    request.m_records.push_back(
-        {std::string{owner_group_key}, to_packed_cbor(owner_group{m_owned_epoch, *nodes}), 0});
-    const std::weak_ptr<cluster_agent*> self = m_self;
     const auto epoch = m_owned_epoch;
-    m_ports.m_log.m_append(request, [self, epoch, nodes](const append_answer& answer) {
-        const auto agent = self.lock();
-        if (agent && answer.m_result == log_result::ok && (*agent)->m_owned_epoch == epoch) {
-            (*agent)->m_group_report.recorded(*nodes);
+    m_log.append_group({epoch, *nodes}, [this, epoch, nodes](const append_answer& answer) {
+        if (answer.m_result == log_result::ok && m_owned_epoch == epoch) {
+            m_group_report.recorded(*nodes);
         }
     });
 }
@@ -562,18 +473,9 @@
         return;
     }
     m_ports.m_log_event("node_removed", incarnation);
-    append_request request;
-    request.m_topic = m_options.m_topic;
-    request.m_timeout = append_timeout;
-    // Conditional on the end of the topic, since the node may be registering again.
-    request.m_expected_end = m_topic_end;
-    request.m_records.push_back({std::string{node_key_prefix} + found->first, std::nullopt, 0});
-    const std::weak_ptr<cluster_agent*> self = m_self;
-    m_ports.m_log.m_append(request, [self](const append_answer& answer) {
-        const auto agent = self.lock();
-        if (agent && answer.m_result != log_result::ok) {
-            (*agent)->m_ports.m_log_event("node_removal_failed",
-                                          std::string{to_string(answer.m_result)});
+    m_log.delete_node(found->first, m_topic_end, [this](const append_answer& answer) {
+        if (answer.m_result != log_result::ok) {
+            m_ports.m_log_event("node_removal_failed", std::string{to_string(answer.m_result)});
         }
     });
 }
@@ -583,16 +485,12 @@
     if (now.m_at - m_owned_since < m_options.m_yield_after || m_failing_for.count() > 0) {
         return;
     }
-    for (const auto& [name, node] : m_members.nodes()) {
-        const bool up_long_enough = now.m_unix_ms - node.m_started_ms >= settling_time.count();
-        const bool linked = m_open_links.count(node.m_incarnation) != 0;
-        if (up_long_enough && linked &&
-            node.m_cpu_millis * 2 >= m_options.m_self.m_cpu_millis * 3) {
-            m_ports.m_log_event("yielding", node.m_name);
-            m_yielded_until = now.m_at + yield_pause;
-            resign(true);
-            return;
-        }
+    const auto* larger =
+        find_larger_node(m_options.m_self, m_members.nodes(), m_open_links, now.m_unix_ms);
+    if (larger != nullptr) {
+        m_ports.m_log_event("yielding", larger->m_name);
+        m_yielded_until = now.m_at + yield_pause;
+        resign(true);
     }
 }
 
@@ -720,27 +618,15 @@
         resign(false);
     }
     else if (message.m_epoch == m_owned_epoch && message.m_hears_owner) {
-        // Counted from the question: an answer may be read long after it has come.
         const auto asked_ms = static_cast<std::int64_t>(message.m_asked_ms.value_or(0));
-        m_supporters[from] = time_point{milliseconds{asked_ms}};
+        m_support.confirmed(from, time_point{milliseconds{asked_ms}});
     }
 }
 
 void cluster_agent::handle(const std::string& from, const log_probe& message)
 {
-    read_request request;
-    request.m_topic = m_options.m_journal_topic;
-    request.m_max_kb = 1;
-    const std::weak_ptr<cluster_agent*> self = m_self;
-    m_ports.m_log.m_read(request,
-                         [self, from, number = message.m_number](const read_answer& answer) {
-                             const bool reached = answer.m_result == log_result::ok ||
-                                                  answer.m_result == log_result::trimmed;
-                             const auto agent = self.lock();
-                             if (agent && reached) {
-                                 (*agent)->m_ports.m_send(from, log_reached{number});
-                             }
-                         });
+    m_log.probe_journal(
+        [this, from, number = message.m_number] { m_ports.m_send(from, log_reached{number}); });
 }
 
 void cluster_agent::handle(const std::string& /*from*/, const log_reached& message)
