Count a refused handshake before its connection is closed

a_header_without_end_is_cut_off failed once in six runs: the test saw the connection closed before its refusal was counted, on another thread. Counted first, whoever sees the end of the connection finds it in the counter.

--- a/src/links/handshake_listener.cpp
+++ b/src/links/handshake_listener.cpp
@@ -215,12 +215,13 @@
 
 void handshake_listener::evict(handshake_number connection, handshake_refusal cause)
 {
+    // First, so that whoever sees the connection closed finds it counted.
+    count(cause);
     const bool taken_over = m_awaited.count(connection) == 0;
     forget(connection);
     if (taken_over) {
         m_hooks.m_close(connection);
     }
-    count(cause);
 }
 
 void handshake_listener::forget(handshake_number connection)
