Split the mesh of peers: the state of its links is a module without a network

peer_mesh.cpp had the state of the links, the decisions about them and the calls of websocketpp in one class. `link_table` has the state and the decisions now: `outgoing_links` (attempts, keep-alive, what is reported) and `accepted_links` (which connection of a peer counts, silence). It identifies connections by opaque handles, so that its tests need no network. No behavior is meant to change.

--- a/src/links/peer_mesh.cpp
+++ b/src/links/peer_mesh.cpp
@@ -1,20 +1,17 @@
 #include "peridotrudder/links/peer_mesh.hpp"
 
 #include "links/handshake_listener.hpp"
+#include "links/link_table.hpp"
 #include "peridotrudder/base/hash.hpp"
-#include "peridotrudder/links/link_attempts.hpp"
-#include "peridotrudder/links/link_keepalive.hpp"
 
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
-#include <algorithm>
 #include <atomic>
 #include <fmt/format.h>
 #include <map>
-#include <mutex>
 #include <random>
 #include <set>
 #include <thread>
@@ -28,9 +25,6 @@
 using ws_server = websocketpp::server<websocketpp::config::asio>;
 using ws_client = websocketpp::client<websocketpp::config::asio_client>;
 
-/// Check intervals after which a link from a peer is closed that carried nothing, not even the
-/// pings of an idle link.
-constexpr int accepted_silence_limit = 150;
 /// Longer than any peer waits for its handshake: the peer decides when to give up.
 constexpr milliseconds accepted_handshake_limit{20'000};
 /// Longest header of a peer's handshake without the token: those that a websocket needs, and two
@@ -46,28 +40,9 @@
 /// A link that was missing for longer is reported when it opens.
 constexpr milliseconds reported_gap{1'000};
 
-/// A link that this process opened.
-struct outgoing_link {
-    peer_endpoint m_endpoint;
-    /// The open connection, or that of the present attempt to open one.
-    connection_hdl m_connection;
-    link_keepalive m_keepalive;
-    bool m_open{false};
-    link_attempts m_attempts;
-    time_point m_missing_since{std::chrono::steady_clock::now()};
-    time_point m_reported_at;
-};
-
-/// A link that a peer opened.
-struct accepted_link {
-    connection_hdl m_connection;
-    /// Check intervals since the last message or ping.
-    int m_silent_intervals{0};
-};
-
-bool same_connection(const connection_hdl& left, const connection_hdl& right)
+time_point now_point()
 {
-    return !left.owner_before(right) && !right.owner_before(left);
+    return std::chrono::steady_clock::now();
 }
 
 } // namespace
@@ -82,7 +57,8 @@
           m_on_link{std::move(on_link)},
           m_own_context{loop == nullptr ? std::make_unique<asio::io_context>() : nullptr},
           m_context{loop == nullptr ? *m_own_context : *loop},
-          m_check_timer{m_context}
+          m_check_timer{m_context},
+          m_links{m_options.m_check_interval}
     {
         set_up_server();
         set_up_client();
@@ -130,24 +106,18 @@
             ++m_oversized_messages;
             return false;
         }
-        connection_hdl connection;
-        {
-            const std::lock_guard<std::mutex> lock{m_mutex};
-            const auto found = m_links.find(to);
-            if (found == m_links.end() || !found->second.m_open) {
-                return false;
-            }
-            connection = found->second.m_connection;
-            found->second.m_keepalive.used();
+        const auto connection = m_links.use(to);
+        if (!connection) {
+            return false;
         }
         // websocketpp does not lock its count of buffered bytes, so only the mesh's thread may
         // access a link.
         if (!m_own_context) {
-            write(connection, frame);
+            write(*connection, frame);
             return true;
         }
         asio::post(m_context,
-                   [this, connection, frame = std::move(frame)] { write(connection, frame); });
+                   [this, connection, frame = std::move(frame)] { write(*connection, frame); });
         return true;
     }
 
@@ -200,13 +170,14 @@
         // `handshake_listener` has the limit.
         m_server.set_open_handshake_timeout(0);
         m_server.set_validate_handler([this](const connection_hdl& hdl) { return is_peer(hdl); });
-        m_server.set_close_handler([this](const connection_hdl& hdl) { forget_accepted(hdl); });
+        m_server.set_close_handler(
+            [this](const connection_hdl& hdl) { m_accepted.remove(opener_of(hdl), hdl); });
         m_server.set_message_handler([this](const connection_hdl& hdl, const auto& message) {
             receive(hdl, message->get_payload());
         });
         m_server.set_ping_handler(
             [this](const connection_hdl& hdl, const std::string& /*payload*/) {
-                mark_accepted_alive(opener_of(hdl), hdl);
+                m_accepted.used(opener_of(hdl), hdl);
                 return true;
             });
     }
@@ -301,7 +272,7 @@
     /// Only a process that has the token is reported by its name: strangers could make up many.
     void report_rejection(const std::string& opener, const std::string& cause)
     {
-        const auto now = std::chrono::steady_clock::now();
+        const auto now = now_point();
         auto& reported_at = m_rejections_reported_at[opener];
         if (now - reported_at >= report_interval) {
             reported_at = now;
@@ -318,37 +289,18 @@
     void accept(const connection_hdl& hdl)
     {
         const auto peer = opener_of(hdl);
-        auto& link = m_accepted[peer];
-        const auto replaced = std::exchange(link, {hdl, 0}).m_connection;
-        // A peer uses only the link that it opened last.
-        reset(m_server, replaced);
-        mark_alive(peer);
+        reset(m_server, m_accepted.accept(peer, hdl));
+        m_links.peer_lives(peer);
         notify_link(peer, link_change::accepted);
     }
 
-    void forget_accepted(const connection_hdl& hdl)
-    {
-        const auto found = m_accepted.find(opener_of(hdl));
-        if (found != m_accepted.end() && same_connection(found->second.m_connection, hdl)) {
-            m_accepted.erase(found);
-        }
-    }
-
-    void mark_accepted_alive(const std::string& peer, const connection_hdl& hdl)
-    {
-        const auto found = m_accepted.find(peer);
-        if (found != m_accepted.end() && same_connection(found->second.m_connection, hdl)) {
-            found->second.m_silent_intervals = 0;
-        }
-    }
-
     void receive(const connection_hdl& hdl, const std::string& payload)
     {
         ++m_received_messages;
         m_received_bytes += payload.size();
         const auto peer = opener_of(hdl);
-        mark_accepted_alive(peer, hdl);
-        mark_used(peer);
+        m_accepted.used(peer, hdl);
+        m_links.peer_sent(peer);
         // The payload is CBOR; websocketpp passes its bytes as characters.
         const auto* data = reinterpret_cast<const std::uint8_t*>(payload.data());
         if (!m_handler(peer, {data, payload.size()})) {
@@ -356,25 +308,6 @@
         }
     }
 
-    /// The peer that sends may also expect messages: the link to it must not be dead unnoticed.
-    void mark_used(const std::string& peer)
-    {
-        const std::lock_guard<std::mutex> lock{m_mutex};
-        const auto found = m_links.find(peer);
-        if (found != m_links.end()) {
-            found->second.m_keepalive.used();
-        }
-    }
-
-    void mark_alive(const std::string& peer)
-    {
-        const std::lock_guard<std::mutex> lock{m_mutex};
-        const auto found = m_links.find(peer);
-        if (found != m_links.end()) {
-            found->second.m_attempts.peer_lives();
-        }
-    }
-
     /// Keeps the addresses that are numeric; a name is not resolved for this.
     void replace_peer_addresses(const std::vector<peer_endpoint>& peers)
     {
@@ -391,43 +324,14 @@
     void replace_peers(const std::vector<peer_endpoint>& peers)
     {
         replace_peer_addresses(peers);
-        std::vector<connection_hdl> closed;
-        std::vector<connection_hdl> abandoned;
-        std::vector<std::string> dropped;
-        {
-            const std::lock_guard<std::mutex> lock{m_mutex};
-            std::set<std::string> current_peers;
-            for (const auto& peer : peers) {
-                current_peers.insert(peer.m_incarnation);
-                const auto [position, added] = m_links.try_emplace(peer.m_incarnation);
-                position->second.m_endpoint = peer;
-                if (added) {
-                    position->second.m_attempts = link_attempts{m_options.m_check_interval};
-                }
-            }
-            for (auto position = m_links.begin(); position != m_links.end();) {
-                if (current_peers.count(position->first) != 0) {
-                    ++position;
-                    continue;
-                }
-                const auto& link = position->second;
-                if (link.m_open) {
-                    closed.push_back(link.m_connection);
-                    dropped.push_back(position->first);
-                }
-                else {
-                    abandoned.push_back(link.m_connection);
-                }
-                position = m_links.erase(position);
-            }
-        }
-        for (const auto& connection : closed) {
+        const auto ended = m_links.replace(peers, now_point());
+        for (const auto& connection : ended.m_open) {
             close(connection);
         }
-        for (const auto& connection : abandoned) {
+        for (const auto& connection : ended.m_attempts) {
             terminate(m_client, connection);
         }
-        for (const auto& incarnation : dropped) {
+        for (const auto& incarnation : ended.m_dropped) {
             notify_link(incarnation, link_change::dropped);
         }
         connect_missing(false);
@@ -455,27 +359,12 @@
 
     void check_opened_links()
     {
-        std::vector<connection_hdl> pinged;
-        std::vector<std::pair<std::string, connection_hdl>> dead;
-        {
-            const std::lock_guard<std::mutex> lock{m_mutex};
-            for (auto& [incarnation, link] : m_links) {
-                const auto step = link.m_open ? link.m_keepalive.check() : keepalive_step::none;
-                if (step == keepalive_step::ping) {
-                    pinged.push_back(link.m_connection);
-                }
-                if (step == keepalive_step::close) {
-                    link.m_open = false;
-                    link.m_missing_since = std::chrono::steady_clock::now();
-                    dead.emplace_back(incarnation, link.m_connection);
-                }
-            }
-        }
-        for (const auto& connection : pinged) {
+        const auto steps = m_links.check_open(now_point());
+        for (const auto& connection : steps.m_to_ping) {
             websocketpp::lib::error_code ignored;
             m_client.ping(connection, "", ignored);
         }
-        for (const auto& [incarnation, connection] : dead) {
+        for (const auto& [incarnation, connection] : steps.m_dead) {
             reset(m_client, connection);
             notify_link(incarnation, link_change::timed_out);
         }
@@ -483,13 +372,7 @@
 
     void check_accepted_links()
     {
-        std::vector<connection_hdl> silent;
-        for (auto& [peer, link] : m_accepted) {
-            if (++link.m_silent_intervals >= accepted_silence_limit) {
-                silent.push_back(link.m_connection);
-            }
-        }
-        for (const auto& connection : silent) {
+        for (const auto& connection : m_accepted.check()) {
             // Its close handler removes it from the accepted links.
             reset(m_server, connection);
         }
@@ -528,33 +411,15 @@
     /// that no attempt has failed to open.
     void connect_missing(bool interval)
     {
-        std::vector<peer_endpoint> due;
-        std::vector<connection_hdl> given_up;
-        std::vector<std::string> failures;
-        {
-            const std::lock_guard<std::mutex> lock{m_mutex};
-            for (auto& [incarnation, link] : m_links) {
-                const bool fresh = !link.m_attempts.trying() && link.m_attempts.failures() == 0;
-                if (link.m_open || (!interval && !fresh)) {
-                    continue;
-                }
-                const auto step = link.m_attempts.check(m_random());
-                if (step == attempt_step::start) {
-                    due.push_back(link.m_endpoint);
-                }
-                if (step == attempt_step::give_up) {
-                    given_up.push_back(std::exchange(link.m_connection, {}));
-                    failures.push_back(describe_failure(link, "no answer in time"));
-                }
-            }
-        }
-        for (const auto& connection : given_up) {
+        const auto steps = m_links.check_missing(
+            interval, [this] { return m_random(); }, now_point());
+        for (const auto& connection : steps.m_given_up) {
             terminate(m_client, connection);
         }
-        for (const auto& failure : failures) {
+        for (const auto& failure : steps.m_failures) {
             report_failure(failure);
         }
-        for (const auto& peer : due) {
+        for (const auto& peer : steps.m_to_open) {
             connect(peer);
         }
     }
@@ -579,69 +444,35 @@
         });
         connection->set_pong_handler(
             [this, incarnation](const connection_hdl& hdl, const std::string& /*payload*/) {
-                mark_answered(incarnation, hdl);
+                m_links.answered(incarnation, hdl);
             });
         connection->set_fail_handler([this, incarnation](const connection_hdl& hdl) {
             mark_failed(incarnation, hdl, failure_of(hdl));
         });
         connection->set_close_handler(
             [this, incarnation](const connection_hdl& hdl) { mark_closed(incarnation, hdl); });
-        connection->set_tcp_post_init_handler(
-            [this, incarnation](const connection_hdl& hdl) { mark_connected(incarnation, hdl); });
-        {
-            const std::lock_guard<std::mutex> lock{m_mutex};
-            const auto found = m_links.find(incarnation);
-            if (found != m_links.end()) {
-                found->second.m_connection = connection->get_handle();
-            }
-        }
+        connection->set_tcp_post_init_handler([this, incarnation](const connection_hdl& hdl) {
+            m_links.connected(incarnation, hdl);
+        });
+        m_links.started(incarnation, connection->get_handle());
         m_client.connect(connection);
     }
 
-    void mark_connected(const std::string& incarnation, const connection_hdl& hdl)
-    {
-        const std::lock_guard<std::mutex> lock{m_mutex};
-        const auto found = m_links.find(incarnation);
-        if (found != m_links.end() && same_connection(found->second.m_connection, hdl)) {
-            found->second.m_attempts.connected();
-        }
-    }
-
     void mark_open(const std::string& incarnation, const connection_hdl& hdl)
     {
-        milliseconds missing_for{0};
-        int failures = 0;
-        {
-            const std::lock_guard<std::mutex> lock{m_mutex};
-            const auto found = m_links.find(incarnation);
-            if (found == m_links.end() || !same_connection(found->second.m_connection, hdl)) {
-                // The peer was dropped, or the attempt given up.
-                asio::post(m_context, [this, hdl] { close(hdl); });
-                return;
-            }
-            auto& link = found->second;
-            link.m_keepalive = {};
-            link.m_open = true;
-            failures = link.m_attempts.failures();
-            link.m_attempts.opened();
-            missing_for = remaining(link.m_missing_since, std::chrono::steady_clock::now());
-        }
-        if (missing_for >= reported_gap) {
+        const auto gap = m_links.opened(incarnation, hdl, now_point());
+        if (!gap) {
+            // The peer was dropped, or the attempt given up.
+            asio::post(m_context, [this, hdl] { close(hdl); });
+            return;
+        }
+        if (gap->m_missing_for >= reported_gap) {
             report("link_opened", fmt::format("{} after {} ms and {} failures", incarnation,
-                                              missing_for.count(), failures));
+                                              gap->m_missing_for.count(), gap->m_failures));
         }
         notify_link(incarnation, link_change::opened);
     }
 
-    void mark_answered(const std::string& incarnation, const connection_hdl& hdl)
-    {
-        const std::lock_guard<std::mutex> lock{m_mutex};
-        const auto found = m_links.find(incarnation);
-        if (found != m_links.end() && same_connection(found->second.m_connection, hdl)) {
-            found->second.m_keepalive.answered();
-        }
-    }
-
     /// Returns why a link could not be opened.
     std::string failure_of(const connection_hdl& hdl)
     {
@@ -658,34 +489,7 @@
     void mark_failed(const std::string& incarnation, const connection_hdl& hdl,
                      const std::string& cause)
     {
-        std::string failure;
-        {
-            const std::lock_guard<std::mutex> lock{m_mutex};
-            const auto found = m_links.find(incarnation);
-            // The end of a former attempt changes nothing.
-            if (found == m_links.end() || !same_connection(found->second.m_connection, hdl)) {
-                return;
-            }
-            found->second.m_connection.reset();
-            found->second.m_attempts.failed();
-            failure = describe_failure(found->second, cause);
-        }
-        report_failure(failure);
-    }
-
-    /// Returns an empty text if a failure of this link was reported lately.
-    static std::string describe_failure(outgoing_link& link, const std::string& cause)
-    {
-        const auto now = std::chrono::steady_clock::now();
-        const int failures = link.m_attempts.failures();
-        if (failures > 1 && now - link.m_reported_at < report_interval) {
-            return {};
-        }
-        link.m_reported_at = now;
-        const auto& peer = link.m_endpoint;
-        return fmt::format("{} at {}:{}: {}, {} failures in {} ms", peer.m_incarnation,
-                           peer.m_address, peer.m_port, cause, failures,
-                           remaining(link.m_missing_since, now).count());
+        report_failure(m_links.failed(incarnation, hdl, cause, now_point()));
     }
 
     void report_failure(const std::string& failure)
@@ -704,18 +508,9 @@
 
     void mark_closed(const std::string& incarnation, const connection_hdl& hdl)
     {
-        {
-            const std::lock_guard<std::mutex> lock{m_mutex};
-            const auto found = m_links.find(incarnation);
-            // The end of a former connection changes nothing.
-            if (found == m_links.end() || !found->second.m_open ||
-                !same_connection(found->second.m_connection, hdl)) {
-                return;
-            }
-            found->second.m_open = false;
-            found->second.m_missing_since = std::chrono::steady_clock::now();
+        if (m_links.closed(incarnation, hdl, now_point())) {
+            notify_link(incarnation, link_change::closed);
         }
-        notify_link(incarnation, link_change::closed);
     }
 
     void notify_link(const std::string& incarnation, link_change change)
@@ -737,12 +532,11 @@
     /// Connections whose handshake is being answered.
     std::map<internal::handshake_number, connection_hdl> m_answered;
     std::set<asio::ip::address> m_peer_addresses;
-    std::mutex m_mutex;
     /// Spreads the attempts to open links.
     std::minstd_rand m_random{std::random_device{}()};
-    std::map<std::string, outgoing_link> m_links;
-    /// By the incarnation of the peer that opened the link; used on the mesh's loop only.
-    std::map<std::string, accepted_link> m_accepted;
+    internal::outgoing_links m_links;
+    /// Used on the mesh's loop only.
+    internal::accepted_links m_accepted;
     std::map<std::string, time_point> m_rejections_reported_at;
     std::atomic<std::uint64_t> m_sent_messages{0};
     std::atomic<std::uint64_t> m_sent_bytes{0};
