Apply the configuration's limits to submissions

What callers saw: the limits max-body-bytes and max-header-bytes of the configuration record had no effect; only the settings bounded a request.

Change: a submission carries its lengths to the owner, which reads the record, and refuses one that is too long with 413 or 431, unless its job exists. A limit with a value that can't be used (0, negative, huge, another type) is logged as limit_unusable, and the last good one stays; the rest of the version is taken, since it may remove a key. The two lengths are optional at the end of the call, so that calls of nodes of an earlier version are read.

Weighed: limits in front of the HTTP parser. Only the owner reads the record, and no new message is to pass between nodes.

Seen to fail with the two calls of the new functions left out (the tests do not compile without the change): submission_over_the_configured_limit_is_refused_and_never_runs and unusable_limit_is_logged_and_the_last_good_one_stays.

The fixture of the owner's tests can write records of more than one byte.

--- a/include/peridotrudder/node/fleet_owner.hpp
+++ b/include/peridotrudder/node/fleet_owner.hpp
@@ -126,6 +126,7 @@
     void read_journal();
     void follow_operators();
     void follow_workers();
+    void keep_usable_limits(fleet_config& config);
     void take_operator_records(const std::vector<keyed_record>& records);
     void handle_call(std::uint64_t token, const job_call& call);
     /// Handles a call that has waited for `waited`. Returns false if it has to wait longer.
--- a/include/peridotrudder/scheduling/job_call.hpp
+++ b/include/peridotrudder/scheduling/job_call.hpp
@@ -32,6 +32,11 @@
     std::optional<job_spec> m_spec;
     /// SHA-256 digest of the key that the call carries; absent without a key.
     std::optional<std::string> m_key_digest{};
+    /// Lengths of a submission as it was received. Absent for other kinds, and from nodes of a
+    /// version that doesn't send them.
+    std::optional<std::size_t> m_body_bytes{};
+    /// Request line and headers.
+    std::optional<std::size_t> m_header_bytes{};
 
     template <typename Archive, typename Self>
     static void describe(Archive& archive, Self& self)
@@ -41,6 +46,8 @@
         archive.field("path", self.m_path);
         archive.field("spec", self.m_spec);
         archive.field("key_digest", self.m_key_digest);
+        archive.field("body_bytes", self.m_body_bytes);
+        archive.field("header_bytes", self.m_header_bytes);
     }
 };
 
@@ -67,13 +74,18 @@
     unknown_outcome,
     /// The queue needs a tenant's key, and the call carries none that is valid. Nothing was done.
     unauthorized,
+    /// The submission is longer than the configuration allows. The job never runs.
+    body_too_long,
+    header_too_long,
 };
 
 template <>
 struct enum_names<call_status> {
-    static constexpr std::array<std::string_view, 12> values{
-        "done",       "state",       "length",    "invalid",     "unknown_queue",   "unknown_job",
-        "overloaded", "unavailable", "not_owner", "owner_ended", "unknown_outcome", "unauthorized"};
+    static constexpr std::array<std::string_view, 14> values{
+        "done",          "state",          "length",          "invalid",
+        "unknown_queue", "unknown_job",    "overloaded",      "unavailable",
+        "not_owner",     "owner_ended",    "unknown_outcome", "unauthorized",
+        "body_too_long", "header_too_long"};
 };
 
 /// State of a job as callers see it.
--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -117,6 +117,7 @@
                 const job_call& call, const caller_identity& caller, moment now);
     /// Rejects the job if a task or gang of it exceeds the quota of the caller's tenant. Returns
     /// whether it was rejected.
+    bool reject_if_too_long(std::uint64_t token, const std::string& id, const job_call& call);
     bool reject_if_above_quota(std::uint64_t token, const std::string& id, const job_spec& spec,
                                const caller_identity& caller);
     /// Rejects the job if it would end too late to be useful. Returns whether it was rejected.
--- a/include/peridotrudder/scheduling/pool_config.hpp
+++ b/include/peridotrudder/scheduling/pool_config.hpp
@@ -10,8 +10,10 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace peridotrudder {
@@ -25,6 +27,16 @@
     bool m_guards_capacity{false};
 };
 
+/// Longest submissions, in bytes. A limit without a value is set by the nodes' settings only.
+struct submission_limits {
+    std::optional<std::size_t> m_max_body_bytes;
+    /// Request line and headers.
+    std::optional<std::size_t> m_max_header_bytes;
+    /// The configuration has the limit with a value that can't be used.
+    bool m_is_body_unusable{false};
+    bool m_is_header_unusable{false};
+};
+
 /// One version of the configuration. Its lookups do not become slower with the number of queues,
 /// which may be thousands.
 class fleet_config {
@@ -36,6 +48,8 @@
     const std::vector<queue_config>& queues() const { return m_queues; }
     const std::vector<pool_config>& pools() const { return m_pools; }
     const tenant_directory& tenants() const { return m_tenants; }
+    const submission_limits& limits() const { return m_limits; }
+    void set_limits(submission_limits limits) { m_limits = std::move(limits); }
     /// Returns the queue with the host and the longest prefix that the path begins with, or null.
     const queue_config* match(std::string_view host, std::string_view path) const;
     const queue_config* find_queue(std::string_view key) const;
@@ -51,6 +65,7 @@
     queue_index m_by_key;
     std::vector<pool_config> m_pools;
     tenant_directory m_tenants;
+    submission_limits m_limits;
 };
 
 } // namespace peridotrudder
--- a/src/node/call_router.cpp
+++ b/src/node/call_router.cpp
@@ -12,7 +12,8 @@
 {
     return status == call_status::overloaded || status == call_status::unavailable ||
            status == call_status::unknown_queue || status == call_status::invalid ||
-           status == call_status::unauthorized;
+           status == call_status::unauthorized || status == call_status::body_too_long ||
+           status == call_status::header_too_long;
 }
 
 /// Returns whether the answer says that the call changed nothing, which an earlier copy may have.
--- a/src/node/decision_log.cpp
+++ b/src/node/decision_log.cpp
@@ -24,7 +24,12 @@
 /// Events that any caller can cause at any rate.
 log_budget::kind_set caller_events()
 {
-    return {"call_unauthorized", "job_withheld", "key_uncertain",
+    return {"call_unauthorized",
+            "job_withheld",
+            "key_uncertain",
+            "job_too_long",
+            std::string{to_string(call_status::body_too_long)},
+            std::string{to_string(call_status::header_too_long)},
             std::string{to_string(call_status::unauthorized)}};
 }
 
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -238,6 +238,22 @@
     });
 }
 
+/// Replaces the limits whose values can't be used by those in force.
+void fleet_owner::keep_usable_limits(fleet_config& config)
+{
+    const auto& in_force = m_scheduler->state().m_config.limits();
+    auto limits = config.limits();
+    if (limits.m_is_body_unusable) {
+        m_ports.m_decided({"limit_unusable", "", "", "max-body-bytes"});
+        limits.m_max_body_bytes = in_force.m_max_body_bytes;
+    }
+    if (limits.m_is_header_unusable) {
+        m_ports.m_decided({"limit_unusable", "", "", "max-header-bytes"});
+        limits.m_max_header_bytes = in_force.m_max_header_bytes;
+    }
+    config.set_limits(std::move(limits));
+}
+
 void fleet_owner::take_operator_records(const std::vector<keyed_record>& records)
 {
     const auto now = m_ports.m_loop.m_now();
@@ -255,6 +271,7 @@
                 continue;
             }
             m_ports.m_decided({"config_taken", "", "", std::to_string(config->version())});
+            keep_usable_limits(*config);
             m_configured = true;
             m_scheduler->set_config(std::move(*config));
             write_pending();
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -237,6 +237,27 @@
     return found;
 }
 
+// A job that exists was within the limits of its time, and a refusal would deny that it runs.
+bool job_scheduler::reject_if_too_long(std::uint64_t token, const std::string& id,
+                                       const job_call& call)
+{
+    const auto& limits = m_state.m_config.limits();
+    auto status = call_status::done;
+    if (limits.m_max_header_bytes && call.m_header_bytes.value_or(0) > *limits.m_max_header_bytes) {
+        status = call_status::header_too_long;
+    }
+    else if (limits.m_max_body_bytes && call.m_body_bytes.value_or(0) > *limits.m_max_body_bytes) {
+        status = call_status::body_too_long;
+    }
+    if (status == call_status::done) {
+        return false;
+    }
+    m_state.log("job_too_long", id.substr(0, longest_logged_path), "",
+                std::string{to_string(status)});
+    m_state.m_ports.m_answer(token, status_only(status));
+    return true;
+}
+
 void job_scheduler::submit(std::uint64_t token, const queue_config& queue, const std::string& id,
                            const job_call& call, const caller_identity& caller, moment now)
 {
@@ -248,6 +269,9 @@
         answer_when_written(token, status_only(call_status::done), id);
         return;
     }
+    if (reject_if_too_long(token, id, call)) {
+        return;
+    }
     const auto fault = call.m_spec ? check_spec(*call.m_spec) : spec_fault::no_steps;
     if (!is_id(id) || fault != spec_fault::none) {
         m_state.log("job_invalid", id, "", std::string{to_string(fault)});
--- a/test/links/connection_table_test.cpp
+++ b/test/links/connection_table_test.cpp
@@ -142,6 +142,7 @@
     {
         trial test;
         std::vector<connection_table::entry_ptr> callers;
+        callers.reserve(4);
         for (int count = 0; count < 4; ++count) {
             callers.push_back(test.add());
         }
--- a/test/links/http_server_test.cpp
+++ b/test/links/http_server_test.cpp
@@ -408,6 +408,7 @@
     {
         auto server = start_limited_server();
         std::vector<std::unique_ptr<raw_caller>> idle;
+        idle.reserve(50);
         for (int count = 0; count < 50; ++count) {
             idle.push_back(std::make_unique<raw_caller>());
         }
--- a/test/node/fleet_owner_fixture.hpp
+++ b/test/node/fleet_owner_fixture.hpp
@@ -40,7 +40,7 @@
     std::deque<read_answer> m_worker_changes;
     /// Versions of the configuration, in the order in which operators wrote them. The first has one
     /// queue, the others a second one.
-    std::vector<std::uint8_t> m_versions{1};
+    std::vector<bytes> m_versions{bytes{1}};
     /// Keys of the only tenant in each version that has tenants.
     std::map<std::uint8_t, std::vector<std::string>> m_keys;
     /// Time that passes at each reading of the clock, as on a slow processor.
@@ -185,7 +185,17 @@
             if (value[0] > 1) {
                 queues.push_back(added);
             }
-            return fleet_config::create(value[0], queues, {{"pool", false, false}});
+            auto config = fleet_config::create(value[0], queues, {{"pool", false, false}});
+            if (value.size() > 1) {
+                // The second byte is the limit of bodies; zero is no usable limit.
+                submission_limits limits;
+                limits.m_is_body_unusable = value[1] == 0;
+                if (value[1] > 0) {
+                    limits.m_max_body_bytes = value[1];
+                }
+                config.set_limits(limits);
+            }
+            return config;
         };
         wire.m_worker =
             [](const std::string& id,
@@ -240,10 +250,12 @@
     }
 
     /// Lets operators write the next version of the configuration.
-    void write_config(std::uint8_t version)
+    void write_config(std::uint8_t version) { write_config(bytes{version}); }
+
+    void write_config(const bytes& record)
     {
-        m_versions.push_back(version);
-        m_topics["operators"]["config"] = {version};
+        m_versions.push_back(record);
+        m_topics["operators"]["config"] = record;
     }
 
     /// Lets operators write the next version, whose only tenant has these keys.
@@ -278,7 +290,7 @@
             read_answer answer;
             answer.m_result = m_log_up ? log_result::ok : log_result::nothing_done;
             for (auto offset = request.m_from; m_log_up && offset < m_versions.size(); ++offset) {
-                answer.m_records.push_back({"config", bytes{m_versions[offset]}, offset});
+                answer.m_records.push_back({"config", m_versions[offset], offset});
             }
             callback(answer);
         });
--- a/test/node/owner_config_test.cpp
+++ b/test/node/owner_config_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(successor_reads_the_configuration_after_its_claim);
     CPPUNIT_TEST(older_version_never_replaces_a_newer_one);
     CPPUNIT_TEST(idle_reads_are_not_repeated);
+    CPPUNIT_TEST(unusable_limit_is_logged_and_the_last_good_one_stays);
     CPPUNIT_TEST_SUITE_END();
 
     static std::uint64_t query_added_queue(owner_fixture& it)
@@ -113,6 +114,29 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, it.m_owner->scheduler()->state().m_config.version());
     }
 
+    // Guards against a limit that is lifted by a value which can't be used.
+    void unusable_limit_is_logged_and_the_last_good_one_stays()
+    {
+        owner_fixture it;
+        it.m_topics["operators"]["config"] = {1, 77};
+        it.m_topics["workers"]["i-1"] = {1};
+        it.m_owner->start();
+        it.pass(milliseconds{300});
+        const auto limit = [&it] {
+            return it.m_owner->scheduler()->state().m_config.limits().m_max_body_bytes;
+        };
+        CPPUNIT_ASSERT(limit() == std::size_t{77});
+        it.write_config({2, 0});
+        it.pass(milliseconds{100});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, it.m_owner->scheduler()->state().m_config.version());
+        CPPUNIT_ASSERT(limit() == std::size_t{77});
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1},
+                             std::count(it.m_events.begin(), it.m_events.end(), "limit_unusable"));
+        it.write_config({3, 78});
+        it.pass(milliseconds{100});
+        CPPUNIT_ASSERT(limit() == std::size_t{78});
+    }
+
     void idle_reads_are_not_repeated()
     {
         owner_fixture it;
--- a/test/platform/caller_gateway_test.cpp
+++ b/test/platform/caller_gateway_test.cpp
@@ -26,9 +26,34 @@
     CPPUNIT_TEST(digest_is_passed_on_and_the_key_is_not);
     CPPUNIT_TEST(call_of_a_node_without_digests_is_read);
     CPPUNIT_TEST(unauthorized_call_gets_401);
+    CPPUNIT_TEST(submission_carries_its_lengths);
+    CPPUNIT_TEST(too_long_submission_gets_413_or_431);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against a limit that nodes which don't own the pool can't apply.
+    void submission_carries_its_lengths()
+    {
+        auto request = request_of("POST", {{"Host", "h"}});
+        request.m_body = "{}";
+        const auto call = read_call(request);
+        CPPUNIT_ASSERT(call->m_body_bytes == std::size_t{2});
+        const std::string_view text{"POST /queue/0123456789abcdef HTTP/1.1\r\nHost: h\r\n\r\n"};
+        CPPUNIT_ASSERT(call->m_header_bytes == text.size());
+        const auto passed_on = decode_packed<job_call>(encode_packed(*call));
+        CPPUNIT_ASSERT(passed_on->m_body_bytes == call->m_body_bytes);
+        CPPUNIT_ASSERT(passed_on->m_header_bytes == call->m_header_bytes);
+    }
+
+    // Callers can tell a refusal for length from one for load.
+    void too_long_submission_gets_413_or_431()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{413},
+                             write_answer({call_status::body_too_long, {}, 0, {}}).m_status);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{431},
+                             write_answer({call_status::header_too_long, {}, 0, {}}).m_status);
+    }
+
     void key_becomes_a_digest()
     {
         for (const auto* method : {"POST", "GET", "DELETE"}) {
--- a/test/platform/wire_codec_test.cpp
+++ b/test/platform/wire_codec_test.cpp
@@ -38,9 +38,19 @@
     CPPUNIT_TEST(answers_to_orders_are_mapped_to_results);
     CPPUNIT_TEST(orders_omit_empty_fields);
     CPPUNIT_TEST(configuration_is_read);
+    CPPUNIT_TEST(limits_of_submissions_are_read);
+    CPPUNIT_TEST(unusable_limit_is_marked_and_leaves_the_configuration_readable);
     CPPUNIT_TEST(damaged_bodies_are_decoded_without_a_crash);
     CPPUNIT_TEST_SUITE_END();
 
+    static submission_limits limits_of(const std::string& text)
+    {
+        const auto config = decode_config(
+            bytes(R"({"version":1,"routes":[],"services":[],"limits":)" + text + "}"));
+        CPPUNIT_ASSERT_MESSAGE(text, config.has_value());
+        return config->limits();
+    }
+
 public:
     void job_is_read_and_absent_fields_are_zero()
     {
@@ -139,6 +149,32 @@
         CPPUNIT_ASSERT(!nlohmann::json::parse(encode_hold(hold)).contains("deadline-ms"));
     }
 
+    // Guards against limits of the configuration that are not applied.
+    void limits_of_submissions_are_read()
+    {
+        const auto limits = limits_of(R"({"max-body-bytes":9000,"max-header-bytes":2048})");
+        CPPUNIT_ASSERT(limits.m_max_body_bytes == std::size_t{9'000});
+        CPPUNIT_ASSERT(limits.m_max_header_bytes == std::size_t{2'048});
+        CPPUNIT_ASSERT(!limits.m_is_body_unusable && !limits.m_is_header_unusable);
+        CPPUNIT_ASSERT(!limits_of("{}").m_max_body_bytes && !limits_of("{}").m_is_body_unusable);
+    }
+
+    // Guards against an odd limit that shuts out all callers or holds up a removed key.
+    void unusable_limit_is_marked_and_leaves_the_configuration_readable()
+    {
+        for (const std::string value : {"0", "-1", "16777217", "18446744073709551616", "1e300",
+                                        "2.5", "\"9000\"", "true", "[]", "{}"}) {
+            const auto limits =
+                limits_of(R"({"max-header-bytes":2048,"max-body-bytes":)" + value + "}");
+            CPPUNIT_ASSERT_MESSAGE(value, limits.m_is_body_unusable && !limits.m_max_body_bytes);
+            CPPUNIT_ASSERT(limits.m_max_header_bytes == std::size_t{2'048});
+        }
+        for (const std::string value : {"[]", "7", "\"none\""}) {
+            CPPUNIT_ASSERT(limits_of(value).m_is_body_unusable);
+            CPPUNIT_ASSERT(limits_of(value).m_is_header_unusable);
+        }
+    }
+
     void configuration_is_read()
     {
         const auto config = decode_config(bytes(
--- a/test/scheduling/tenant_access_test.cpp
+++ b/test/scheduling/tenant_access_test.cpp
@@ -52,6 +52,8 @@
     moment m_now{time_point{milliseconds{1'000'000}}, 1'000'000};
     std::uint64_t m_next_token{1};
     std::uint64_t m_version{first_version};
+    /// Length of the bodies of calls.
+    std::optional<std::size_t> m_body_bytes;
     std::unique_ptr<job_scheduler> m_scheduler;
 
     explicit access_fixture(job_store store = {})
@@ -101,6 +103,16 @@
             {{"pool", false, false}}, std::move(tenants)));
     }
 
+    /// Limits the bodies of submissions.
+    void limit_bodies(std::size_t bytes)
+    {
+        auto config = m_scheduler->state().m_config;
+        submission_limits limits;
+        limits.m_max_body_bytes = bytes;
+        config.set_limits(limits);
+        m_scheduler->set_config(std::move(config));
+    }
+
     void configure_tenants(const std::vector<std::string>& names)
     {
         std::vector<tenant_config> tenants;
@@ -114,6 +126,7 @@
     {
         job_call made{kind, "host", path, {}};
         made.m_key_digest = std::move(key);
+        made.m_body_bytes = m_body_bytes;
         if (kind == call_kind::submit) {
             step_spec step;
             step.m_task_resources.m_cpu_millis = 1'000;
@@ -288,9 +301,27 @@
     CPPUNIT_TEST(log_shows_neither_key_nor_digest);
     CPPUNIT_TEST(logged_path_of_an_unauthorized_call_is_cut);
     CPPUNIT_TEST(answers_agree_with_the_newest_version_in_any_sequence);
+    CPPUNIT_TEST(submission_over_the_configured_limit_is_refused_and_never_runs);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against a limit of the configuration that is read and not applied, and against a
+    // refusal of a job that runs.
+    void submission_over_the_configured_limit_is_refused_and_never_runs()
+    {
+        access_fixture it;
+        const std::string other_path = "/closed/" + other_id;
+        it.m_body_bytes = 101;
+        CPPUNIT_ASSERT_EQUAL(std::string{"done"}, it.submit("a"));
+        it.limit_bodies(100);
+        CPPUNIT_ASSERT_EQUAL(std::string{"done"}, it.submit("a"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"unauthorized"}, it.submit("none", other_path));
+        CPPUNIT_ASSERT_EQUAL(std::string{"body_too_long"}, it.submit("a", other_path));
+        CPPUNIT_ASSERT_EQUAL(std::string{"unknown_job"}, it.query("a", other_path));
+        it.m_body_bytes = 100;
+        CPPUNIT_ASSERT_EQUAL(std::string{"done"}, it.submit("a", other_path));
+    }
+
     void call_without_a_key_or_with_an_unknown_one_is_unauthorized()
     {
         access_fixture it;
