--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -27,4 +27,4 @@
 
 fuzz decoder_fuzzer "$runs" fuzz/corpus
 # Each of its inputs plays several connections.
-fuzz request_fuzzer $((runs / 10))
+fuzz request_fuzzer $((runs / 10)) fuzz/request_corpus
