Refuse what becomes useless in a steady overload

What callers saw: with a load of a tenth above the capacity for minutes, long jobs were accepted and timed out.

Cause: the estimate knew the backlog only. Within a tenant short jobs overtake long ones, and the long ones leave the backlog when they become useless, so that it stays small.

Change: where ready tasks have waited for 16 s, a job is judged by what its pool completes, what waits before it by rank and what arrives, from the jobs' records of the last 15 s. Short jobs that will be served at once are no longer refused for the long ones that wait. Peaks of seconds, pools without tenants and pools whose jobs take more than 5 s are judged as before.

The comment of others_are_served_as_usual_also_if_short_jobs_come_first named this limit; it holds for the first 16 s only now. The test itself is unchanged. Replays that serve first come, first served have no rates, since the scheduler does not serve in that order.

--- a/include/peridotrudder/planning/pool_demand.hpp
+++ b/include/peridotrudder/planning/pool_demand.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -46,6 +47,8 @@
         /// Average duration of a job, weighted by its work.
         double m_duration_ms{800.0};
         double m_contracted_rate{0.0};
+        /// Share of the time in which ready tasks have waited.
+        double m_waited_share{0.0};
         /// Of the work rate, each tenant's part.
         std::map<std::string, tenant_average, std::less<>> m_tenants;
     };
@@ -54,6 +57,11 @@
                          arrival_average& average) const;
     static void update_tenants(const accepted_total& total, double passed_ms, double old_weight,
                                arrival_average& average);
+    /// Returns the pools in which tasks have waited for so long that what they complete shows their
+    /// capacity. None without tenants in the configuration.
+    std::set<std::string, std::less<>> overloaded_pools(const scheduler_state& state) const;
+    static void update_waited_share(const pool_load& load, double passed_ms,
+                                    arrival_average& average);
     /// Returns the arriving work of a pool that its tenants may run.
     double usable_work_rate(const arrival_average& average, const quota_demand& quotas) const;
     /// Returns the tenant's arriving work in all pools.
--- a/include/peridotrudder/planning/pool_load.hpp
+++ b/include/peridotrudder/planning/pool_load.hpp
@@ -33,6 +33,9 @@
     priority_backlogs m_backlog_by_tenant;
     /// Contracted work that is accepted, averaged over `contracted_averaging`.
     double m_contracted_rate{0.0};
+    /// Estimated work of the jobs that complete, averaged over `overload_window`; zero unless tasks
+    /// have waited in nearly all of that time.
+    double m_served_rate{0.0};
 };
 
 } // namespace peridotrudder
--- a/include/peridotrudder/scheduling/admission.hpp
+++ b/include/peridotrudder/scheduling/admission.hpp
@@ -32,6 +32,10 @@
     /// CPU, in thousandths of a core, that is neither used nor waited for; decreases with each job
     /// that is accepted before the next measurement. Below zero, ready tasks wait.
     double m_free_cpu{0.0};
+    /// Estimated work of the jobs that complete, in thousandths of a core, averaged over
+    /// `overload_window`; known if tasks have waited in nearly all of that time, else zero. Unlike
+    /// `m_cpu` it shows what the pool achieves, in the unit of the estimates of its jobs.
+    double m_served_rate{0.0};
 };
 
 struct admission_decision {
--- a/include/peridotrudder/scheduling/job_rank.hpp
+++ b/include/peridotrudder/scheduling/job_rank.hpp
@@ -28,6 +28,10 @@
     std::int64_t m_useful_until_ms{0};
 };
 
+/// Returns the time after a job's arrival within which it can end in time. `chain` is the run time
+/// of its longest chain of steps.
+milliseconds objective_time(milliseconds chain, const queue_config& queue);
+
 /// Returns the time after a job's arrival within which its result is useful. `chain` is the run
 /// time of its longest chain of steps.
 milliseconds useful_time(milliseconds chain, const queue_config& queue);
@@ -38,6 +42,10 @@
 /// Returns the estimated run time of the longest chain of steps that are not done.
 milliseconds remaining_chain(const job& source, std::uint32_t occurrence);
 
+/// Returns the least run time that a declared one stands for: declared run times are rough, and a
+/// job counts as late only if even this would be too long.
+milliseconds optimistic(milliseconds declared);
+
 /// Returns the punctuality that the job can still reach if its next tasks start now.
 punctuality punctuality_of(const job& source, const job_limits& limits, std::int64_t now_ms);
 
--- a/include/peridotrudder/scheduling/tenant_admission.hpp
+++ b/include/peridotrudder/scheduling/tenant_admission.hpp
@@ -44,6 +44,8 @@
     /// Estimated time until the work that is served before the job has been started.
     milliseconds m_wait{0};
     wait_cause m_cause{wait_cause::pool};
+    /// Judged by what the pool has achieved and what arrives, since it has been full for long.
+    bool m_overloaded{false};
     /// The tenant's own work that is served before the job: CPU, in thousandths of a core times
     /// milliseconds.
     double m_own_backlog{0.0};
--- a/include/peridotrudder/scheduling/tenant_outlook.hpp
+++ b/include/peridotrudder/scheduling/tenant_outlook.hpp
@@ -10,6 +10,7 @@
 #include <limits>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace peridotrudder {
 
@@ -36,13 +37,45 @@
 /// Returns the estimated work of one occurrence of a job.
 work_amount work_of(const job_spec& spec);
 
+/// CPU work of jobs by the length of their chains, in classes a fifth wide: within a tenant,
+/// shorter jobs come first.
+class work_by_chain {
+public:
+    void add(milliseconds chain, double work);
+    double total() const;
+    /// Returns the work of jobs with shorter chains, and half that of jobs of the same class.
+    double before(milliseconds chain) const;
+
+private:
+    /// Shortest first; empty without work.
+    std::vector<double> m_work;
+};
+
+/// The order within one tenant and kind: what waits, in thousandths of a core times milliseconds,
+/// and what is accepted, in thousandths of a core.
+struct ranked_work {
+    work_by_chain m_in_time;
+    /// Served after all work of jobs that can be in time.
+    work_by_chain m_late;
+    /// Averaged over `overload_window`.
+    work_by_chain m_accepted_rate;
+};
+
 /// Work of a tenant's tasks that have no run. Jobs that are too late to be useful are not counted,
 /// since they are placed last.
 struct tenant_backlog {
     work_amount m_contracted;
     work_amount m_excess;
+    /// The same by rank, and what arrives; only while the pool's `m_served_rate` is known.
+    ranked_work m_contracted_ranked;
+    ranked_work m_excess_ranked;
 
     work_amount& of(bool excess) { return excess ? m_excess : m_contracted; }
+    ranked_work& ranked(bool excess) { return excess ? m_excess_ranked : m_contracted_ranked; }
+    const ranked_work& ranked(bool excess) const
+    {
+        return excess ? m_excess_ranked : m_contracted_ranked;
+    }
 };
 
 /// By tenant. Jobs without a tenant are under the empty name.
@@ -55,6 +88,11 @@
 /// send at once, so that bursts of all tenants count as no more than their rates.
 inline constexpr milliseconds contracted_averaging{2'000};
 
+/// Time over which arriving and completed work are averaged in an overload that lasts. Longer than
+/// a queue's peak, which the backlog shows well enough; a few hundred jobs, so that their sizes
+/// average out.
+inline constexpr milliseconds overload_window{15'000};
+
 /// Amount of a resource that stands for no limit.
 inline constexpr std::int64_t unlimited = std::numeric_limits<std::int64_t>::max();
 
--- a/src/planning/pool_demand.cpp
+++ b/src/planning/pool_demand.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace peridotrudder {
 
@@ -20,6 +21,14 @@
 /// Minimum of the remaining time that a job's work is divided by, so that an almost or already late
 /// job does not count as unlimited demand.
 constexpr std::int64_t min_time_left_ms = 400;
+/// A pool is overloaded for long if tasks have waited in this share of the time, as averaged below.
+/// From the first wait on this takes 16 s, so that the rates are measured in such a time only.
+constexpr double min_waited_share = 0.8;
+constexpr double waited_averaging_ms = 10'000.0;
+/// Most time that one measurement stands for. The first one has none before it.
+constexpr double max_measured_ms = 1'000.0;
+/// Jobs must take less than this part of `overload_window`, so that enough of them end in it.
+constexpr double max_duration_in_window = 1.0 / 3.0;
 /// Limit of a demand of processor that is an estimate, in thousandths of a core: a million VMs with
 /// a thousand cores each.
 constexpr double max_cpu_millis = 1e12;
@@ -106,20 +115,45 @@
     return work;
 }
 
+/// What a measurement tells of a pool's backlog.
+enum class backlog_detail {
+    total,
+    by_tenant,
+    by_rank,
+};
+
+/// Returns the backlog that the job belongs to.
+tenant_backlog& backlog_of(const job& pool_job, const queue_config& queue, pool_load& load)
+{
+    const auto& tenant = pool_job.header().m_tenant;
+    return load.m_backlog_by_tenant[queue.m_priority][tenant ? tenant->m_name : ""];
+}
+
+bool is_excess(const job& pool_job)
+{
+    const auto& tenant = pool_job.header().m_tenant;
+    return tenant && tenant->m_excess;
+}
+
 void add_backlog(const job& pool_job, const queue_config& queue, std::uint32_t occurrence,
-                 bool by_tenant, pool_load& load)
+                 punctuality reachable, backlog_detail detail, pool_load& load)
 {
     const auto work = waiting_work(pool_job, occurrence);
     load.m_backlog += work.m_cpu;
-    if (by_tenant) {
-        const auto& tenant = pool_job.header().m_tenant;
-        auto& backlogs = load.m_backlog_by_tenant[queue.m_priority];
-        backlogs[tenant ? tenant->m_name : ""].of(tenant && tenant->m_excess) += work;
+    if (detail == backlog_detail::total) {
+        return;
+    }
+    auto& backlog = backlog_of(pool_job, queue, load);
+    backlog.of(is_excess(pool_job)) += work;
+    if (detail == backlog_detail::by_rank) {
+        auto& ranked = backlog.ranked(is_excess(pool_job));
+        auto& level = reachable == punctuality::in_time ? ranked.m_in_time : ranked.m_late;
+        level.add(remaining_chain(pool_job, occurrence), work.m_cpu);
     }
 }
 
-void add_short(const job& pool_job, const queue_config& queue, std::int64_t now_ms, bool by_tenant,
-               pool_load& load)
+void add_short(const job& pool_job, const queue_config& queue, std::int64_t now_ms,
+               backlog_detail detail, pool_load& load)
 {
     for (std::uint32_t occurrence = 0; occurrence < pool_job.occurrences(); ++occurrence) {
         if (pool_job.spec().m_recurrence && pool_job.due_ms(occurrence) > now_ms) {
@@ -128,9 +162,10 @@
         const auto limits = limits_of(pool_job.header(), queue);
         const auto work = remaining_work(pool_job, occurrence, load);
         const auto left_ms = limits.m_objective_ms - now_ms;
+        const auto reachable = punctuality_of(pool_job, limits, now_ms);
         if (pool_job.placed_tasks() < pool_job.unfinished_tasks() &&
-            punctuality_of(pool_job, limits, now_ms) != punctuality::useless) {
-            add_backlog(pool_job, queue, occurrence, by_tenant, load);
+            reachable != punctuality::useless) {
+            add_backlog(pool_job, queue, occurrence, reachable, detail, load);
         }
         // More processor than the tasks can use at once would not make a late job faster.
         const auto needed_cpu = work / static_cast<double>(std::max(left_ms, min_time_left_ms));
@@ -141,7 +176,7 @@
 
 /// Adds a job of a tenant that has a quota.
 void add_limited(const job& pool_job, const queue_config& queue, std::int64_t now_ms,
-                 quota_demand& quotas)
+                 backlog_detail detail, quota_demand& quotas)
 {
     if (is_long_running(pool_job.spec())) {
         quotas.add_long_running(pool_job, queue.m_pool);
@@ -153,14 +188,15 @@
         }
         quotas.add_short(pool_job, occurrence, queue.m_pool);
     }
-    add_short(pool_job, queue, now_ms, true, quotas.load_of(pool_job, queue.m_pool));
+    add_short(pool_job, queue, now_ms, detail, quotas.load_of(pool_job, queue.m_pool));
 }
 
 using pool_loads = std::map<std::string, pool_load>;
+using pool_names = std::set<std::string, std::less<>>;
 
 /// Adds each active job in a configured pool to the loads, those of limited tenants to `quotas`.
-void add_jobs(const scheduler_state& state, std::int64_t now_ms, pool_loads& loads,
-              quota_demand& quotas)
+void add_jobs(const scheduler_state& state, std::int64_t now_ms, const pool_names& overloaded,
+              pool_loads& loads, quota_demand& quotas)
 {
     const bool by_tenant = state.m_config.tenants().enabled();
     for (const auto& [id, active_job] : state.m_job_store.jobs()) {
@@ -172,14 +208,53 @@
         if (load == loads.end()) {
             continue;
         }
+        const auto detail = !by_tenant                            ? backlog_detail::total
+                            : overloaded.count(queue.m_pool) != 0 ? backlog_detail::by_rank
+                                                                  : backlog_detail::by_tenant;
         if (quotas.limits(active_job)) {
-            add_limited(active_job, queue, now_ms, quotas);
+            add_limited(active_job, queue, now_ms, detail, quotas);
         }
         else if (is_long_running(active_job.spec())) {
             add_long_running(active_job, load->second);
         }
         else {
-            add_short(active_job, queue, now_ms, by_tenant, load->second);
+            add_short(active_job, queue, now_ms, detail, load->second);
+        }
+    }
+}
+
+/// Adds the work that was accepted, and that of jobs that ended, in the last `overload_window`.
+/// From the jobs' records, which are kept for longer, so that a successor knows it at once. A job
+/// with a time in the future, after a step of the clock, is left out: too low a rate refuses
+/// nothing.
+void add_rates(const scheduler_state& state, std::int64_t now_ms, const pool_names& overloaded,
+               pool_loads& loads)
+{
+    const auto window_ms = static_cast<double>(overload_window.count());
+    const auto is_recent = [now_ms](std::int64_t at_ms) {
+        return at_ms > now_ms - overload_window.count() && at_ms <= now_ms;
+    };
+    for (const auto& [id, stored] : state.m_job_store.jobs()) {
+        const bool accepted = is_recent(stored.header().m_accepted_ms);
+        const bool ended =
+            (stored.phase() == job_phase::completed || stored.phase() == job_phase::failed) &&
+            is_recent(stored.ended_ms());
+        const auto& spec = stored.spec();
+        if ((!accepted && !ended) || stored.phase() == job_phase::cancelled || spec.m_recurrence ||
+            is_long_running(spec)) {
+            continue;
+        }
+        const auto& queue = state.queue_of(stored.header());
+        const auto load = loads.find(queue.m_pool);
+        if (load == loads.end() || overloaded.count(queue.m_pool) == 0) {
+            continue;
+        }
+        const auto rate = work_of(spec).m_cpu / window_ms;
+        load->second.m_served_rate += ended ? rate : 0.0;
+        if (accepted) {
+            backlog_of(stored, queue, load->second)
+                .ranked(is_excess(stored))
+                .m_accepted_rate.add(longest_chain(spec), rate);
         }
     }
 }
@@ -210,9 +285,13 @@
         loads[pool.m_name];
     }
     auto quotas = quota_demand::create(state.m_config.tenants());
+    const auto overloaded = overloaded_pools(state);
     add_usage(state, quotas);
-    add_jobs(state, now.m_unix_ms, loads, quotas);
+    add_jobs(state, now.m_unix_ms, overloaded, loads, quotas);
     m_tenants = quotas.apply(loads);
+    if (!overloaded.empty()) {
+        add_rates(state, now.m_unix_ms, overloaded, loads);
+    }
     const auto passed = static_cast<double>(remaining(m_measured_at, now.m_at).count());
     m_measured_at = now.m_at;
     for (auto& [pool, load] : loads) {
@@ -225,7 +304,9 @@
         }
     }
     for (auto& [pool, load] : loads) {
-        const auto& average = m_arrivals[pool];
+        auto& average = m_arrivals[pool];
+        load.m_served_rate /= std::max(average.m_waited_share, min_waited_share);
+        update_waited_share(load, passed, average);
         const auto work_rate = usable_work_rate(average, quotas);
         load.m_contracted_rate = average.m_contracted_rate;
         load.m_arriving = static_cast<std::int64_t>(std::min(work_rate, max_cpu_millis));
@@ -239,6 +320,29 @@
     return loads;
 }
 
+std::set<std::string, std::less<>> pool_demand::overloaded_pools(const scheduler_state& state) const
+{
+    pool_names overloaded;
+    if (!state.m_config.tenants().enabled()) {
+        return overloaded;
+    }
+    const auto longest_ms = static_cast<double>(overload_window.count()) * max_duration_in_window;
+    for (const auto& [pool, average] : m_arrivals) {
+        if (average.m_waited_share >= min_waited_share && average.m_duration_ms <= longest_ms) {
+            overloaded.insert(pool);
+        }
+    }
+    return overloaded;
+}
+
+void pool_demand::update_waited_share(const pool_load& load, double passed_ms,
+                                      arrival_average& average)
+{
+    const auto old_weight = std::exp(-std::min(passed_ms, max_measured_ms) / waited_averaging_ms);
+    const auto waits = load.m_waiting > 0 ? 1.0 : 0.0;
+    average.m_waited_share = average.m_waited_share * old_weight + waits * (1.0 - old_weight);
+}
+
 void pool_demand::update_arrivals(const accepted_total& total, double passed_ms,
                                   arrival_average& average) const
 {
--- a/src/scheduling/job_rank.cpp
+++ b/src/scheduling/job_rank.cpp
@@ -25,6 +25,11 @@
 
 } // namespace
 
+milliseconds objective_time(milliseconds chain, const queue_config& queue)
+{
+    return milliseconds{static_cast<std::int64_t>(objective_ms(chain, queue))};
+}
+
 milliseconds useful_time(milliseconds chain, const queue_config& queue)
 {
     return milliseconds{
@@ -58,11 +63,15 @@
     return longest;
 }
 
+milliseconds optimistic(milliseconds declared)
+{
+    return milliseconds{static_cast<std::int64_t>(static_cast<double>(declared.count()) *
+                                                  optimistic_estimate_factor)};
+}
+
 punctuality punctuality_of(const job& source, const job_limits& limits, std::int64_t now_ms)
 {
-    const auto left =
-        static_cast<double>(remaining_chain(source, 0).count()) * optimistic_estimate_factor;
-    const auto end_ms = now_ms + static_cast<std::int64_t>(left);
+    const auto end_ms = now_ms + optimistic(remaining_chain(source, 0)).count();
     if (end_ms <= limits.m_objective_ms) {
         return punctuality::in_time;
     }
--- a/src/scheduling/tenant_outlook.cpp
+++ b/src/scheduling/tenant_outlook.cpp
@@ -1,7 +1,50 @@
 #include "peridotrudder/scheduling/tenant_outlook.hpp"
 
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
 namespace peridotrudder {
 
+namespace {
+
+/// Classes for each doubling of the length: a class is about a fifth wide.
+constexpr double classes_per_octave = 4.0;
+/// Chains of 2^18 ms, four minutes, and more are in one class.
+constexpr double longest_octave = 18.0;
+
+std::size_t class_of(milliseconds chain)
+{
+    const auto octave = std::log2(static_cast<double>(std::max<std::int64_t>(chain.count(), 1)));
+    return static_cast<std::size_t>(std::min(octave, longest_octave) * classes_per_octave);
+}
+
+} // namespace
+
+void work_by_chain::add(milliseconds chain, double work)
+{
+    const auto position = class_of(chain);
+    if (position >= m_work.size()) {
+        m_work.resize(position + 1);
+    }
+    m_work[position] += work;
+}
+
+double work_by_chain::total() const
+{
+    return std::accumulate(m_work.begin(), m_work.end(), 0.0);
+}
+
+double work_by_chain::before(milliseconds chain) const
+{
+    const auto position = class_of(chain);
+    if (position >= m_work.size()) {
+        return total();
+    }
+    const auto same = m_work.begin() + static_cast<std::ptrdiff_t>(position);
+    return std::accumulate(m_work.begin(), same, *same / 2.0);
+}
+
 work_amount& work_amount::operator+=(const work_amount& other)
 {
     m_cpu += other.m_cpu;
--- a/test/planning/tenant_demand_test.cpp
+++ b/test/planning/tenant_demand_test.cpp
@@ -27,6 +27,7 @@
     scheduler_state m_state;
     pool_demand m_demand{pool_demand::create(milliseconds{1'700})};
     int m_jobs{0};
+    double m_chain_ms{500.0};
 
     explicit demand_fixture(const resources& quota) { set_quota(quota); }
 
@@ -66,7 +67,7 @@
             auto& total = m_state.m_accepted_work[pool];
             const auto work = static_cast<double>(estimated_work(header.m_spec));
             total.m_work += work;
-            total.m_work_by_chain += work * 500.0;
+            total.m_work_by_chain += work * m_chain_ms;
             total.m_work_by_tenant[tenant] += work;
             total.m_contracted_work += excess ? 0.0 : work;
             ++total.m_jobs;
@@ -74,6 +75,22 @@
         return m_state.m_job_store.add(header);
     }
 
+    /// Lets jobs of 12 cores' worth arrive, of which ten end.
+    void run_overload(std::int64_t until_ms, std::int64_t from_ms = 0)
+    {
+        for (auto passed = from_ms; passed < until_ms; passed += 500) {
+            add("free", make_step(2), false, "pool", passed);
+            for (int index = 0; index < 10; ++index) {
+                auto& served = add("free", make_step(1), false, "pool", passed);
+                const auto run = served.place({0, 0, 0}, {"i-1", 1});
+                served.end({0, 0, 0}, run, run_end::done, "", 3, start_ms + passed);
+            }
+            for (int index = 0; index < 5; ++index) {
+                measure(passed + index * 100);
+            }
+        }
+    }
+
     static void place(job& target, std::uint32_t tasks)
     {
         for (std::uint32_t index = 0; index < tasks; ++index) {
@@ -106,6 +123,9 @@
     CPPUNIT_TEST(useless_jobs_are_no_backlog);
     CPPUNIT_TEST(contracted_work_is_averaged_over_two_seconds);
     CPPUNIT_TEST(without_tenants_no_backlog_is_kept_by_tenant);
+    CPPUNIT_TEST(rates_are_known_once_tasks_have_waited_for_sixteen_seconds);
+    CPPUNIT_TEST(rates_are_unknown_without_tenants_or_while_jobs_take_long);
+    CPPUNIT_TEST(ranked_backlog_tells_late_work_from_work_in_time);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -296,6 +316,55 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t{100'000}, load.m_waiting);
         CPPUNIT_ASSERT_EQUAL(50'000'000.0, load.m_backlog);
     }
+
+    // A peak of seconds is judged by the backlog alone.
+    void rates_are_known_once_tasks_have_waited_for_sixteen_seconds()
+    {
+        demand_fixture demand{{}};
+        demand.run_overload(14'900);
+        auto load = demand.measure(15'000).at("pool");
+        CPPUNIT_ASSERT_EQUAL(0.0, load.m_served_rate);
+        demand.run_overload(20'000, 15'000);
+        load = demand.measure(19'950).at("pool");
+        // 10 cores' worth of work ends, and 12 arrives, in four fifths of the time.
+        CPPUNIT_ASSERT(load.m_served_rate >= 10'000.0 && load.m_served_rate <= 12'500.0);
+        const auto& ranked = load.m_backlog_by_tenant.at(0).at("free").m_contracted_ranked;
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(12'000.0, ranked.m_accepted_rate.total(), 200.0);
+        CPPUNIT_ASSERT_EQUAL(0.0, ranked.m_accepted_rate.before(milliseconds{100}));
+    }
+
+    void rates_are_unknown_without_tenants_or_while_jobs_take_long()
+    {
+        demand_fixture demand{{}};
+        const auto& config = demand.m_state.m_config;
+        demand.m_state.m_config = fleet_config::create(1, config.queues(), config.pools());
+        demand.run_overload(30'000);
+        CPPUNIT_ASSERT_EQUAL(0.0, demand.measure(30'100).at("pool").m_served_rate);
+        demand_fixture slow{{}};
+        slow.m_chain_ms = 100'000.0;
+        slow.run_overload(30'000);
+        CPPUNIT_ASSERT_EQUAL(0.0, slow.measure(30'100).at("pool").m_served_rate);
+    }
+
+    void ranked_backlog_tells_late_work_from_work_in_time()
+    {
+        demand_fixture demand{{}};
+        demand.run_overload(30'000);
+        // In time for 1,400 ms, less 0.6 of its run time.
+        const auto& waiting = demand.add("limited", make_step(2), true, "pool", 30'000);
+        const auto ranked_at = [&demand](std::int64_t now_ms) {
+            return demand.measure(now_ms)
+                .at("pool")
+                .m_backlog_by_tenant.at(0)
+                .at("limited")
+                .m_excess_ranked;
+        };
+        CPPUNIT_ASSERT_EQUAL(1'000'000.0, ranked_at(31'000).m_in_time.total());
+        CPPUNIT_ASSERT_EQUAL(0.0, ranked_at(31'000).m_late.total());
+        CPPUNIT_ASSERT_EQUAL(0.0, ranked_at(31'200).m_in_time.total());
+        CPPUNIT_ASSERT_EQUAL(1'000'000.0, ranked_at(31'200).m_late.total());
+        CPPUNIT_ASSERT(waiting.phase() == job_phase::active);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(tenant_demand_test);
--- a/test/scheduling/tenant_admission_test.cpp
+++ b/test/scheduling/tenant_admission_test.cpp
@@ -104,8 +104,12 @@
     std::int64_t m_outage_until_ms{0};
     std::int64_t m_until_ms{20'000};
     /// Within a tenant, jobs that can be in time come first, then the shortest, as `job_rank` has
-    /// it; otherwise first come, first served.
+    /// it; otherwise first come, first served, which no estimate for an overload assumes.
     bool m_by_rank{false};
+    /// Declared run times, and the factor by which real ones differ from all of them.
+    int m_shortest_ms{300};
+    int m_longest_ms{700};
+    double m_real{1.0};
 };
 
 /// Number of a tenant's jobs by outcome.
@@ -166,6 +170,14 @@
         /// Declared work for each unit that is left.
         double m_scale{1.0};
     };
+    /// A job that was accepted, or that has ended.
+    struct counted_job {
+        std::int64_t m_at_ms{0};
+        std::string m_tenant;
+        bool m_excess{false};
+        milliseconds m_chain{0};
+        double m_work{0.0};
+    };
 
     bool changed() const { return m_now_ms >= m_plan.m_change_ms; }
 
@@ -186,10 +198,37 @@
         if (!m_plan.m_by_rank) {
             return {false, milliseconds{0}, waiting.m_arrived_ms};
         }
-        const auto objective = useful_time(waiting.m_chain, m_queue) / 3;
-        const auto earliest_end = m_now_ms + waiting.m_chain.count();
-        const bool late = earliest_end > waiting.m_arrived_ms + objective.count();
-        return {late, waiting.m_chain, waiting.m_arrived_ms};
+        return {is_late(waiting), waiting.m_chain, waiting.m_arrived_ms};
+    }
+
+    bool is_late(const waiting_job& waiting) const
+    {
+        return m_now_ms + waiting.m_chain.count() >
+               waiting.m_arrived_ms + objective_time(waiting.m_chain, m_queue).count();
+    }
+
+    /// As `pool_demand` has it.
+    void measure_overload(pool_outlook& pool)
+    {
+        const auto weight = std::exp(-static_cast<double>(measure_ms) / 10'000.0);
+        m_waited_share = m_waited_share * weight + (m_waiting.empty() ? 0.0 : 1.0) * (1.0 - weight);
+        if (m_waited_share < 0.8) {
+            return;
+        }
+        const auto begin = m_now_ms - overload_window.count();
+        const auto window = static_cast<double>(overload_window.count());
+        for (const auto& ended : m_ended) {
+            if (ended.m_at_ms > begin) {
+                pool.m_served_rate += ended.m_work / window / m_waited_share;
+            }
+        }
+        for (const auto& accepted : m_accepted) {
+            if (accepted.m_at_ms > begin) {
+                pool.m_backlog_by_tenant[0][accepted.m_tenant]
+                    .ranked(accepted.m_excess)
+                    .m_accepted_rate.add(accepted.m_chain, accepted.m_work / window);
+            }
+        }
     }
 
     void measure()
@@ -200,12 +239,21 @@
         pool = pool_outlook{};
         pool.m_cpu = pool_cpu;
         pool.m_contracted_rate = average;
+        if (m_plan.m_by_rank) {
+            measure_overload(pool);
+        }
         pool.m_free_cpu = m_waiting.empty() ? cpu : 0.0;
         m_tenants.clear();
         for (const auto& waiting : m_waiting) {
             if (!is_useless(waiting)) {
-                pool.m_backlog_by_tenant[0][waiting.m_tenant].of(waiting.m_excess).m_cpu +=
-                    waiting.m_left * waiting.m_scale;
+                auto& backlog = pool.m_backlog_by_tenant[0][waiting.m_tenant];
+                const auto work = waiting.m_left * waiting.m_scale;
+                backlog.of(waiting.m_excess).m_cpu += work;
+                if (pool.m_served_rate > 0.0) {
+                    auto& ranked = backlog.ranked(waiting.m_excess);
+                    (is_late(waiting) ? ranked.m_late : ranked.m_in_time)
+                        .add(waiting.m_chain, work);
+                }
             }
         }
         for (const auto& sending : m_plan.m_senders) {
@@ -251,12 +299,13 @@
         const moment now{time_point{milliseconds{m_now_ms}}, m_now_ms};
         auto& counts = m_outcome[tenant.m_name];
         auto& random = m_random.at(tenant.m_name);
-        const auto spec = make_spec(milliseconds{std::uniform_int_distribution{300, 700}(random)});
+        const auto spec = make_spec(milliseconds{
+            std::uniform_int_distribution{m_plan.m_shortest_ms, m_plan.m_longest_ms}(random)});
         const bool excess = !m_meter.is_contracted(tenant, now.m_at);
         const tenant_job submitted{tenant.m_name, excess, &spec, &m_queue};
         const auto decision = decide_tenant_admission(submitted, {m_pools, m_tenants, m_directory});
         // Drawn in any case, so that a refusal does not change what follows.
-        const auto off = std::uniform_real_distribution{0.5, 1.5}(random);
+        const auto off = m_plan.m_real * std::uniform_real_distribution{0.5, 1.5}(random);
         ++counts.m_sent;
         counts.m_contracted += excess ? 0 : 1;
         if (!decision.m_admitted) {
@@ -272,6 +321,7 @@
         add_accepted(submitted, m_pools[pool_name], m_tenants);
         m_waiting.push_back(
             {tenant.m_name, excess, m_now_ms, work, work * off, longest_chain(spec), 1.0 / off});
+        m_accepted.push_back({m_now_ms, tenant.m_name, excess, longest_chain(spec), work});
     }
 
     /// Serves one level of the order in fair shares. Returns the capacity that is left.
@@ -326,11 +376,15 @@
                 return false;
             }
             auto& counts = m_outcome[waiting.m_tenant];
+            m_ended.push_back({m_now_ms, "", false, {}, waiting.m_declared});
             (is_useless(waiting) ? counts.m_useless : counts.m_useful) += 1;
             return true;
         });
     }
 
+    double m_waited_share{0.0};
+    std::vector<counted_job> m_accepted;
+    std::vector<counted_job> m_ended;
     replay_plan m_plan;
     std::map<std::string, std::mt19937> m_random;
     queue_config m_queue = make_queue();
@@ -405,6 +459,12 @@
     CPPUNIT_TEST(twenty_tenants_with_skewed_weights_lose_excess_work_only);
     CPPUNIT_TEST(quota_cut_to_a_tenth_rejects_its_tenant_only);
     CPPUNIT_TEST(burst_after_an_outage_loses_no_contracted_job);
+    CPPUNIT_TEST(long_job_is_refused_in_an_overload_in_which_a_short_one_is_admitted);
+    CPPUNIT_TEST(late_work_delays_no_job_that_can_be_in_time);
+    CPPUNIT_TEST(job_is_admitted_after_its_retry_time_in_an_overload);
+    CPPUNIT_TEST(overload_of_a_tenth_for_minutes_made_long_jobs_useless);
+    CPPUNIT_TEST(excess_is_refused_first_in_an_overload_of_a_tenth);
+    CPPUNIT_TEST(load_just_below_the_capacity_refuses_nearly_nothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -792,8 +852,8 @@
         }
     }
 
-    // Short jobs overtake the longest ones, of which some become useless: they are not refused,
-    // since the backlog that is served before a new job stays small.
+    // Short jobs overtake the longest ones, of which some become useless: in the first 16 s of an
+    // overload they are not refused, since the backlog that is served before a new job stays small.
     void others_are_served_as_usual_also_if_short_jobs_come_first()
     {
         for (std::uint32_t seed = 1; seed <= 5; ++seed) {
@@ -896,7 +956,140 @@
         }
     }
 
+    void long_job_is_refused_in_an_overload_in_which_a_short_one_is_admitted()
+    {
+        admission_fixture fixture;
+        auto& pool = fixture.m_pools[pool_name];
+        pool.m_served_rate = cpu;
+        auto& ranked = pool.m_backlog_by_tenant[0]["a"].m_contracted_ranked;
+        ranked.m_accepted_rate.add(milliseconds{500}, cpu * 0.7);
+        ranked.m_accepted_rate.add(milliseconds{2'000}, cpu * 0.4);
+        // Without a backlog nothing else shows that the long ones fall behind.
+        CPPUNIT_ASSERT(fixture.decide("a", false).m_admitted);
+        fixture.m_spec = make_spec(milliseconds{4'000});
+        CPPUNIT_ASSERT(!fixture.decide("a", false).m_admitted);
+        CPPUNIT_ASSERT(fixture.decide("a", false).m_overloaded);
+        // Another tenant is below its share.
+        CPPUNIT_ASSERT(fixture.decide("b", false).m_admitted);
+        // Free workers may be used.
+        pool.m_waiting_cpu = 0;
+        CPPUNIT_ASSERT(fixture.decide("a", false).m_admitted);
+    }
+
+    void late_work_delays_no_job_that_can_be_in_time()
+    {
+        admission_fixture fixture;
+        auto& pool = fixture.m_pools[pool_name];
+        pool.m_served_rate = cpu;
+        auto& ranked = pool.m_backlog_by_tenant[0]["a"].m_contracted_ranked;
+        ranked.m_late.add(milliseconds{500}, cpu * 60'000.0);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, fixture.wait_of("a", false));
+        // Too late for the objective of 1,400 ms, so that the late work comes first.
+        ranked.m_in_time.add(milliseconds{100}, cpu * 1'200.0);
+        CPPUNIT_ASSERT(!fixture.decide("a", false).m_admitted);
+    }
+
+    void job_is_admitted_after_its_retry_time_in_an_overload()
+    {
+        assert_property("job is admitted after its retry time in an overload", [] {
+            const bool excess = *rc::gen::arbitrary<bool>();
+            const auto served_rate = cpu * *rc::gen::inRange(30, 120) / 100.0;
+            const auto rate = served_rate * *rc::gen::inRange(10, 300) / 100.0;
+            const auto waiting = served_rate * *rc::gen::inRange(0, 10'000);
+            const auto other = served_rate * *rc::gen::inRange(0, 10'000);
+            // What is left after a time in which nothing arrives.
+            const auto decide_after = [&](double passed_ms) {
+                admission_fixture fixture;
+                auto& pool = fixture.m_pools[pool_name];
+                pool.m_served_rate = served_rate;
+                // Contracted work of the other tenant comes before excess, else both have a half.
+                const auto served = served_rate * passed_ms;
+                const auto fair_part = excess ? served : std::max(served / 2.0, served - waiting);
+                const auto served_other = std::min(fair_part, other);
+                auto& backlog = pool.m_backlog_by_tenant[0];
+                backlog["b"].m_contracted.m_cpu = other - served_other;
+                auto& ranked = backlog["a"].ranked(excess);
+                ranked.m_in_time.add(milliseconds{400},
+                                     std::max(0.0, waiting - (served - served_other)));
+                const auto window = static_cast<double>(overload_window.count());
+                ranked.m_accepted_rate.add(milliseconds{400},
+                                           rate * std::max(0.0, 1.0 - passed_ms / window));
+                return fixture.decide("a", excess);
+            };
+            const auto decision = decide_after(0.0);
+            const auto later =
+                decide_after(static_cast<double>(decision.m_retry_after.count()) + 2.0);
+            RC_ASSERT(later.m_admitted);
+        });
+    }
+
+    // Jobs that become useless leave the backlog. So it stayed small, and no job was refused.
+    void overload_of_a_tenth_for_minutes_made_long_jobs_useless()
+    {
+        // Real run times are off as a whole, too: in the last two, by half and more.
+        for (const double real : {1.0, 1.5, 0.6}) {
+            const auto total = run_steady_load(1.1, 1.1, real);
+            const auto context = describe("all at their rates", total);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(context, 0, total.m_refused_with_room);
+            CPPUNIT_ASSERT_MESSAGE(context, total.m_contracted_refused * 15 <= total.m_sent);
+            CPPUNIT_ASSERT_MESSAGE(context, total.m_useless * 30 <= total.m_useful);
+            CPPUNIT_ASSERT_MESSAGE(context, total.m_useful * 100 >= total.m_sent * 92);
+        }
+    }
+
+    void excess_is_refused_first_in_an_overload_of_a_tenth()
+    {
+        for (const double real : {1.0, 0.6}) {
+            const auto total = run_steady_load(1.1, 0.64, real);
+            const auto context = describe("a third is excess", total);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(context, 0, total.m_refused_with_room);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(context, 0, total.m_contracted_refused);
+            CPPUNIT_ASSERT_MESSAGE(context, total.m_excess_refused > 0);
+            CPPUNIT_ASSERT_MESSAGE(context, total.m_useless * 25 <= total.m_useful);
+        }
+    }
+
+    void load_just_below_the_capacity_refuses_nearly_nothing()
+    {
+        const auto usual = run_steady_load(0.9, 1.1, 1.0);
+        CPPUNIT_ASSERT_MESSAGE(describe("0.9", usual),
+                               usual.m_contracted_refused * 1'000 <= usual.m_sent);
+        const auto full = run_steady_load(0.97, 1.1, 1.0);
+        CPPUNIT_ASSERT_MESSAGE(describe("0.97", full),
+                               full.m_contracted_refused * 200 <= full.m_sent);
+    }
+
 private:
+    /// Returns the sums over ten tenants that send for four minutes, served by rank, jobs of 150 to
+    /// 2,000 ms. `load` is the part of the pool that they need, `contracted` the part of it that
+    /// they have contracted.
+    static tenant_outcome run_steady_load(double load, double contracted, double real)
+    {
+        replay_plan plan;
+        plan.m_by_rank = true;
+        plan.m_until_ms = 240'000;
+        plan.m_shortest_ms = 150;
+        plan.m_longest_ms = 2'000;
+        plan.m_real = real;
+        constexpr double usual_mean_ms = 500.0;
+        constexpr double mean_ms = 1'075.0;
+        plan.m_senders = make_senders(10, 0.5, load * usual_mean_ms / mean_ms / real);
+        for (auto& sending : plan.m_senders) {
+            sending.m_tenant.m_weight = sending.m_rate * contracted;
+        }
+        tenant_outcome total;
+        for (const auto& [tenant, counts] : pool_replay{plan, 1}.run()) {
+            total.m_sent += counts.m_sent;
+            total.m_contracted += counts.m_contracted;
+            total.m_contracted_refused += counts.m_contracted_refused;
+            total.m_excess_refused += counts.m_excess_refused;
+            total.m_refused_with_room += counts.m_refused_with_room;
+            total.m_useful += counts.m_useful;
+            total.m_useless += counts.m_useless;
+        }
+        return total;
+    }
+
     static void serve_in_order(tenant_backlogs& backlogs, const tenant_directory& directory,
                                double capacity)
     {
