One weight of a tenant for shares and for admission control

What callers saw: in a full pool, jobs without a tenant were served with weight 1 and excess jobs of a tenant with weight 0 with a millionth, while admission control estimated the waits of both with the smallest positive weight. So their refusals and Retry-After did not fit how they were served.

Cause: quota_ledger and tenant_admission each had a rule for tenants without a weight of their own.

Change: tenant_directory::share_weight is the only rule: the tenant's positive weight; else, also for a tenant that was removed, the smallest positive one of the configuration; 1 for all jobs without a tenant.

weight_of_an_account_is_the_share_weight_of_the_directory failed before (1e-6 instead of 0.25 for a weight of 0). Tests of tenants, scheduling, shares and quotas pass.

--- a/include/peridotrudder/scheduling/tenant_admission.hpp
+++ b/include/peridotrudder/scheduling/tenant_admission.hpp
@@ -9,7 +9,6 @@
 
 #include <map>
 #include <string>
-#include <string_view>
 
 namespace peridotrudder {
 
@@ -54,10 +53,6 @@
     double m_share{0.0};
 };
 
-/// Returns the tenant's weight for shares. Jobs without a tenant, of a tenant that was removed or
-/// has no positive weight get the smallest positive weight of the directory.
-double share_weight(const tenant_directory& directory, std::string_view tenant);
-
 /// Decides whether to admit a job that has just arrived.
 ///
 /// Estimates when it would complete if work is served by the queues' priorities, then contracted
--- a/include/peridotrudder/tenants/quota_ledger.hpp
+++ b/include/peridotrudder/tenants/quota_ledger.hpp
@@ -133,8 +133,7 @@
     const std::shared_ptr<tenant_account>& find_or_add(const std::string& tenant);
 
     mode m_mode{mode::unknown};
-    /// Of tenants that are not configured.
-    double m_smallest_weight{1.0};
+    tenant_directory m_tenants;
     account_map m_accounts;
     /// Few: a run is given up with an open start only when a worker restarts or an answer is lost.
     std::vector<kept_charge> m_kept;
--- a/include/peridotrudder/tenants/tenant_directory.hpp
+++ b/include/peridotrudder/tenants/tenant_directory.hpp
@@ -34,6 +34,10 @@
     const tenant_config* find_by_key(std::string_view digest) const;
     /// Returns the tenant with the name, or null.
     const tenant_config* find(std::string_view name) const;
+    /// Returns the tenant's weight when a pool is full, positive and finite. One that was removed
+    /// or has no positive weight gets the smallest positive weight of the directory, all jobs
+    /// without a tenant, under the empty name, together get 1.
+    double share_weight(std::string_view name) const;
     /// Returns the names of the `count` tenants with the largest weights.
     std::set<std::string, std::less<>> largest(std::size_t count) const;
 
@@ -43,6 +47,8 @@
     const tenant_config* find_in(const index& positions, std::string_view key) const;
 
     bool m_enabled{false};
+    /// Of those that are positive; 1 if none is.
+    double m_smallest_weight{1.0};
     std::vector<tenant_config> m_tenants;
     index m_by_key;
     index m_by_name;
--- a/src/scheduling/tenant_admission.cpp
+++ b/src/scheduling/tenant_admission.cpp
@@ -11,9 +11,6 @@
 
 /// Limit of the time that a job is expected to wait; no job's estimates come near it.
 constexpr double max_wait_ms = 1e15;
-/// Limits of a tenant's weight, so that quotients of weights stay finite.
-constexpr double min_weight = 1e-6;
-constexpr double max_weight = 1e6;
 /// Declared run times are off by half and more, and the backlog includes work that a new job
 /// overtakes. So a contracted job that waits for the pool is rejected only if it would be too late
 /// even if all run times are as much too long. Behind its tenant's quota this would only add jobs
@@ -100,7 +97,7 @@
     }
     queued[submitted.m_tenant];
     for (auto& [name, tenant] : queued) {
-        tenant.m_weight = share_weight(fleet.m_directory, name);
+        tenant.m_weight = fleet.m_directory.share_weight(name);
         tenant.m_max_cpu = max_cpu_of(fleet.m_tenants, name, submitted.m_queue->m_pool, pool.m_cpu);
     }
     return queued;
@@ -327,21 +324,6 @@
 
 } // namespace
 
-double share_weight(const tenant_directory& directory, std::string_view tenant)
-{
-    const auto* found = directory.find(tenant);
-    if (found != nullptr && found->m_weight > 0.0) {
-        return std::clamp(found->m_weight, min_weight, max_weight);
-    }
-    double smallest = max_weight;
-    for (const auto& other : directory.tenants()) {
-        if (other.m_weight > 0.0) {
-            smallest = std::min(smallest, other.m_weight);
-        }
-    }
-    return std::max(smallest, min_weight);
-}
-
 tenant_decision decide_tenant_admission(const tenant_job& submitted, const fleet_outlook& fleet)
 {
     tenant_decision decision;
--- a/src/tenants/quota_ledger.cpp
+++ b/src/tenants/quota_ledger.cpp
@@ -11,8 +11,6 @@
 /// A tenant at its quota starts a task whenever another one ends, so it ceases to wait only after a
 /// time. It bounds the log lines, too.
 constexpr milliseconds wait_end_delay{5'000};
-/// Keeps ratios finite for tenants that are configured without a weight.
-constexpr double least_weight = 1e-6;
 
 bool is_within(std::int64_t required, std::int64_t used, std::int64_t quota)
 {
@@ -111,24 +109,17 @@
 void quota_ledger::set_tenants(const tenant_directory& tenants)
 {
     m_mode = tenants.enabled() ? mode::enabled : mode::disabled;
-    const auto& configured = tenants.tenants();
-    m_smallest_weight = 1.0;
-    if (!configured.empty()) {
-        const auto lightest = std::min_element(
-            configured.begin(), configured.end(),
-            [](const auto& left, const auto& right) { return left.m_weight < right.m_weight; });
-        m_smallest_weight = std::max(lightest->m_weight, least_weight);
-    }
+    m_tenants = tenants;
     for (auto& [name, account] : m_accounts) {
         account->m_quota = {};
-        account->m_weight = name.empty() ? 1.0 : m_smallest_weight;
+        account->m_weight = tenants.share_weight(name);
     }
-    for (const auto& tenant : configured) {
+    for (const auto& tenant : tenants.tenants()) {
         // The account without a name is that of jobs without a tenant.
         if (!tenant.m_name.empty()) {
             auto& account = account_of(tenant.m_name);
             account.m_quota = tenant.m_quota;
-            account.m_weight = std::max(tenant.m_weight, least_weight);
+            account.m_weight = tenants.share_weight(tenant.m_name);
         }
     }
 }
@@ -139,7 +130,7 @@
     if (position == m_accounts.end()) {
         auto account = std::make_shared<tenant_account>();
         account->m_tenant = tenant;
-        account->m_weight = tenant.empty() ? 1.0 : m_smallest_weight;
+        account->m_weight = m_tenants.share_weight(tenant);
         position = m_accounts.emplace(account->m_tenant, account).first;
     }
     return position->second;
--- a/src/tenants/tenant_directory.cpp
+++ b/src/tenants/tenant_directory.cpp
@@ -6,11 +6,33 @@
 
 namespace peridotrudder {
 
+namespace {
+
+/// Limits of a weight, so that quotients of weights stay finite.
+constexpr double min_weight = 1e-6;
+constexpr double max_weight = 1e6;
+constexpr double weight_without_tenant = 1.0;
+
+double smallest_weight(const std::vector<tenant_config>& tenants)
+{
+    double smallest = 0.0;
+    for (const auto& tenant : tenants) {
+        // False for NaN as well.
+        if (tenant.m_weight > 0.0) {
+            smallest = smallest > 0.0 ? std::min(smallest, tenant.m_weight) : tenant.m_weight;
+        }
+    }
+    return smallest > 0.0 ? std::clamp(smallest, min_weight, max_weight) : 1.0;
+}
+
+} // namespace
+
 tenant_directory tenant_directory::create(std::vector<tenant_config> tenants)
 {
     tenant_directory directory;
     directory.m_enabled = true;
     directory.m_tenants = std::move(tenants);
+    directory.m_smallest_weight = smallest_weight(directory.m_tenants);
     for (std::size_t position = 0; position < directory.m_tenants.size(); ++position) {
         const auto& tenant = directory.m_tenants[position];
         directory.m_by_name.emplace(tenant.m_name, position);
@@ -31,6 +53,16 @@
     return find_in(m_by_name, name);
 }
 
+double tenant_directory::share_weight(std::string_view name) const
+{
+    if (name.empty()) {
+        return weight_without_tenant;
+    }
+    const auto* tenant = find(name);
+    const bool has_weight = tenant != nullptr && tenant->m_weight > 0.0;
+    return has_weight ? std::clamp(tenant->m_weight, min_weight, max_weight) : m_smallest_weight;
+}
+
 std::set<std::string, std::less<>> tenant_directory::largest(std::size_t count) const
 {
     std::vector<std::pair<double, std::string_view>> ranked;
--- a/test/tenants/quota_ledger_test.cpp
+++ b/test/tenants/quota_ledger_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(kept_charge_ends_at_its_time);
     CPPUNIT_TEST(kept_charge_ends_with_a_list_of_its_worker_that_is_new_enough);
     CPPUNIT_TEST(tenant_that_is_not_configured_has_the_smallest_weight);
+    CPPUNIT_TEST(weight_of_an_account_is_the_share_weight_of_the_directory);
     CPPUNIT_TEST(resources_of_absurd_gangs_do_not_wrap);
     CPPUNIT_TEST(waits_change_at_most_twice_in_five_seconds);
     CPPUNIT_TEST(usage_is_the_sum_of_all_charges);
@@ -134,6 +135,27 @@
         CPPUNIT_ASSERT_EQUAL(9.0, ledger.account_of("acme").m_weight);
     }
 
+    // Shares and the estimates of admission control used different weights for tenants with a
+    // weight of zero and for jobs without a tenant.
+    void weight_of_an_account_is_the_share_weight_of_the_directory()
+    {
+        const auto directory =
+            tenant_directory::create({tenant_with("acme", {}, 9.0), tenant_with("base", {}, 0.25),
+                                      tenant_with("zero", {}, 0.0)});
+        quota_ledger ledger;
+        ledger.account_of("");
+        ledger.account_of("removed");
+        ledger.set_tenants(directory);
+        for (const auto* name : {"acme", "base", "zero", "removed", "removed later", ""}) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(name, directory.share_weight(name),
+                                         ledger.account_of(name).m_weight);
+        }
+        CPPUNIT_ASSERT_EQUAL(0.25, directory.share_weight("zero"));
+        ledger.set_tenants(tenant_directory::create({tenant_with("zero", {}, 0.0)}));
+        CPPUNIT_ASSERT_EQUAL(1.0, ledger.account_of("zero").m_weight);
+        CPPUNIT_ASSERT_EQUAL(1.0, ledger.account_of("").m_weight);
+    }
+
     void resources_of_absurd_gangs_do_not_wrap()
     {
         constexpr auto largest = std::numeric_limits<std::int64_t>::max();
