One tenant for entries with the same name

What callers saw: if two entries of the field `tenants` had the same name, quotas and shares were those of the last one, admission by name and lookups those of the first, and summaries counted both.

Cause: each reader went through the list of entries on its own.

Change: tenant_directory::create makes one tenant of them, with the weight and quota of the first and the keys of all, and set_config logs `tenant_repeated`, one line for a version.

--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -108,6 +108,7 @@
 
     /// Forgets the run times of queues that this configuration changes.
     void forget_changed_queues(const fleet_config& config);
+    void log_repeated_tenants() const;
     /// Returns who makes the call, or nothing if it lacks a valid key that the queue needs.
     std::optional<caller_identity> identify(const queue_config& queue, const job_call& call) const;
     /// Returns the job if the caller may use it, or null. Logs that a job was withheld.
--- a/include/peridotrudder/tenants/tenant_directory.hpp
+++ b/include/peridotrudder/tenants/tenant_directory.hpp
@@ -24,12 +24,16 @@
     tenant_directory() = default;
 
     /// Returns a directory that is enabled, also if `tenants` is empty: then no key is valid. If
-    /// two tenants have a key in common, it is the first one's.
+    /// two tenants have a key in common, it is the first one's. Entries with the same name are one
+    /// tenant with the keys of all, so that no valid key is refused, and with the weight and quota
+    /// of the first.
     static tenant_directory create(std::vector<tenant_config> tenants);
 
     /// Returns whether the configuration has tenants.
     bool enabled() const { return m_enabled; }
     const std::vector<tenant_config>& tenants() const { return m_tenants; }
+    /// Returns the names that more than one entry of the configuration has.
+    const std::set<std::string, std::less<>>& repeated_names() const { return m_repeated_names; }
     /// Returns the tenant with the key, or null. Valid for the directory's lifetime.
     const tenant_config* find_by_key(std::string_view digest) const;
     /// Returns the tenant with the name, or null.
@@ -44,6 +48,7 @@
 private:
     using index = std::map<std::string, std::size_t, std::less<>>;
 
+    void add(tenant_config tenant);
     const tenant_config* find_in(const index& positions, std::string_view key) const;
 
     bool m_enabled{false};
@@ -52,6 +57,7 @@
     std::vector<tenant_config> m_tenants;
     index m_by_key;
     index m_by_name;
+    std::set<std::string, std::less<>> m_repeated_names;
 };
 
 } // namespace peridotrudder
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -14,6 +14,8 @@
 constexpr std::int64_t millis_per_core = 1'000;
 /// Pause between removals of expired jobs.
 constexpr milliseconds expiry_interval{1'000};
+/// Names of repeated tenants in a log line.
+constexpr std::size_t max_listed_names = 10;
 
 bool is_id(std::string_view text)
 {
@@ -56,6 +58,7 @@
     m_state.m_config = std::move(config);
     m_state.m_quotas.set_tenants(m_state.m_config.tenants());
     m_arrivals.retain(m_state.m_config.tenants());
+    log_repeated_tenants();
     // A queue may have moved to a pool that has free capacity.
     for (const auto& [id, stored_job] : m_state.m_job_store.jobs()) {
         if (stored_job.phase() == job_phase::active) {
@@ -64,6 +67,26 @@
     }
 }
 
+void job_scheduler::log_repeated_tenants() const
+{
+    const auto& names = m_state.m_config.tenants().repeated_names();
+    if (names.empty()) {
+        return;
+    }
+    std::string listed;
+    std::size_t count = 0;
+    for (const auto& name : names) {
+        if (count++ == max_listed_names) {
+            listed += ", ...";
+            break;
+        }
+        listed += (listed.empty() ? "" : ", ") + name;
+    }
+    m_state.log(
+        "tenant_repeated", "", "",
+        fmt::format("the first entry's weight and quota count, and the keys of all: {}", listed));
+}
+
 void job_scheduler::forget_changed_queues(const fleet_config& config)
 {
     for (const auto& queue : m_state.m_config.queues()) {
--- a/src/tenants/tenant_directory.cpp
+++ b/src/tenants/tenant_directory.cpp
@@ -31,18 +31,29 @@
 {
     tenant_directory directory;
     directory.m_enabled = true;
-    directory.m_tenants = std::move(tenants);
-    directory.m_smallest_weight = smallest_weight(directory.m_tenants);
-    for (std::size_t position = 0; position < directory.m_tenants.size(); ++position) {
-        const auto& tenant = directory.m_tenants[position];
-        directory.m_by_name.emplace(tenant.m_name, position);
-        for (const auto& digest : tenant.m_key_digests) {
-            directory.m_by_key.emplace(digest, position);
-        }
+    for (auto& tenant : tenants) {
+        directory.add(std::move(tenant));
     }
+    directory.m_smallest_weight = smallest_weight(directory.m_tenants);
     return directory;
 }
 
+void tenant_directory::add(tenant_config tenant)
+{
+    const auto [named, is_new] = m_by_name.emplace(tenant.m_name, m_tenants.size());
+    const auto position = named->second;
+    for (const auto& digest : tenant.m_key_digests) {
+        m_by_key.emplace(digest, position);
+    }
+    if (is_new) {
+        m_tenants.push_back(std::move(tenant));
+        return;
+    }
+    m_repeated_names.insert(tenant.m_name);
+    auto& digests = m_tenants[position].m_key_digests;
+    digests.insert(digests.end(), tenant.m_key_digests.begin(), tenant.m_key_digests.end());
+}
+
 const tenant_config* tenant_directory::find_by_key(std::string_view digest) const
 {
     return find_in(m_by_key, digest);
--- a/test/scheduling/tenant_submission_test.cpp
+++ b/test/scheduling/tenant_submission_test.cpp
@@ -189,9 +189,28 @@
     CPPUNIT_TEST(job_was_refused_while_a_worker_was_free_that_waiting_tasks_may_not_use);
     CPPUNIT_TEST(job_of_a_public_queue_has_no_tenant);
     CPPUNIT_TEST(without_tenants_refusals_are_as_before);
+    CPPUNIT_TEST(repeated_name_of_a_tenant_is_logged_once_for_a_version);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void repeated_name_of_a_tenant_is_logged_once_for_a_version()
+    {
+        tenant_owners owners;
+        const auto config = tenant_owners::make_config(true);
+        auto tenants = config.tenants().tenants();
+        tenants.push_back(tenants.front());
+        owners.m_log.clear();
+        owners.m_scheduler->set_config(fleet_config::create(
+            2, config.queues(), config.pools(), tenant_directory::create(std::move(tenants))));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, owners.m_log.size());
+        CPPUNIT_ASSERT_EQUAL(std::string_view{"tenant_repeated"},
+                             std::string_view{owners.m_log.front().m_event});
+        CPPUNIT_ASSERT(owners.m_log.front().m_detail.find("big") != std::string::npos);
+        owners.m_log.clear();
+        owners.m_scheduler->set_config(config);
+        CPPUNIT_ASSERT(owners.m_log.empty());
+    }
+
     void job_beyond_the_contracted_rate_is_recorded_as_excess()
     {
         tenant_owners owners;
