Judge a job's punctuality only where it has waiting tasks

The measurement of the backlog by rank judged all active jobs, also without tenants, for which only jobs with waiting tasks had been judged before.

--- a/src/planning/pool_demand.cpp
+++ b/src/planning/pool_demand.cpp
@@ -162,10 +162,11 @@
         const auto limits = limits_of(pool_job.header(), queue);
         const auto work = remaining_work(pool_job, occurrence, load);
         const auto left_ms = limits.m_objective_ms - now_ms;
-        const auto reachable = punctuality_of(pool_job, limits, now_ms);
-        if (pool_job.placed_tasks() < pool_job.unfinished_tasks() &&
-            reachable != punctuality::useless) {
-            add_backlog(pool_job, queue, occurrence, reachable, detail, load);
+        if (pool_job.placed_tasks() < pool_job.unfinished_tasks()) {
+            const auto reachable = punctuality_of(pool_job, limits, now_ms);
+            if (reachable != punctuality::useless) {
+                add_backlog(pool_job, queue, occurrence, reachable, detail, load);
+            }
         }
         // More processor than the tasks can use at once would not make a late job faster.
         const auto needed_cpu = work / static_cast<double>(std::max(left_ms, min_time_left_ms));
