Keep leftover runs until they are certainly over

What callers saw: after a takeover a tenant could run more than its quota: a successor whose time of day was ahead of its predecessor's by more than 8 s, or that had leases of more than some 20 s, took a run that the record names for over while it still ran.

Cause: leftover runs were dropped from the record a minute after the newest one, by the time of day, and a successor judged their age by the time of day too.

Change: a successor counts each leftover run as if it had been noted just now, until its worker has listed its runs, or for 22 s and two of the longest leases in force. The owner drops a note from the job's next record by its monotonic clock, once it has neither noted the run nor had it in a session for as long. Notes are kept by task, run and worker for that. Ruled out: a wider allowance for clocks, since a time of day may jump by any amount, and a write of its own for each dropped note. The cost: a note in a record that doesn't change counts again after each takeover, until the worker's first list (settled starts) or for 22 s more (open ones).

leftover_runs_are_forgotten_after_a_minute asked for what was wrong; leftover_runs_are_dropped_only_once_they_are_over replaces it: notes end at an exact time, not before, also for a successor and whatever the time of day.

--- a/include/peridotrudder/jobs/job.hpp
+++ b/include/peridotrudder/jobs/job.hpp
@@ -3,12 +3,15 @@
 /// @file
 /// A job with the state of each of its tasks, and their stored form.
 
+#include "peridotrudder/base/clock.hpp"
 #include "peridotrudder/jobs/job_spec.hpp"
 #include "peridotrudder/jobs/queue_config.hpp"
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <gsl/span>
+#include <map>
 #include <optional>
 #include <string>
 #include <tuple>
@@ -227,10 +230,17 @@
 
     /// Notes that a run which its task no longer has may still be on a worker. Only jobs of tenants
     /// have such notes: successors count these runs against the quota. Returns whether it is to be
-    /// recorded; a note that is repeated within seconds is not.
+    /// recorded; a note that is repeated within seconds is not. Takes logarithmic time, and for
+    /// tasks in their order constant time.
     bool note_leftover(leftover_run leftover);
-    /// Returns the runs noted in the last minute before the newest note.
-    const std::vector<leftover_run>& leftovers() const { return m_leftovers; }
+    /// Returns the noted runs that were not dropped, by task.
+    std::vector<leftover_run> leftovers() const;
+    /// Returns whether any run is noted.
+    bool has_leftovers() const { return !m_leftovers.empty(); }
+    /// Drops the notes of runs that are over: those that were noted, or known to the owner by
+    /// `is_known`, in no call for `longest`. Goes into the record with the job's next change.
+    void drop_leftovers(time_point now, milliseconds longest,
+                        const std::function<bool(const leftover_run&)>& is_known);
 
     /// Reverts a placed task to waiting after a run that certainly never started, or that is
     /// certainly over with an unknown result.
@@ -260,6 +270,16 @@
                                                    gsl::span<const std::uint8_t> state);
 
 private:
+    /// Task, run and worker of a leftover run.
+    using leftover_key = std::tuple<task_ref, std::uint32_t, std::string>;
+    struct leftover_note {
+        std::int64_t m_noted_ms{0};
+        bool m_settled{false};
+        /// By this owner's clock, which no record has: times of day may jump. None until the first
+        /// call of `drop_leftovers`.
+        std::optional<time_point> m_over_at;
+    };
+
     task& find(const task_ref& ref);
     /// `run` is the number of the successful run.
     void finish_task(const task_ref& ref, std::uint32_t run, std::int64_t now_ms);
@@ -279,7 +299,7 @@
     std::vector<std::vector<std::uint32_t>> m_open;
     std::uint64_t m_open_total{0};
     std::uint32_t m_placed{0};
-    std::vector<leftover_run> m_leftovers;
+    std::map<leftover_key, leftover_note> m_leftovers;
 };
 
 } // namespace peridotrudder
--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -130,6 +130,18 @@
     milliseconds m_predecessor_start_slack{8'000};
 };
 
+/// Returns the longest time for which a worker may run something without hearing of its owner.
+milliseconds longest_lease(const lease_options& options);
+
+/// Returns the time after which a start that a predecessor has given up is not carried out any
+/// more.
+milliseconds longest_start(const lease_options& options);
+
+/// Returns the time after which a run that a predecessor has given up is certainly over, if no
+/// worker lists it: two leases after the latest start, since answers to holds that are lost may
+/// have renewed one.
+milliseconds longest_leftover(const lease_options& options);
+
 /// What the answer to a hold changed.
 struct hold_outcome {
     /// The answer came from another incarnation than the one before.
--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -47,6 +47,10 @@
     /// Sends the holds and repeated stops that are due, and removes workers that are gone.
     void tick(moment now);
 
+    /// Lets the next records of the changed jobs no longer name leftover runs that are certainly
+    /// over.
+    void drop_leftovers(time_point now);
+
 private:
     /// Gives up a recorded start that its tenant's quota does not allow any more, with all members
     /// of its gang.
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -1,6 +1,7 @@
 #include "peridotrudder/jobs/job.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 
 namespace peridotrudder {
@@ -43,8 +44,6 @@
     return row;
 }
 
-/// Longer than an order is under way and a lease of some seconds lasts.
-constexpr std::int64_t longest_leftover_ms = 60'000;
 /// Pause between records of a run that a worker lists again and again.
 constexpr std::int64_t leftover_repeat_ms = 5'000;
 
@@ -306,26 +305,53 @@
     if (!m_header.m_tenant) {
         return false;
     }
-    const auto is_same = [&leftover](const leftover_run& known) {
-        return known.m_task == leftover.m_task && known.m_run == leftover.m_run &&
-               known.m_worker == leftover.m_worker;
-    };
-    const auto is_repeated = [&](const leftover_run& known) {
-        return is_same(known) && known.m_settled == leftover.m_settled &&
-               leftover.m_noted_ms - known.m_noted_ms < leftover_repeat_ms;
-    };
-    if (std::any_of(m_leftovers.begin(), m_leftovers.end(), is_repeated)) {
+    leftover_key key{leftover.m_task, leftover.m_run, std::move(leftover.m_worker)};
+    const leftover_note note{leftover.m_noted_ms, leftover.m_settled, std::nullopt};
+    // The tasks of a gang are noted in their order, mostly.
+    auto position = m_leftovers.end();
+    if (!m_leftovers.empty() && !(std::prev(position)->first < key)) {
+        position = m_leftovers.lower_bound(key);
+    }
+    if (position == m_leftovers.end() || position->first != key) {
+        m_leftovers.emplace_hint(position, std::move(key), note);
+        return true;
+    }
+    auto& known = position->second;
+    // The run is still there.
+    known.m_over_at.reset();
+    if (known.m_settled == note.m_settled &&
+        note.m_noted_ms - known.m_noted_ms < leftover_repeat_ms) {
         return false;
     }
-    const auto is_replaced = [&](const leftover_run& known) {
-        return is_same(known) || known.m_noted_ms < leftover.m_noted_ms - longest_leftover_ms;
-    };
-    m_leftovers.erase(std::remove_if(m_leftovers.begin(), m_leftovers.end(), is_replaced),
-                      m_leftovers.end());
-    m_leftovers.push_back(std::move(leftover));
+    known = note;
     return true;
 }
 
+std::vector<leftover_run> job::leftovers() const
+{
+    std::vector<leftover_run> listed;
+    listed.reserve(m_leftovers.size());
+    for (const auto& [key, note] : m_leftovers) {
+        const auto& [ref, run, worker] = key;
+        listed.push_back({ref, run, worker, note.m_noted_ms, note.m_settled});
+    }
+    return listed;
+}
+
+void job::drop_leftovers(time_point now, milliseconds longest,
+                         const std::function<bool(const leftover_run&)>& is_known)
+{
+    for (auto entry = m_leftovers.begin(); entry != m_leftovers.end();) {
+        const auto& [ref, run, worker] = entry->first;
+        auto& note = entry->second;
+        const bool known = is_known({ref, run, worker, note.m_noted_ms, note.m_settled});
+        if (known || !note.m_over_at) {
+            note.m_over_at = now + longest;
+        }
+        entry = *note.m_over_at <= now ? m_leftovers.erase(entry) : std::next(entry);
+    }
+}
+
 void job::void_run(const task_ref& ref)
 {
     auto& entry = find(ref);
@@ -514,7 +540,7 @@
                           m_placed_ms,
                           settled.to_json()};
     if (!m_leftovers.empty()) {
-        record.push_back(to_rows(m_leftovers));
+        record.push_back(to_rows(leftovers()));
     }
     return nlohmann::json::to_cbor(record);
 }
@@ -553,11 +579,12 @@
                                  ? bit_list::from_json((*record)[settled_index])
                                  : bit_list{};
         if (record->size() > leftovers_index) {
-            created.m_leftovers = leftovers_from((*record)[leftovers_index]);
-            for (const auto& leftover : created.m_leftovers) {
+            for (auto& leftover : leftovers_from((*record)[leftovers_index])) {
                 if (!created.has(leftover.m_task)) {
                     return tl::make_unexpected(decode_error{decode_fault::out_of_range, "task"});
                 }
+                created.m_leftovers[{leftover.m_task, leftover.m_run, leftover.m_worker}] = {
+                    leftover.m_noted_ms, leftover.m_settled, std::nullopt};
             }
         }
         std::size_t row_number = 0;
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -44,6 +44,23 @@
 
 } // namespace
 
+milliseconds longest_lease(const lease_options& options)
+{
+    const auto longest = static_cast<double>(options.m_max_lease.count()) / slowest_clock;
+    return milliseconds{static_cast<std::int64_t>(longest)} + lease_end_margin;
+}
+
+milliseconds longest_start(const lease_options& options)
+{
+    return options.m_longest_order_delay + options.m_predecessor_start_slack;
+}
+
+milliseconds longest_leftover(const lease_options& options)
+{
+    return std::max(options.m_predecessor_grace, longest_start(options)) +
+           2 * longest_lease(options);
+}
+
 worker_session worker_session::create(worker_report report, std::uint64_t fence,
                                       lease_options options, time_point now)
 {
@@ -488,8 +505,7 @@
 
 milliseconds worker_session::longest_lease() const
 {
-    const auto longest = static_cast<double>(m_options.m_max_lease.count()) / slowest_clock;
-    return milliseconds{static_cast<std::int64_t>(longest)} + lease_end_margin;
+    return peridotrudder::longest_lease(m_options);
 }
 
 time_point worker_session::lease_ends_at() const
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -532,6 +532,7 @@
     if (const auto request = m_state.m_tickets.next_policy_request(now.m_at)) {
         m_state.m_ports.m_ask(*request);
     }
+    m_runs.drop_leftovers(now.m_at);
     return take_changes();
 }
 
--- a/src/scheduling/run_adoption.cpp
+++ b/src/scheduling/run_adoption.cpp
@@ -50,20 +50,15 @@
 }
 
 /// Counts a run that no task has, but that may still be on its worker, against its tenant's quota.
+/// Its record has a time of day only, which may be off by any amount. So the run counts as if the
+/// predecessor had noted it just now.
 void charge_leftover(scheduler_state& state, const job& source, const leftover_run& leftover,
                      moment now)
 {
-    const auto& lease = state.m_options.m_lease;
-    const auto age = milliseconds{std::max<std::int64_t>(now.m_unix_ms - leftover.m_noted_ms, 0)};
-    const auto may_start_until =
-        now.m_at - age + lease.m_longest_order_delay + lease.m_predecessor_start_slack;
-    const auto open_until = leftover.m_settled ? now.m_at : std::max(now.m_at, may_start_until);
-    const auto over_at =
-        std::max(now.m_at + lease.m_predecessor_grace, may_start_until) + 2 * lease.m_max_lease;
-    if (now.m_at < may_start_until + 2 * lease.m_max_lease) {
-        state.m_quotas.keep(state.charge_for(source, leftover.m_task.m_step), leftover.m_worker,
-                            open_until, over_at);
-    }
+    const auto open_until =
+        leftover.m_settled ? now.m_at : now.m_at + longest_start(state.m_options.m_lease);
+    state.m_quotas.keep(state.charge_for(source, leftover.m_task.m_step), leftover.m_worker,
+                        open_until, now.m_at + longest_leftover(state.m_options.m_lease));
 }
 
 } // namespace
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -151,6 +151,24 @@
     }
 }
 
+void run_tracker::drop_leftovers(time_point now)
+{
+    const auto longest = longest_leftover(m_state->m_options.m_lease);
+    for (const auto& id : m_state->m_job_store.dirty_ids()) {
+        auto* target = m_state->m_job_store.find(id);
+        if (target == nullptr || !target->has_leftovers()) {
+            continue;
+        }
+        target->drop_leftovers(now, longest, [this, &id](const leftover_run& leftover) {
+            auto* session = m_state->find_worker(leftover.m_worker);
+            const run_key key{id, leftover.m_task};
+            const auto* run = session == nullptr ? nullptr : session->find(key);
+            return (run != nullptr && run->m_run == leftover.m_run) ||
+                   (session != nullptr && session->has_run_beside(key));
+        });
+    }
+}
+
 void run_tracker::start_answered(const order_target& target, const run_key& key,
                                  std::uint32_t number, const order_answer& answer, moment now)
 {
--- a/test/jobs/job_test.cpp
+++ b/test/jobs/job_test.cpp
@@ -2,6 +2,8 @@
 #include "property.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
+
+#include <ctime>
 #include <rapidcheck.h>
 
 namespace peridotrudder {
@@ -109,7 +111,8 @@
     CPPUNIT_TEST(damaged_record_is_rejected_or_read_without_a_crash);
     CPPUNIT_TEST(runs_that_tasks_no_longer_have_are_recorded_for_jobs_of_tenants);
     CPPUNIT_TEST(gang_members_left_behind_by_a_success_are_recorded);
-    CPPUNIT_TEST(leftover_runs_are_forgotten_after_a_minute);
+    CPPUNIT_TEST(leftover_runs_are_dropped_only_once_they_are_over);
+    CPPUNIT_TEST(leftover_run_that_is_noted_again_or_known_is_kept);
     CPPUNIT_TEST(run_that_is_listed_again_and_again_is_recorded_every_five_seconds);
     CPPUNIT_TEST(damaged_record_with_leftover_runs_causes_no_crash);
     CPPUNIT_TEST_SUITE_END();
@@ -354,7 +357,7 @@
         CPPUNIT_ASSERT(restored(without_tenant).leftovers().empty());
         const auto copy = restored(example);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, copy.leftovers().size());
-        const auto& leftover = copy.leftovers().front();
+        const auto leftover = copy.leftovers().front();
         CPPUNIT_ASSERT(leftover.m_task == (task_ref{0, 0, 1}));
         CPPUNIT_ASSERT_EQUAL(1U, leftover.m_run);
         CPPUNIT_ASSERT_EQUAL(std::string{"i-1"}, leftover.m_worker);
@@ -370,12 +373,50 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, restored(gang).leftovers().size());
     }
 
-    void leftover_runs_are_forgotten_after_a_minute()
+    // Notes were dropped after a minute by the time of day, also where leases are longer and where
+    // the time of day jumps.
+    void leftover_runs_are_dropped_only_once_they_are_over()
     {
+        constexpr milliseconds longest{150'000};
+        const time_point now{milliseconds{1'000}};
         auto example = with_tenant(make_job({make_step(2)}));
         example.note_leftover({{0, 0, 0}, 1, "i-1", now_ms, true});
-        example.note_leftover({{0, 0, 1}, 1, "i-1", now_ms + 60'001, true});
+        example.drop_leftovers(now, longest, [](const auto&) { return false; });
+        example.note_leftover({{0, 0, 1}, 1, "i-1", now_ms + 3'600'000, true});
+        example.drop_leftovers(now + longest - milliseconds{1}, longest,
+                               [](const auto&) { return false; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, example.leftovers().size());
+        example.drop_leftovers(now + longest, longest, [](const auto&) { return false; });
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, example.leftovers().size());
+        CPPUNIT_ASSERT_EQUAL(1U, example.leftovers().front().m_task.m_index);
+        // A successor does not know for how long the run has been left behind.
+        auto copy = restored(example);
+        copy.drop_leftovers(now + 2 * longest, longest, [](const auto&) { return false; });
+        CPPUNIT_ASSERT(copy.has_leftovers());
+        copy.drop_leftovers(now + 3 * longest, longest, [](const auto&) { return false; });
+        CPPUNIT_ASSERT(!copy.has_leftovers());
+    }
+
+    void leftover_run_that_is_noted_again_or_known_is_kept()
+    {
+        constexpr milliseconds longest{30'000};
+        const time_point now{milliseconds{1'000}};
+        auto example = with_tenant(make_job({make_step(2)}));
+        const auto drop = [&example, longest](time_point at, bool known) {
+            example.drop_leftovers(at, longest, [known](const auto&) { return known; });
+        };
+        example.note_leftover({{0, 0, 0}, 1, "i-1", now_ms, true});
+        drop(now, false);
+        // Within the pause between two records of the same run.
+        CPPUNIT_ASSERT(!example.note_leftover({{0, 0, 0}, 1, "i-1", now_ms + 4'000, true}));
+        drop(now + milliseconds{29'000}, false);
+        drop(now + longest, false);
+        CPPUNIT_ASSERT(example.has_leftovers());
+        drop(now + milliseconds{58'000}, true);
+        drop(now + milliseconds{87'000}, false);
+        CPPUNIT_ASSERT(example.has_leftovers());
+        drop(now + milliseconds{88'000}, false);
+        CPPUNIT_ASSERT(!example.has_leftovers());
     }
 
     // A worker lists an unknown run in each answer to a hold until it has stopped it.
--- a/test/quotas/quota_test.cpp
+++ b/test/quotas/quota_test.cpp
@@ -96,6 +96,8 @@
     CPPUNIT_TEST(waits_for_a_quota_are_logged_when_they_begin_and_end);
     CPPUNIT_TEST(largest_tenants_are_summarized_and_the_others_added_up);
     CPPUNIT_TEST(successor_counts_gang_members_that_a_success_left_behind);
+    CPPUNIT_TEST(leftover_run_counts_with_a_successor_whose_time_of_day_is_ahead);
+    CPPUNIT_TEST(leftover_run_counts_for_as_long_as_leases_last);
     CPPUNIT_TEST(quotas_hold_in_any_history);
     CPPUNIT_TEST(quotas_hold_in_any_history_of_forgotten_workers);
     CPPUNIT_TEST(quotas_hold_though_later_incarnations_carry_out_late_starts);
@@ -110,6 +112,27 @@
         m_owner.submit_step(id_of(number), step);
     }
 
+    /// Lets an owner begin with a job of `acme` whose record names a run that its task does not
+    /// have, and with a quota of one such run.
+    void adopt_leftover(scheduler_state& successor, std::int64_t noted_ms) const
+    {
+        job_header header;
+        header.m_id = id_of(1);
+        header.m_queue = owner_fixture::queue_at("/queue/");
+        header.m_spec.m_steps.push_back(tasks(1));
+        header.m_spec.m_steps.front().m_task_resources.m_cpu_millis = core;
+        header.m_tenant = job_tenant{"acme", false};
+        job_store predecessor;
+        predecessor.add(header).note_leftover({{0, 0, 0}, 1, "i-1", noted_ms, false});
+        restore_report report;
+        successor.m_job_store = job_store::restore(predecessor.take_changes(), report);
+        successor.m_quotas.set_tenants(one_tenant_of_cores(1));
+        run_adoption adoption;
+        while (!adoption.complete()) {
+            adoption.adopt_next(successor, m_owner.m_now);
+        }
+    }
+
     static step_spec tasks(std::uint32_t count)
     {
         step_spec step;
@@ -482,6 +505,35 @@
         CPPUNIT_ASSERT(successor.m_quotas.may_start("acme", {3 * core, 0, 0}));
     }
 
+    // A time of day that was ahead by more than 8 s made the successor take the run for over.
+    void leftover_run_counts_with_a_successor_whose_time_of_day_is_ahead()
+    {
+        const auto noted_ms = m_owner.m_now.m_unix_ms;
+        for (const std::int64_t ahead_ms : {-3'600'000, 0, 9'000, 60'000, 3'600'000}) {
+            scheduler_state successor;
+            m_owner.m_now.m_unix_ms = noted_ms + ahead_ms;
+            adopt_leftover(successor, noted_ms);
+            CPPUNIT_ASSERT(!successor.m_quotas.may_start("acme", {core, 0, 0}));
+            const auto end = m_owner.m_now.m_at + longest_leftover(lease_options{});
+            successor.m_quotas.expire(end - milliseconds{1});
+            CPPUNIT_ASSERT(!successor.m_quotas.may_start("acme", {core, 0, 0}));
+            successor.m_quotas.expire(end);
+            CPPUNIT_ASSERT(successor.m_quotas.may_start("acme", {core, 0, 0}));
+        }
+    }
+
+    // A minute was taken for longer than any lease.
+    void leftover_run_counts_for_as_long_as_leases_last()
+    {
+        scheduler_state successor;
+        successor.m_options.m_lease.m_max_lease = milliseconds{60'000};
+        adopt_leftover(successor, m_owner.m_now.m_unix_ms - 61'000);
+        successor.m_quotas.expire(m_owner.m_now.m_at + milliseconds{140'000});
+        CPPUNIT_ASSERT(!successor.m_quotas.may_start("acme", {core, 0, 0}));
+        successor.m_quotas.worker_listed_runs("i-1", m_owner.m_now.m_at + milliseconds{22'000});
+        CPPUNIT_ASSERT(successor.m_quotas.may_start("acme", {core, 0, 0}));
+    }
+
     void quotas_hold_in_any_history()
     {
         assert_property("no start brings a tenant above its quota in any history", [] {
