Guard the linear time of a large gang's success

What callers saw: the success of one member of a gang marks the runs of all others as left behind, and each mark was compared with all marks before it. With 20,000 members the owner answered nobody for 1.5 s.

--- a/test/jobs/job_test.cpp
+++ b/test/jobs/job_test.cpp
@@ -113,6 +113,7 @@
     CPPUNIT_TEST(gang_members_left_behind_by_a_success_are_recorded);
     CPPUNIT_TEST(leftover_runs_are_dropped_only_once_they_are_over);
     CPPUNIT_TEST(leftover_run_that_is_noted_again_or_known_is_kept);
+    CPPUNIT_TEST(success_of_a_very_large_gang_takes_linear_time);
     CPPUNIT_TEST(run_that_is_listed_again_and_again_is_recorded_every_five_seconds);
     CPPUNIT_TEST(damaged_record_with_leftover_runs_causes_no_crash);
     CPPUNIT_TEST_SUITE_END();
@@ -419,6 +420,21 @@
         CPPUNIT_ASSERT(!example.has_leftovers());
     }
 
+    // Each note was compared with all others: 20,000 took 1.5 s, in which the owner answered
+    // nobody.
+    void success_of_a_very_large_gang_takes_linear_time()
+    {
+        constexpr std::uint32_t members = 60'000;
+        auto gang = with_tenant(make_gang(members));
+        const auto run = gang.place_gang(0, 0, std::vector<worker_instance>(members, some_worker));
+        const auto begun = std::clock();
+        gang.end({0, 0, members / 2}, run, run_end::done, "", attempts, now_ms);
+        const auto used_s = static_cast<double>(std::clock() - begun) / CLOCKS_PER_SEC;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{members - 1}, gang.leftovers().size());
+        // Linear time is below a tenth of a second, also in slow builds.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(used_s) + " s", used_s < 2.0);
+    }
+
     // A worker lists an unknown run in each answer to a hold until it has stopped it.
     void run_that_is_listed_again_and_again_is_recorded_every_five_seconds()
     {
