--- a/include/peridotrudder/scheduling/tenant_admission.hpp
+++ b/include/peridotrudder/scheduling/tenant_admission.hpp
@@ -9,7 +9,6 @@
 
 #include <map>
 #include <string>
-#include <string_view>
 
 namespace peridotrudder {
 
@@ -44,6 +43,8 @@
     /// Estimated time until the work that is served before the job has been started.
     milliseconds m_wait{0};
     wait_cause m_cause{wait_cause::pool};
+    /// Judged by what the pool has achieved and what arrives, since it has been full for long.
+    bool m_overloaded{false};
     /// The tenant's own work that is served before the job: CPU, in thousandths of a core times
     /// milliseconds.
     double m_own_backlog{0.0};
@@ -52,10 +53,6 @@
     double m_share{0.0};
 };
 
-/// Returns the tenant's weight for shares. Jobs without a tenant, of a tenant that was removed or
-/// has no positive weight get the smallest positive weight of the directory.
-double share_weight(const tenant_directory& directory, std::string_view tenant);
-
 /// Decides whether to admit a job that has just arrived.
 ///
 /// Estimates when it would complete if work is served by the queues' priorities, then contracted
