--- a/include/peridotrudder/scheduling/pool_config.hpp
+++ b/include/peridotrudder/scheduling/pool_config.hpp
@@ -13,7 +13,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace peridotrudder {
@@ -49,7 +48,7 @@
     const std::vector<pool_config>& pools() const { return m_pools; }
     const tenant_directory& tenants() const { return m_tenants; }
     const submission_limits& limits() const { return m_limits; }
-    void set_limits(submission_limits limits) { m_limits = std::move(limits); }
+    void set_limits(const submission_limits& limits) { m_limits = limits; }
     /// Returns the queue with the host and the longest prefix that the path begins with, or null.
     const queue_config* match(std::string_view host, std::string_view path) const;
     const queue_config* find_queue(std::string_view key) const;
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -251,7 +251,7 @@
         m_ports.m_decided({"limit_unusable", "", "", "max-header-bytes"});
         limits.m_max_header_bytes = in_force.m_max_header_bytes;
     }
-    config.set_limits(std::move(limits));
+    config.set_limits(limits);
 }
 
 void fleet_owner::take_operator_records(const std::vector<keyed_record>& records)
