Call accept only when a connection waits

Without a free descriptor, accept fails even if no connection waits. After a shortage had been ended by an eviction, the next accept failed at once and evicted the caller that had just been let in.

--- a/src/links/caller_acceptor.hpp
+++ b/src/links/caller_acceptor.hpp
@@ -77,10 +77,21 @@
             return;
         }
         m_pauses = 0;
-        m_acceptor.async_accept(m_socket.lowest_layer(),
-                                [self = this->shared_from_this()](const asio::error_code& error) {
-                                    self->accepted(error);
-                                });
+        m_acceptor.async_wait(
+            asio::ip::tcp::acceptor::wait_read,
+            [self = this->shared_from_this()](const asio::error_code&) { self->accept(); });
+    }
+
+    /// Called once a connection waits: without a free descriptor, `accept` fails even if none does,
+    /// and each failure would evict a connection for nobody.
+    void accept()
+    {
+        const std::lock_guard<std::mutex> lock{m_mutex};
+        if (m_acceptor.is_open()) {
+            m_acceptor.async_accept(m_socket.lowest_layer(),
+                                    [self = this->shared_from_this()](
+                                        const asio::error_code& error) { self->accepted(error); });
+        }
     }
 
     void accepted(const asio::error_code& error)
