--- a/soak/tenants.py
+++ b/soak/tenants.py
@@ -15,6 +15,8 @@
 CHANGING_KEYS = 6
 QUOTA_SHARE = 0.2
 RESOURCES = ("cpu", "mem-mb", "gpu")
+# The tenant of the checks' own calls beside tenants with quotas; it has none.
+CHECKS = "checks"
 # Each holds the largest task, and less than a tenant asks for at times. 0 is no limit.
 QUOTAS = ({"cpu": 0}, {"cpu": 12_000}, {"cpu": 20_000, "mem-mb": 2_048}, {"mem-mb": 1_024})
 
@@ -40,6 +42,10 @@
         self.keys = list(self._lasting.values())
         for key in self.keys:
             key.added_at = time.time()
+        # A tenant that is at its quota may have to wait for longer than the checks do.
+        self._unlimited = Key(f"{CHECKS}-{self.own[1]}", CHECKS) if with_quotas else None
+        if with_quotas:
+            self.own = self._unlimited.tenant, self._unlimited.text
         # By tenant: the quotas with the times from which they certainly count; None until then.
         self.quotas = {name: [(0.0, {})] for name in self.names} if with_quotas else {}
 
@@ -75,6 +81,9 @@
             if name in self.quotas:
                 tenant["max-count"] = self.quotas[name][-1][1]
             described.append(tenant)
+        if self._unlimited is not None:
+            described.append({"name": self._unlimited.tenant, "weight": 1, "priority": 0,
+                              "api-keys": [self._unlimited.text]})
         return described
 
 
@@ -206,7 +215,7 @@
 
     def take_start(self, event, job, counted_since, fail):
         """Checks a start, which may have been decided by any quota since `counted_since`."""
-        if job.tenant is None:
+        if job.tenant is None or job.tenant == CHECKS:
             return
         running = self._running[job.tenant]
         running[self._run(event)] = job.body["steps"][int(event["task"].split(".")[2])]
