Accept a peer only when one waits

Without a free descriptor `accept` fails even if nobody waits. The listener of the peers' port called it at once after each connection, and evicted a handshake for each failure: also that of the node that had just taken the last free descriptor.

Change: it waits until a connection can be accepted, as the callers' acceptor does.

--- a/src/links/handshake_listener.cpp
+++ b/src/links/handshake_listener.cpp
@@ -72,6 +72,19 @@
 }
 
 void handshake_listener::accept_next()
+{
+    m_acceptor.async_wait(tcp::acceptor::wait_read,
+                          [self = weak_from_this()](const asio::error_code& error) {
+                              const auto listener = self.lock();
+                              if (listener && error != asio::error::operation_aborted) {
+                                  listener->accept();
+                              }
+                          });
+}
+
+// Called once a connection waits: without a free descriptor, `accept` fails even if none does, and
+// each failure would evict a handshake.
+void handshake_listener::accept()
 {
     m_acceptor.async_accept(
         [self = weak_from_this()](const asio::error_code& error, tcp::socket socket) {
--- a/src/links/handshake_listener.hpp
+++ b/src/links/handshake_listener.hpp
@@ -29,8 +29,8 @@
 struct handshake_listener_hooks {
     /// Whether a known peer has this address.
     std::function<bool(const asio::ip::address&)> m_is_peer_address;
-    /// Takes over a connection whose whole header can be read. `ended` must be called when its
-    /// handshake has succeeded or failed.
+    /// Takes over a connection whose whole header can be read. `handshake_listener::ended` must be
+    /// called when its handshake has succeeded or failed.
     std::function<void(asio::ip::tcp::socket socket, handshake_number connection)> m_header_arrived;
     /// Closes a connection that was taken over.
     std::function<void(handshake_number connection)> m_close;
@@ -38,8 +38,8 @@
     std::function<void(handshake_refusal cause, std::uint64_t count)> m_report;
 };
 
-/// Passes a connection on once its header has arrived, so that a stranger that sends none, or none
-/// that ends, takes a descriptor and a few hundred bytes only. The header stays in the kernel's
+/// Passes a connection on once its header has arrived, so that a connection without a complete
+/// header takes a descriptor and a few hundred bytes only. The header stays in the kernel's
 /// buffer until then. Runs on the loop; only `pending` and `refusals` are thread-safe.
 class handshake_listener : public std::enable_shared_from_this<handshake_listener> {
 public:
@@ -71,6 +71,7 @@
     handshake_listener(asio::io_context& loop, const handshake_listener_options& options,
                        handshake_listener_hooks hooks);
     void accept_next();
+    void accept();
     void accepted(const asio::error_code& error, asio::ip::tcp::socket socket);
     void accept_failed(const asio::error_code& error);
     void add(asio::ip::tcp::socket socket);
--- a/test/links/handshake_listener_test.cpp
+++ b/test/links/handshake_listener_test.cpp
@@ -1,3 +1,4 @@
+#include "links/descriptor_shortage.hpp"
 #include "peridotrudder/links/peer_mesh.hpp"
 
 #include <asio.hpp>
@@ -90,6 +91,7 @@
     CPPUNIT_TEST(a_stranger_is_refused_and_forgotten);
     CPPUNIT_TEST(connections_beyond_the_limit_displace_the_oldest);
     CPPUNIT_TEST(a_peer_gets_through_a_crowd_that_keeps_connecting);
+    CPPUNIT_TEST(a_handshake_outlasts_a_shortage_of_descriptors);
     CPPUNIT_TEST(a_header_without_end_is_cut_off);
     CPPUNIT_TEST(a_request_with_a_body_is_refused);
     CPPUNIT_TEST(a_connection_closed_within_its_header_is_forgotten);
@@ -174,6 +176,23 @@
         CPPUNIT_ASSERT(reached);
     }
 
+    // Without a free descriptor, `accept` fails even if nobody waits. Each failure evicted a
+    // handshake.
+    void a_handshake_outlasts_a_shortage_of_descriptors()
+    {
+        mesh_under_test process;
+        asio::io_context loop;
+        tcp::socket peer{loop};
+        peer.open(tcp::v4());
+        descriptor_shortage shortage;
+        shortage.free_one();
+        peer.connect({asio::ip::address_v4::loopback(), port});
+        std::this_thread::sleep_for(milliseconds{100});
+        CPPUNIT_ASSERT_EQUAL(std::string{"HTTP/1.1 101 Switching Protocols"},
+                             process.status_of(peer, request_of_a_peer("token")));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, process.mesh().refusals(handshake_refusal::evicted));
+    }
+
     void a_header_without_end_is_cut_off()
     {
         mesh_under_test process;
--- a/test/links/http_server_test.cpp
+++ b/test/links/http_server_test.cpp
@@ -1,13 +1,12 @@
 #include "peridotrudder/links/http_server.hpp"
 
+#include "links/descriptor_shortage.hpp"
 #include "peridotrudder/links/http_client.hpp"
 
 #include <asio.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 #include <poll.h>
-#include <sys/resource.h>
-#include <unistd.h>
 
 #include <atomic>
 #include <functional>
@@ -102,38 +101,6 @@
     return text.find("HTTP/1.1 503") == 0 && text.find("closing") != std::string::npos;
 }
 
-/// Uses up the descriptors of this process.
-class descriptor_shortage {
-public:
-    descriptor_shortage()
-    {
-        constexpr rlim_t most = 256;
-        ::getrlimit(RLIMIT_NOFILE, &m_before);
-        const rlimit lowered{std::min(most, m_before.rlim_max), m_before.rlim_max};
-        ::setrlimit(RLIMIT_NOFILE, &lowered);
-        for (int taken = ::dup(STDERR_FILENO); taken >= 0; taken = ::dup(STDERR_FILENO)) {
-            m_taken.push_back(taken);
-        }
-    }
-
-    descriptor_shortage(const descriptor_shortage&) = delete;
-    descriptor_shortage& operator=(const descriptor_shortage&) = delete;
-    descriptor_shortage(descriptor_shortage&&) = delete;
-    descriptor_shortage& operator=(descriptor_shortage&&) = delete;
-
-    ~descriptor_shortage()
-    {
-        for (const auto taken : m_taken) {
-            ::close(taken);
-        }
-        ::setrlimit(RLIMIT_NOFILE, &m_before);
-    }
-
-private:
-    rlimit m_before{};
-    std::vector<int> m_taken;
-};
-
 /// A loop that one thread runs.
 class running_loop {
 public:
