Judge no pool by what it served in a stall

What callers would see: after 16 s of waiting in which little or nothing ended, as in an outage of the log, the served rate is far below the capacity, and nearly all jobs are refused for up to 15 s. The same while VMs are moved to the pool. Found by a reviewer.

Change: the rate is used only from 0.4 of the CPU of the pool's VMs on; the backlog decides otherwise. Declared run times that are too short by a half give 0.5.

--- a/include/peridotrudder/planning/pool_demand.hpp
+++ b/include/peridotrudder/planning/pool_demand.hpp
@@ -74,6 +74,10 @@
     time_point m_measured_at;
 };
 
+/// Returns a pool's `m_served_rate`, or zero if it is too low for the CPU of its VMs, in
+/// thousandths of a core, to show its capacity: after a stall, or while the pool grows.
+double usable_served_rate(double served_rate, std::int64_t pool_cpu);
+
 /// Returns how many VMs with `vm_cpu` thousandths of a core each the load requires.
 std::uint32_t required_vms(const pool_load& load, std::int64_t vm_cpu);
 
--- a/src/planning/fleet_planner.cpp
+++ b/src/planning/fleet_planner.cpp
@@ -355,7 +355,7 @@
         outlook.m_cpu = usable_vms * m_fleet->mean_cpu_millis() - load.m_long_running;
         outlook.m_backlog_by_tenant = load.m_backlog_by_tenant;
         outlook.m_contracted_rate = load.m_contracted_rate;
-        outlook.m_served_rate = load.m_served_rate;
+        outlook.m_served_rate = usable_served_rate(load.m_served_rate, outlook.m_cpu);
         outlook.m_free_cpu = static_cast<double>(
             std::max<std::int64_t>(outlook.m_cpu - load.m_placed - load.m_waiting, 0));
         outlook.m_accepted_work =
--- a/src/planning/pool_demand.cpp
+++ b/src/planning/pool_demand.cpp
@@ -29,6 +29,9 @@
 constexpr double max_measured_ms = 1'000.0;
 /// Jobs must take less than this part of `overload_window`, so that enough of them end in it.
 constexpr double max_duration_in_window = 1.0 / 3.0;
+/// Share of a pool's CPU that it has served at least if it worked all the time. Declared run times
+/// may be too short by a half.
+constexpr double least_served_share = 0.4;
 /// Limit of a demand of processor that is an estimate, in thousandths of a core: a million VMs with
 /// a thousand cores each.
 constexpr double max_cpu_millis = 1e12;
@@ -403,6 +406,11 @@
     return std::max(rate, 0.0);
 }
 
+double usable_served_rate(double served_rate, std::int64_t pool_cpu)
+{
+    return served_rate >= least_served_share * static_cast<double>(pool_cpu) ? served_rate : 0.0;
+}
+
 std::uint32_t required_vms(const pool_load& load, std::int64_t vm_cpu)
 {
     // Tasks that wait now are late already: they count in full, not spread over the remaining time.
--- a/test/planning/tenant_demand_test.cpp
+++ b/test/planning/tenant_demand_test.cpp
@@ -125,6 +125,7 @@
     CPPUNIT_TEST(without_tenants_no_backlog_is_kept_by_tenant);
     CPPUNIT_TEST(rates_are_known_once_tasks_have_waited_for_sixteen_seconds);
     CPPUNIT_TEST(rates_are_unknown_without_tenants_or_while_jobs_take_long);
+    CPPUNIT_TEST(pool_that_stalled_or_grew_is_not_judged_by_what_it_served);
     CPPUNIT_TEST(ranked_backlog_tells_late_work_from_work_in_time);
     CPPUNIT_TEST_SUITE_END();
 
@@ -346,6 +347,15 @@
         CPPUNIT_ASSERT_EQUAL(0.0, slow.measure(30'100).at("pool").m_served_rate);
     }
 
+    // Guards against refusing nearly all jobs after a stall in which nothing ended.
+    void pool_that_stalled_or_grew_is_not_judged_by_what_it_served()
+    {
+        CPPUNIT_ASSERT_EQUAL(0.0, usable_served_rate(1'000.0, 64'000));
+        CPPUNIT_ASSERT_EQUAL(0.0, usable_served_rate(20'000.0, 64'000));
+        CPPUNIT_ASSERT_EQUAL(32'000.0, usable_served_rate(32'000.0, 64'000));
+        CPPUNIT_ASSERT_EQUAL(100'000.0, usable_served_rate(100'000.0, 64'000));
+    }
+
     void ranked_backlog_tells_late_work_from_work_in_time()
     {
         demand_fixture demand{{}};
