--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -116,9 +116,11 @@
                          const caller_identity& caller);
     void submit(std::uint64_t token, const queue_config& queue, const std::string& id,
                 const job_call& call, const caller_identity& caller, moment now);
+    /// Rejects a submission that is longer than the configuration allows. Returns whether it was
+    /// rejected.
+    bool reject_if_too_long(std::uint64_t token, const std::string& id, const job_call& call);
     /// Rejects the job if a task or gang of it exceeds the quota of the caller's tenant. Returns
     /// whether it was rejected.
-    bool reject_if_too_long(std::uint64_t token, const std::string& id, const job_call& call);
     bool reject_if_above_quota(std::uint64_t token, const std::string& id, const job_spec& spec,
                                const caller_identity& caller);
     /// Rejects the job if it would end too late to be useful. Returns whether it was rejected.
--- a/src/links/caller_acceptor.hpp
+++ b/src/links/caller_acceptor.hpp
@@ -83,7 +83,7 @@
     }
 
     /// Called once a connection waits: without a free descriptor, `accept` fails even if none does,
-    /// and each failure would evict a connection for nobody.
+    /// and each failure would evict a connection.
     void accept()
     {
         const std::lock_guard<std::mutex> lock{m_mutex};
@@ -139,8 +139,8 @@
         }
     }
 
-    /// With more evicted connections that are still open, the next `accept` waits. The process's
-    /// reserve of descriptors is larger for every `max_fds` that the settings allow.
+    /// Evicted connections that may be open while accepting goes on. The process's reserve of
+    /// descriptors is larger for every `max_fds` that the settings allow.
     static constexpr std::size_t max_closing = 8;
     static constexpr milliseconds closing_pause{1};
     /// Accepting goes on after so many pauses even if no evicted connection could be closed.
--- a/src/links/pending_handshakes.cpp
+++ b/src/links/pending_handshakes.cpp
@@ -13,7 +13,7 @@
 void pending_handshakes::header_arrived(handshake_number connection)
 {
     for (const auto from : {unknown_address, peer_address}) {
-        m_accepted_at[answered_next].insert(m_accepted_at[from].extract(connection));
+        m_accepted_at[header_complete].insert(m_accepted_at[from].extract(connection));
     }
 }
 
--- a/src/links/pending_handshakes.hpp
+++ b/src/links/pending_handshakes.hpp
@@ -42,9 +42,9 @@
     std::size_t size() const;
 
 private:
-    /// Sending a whole header shows a peer rather than a stranger, and so does a peer's address.
-    /// Strangers at other addresses than peers must not displace peers.
-    enum rank : std::size_t { unknown_address, peer_address, answered_next, rank_count };
+    /// Connections are closed in this order. A whole header, or the address of a known peer, makes
+    /// a peer more likely. Connections from other addresses must not displace peers.
+    enum rank : std::size_t { unknown_address, peer_address, header_complete, rank_count };
 
     const std::size_t m_limit;
     const milliseconds m_time_limit;
--- a/src/ownership/route_inquiry.cpp
+++ b/src/ownership/route_inquiry.cpp
@@ -8,7 +8,7 @@
 constexpr milliseconds ask_interval{350};
 /// Usual time until a question is answered.
 constexpr milliseconds answer_time{100};
-/// While there is no owner, there will soon be one that tells itself.
+/// While there is no owner, a new one will soon announce itself.
 constexpr milliseconds ownerless_ask_interval{1'000};
 
 } // namespace
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -260,7 +260,7 @@
     return found;
 }
 
-// A job that exists was within the limits of its time, and a refusal would deny that it runs.
+// Called for unknown ids only: a refusal of a job that exists would be untrue.
 bool job_scheduler::reject_if_too_long(std::uint64_t token, const std::string& id,
                                        const job_call& call)
 {
