Place tasks by the grades of workers where these are enabled

With `m_graded_health`, ends, stalls, orders and holds feed `worker_grades` instead of `worker_health`, and placement applies the grades: a worker that is out is no candidate, a reduced one is used last and gets no gang, long-running task, last attempt or task on trial, one on probation gets one task at a time. Run times are learned with grades also without a far factor. Off by default; then nothing changes.

--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -4,6 +4,7 @@
 /// State of an owner: its jobs, workers and configuration, shared by the scheduler's modules.
 
 #include "peridotrudder/jobs/job_store.hpp"
+#include "peridotrudder/machines/worker_grade.hpp"
 #include "peridotrudder/machines/worker_health.hpp"
 #include "peridotrudder/machines/worker_session.hpp"
 #include "peridotrudder/scheduling/admission.hpp"
@@ -93,6 +94,8 @@
     /// Factor by which a task takes longer on another rack than its data or its group; 1 or less
     /// lets no task wait for a rack.
     double m_far_factor{1.0};
+    /// Grades workers by their runs; otherwise workers that fail repeatedly are used last.
+    bool m_graded_health{false};
 };
 
 /// Totals over accepted jobs, based on their estimates. They grow as long as the owner serves,
@@ -126,7 +129,10 @@
     /// What the tenants' runs use. Each run in a worker's session holds its charge.
     quota_ledger m_quotas;
     std::map<std::string, worker_session, std::less<>> m_workers;
+    /// By pool; used without `m_graded_health`.
     std::map<std::string, worker_health, std::less<>> m_health;
+    /// By pool; used with `m_graded_health`. Only choices of workers depend on them.
+    std::map<std::string, worker_grades, std::less<>> m_grades;
     /// Workers whose VMs are being drained; they get no new work.
     std::set<std::string, std::less<>> m_leaving;
     /// Jobs that may have tasks to start.
@@ -166,7 +172,10 @@
     /// Logs which tenants have begun or ceased to wait for their quotas.
     void log_quota_waits(time_point now);
     /// Returns whether the expected run times of tasks decide on anything.
-    bool uses_run_times() const { return m_options.m_far_factor > 1.0; }
+    bool uses_run_times() const
+    {
+        return m_options.m_far_factor > 1.0 || m_options.m_graded_health;
+    }
     /// Returns whether a worker still has a run of the task that it is to stop.
     bool has_stranger(const run_key& key);
     worker_health& health_of(const std::string& pool);
