--- a/include/peridotrudder/node/node_settings.hpp
+++ b/include/peridotrudder/node/node_settings.hpp
@@ -50,6 +50,8 @@
     milliseconds m_maintenance_time{2'000};
     /// Factor by which a task takes longer on another rack than its data or its group.
     double m_far_factor{1.0};
+    /// Grades workers by their runs: the platform says that workers may be unhealthy.
+    bool m_graded_health{false};
     /// Memory and open descriptors that the process may use; callers get a part of each.
     std::size_t m_memory_bytes{0};
     std::size_t m_max_descriptors{0};
