--- a/include/peridotrudder/ownership/owner_support.hpp
+++ b/include/peridotrudder/ownership/owner_support.hpp
@@ -18,8 +18,8 @@
     void reset() { m_supporters.clear(); }
     /// Returns whether the peers are to be asked now; they then count as asked.
     bool ask(milliseconds proof_age, time_point now);
-    /// A peer hears the owner. Its word counts from when it was asked: an answer may be read long
-    /// after it has come.
+    /// A peer hears the owner. The confirmation is valid from the time of the question: an answer
+    /// may be read long after it has come.
     void confirmed(const std::string& peer, time_point asked_at) { m_supporters[peer] = asked_at; }
     /// Returns whether the owner and the peers that have just confirmed it are a majority of this
     /// many nodes.
