Soak: let the time of a job stop while its tenant's quota is full

Cause: the check gives every job 28 s, whatever its tenant may run. A quota of 12 cores or 1,024 MB, of which the long-running tasks take a part for good, lets through one or two of a job's tasks of six cores at a time, so the accepted work of a tenant can rightly take longer. Ruled out as the main cause: charges of runs without a known state. Change: the 28 s pass for a job while the workers' ledger, not the product, shows room for its largest task in its tenant's quota, so a job that is held back by mistake still fails. Without quotas the check is as before. The report says how long jobs took and were held up.

--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -28,6 +28,8 @@
         self._quota_check = quota_check
         self.events = 0
         self.starts = 0
+        # How long the jobs took to end, and a tenant's quota held one up meanwhile.
+        self.settled_s = self.held_s = 0.0
         self.violations = []
         self._running = {}
         self._capacity = {}
--- a/soak/tenants.py
+++ b/soak/tenants.py
@@ -229,6 +229,27 @@
         for running in self._running.values():
             running.pop(self._run(event), None)
 
+    def has_room(self, job):
+        """Returns whether the job's largest task fits into what its tenant's runs leave."""
+        return self._fits(job, self._steps_of(job.tenant))
+
+    def fills_quota_for_good(self, job):
+        """Returns whether the tenant's long-running tasks alone leave no room for the job."""
+        return not self._fits(job, [step for step in self._steps_of(job.tenant)
+                                    if step.get("long-running")])
+
+    def _steps_of(self, tenant):
+        return list(self._running.get(tenant, {}).values())
+
+    def _fits(self, job, running):
+        quota = self._quotas[job.tenant][-1][1] if job.tenant in self._quotas else {}
+        for resource in RESOURCES:
+            limit = quota.get(resource, 0)
+            used = sum(step.get(resource, 0) for step in running)
+            if limit and used + max(step.get(resource, 0) for step in job.body["steps"]) > limit:
+                return False
+        return True
+
     def _limit_since(self, tenant, resource, since):
         """Returns the largest limit since a time, or 0 if there was none."""
         limits = []
