Write the records of ended jobs again without runs that are over

Seen: a record that names runs which may still be on workers was only written without them at the job's next change. A job that has ended has none, so each successor charged its tenant for such runs anew until the job was deleted. Change: leftover_runs, taken out of run_tracker, checks such jobs once their runs are certainly over, and writes the record once more. Kept charges are found by worker. The lines quota_wait_begun and quota_wait_ended tell how much of a tenant's usage is of runs without a known state. Also: no product of no limit and no time in the estimate of tenants' waits.

--- a/include/peridotrudder/jobs/job.hpp
+++ b/include/peridotrudder/jobs/job.hpp
@@ -239,7 +239,8 @@
     bool has_leftovers() const { return !m_leftovers.empty(); }
     /// Drops the notes of runs that are over: those that were noted, or known to the owner by
     /// `is_known`, in no call for `longest`. Goes into the record with the job's next change.
-    void drop_leftovers(time_point now, milliseconds longest,
+    /// Returns whether any was dropped.
+    bool drop_leftovers(time_point now, milliseconds longest,
                         const std::function<bool(const leftover_run&)>& is_known);
 
     /// Reverts a placed task to waiting after a run that certainly never started, or that is
--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -5,6 +5,7 @@
 
 #include "peridotrudder/machines/vm_fate.hpp"
 #include "peridotrudder/scheduling/crash_tracker.hpp"
+#include "peridotrudder/scheduling/leftover_runs.hpp"
 #include "peridotrudder/scheduling/placement.hpp"
 #include "peridotrudder/scheduling/scheduler_state.hpp"
 
@@ -25,7 +26,12 @@
 /// deadlines of an earlier one, so an open start keeps its task placed beyond leases and VMs.
 class run_tracker {
 public:
-    explicit run_tracker(scheduler_state& state) : m_state{&state}, m_crashes{state} {}
+    explicit run_tracker(scheduler_state& state)
+        : m_state{&state},
+          m_crashes{state},
+          m_leftovers{state}
+    {
+    }
 
     /// Sends a recorded start, unless the job has ended or the worker cannot take it any more.
     void send_start(const start_effect& start, moment now);
@@ -47,9 +53,7 @@
     /// Sends the holds and repeated stops that are due, and removes workers that are gone.
     void tick(moment now);
 
-    /// Lets the next records of the changed jobs no longer name leftover runs that are certainly
-    /// over.
-    void drop_leftovers(time_point now);
+    leftover_runs& leftovers() { return m_leftovers; }
 
 private:
     /// Gives up a recorded start that its tenant's quota does not allow any more, with all members
@@ -58,9 +62,6 @@
     /// Counts a run that is given up against its tenant's quota while it may still be started, also
     /// with a successor.
     void keep_charge(const worker_session& session, const run_key& key, moment now);
-    /// Lets the job's next record tell a successor of a run that its task does not have.
-    void note_leftover(const run_key& key, std::uint32_t run, const std::string& worker,
-                       bool settled, moment now);
     /// Lets the job's next record tell a successor that the start of the run is not open.
     void note_settled_start(const run_key& key, std::uint32_t run);
     void handle_end(worker_session& session, const ended_entry& ended, moment now);
@@ -100,6 +101,7 @@
 
     scheduler_state* m_state;
     crash_tracker m_crashes;
+    leftover_runs m_leftovers;
 };
 
 } // namespace peridotrudder
--- a/include/peridotrudder/tenants/quota_ledger.hpp
+++ b/include/peridotrudder/tenants/quota_ledger.hpp
@@ -70,6 +70,8 @@
     bool m_waits{false};
     resources m_used;
     resources m_quota;
+    /// Of the usage, that of runs which no session has and which may still be on workers.
+    resources m_kept;
 };
 
 /// Accounts of all tenants. Charges keep them up to date, so that a check takes constant time.
@@ -111,6 +113,9 @@
     /// Ends kept charges of runs that are certainly over.
     void expire(time_point now);
 
+    /// Returns what the kept charges add to the tenant's usage.
+    resources kept_of(const tenant_account& account) const;
+
     /// Notes that a start was withheld because of the tenant's quota.
     void note_wait(tenant_account& account, time_point now);
     /// Returns the tenants that have begun to wait since the last call, and those that have not
@@ -125,7 +130,6 @@
 
     struct kept_charge {
         quota_charge m_charge;
-        std::string m_worker;
         time_point m_open_until;
         time_point m_over_at;
     };
@@ -135,8 +139,9 @@
     mode m_mode{mode::unknown};
     tenant_directory m_tenants;
     account_map m_accounts;
-    /// Few: a run is given up with an open start only when a worker restarts or an answer is lost.
-    std::vector<kept_charge> m_kept;
+    /// By worker. Few in the long run: a run is given up with an open start only when a worker
+    /// restarts or an answer is lost. After a takeover, all that the records name.
+    std::map<std::string, std::vector<kept_charge>> m_kept;
     std::vector<quota_wait_change> m_wait_changes;
     /// Tenants that count as waiting.
     std::map<std::string, tenant_account*> m_waiting;
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -338,9 +338,10 @@
     return listed;
 }
 
-void job::drop_leftovers(time_point now, milliseconds longest,
+bool job::drop_leftovers(time_point now, milliseconds longest,
                          const std::function<bool(const leftover_run&)>& is_known)
 {
+    const auto before = m_leftovers.size();
     for (auto entry = m_leftovers.begin(); entry != m_leftovers.end();) {
         const auto& [ref, run, worker] = entry->first;
         auto& note = entry->second;
@@ -350,6 +351,7 @@
         }
         entry = *note.m_over_at <= now ? m_leftovers.erase(entry) : std::next(entry);
     }
+    return m_leftovers.size() < before;
 }
 
 void job::void_run(const task_ref& ref)
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -143,7 +143,9 @@
         if (stored_job == nullptr) {
             break;
         }
-        m_recorded_states.emplace(stored_job->header().m_id, visible_state(*stored_job));
+        const auto& id = stored_job->header().m_id;
+        m_recorded_states.emplace(id, visible_state(*stored_job));
+        m_runs.leftovers().adopted(id, now.m_at);
         ++adopted;
     }
     return adopted;
@@ -534,6 +536,7 @@
 void job_scheduler::tick(moment now)
 {
     m_runs.tick(now);
+    m_runs.leftovers().tick(now.m_at);
     m_state.m_quotas.expire(now.m_at);
     m_state.log_quota_waits(now.m_at);
     if (now.m_at - m_expired_at >= expiry_interval) {
@@ -556,7 +559,7 @@
     if (const auto request = m_state.m_tickets.next_policy_request(now.m_at)) {
         m_state.m_ports.m_ask(*request);
     }
-    m_runs.drop_leftovers(now.m_at);
+    m_runs.leftovers().drop_from_changed(now.m_at);
     return take_changes();
 }
 
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -138,35 +138,7 @@
     // Answers to holds that are lost may have renewed the lease of a run that was started late.
     const auto over_at = *run.m_start_open_until + 2 * session.longest_lease();
     m_state->m_quotas.keep(run.m_charge, session.id(), *run.m_start_open_until, over_at);
-    note_leftover(key, run.m_run, session.id(), false, now);
-}
-
-void run_tracker::note_leftover(const run_key& key, std::uint32_t run, const std::string& worker,
-                                bool settled, moment now)
-{
-    auto* target = m_state->m_job_store.find(key.m_job);
-    if (target != nullptr && target->has(key.m_task) &&
-        target->note_leftover({key.m_task, run, worker, now.m_unix_ms, settled})) {
-        m_state->m_job_store.mark_changed(key.m_job);
-    }
-}
-
-void run_tracker::drop_leftovers(time_point now)
-{
-    const auto longest = longest_leftover(m_state->m_options.m_lease);
-    for (const auto& id : m_state->m_job_store.dirty_ids()) {
-        auto* target = m_state->m_job_store.find(id);
-        if (target == nullptr || !target->has_leftovers()) {
-            continue;
-        }
-        target->drop_leftovers(now, longest, [this, &id](const leftover_run& leftover) {
-            auto* session = m_state->find_worker(leftover.m_worker);
-            const run_key key{id, leftover.m_task};
-            const auto* run = session == nullptr ? nullptr : session->find(key);
-            return (run != nullptr && run->m_run == leftover.m_run) ||
-                   (session != nullptr && session->has_run_beside(key));
-        });
-    }
+    m_leftovers.note(key, run.m_run, session.id(), false, now);
 }
 
 void run_tracker::start_answered(const order_target& target, const run_key& key,
@@ -575,7 +547,7 @@
         // The run occupies capacity until it has ended.
         auto run = make_charged_run(*m_state, *target, unknown.m_key.m_task.m_step, unknown.m_run);
         m_state->m_strangers[unknown.m_key].insert(session.id());
-        note_leftover(unknown.m_key, unknown.m_run, session.id(), true, now);
+        m_leftovers.note(unknown.m_key, unknown.m_run, session.id(), true, now);
         if (session.find(unknown.m_key) == nullptr) {
             run.m_phase = run_phase::running;
             run.m_confirmed_at = now.m_at;
--- a/src/scheduling/scheduler_state.cpp
+++ b/src/scheduling/scheduler_state.cpp
@@ -71,10 +71,13 @@
 {
     for (const auto& change : m_quotas.take_wait_changes(now)) {
         log(change.m_waits ? "quota_wait_begun" : "quota_wait_ended", "", "",
-            fmt::format("tenant {} uses {} of {} millicores, {} of {} MB, {} of {} accelerators",
+            fmt::format("tenant {} uses {} of {} millicores, {} of {} MB, {} of {} accelerators; "
+                        "{} millicores, {} MB, {} accelerators of it for runs that may still last",
                         change.m_tenant, change.m_used.m_cpu_millis, change.m_quota.m_cpu_millis,
                         change.m_used.m_memory_mb, change.m_quota.m_memory_mb,
-                        change.m_used.m_accelerators, change.m_quota.m_accelerators));
+                        change.m_used.m_accelerators, change.m_quota.m_accelerators,
+                        change.m_kept.m_cpu_millis, change.m_kept.m_memory_mb,
+                        change.m_kept.m_accelerators));
     }
 }
 
--- a/src/scheduling/tenant_admission.cpp
+++ b/src/scheduling/tenant_admission.cpp
@@ -103,6 +103,13 @@
     return queued;
 }
 
+/// Returns how much of the tenant's work can be served within a time.
+double served_within(const queued_tenant& tenant, double work, double time_ms)
+{
+    // The product of no limit and no time is not a number.
+    return tenant.m_max_cpu == unlimited_amount ? work : std::min(work, tenant.m_max_cpu * time_ms);
+}
+
 /// Returns the estimated time until the tenant's own work and all that is served with or before it
 /// has been started.
 ///
@@ -118,7 +125,7 @@
         for (const auto& [name, tenant] : queued) {
             const auto served =
                 tenant.m_before + std::min(tenant.m_shared, own_by_weight * tenant.m_weight);
-            work += std::min(served, tenant.m_max_cpu * wait);
+            work += served_within(tenant, served, wait);
         }
         wait = std::min(wait, work / pool_cpu);
     }
@@ -133,8 +140,8 @@
     for (const auto& [name, tenant] : queued) {
         const auto before = tenant.m_before + tenant.m_before_rate * time_ms;
         const auto shared = tenant.m_shared + tenant.m_shared_rate * time_ms;
-        work += std::min(before + std::min(shared, own_by_weight * tenant.m_weight),
-                         tenant.m_max_cpu * time_ms);
+        work += served_within(tenant, before + std::min(shared, own_by_weight * tenant.m_weight),
+                              time_ms);
     }
     return work;
 }
--- a/src/tenants/quota_ledger.cpp
+++ b/src/tenants/quota_ledger.cpp
@@ -1,6 +1,7 @@
 #include "peridotrudder/tenants/quota_ledger.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -178,27 +179,53 @@
 void quota_ledger::keep(quota_charge charge, const std::string& worker, time_point open_until,
                         time_point over_at)
 {
-    m_kept.push_back({std::move(charge), worker, open_until, over_at});
+    m_kept[worker].push_back({std::move(charge), open_until, over_at});
 }
 
 void quota_ledger::worker_listed_runs(const std::string& worker, time_point sent_at)
 {
-    const auto is_settled = [&worker, sent_at](const kept_charge& kept) {
-        return kept.m_worker == worker && kept.m_open_until <= sent_at;
-    };
-    m_kept.erase(std::remove_if(m_kept.begin(), m_kept.end(), is_settled), m_kept.end());
+    const auto found = m_kept.find(worker);
+    if (found == m_kept.end()) {
+        return;
+    }
+    auto& kept = found->second;
+    kept.erase(std::remove_if(kept.begin(), kept.end(),
+                              [sent_at](const auto& one) { return one.m_open_until <= sent_at; }),
+               kept.end());
+    if (kept.empty()) {
+        m_kept.erase(found);
+    }
 }
 
 void quota_ledger::expire(time_point now)
 {
-    const auto is_over = [now](const kept_charge& kept) { return kept.m_over_at <= now; };
-    m_kept.erase(std::remove_if(m_kept.begin(), m_kept.end(), is_over), m_kept.end());
+    for (auto entry = m_kept.begin(); entry != m_kept.end();) {
+        auto& kept = entry->second;
+        kept.erase(std::remove_if(kept.begin(), kept.end(),
+                                  [now](const auto& one) { return one.m_over_at <= now; }),
+                   kept.end());
+        entry = kept.empty() ? m_kept.erase(entry) : std::next(entry);
+    }
+}
+
+resources quota_ledger::kept_of(const tenant_account& account) const
+{
+    resources total;
+    for (const auto& [worker, charges] : m_kept) {
+        for (const auto& kept : charges) {
+            if (kept.m_charge.account() == &account) {
+                total = total + kept.m_charge.amount();
+            }
+        }
+    }
+    return total;
 }
 
 void quota_ledger::note_wait(tenant_account& account, time_point now)
 {
     if (!account.m_waited_at) {
-        m_wait_changes.push_back({account.m_tenant, true, account.m_used, account.m_quota});
+        m_wait_changes.push_back(
+            {account.m_tenant, true, account.m_used, account.m_quota, kept_of(account)});
         m_waiting.emplace(account.m_tenant, &account);
     }
     account.m_waited_at = now;
@@ -213,7 +240,8 @@
             continue;
         }
         account.m_waited_at.reset();
-        m_wait_changes.push_back({account.m_tenant, false, account.m_used, account.m_quota});
+        m_wait_changes.push_back(
+            {account.m_tenant, false, account.m_used, account.m_quota, kept_of(account)});
         entry = m_waiting.erase(entry);
     }
     return std::exchange(m_wait_changes, {});
