Name what keeps a task off a worker, and copy what placement reads

Cause: takes_work and has_room are single conditions, and a copy of sessions and accounts counts against the quotas of the original. Change: both name the first obstacle, by the same conditions; a label is checked before the room, since room comes with time. Sessions, jobs and the quota ledger can be copied so that a placement pass over the copy leaves the original alone.

--- a/include/peridotrudder/jobs/job.hpp
+++ b/include/peridotrudder/jobs/job.hpp
@@ -181,6 +181,10 @@
 public:
     static job create(job_header header);
 
+    /// Returns a copy without what placement does not need: payload, checkpoints and notes of
+    /// leftover runs, which may be large.
+    job copy_for_placement() const;
+
     const job_header& header() const { return m_header; }
     const job_spec& spec() const { return m_header.m_spec; }
     job_phase phase() const { return m_phase; }
--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -4,6 +4,7 @@
 /// What the owner knows about one worker: its incarnation, its lease, and the runs that may be on
 /// it.
 
+#include "peridotrudder/machines/worker_obstacle.hpp"
 #include "peridotrudder/machines/worker_orders.hpp"
 #include "peridotrudder/tenants/quota_ledger.hpp"
 
@@ -215,7 +216,11 @@
     /// Returns whether the worker was seen down after a time.
     bool seen_down_since(time_point time) const { return time < m_down_seen_at; }
     /// Returns whether the worker may be given new work.
-    bool takes_work(time_point now) const;
+    bool takes_work(time_point now) const { return work_obstacle(now) == worker_obstacle::none; }
+    /// Returns why the worker may not be given new work; `none` if it may.
+    worker_obstacle work_obstacle(time_point now) const;
+    /// Returns a copy whose runs have no charges, so that it does not count against any quota.
+    worker_session without_charges() const;
     /// Returns when the worker's last answer arrived.
     time_point last_heard_at() const { return m_clock_at; }
     void hold_back_until(time_point until) { m_no_work_until = std::max(m_no_work_until, until); }
--- a/include/peridotrudder/scheduling/placement.hpp
+++ b/include/peridotrudder/scheduling/placement.hpp
@@ -48,8 +48,20 @@
 /// Returns whether the worker has the label that the step requires, if any.
 bool has_required_label(const step_spec& step, const worker_session& session);
 
+/// Returns what keeps the task off the worker now, apart from tickets and trials of the task
+/// itself.
+worker_obstacle room_obstacle(const placement_request& request, const candidate& worker,
+                              time_point now);
+
 /// Returns whether the worker has room for the task now and meets its constraints but for tickets.
-bool has_room(const placement_request& request, const candidate& worker, time_point now);
+inline bool has_room(const placement_request& request, const candidate& worker, time_point now)
+{
+    return room_obstacle(request, worker, now) == worker_obstacle::none;
+}
+
+/// Returns what keeps `choose_worker` from using the worker; `none` if it may be chosen.
+worker_obstacle find_obstacle(const placement_request& request, const candidate& worker,
+                              time_point now);
 
 /// Returns the best candidate, or null if none fits.
 ///
--- a/include/peridotrudder/tenants/quota_ledger.hpp
+++ b/include/peridotrudder/tenants/quota_ledger.hpp
@@ -52,6 +52,9 @@
     quota_charge& operator=(quota_charge&& other) noexcept;
     ~quota_charge();
 
+    /// Returns the charge in a copy of its account. The copy's usage has it already.
+    quota_charge in_copy(std::shared_ptr<tenant_account> account) const;
+
     const resources& amount() const { return m_amount; }
     const tenant_account* account() const { return m_account.get(); }
 
@@ -83,6 +86,10 @@
 public:
     using account_map = std::unordered_map<std::string, std::shared_ptr<tenant_account>>;
 
+    /// Returns a ledger with accounts of its own and the same usage. The charges of runs in
+    /// sessions remain with this one.
+    quota_ledger detached_copy() const;
+
     /// Applies the quotas and weights of a configuration. Usage remains.
     void set_tenants(const tenant_directory& tenants);
     /// Returns whether the configuration has tenants.
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -171,6 +171,21 @@
 
 } // namespace
 
+job job::copy_for_placement() const
+{
+    auto copy = *this;
+    std::string{}.swap(copy.m_header.m_spec.m_payload);
+    copy.m_leftovers.clear();
+    for (auto& occurrence : copy.m_tasks) {
+        for (auto& step : occurrence) {
+            for (auto& each : step) {
+                std::string{}.swap(each.m_checkpoint);
+            }
+        }
+    }
+    return copy;
+}
+
 job job::create(job_header header)
 {
     job created;
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -140,10 +140,39 @@
     m_token_confirmed = false;
 }
 
-bool worker_session::takes_work(time_point now) const
+worker_obstacle worker_session::work_obstacle(time_point now) const
 {
-    return m_listed && m_capacity_known && m_token_confirmed && !m_restart_suspected_at &&
-           !m_report.m_draining && m_missed_answers == 0 && now >= m_no_work_until;
+    if (!m_listed) {
+        return worker_obstacle::unlisted;
+    }
+    if (m_report.m_draining) {
+        return worker_obstacle::draining;
+    }
+    if (!m_capacity_known) {
+        return worker_obstacle::unknown_capacity;
+    }
+    if (m_missed_answers != 0) {
+        return worker_obstacle::silent;
+    }
+    if (m_restart_suspected_at) {
+        return worker_obstacle::restart_suspected;
+    }
+    if (!m_token_confirmed) {
+        return worker_obstacle::unconfirmed;
+    }
+    return now < m_no_work_until ? worker_obstacle::held_back : worker_obstacle::none;
+}
+
+worker_session worker_session::without_charges() const
+{
+    auto copy = *this;
+    for (auto& [key, run] : copy.m_runs) {
+        run.m_charge = {};
+    }
+    for (auto& [key, beside] : copy.m_beside) {
+        beside.m_charge = {};
+    }
+    return copy;
 }
 
 void worker_session::note_start(time_point suspect_until, bool on_trial)
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -34,12 +34,29 @@
     return count;
 }
 
+bool has_ticket(const placement_request& request, const candidate& worker, time_point now)
+{
+    return request.m_tickets == nullptr ||
+           !request.m_tickets->ticket_for(request.step(), worker.m_session->instance(), now)
+                .empty();
+}
+
 bool may_run(const placement_request& request, const candidate& worker, time_point now)
 {
-    const bool permitted =
-        request.m_tickets == nullptr ||
-        !request.m_tickets->ticket_for(request.step(), worker.m_session->instance(), now).empty();
-    return permitted && has_room(request, worker, now);
+    return has_room(request, worker, now) && has_ticket(request, worker, now);
+}
+
+/// Returns the resource of which there is too little; `none` if the task fits.
+worker_obstacle missing_resource(const resources& required, const resources& room)
+{
+    if (fits(required, room)) {
+        return worker_obstacle::none;
+    }
+    if (required.m_cpu_millis > room.m_cpu_millis) {
+        return worker_obstacle::cpu;
+    }
+    return required.m_memory_mb > room.m_memory_mb ? worker_obstacle::memory
+                                                   : worker_obstacle::accelerators;
 }
 
 /// Returns whether a crash of the worker would show which task is at fault. The members of a gang
@@ -94,25 +111,47 @@
     return reserved;
 }
 
-bool has_room(const placement_request& request, const candidate& worker, time_point now)
+worker_obstacle room_obstacle(const placement_request& request, const candidate& worker,
+                              time_point now)
 {
     const auto& session = *worker.m_session;
     const auto& step = *request.m_step;
-    if (!session.takes_work(now) || !fits(reserved_for(step), session.room())) {
-        return false;
+    const auto refusal = session.work_obstacle(now);
+    if (refusal != worker_obstacle::none) {
+        return refusal;
+    }
+    // Before the room, since it does not change with time.
+    if (!has_required_label(step, session)) {
+        return worker_obstacle::label;
+    }
+    const auto shortage = missing_resource(reserved_for(step), session.room());
+    if (shortage != worker_obstacle::none) {
+        return shortage;
     }
     const bool kept_for_other =
         session.kept_for(now) != nullptr && !is_kept_for(worker, request.key(), now);
     if (session.has_trial(now) || kept_for_other) {
-        return false;
+        return worker_obstacle::trial;
     }
     if (worker.m_unhealthy && request.m_last_attempt) {
-        return false;
+        return worker_obstacle::unhealthy;
     }
-    if (!has_required_label(step, session)) {
-        return false;
+    const bool has_place =
+        step.m_max_per_worker == 0 || tasks_of_step(session, request) < step.m_max_per_worker;
+    return has_place ? worker_obstacle::none : worker_obstacle::max_per_worker;
+}
+
+worker_obstacle find_obstacle(const placement_request& request, const candidate& worker,
+                              time_point now)
+{
+    const auto obstacle = room_obstacle(request, worker, now);
+    if (obstacle != worker_obstacle::none) {
+        return obstacle;
+    }
+    if (!has_ticket(request, worker, now)) {
+        return worker_obstacle::ticket;
     }
-    return step.m_max_per_worker == 0 || tasks_of_step(session, request) < step.m_max_per_worker;
+    return is_calm(request, worker, now) ? worker_obstacle::none : worker_obstacle::recent_start;
 }
 
 std::vector<worker_instance> workers_with_room(const placement_request& request,
@@ -168,7 +207,7 @@
     candidate* best = nullptr;
     rank best_rank;
     for (auto& worker : candidates) {
-        if (!may_run(request, worker, now) || !is_calm(request, worker, now)) {
+        if (find_obstacle(request, worker, now) != worker_obstacle::none) {
             continue;
         }
         const auto worker_rank = rank_of(request, worker);
--- a/src/tenants/quota_ledger.cpp
+++ b/src/tenants/quota_ledger.cpp
@@ -91,6 +91,19 @@
     add(resources{} - m_amount);
 }
 
+quota_charge quota_charge::in_copy(std::shared_ptr<tenant_account> account) const
+{
+    quota_charge copy;
+    const auto& pools = m_account->m_used_by_pool;
+    const auto pool = std::find_if(pools.begin(), pools.end(), [this](const auto& entry) {
+        return &entry.second == m_in_pool;
+    });
+    copy.m_in_pool = &account->m_used_by_pool[pool->first];
+    copy.m_account = std::move(account);
+    copy.m_amount = m_amount;
+    return copy;
+}
+
 void quota_charge::swap(quota_charge& other) noexcept
 {
     std::swap(m_account, other.m_account);
@@ -106,6 +119,24 @@
     }
 }
 
+quota_ledger quota_ledger::detached_copy() const
+{
+    quota_ledger copy;
+    copy.m_mode = m_mode;
+    copy.m_tenants = m_tenants;
+    for (const auto& [name, account] : m_accounts) {
+        copy.m_accounts.emplace(name, std::make_shared<tenant_account>(*account));
+    }
+    for (const auto& kept : m_kept) {
+        const auto* account = kept.m_charge.account();
+        if (account != nullptr) {
+            copy.m_kept.push_back({kept.m_charge.in_copy(copy.m_accounts.at(account->m_tenant)),
+                                   kept.m_worker, kept.m_open_until, kept.m_over_at});
+        }
+    }
+    return copy;
+}
+
 void quota_ledger::set_tenants(const tenant_directory& tenants)
 {
     m_mode = tenants.enabled() ? mode::enabled : mode::disabled;
