Tell where a task would start now, by a pass over a copy

Cause: the decisions are taken in a placement pass only, which acts on them. Change: scheduling/placement_report runs a pass of a copy of the placer over a copy of what placement reads. A probe in task_placer notes what the pass decides about one task and each worker's obstacle. No rule is written twice.

--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// Scheduler of an owner's pools: accepts jobs, places their tasks and reports their state.
 
+#include "peridotrudder/scheduling/placement_report.hpp"
 #include "peridotrudder/scheduling/run_adoption.hpp"
 #include "peridotrudder/scheduling/run_tracker.hpp"
 #include "peridotrudder/scheduling/scheduler_state.hpp"
@@ -93,6 +94,12 @@
     write_batch take_changes();
     void written(const write_batch& batch, moment now);
 
+    /// Tells where a task would start now. Sends, records and changes nothing.
+    placement_report explain_placement(const placement_question& question, moment now) const
+    {
+        return report_placement(m_state, m_placer, question, now);
+    }
+
     /// Returns the state, for planners and operators.
     const scheduler_state& state() const { return m_state; }
     run_tracker& runs() { return m_runs; }
--- a/include/peridotrudder/scheduling/locality_wait.hpp
+++ b/include/peridotrudder/scheduling/locality_wait.hpp
@@ -75,6 +75,9 @@
     /// room now.
     bool was_judged(const run_key& key, time_point now) const;
 
+    /// Returns the time after which the task no longer waits; zero if it does not wait.
+    milliseconds longest_wait(const run_key& key, time_point now) const;
+
     /// Notes that the task starts now, on its preferred rack or not. Returns its wait, if it had
     /// one.
     std::optional<ended_rack_wait> start(const run_key& key, bool on_rack, time_point now);
--- a/include/peridotrudder/scheduling/rack_placement.hpp
+++ b/include/peridotrudder/scheduling/rack_placement.hpp
@@ -5,6 +5,7 @@
 
 #include "peridotrudder/scheduling/locality_wait.hpp"
 #include "peridotrudder/scheduling/placement.hpp"
+#include "peridotrudder/scheduling/placement_probe.hpp"
 #include "peridotrudder/scheduling/scheduler_state.hpp"
 
 #include <map>
@@ -20,6 +21,11 @@
 class rack_placement {
 public:
     explicit rack_placement(scheduler_state& state) : m_state{&state} {}
+    /// Continues with the waits of another one on a copy of its state.
+    rack_placement(scheduler_state& state, const rack_placement& other) : rack_placement{other}
+    {
+        m_state = &state;
+    }
 
     /// Begins a placement pass over the workers of one pool. `candidates` must outlive the pass.
     void begin_pass(const std::string& pool, const std::vector<candidate>& candidates,
@@ -35,6 +41,10 @@
     /// Returns whether the task waits for its rack rather than start on the worker that was chosen.
     bool waits(const placement_request& request, const candidate& chosen, time_point now);
 
+    /// Returns how long the task is expected to wait, after `waits` or `still_waits` has returned
+    /// true for it in this pass.
+    expected_rack_wait expected_wait(const placement_request& request, time_point now);
+
     /// Sets the expected time of a run on the worker.
     void set_expectation(worker_run& run, const job& source, const task_ref& ref,
                          const worker_session& session);
@@ -65,6 +75,10 @@
     rack_pass* find_rack(const std::string& rack);
     bool has_room_on_rack(const placement_request& request, time_point now);
     const place_list& places_for(const placement_request& request, time_point now);
+    /// Returns the time until the task finds room on its rack, behind tasks of so much CPU.
+    std::optional<milliseconds> time_until_room(const placement_request& request,
+                                                std::int64_t cpu_millis_ahead,
+                                                milliseconds run_time, time_point now);
     rack_choice expect(const placement_request& request, const candidate& chosen, time_point now);
     void log_wait(const placement_request& request, const rack_choice& choice,
                   const candidate& chosen, time_point now);
--- a/include/peridotrudder/scheduling/task_placer.hpp
+++ b/include/peridotrudder/scheduling/task_placer.hpp
@@ -5,6 +5,7 @@
 
 #include "peridotrudder/scheduling/fair_order.hpp"
 #include "peridotrudder/scheduling/job_rank.hpp"
+#include "peridotrudder/scheduling/placement_probe.hpp"
 #include "peridotrudder/scheduling/rack_placement.hpp"
 #include "peridotrudder/scheduling/run_tracker.hpp"
 
@@ -21,6 +22,16 @@
 public:
     explicit task_placer(scheduler_state& state) : m_state{&state}, m_racks{state} {}
 
+    /// Continues with the waits for racks of another one on a copy of its state.
+    task_placer(scheduler_state& state, const task_placer& other)
+        : m_state{&state},
+          m_racks{state, other.m_racks}
+    {
+    }
+
+    /// Records what passes decide about one task. The probe must outlive the placer.
+    void watch(placement_probe& probe) { m_probe = &probe; }
+
     /// Places the waiting tasks that fit, up to a bounded number; the jobs of the others remain
     /// schedulable. Starts are sent only after they are recorded.
     void place_all(moment now);
@@ -51,6 +62,8 @@
     bool has_stranger_of_step(const run_key& first, std::uint32_t count) const;
     bool place_gang(const waiting_job& waiting, std::uint32_t occurrence, std::uint32_t step,
                     std::vector<candidate>& candidates, moment now);
+    /// Returns the request without the rack that the task prefers.
+    placement_request make_constraints(const waiting_job& waiting, const task_ref& ref) const;
     placement_request make_placement_request(const waiting_job& waiting, const task_ref& ref);
     /// Returns a worker that the task may start on now, or null. Then asks for tickets.
     candidate* find_worker(const waiting_job& waiting, const placement_request& request,
@@ -59,6 +72,28 @@
     /// Logs the first placement of a job.
     void log_first_placement(const job& target, const std::string& worker, moment now) const;
 
+    bool watches(const waiting_job& waiting, const task_ref& ref) const
+    {
+        return m_probe != nullptr && m_probe->m_key.m_job == waiting.m_rank.m_id &&
+               m_probe->m_key.m_task == ref;
+    }
+    /// Notes for the probe whether a worker could take its task before the pool's jobs are placed.
+    void probe_room(const std::string& pool, const std::vector<waiting_job>& jobs,
+                    const std::vector<candidate>& candidates, time_point now);
+    /// Notes the outcome for the probe if it watches the task. `chosen` is null unless it starts.
+    void observe(task_outcome outcome, const waiting_job& waiting, const placement_request& request,
+                 const std::vector<candidate>& candidates, time_point now,
+                 const candidate* chosen = nullptr);
+    /// Likewise, for a task whose request was not made.
+    void observe(task_outcome outcome, const waiting_job& waiting, const task_ref& ref,
+                 const std::vector<candidate>& candidates, time_point now);
+    /// Returns why the task found no worker.
+    static task_outcome outcome_without_worker(const placement_request& request,
+                                               const std::vector<candidate>& candidates,
+                                               time_point now);
+    void probe_workers(const placement_request& request, const std::vector<candidate>& candidates,
+                       time_point now);
+
     /// Requests tickets for the workers that the task fits on.
     void request_tickets(const waiting_job& waiting, const placement_request& request,
                          const std::vector<candidate>& candidates, time_point now);
@@ -69,6 +104,7 @@
     void remember_size(const placement_request& request);
 
     scheduler_state* m_state;
+    placement_probe* m_probe{nullptr};
     rack_placement m_racks;
     /// Sizes that did not fit in this pass's pool; tasks at least as large are not tried.
     std::vector<resources> m_sizes_without_room;
--- a/src/scheduling/locality_wait.cpp
+++ b/src/scheduling/locality_wait.cpp
@@ -111,6 +111,14 @@
            now - known->second.m_judged_at < judge_interval;
 }
 
+milliseconds rack_waits::longest_wait(const run_key& key, time_point now) const
+{
+    const auto known = m_waits.find(key);
+    return known == m_waits.end() || known->second.m_over
+               ? milliseconds{0}
+               : remaining(now, known->second.m_deadline);
+}
+
 std::optional<ended_rack_wait> rack_waits::start(const run_key& key, bool on_rack, time_point now)
 {
     const auto known = m_waits.find(key);
--- a/src/scheduling/rack_placement.cpp
+++ b/src/scheduling/rack_placement.cpp
@@ -187,6 +187,31 @@
     return list;
 }
 
+std::optional<milliseconds> rack_placement::time_until_room(const placement_request& request,
+                                                            std::int64_t cpu_millis_ahead,
+                                                            milliseconds run_time, time_point now)
+{
+    const auto each = std::max<std::int64_t>(reserved_for(*request.m_step).m_cpu_millis, 1);
+    const auto ahead = static_cast<std::size_t>((cpu_millis_ahead + each - 1) / each);
+    return time_until_place(places_for(request, now).m_places, ahead, run_time, now);
+}
+
+expected_rack_wait rack_placement::expected_wait(const placement_request& request, time_point now)
+{
+    expected_rack_wait expected;
+    expected.m_rack = request.m_preferred_rack;
+    expected.m_at_most = m_waits.longest_wait(request.key(), now);
+    const auto* rack = find_rack(request.m_preferred_rack);
+    if (rack != nullptr) {
+        const auto& source = *m_state->m_job_store.find(request.m_job);
+        // The task itself is counted among those that wait.
+        const auto ahead = rack->m_waiting_cpu_millis - reserved_for(*request.m_step).m_cpu_millis;
+        expected.m_place_in = time_until_room(
+            request, ahead, usual_time(source, request.m_occurrence, request.m_step_index), now);
+    }
+    return expected;
+}
+
 rack_choice rack_placement::expect(const placement_request& request, const candidate& chosen,
                                    time_point now)
 {
@@ -201,10 +226,8 @@
     if (rack == nullptr) {
         return choice;
     }
-    const auto each = std::max<std::int64_t>(reserved_for(*request.m_step).m_cpu_millis, 1);
-    const auto ahead = static_cast<std::size_t>((rack->m_waiting_cpu_millis + each - 1) / each);
     choice.m_place_in =
-        time_until_place(places_for(request, now).m_places, ahead, choice.m_run_time, now);
+        time_until_room(request, rack->m_waiting_cpu_millis, choice.m_run_time, now);
     return choice;
 }
 
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -12,6 +12,14 @@
 /// processor when a whole fleet is free, as after a takeover that outlasts the runs.
 constexpr std::size_t max_starts_per_pass = 1'000;
 
+/// Returns why the worker is no candidate in its pool; `none` if it is one.
+worker_obstacle candidate_obstacle(const scheduler_state& state, const worker_session& session,
+                                   time_point now)
+{
+    return state.m_leaving.count(session.id()) != 0 ? worker_obstacle::leaving
+                                                    : session.work_obstacle(now);
+}
+
 bool has_waiting(const job& source, std::uint32_t occurrence, std::uint32_t step)
 {
     return source.waiting(occurrence, step) != 0 && source.unblocked(occurrence, step);
@@ -39,8 +47,8 @@
     std::vector<candidate> candidates;
     auto& health = m_state->health_of(pool);
     for (auto& [id, session] : m_state->m_workers) {
-        const bool leaving = m_state->m_leaving.count(id) != 0;
-        if (session.report().m_pool != pool || leaving || !session.takes_work(now)) {
+        if (session.report().m_pool != pool ||
+            candidate_obstacle(*m_state, session, now) != worker_obstacle::none) {
             continue;
         }
         candidate worker;
@@ -51,8 +59,8 @@
     return candidates;
 }
 
-placement_request task_placer::make_placement_request(const waiting_job& waiting,
-                                                      const task_ref& ref)
+placement_request task_placer::make_constraints(const waiting_job& waiting,
+                                                const task_ref& ref) const
 {
     placement_request request;
     request.m_step = &waiting.m_job->spec().m_steps[ref.m_step];
@@ -67,11 +75,101 @@
     request.m_last_attempt = !request.m_step->m_long_running &&
                              waiting.m_job->failures(ref) + 1 >= waiting.m_queue->m_attempts;
     request.m_on_trial = is_on_trial(waiting.m_job->at(ref));
-    request.m_preferred_rack = m_racks.preferred_rack(*waiting.m_job, ref.m_occurrence, ref.m_step);
     request.m_tickets = waiting.m_queue->m_policy ? &m_state->m_tickets : nullptr;
     return request;
 }
 
+placement_request task_placer::make_placement_request(const waiting_job& waiting,
+                                                      const task_ref& ref)
+{
+    auto request = make_constraints(waiting, ref);
+    request.m_preferred_rack = m_racks.preferred_rack(*waiting.m_job, ref.m_occurrence, ref.m_step);
+    return request;
+}
+
+void task_placer::probe_room(const std::string& pool, const std::vector<waiting_job>& jobs,
+                             const std::vector<candidate>& candidates, time_point now)
+{
+    if (m_probe == nullptr || m_probe->m_pool != pool) {
+        return;
+    }
+    for (const auto& waiting : jobs) {
+        if (!watches(waiting, m_probe->m_key.m_task)) {
+            continue;
+        }
+        const auto request = make_constraints(waiting, m_probe->m_key.m_task);
+        m_probe->m_had_room =
+            std::any_of(candidates.begin(), candidates.end(), [&](const candidate& worker) {
+                return find_obstacle(request, worker, now) == worker_obstacle::none;
+            });
+        probe_workers(request, candidates, now);
+    }
+}
+
+void task_placer::probe_workers(const placement_request& request,
+                                const std::vector<candidate>& candidates, time_point now)
+{
+    m_probe->m_workers.clear();
+    for (const auto& [id, session] : m_state->m_workers) {
+        if (session.report().m_pool != m_probe->m_pool) {
+            continue;
+        }
+        probed_worker worker{id,
+                             session.report().m_rack,
+                             session.report().m_capacity,
+                             session.room(),
+                             false,
+                             candidate_obstacle(*m_state, session, now)};
+        const auto found = std::find_if(
+            candidates.begin(), candidates.end(),
+            [&session = session](const auto& each) { return each.m_session == &session; });
+        if (found != candidates.end()) {
+            worker.m_unhealthy = found->m_unhealthy;
+            worker.m_obstacle = find_obstacle(request, *found, now);
+        }
+        m_probe->m_workers.push_back(std::move(worker));
+    }
+}
+
+void task_placer::observe(task_outcome outcome, const waiting_job& waiting,
+                          const placement_request& request,
+                          const std::vector<candidate>& candidates, time_point now,
+                          const candidate* chosen)
+{
+    if (!watches(waiting, request.key().m_task)) {
+        return;
+    }
+    m_probe->m_outcome = outcome;
+    m_probe->m_worker = chosen == nullptr ? std::string{} : chosen->m_session->id();
+    m_probe->m_preferred_rack = request.m_preferred_rack;
+    m_probe->m_starts_before = m_starts;
+    m_probe->m_rack_wait.reset();
+    if (outcome == task_outcome::rack) {
+        // On a copy, because expected places are kept for later decisions.
+        auto racks = m_racks;
+        m_probe->m_rack_wait = racks.expected_wait(request, now);
+    }
+    probe_workers(request, candidates, now);
+}
+
+void task_placer::observe(task_outcome outcome, const waiting_job& waiting, const task_ref& ref,
+                          const std::vector<candidate>& candidates, time_point now)
+{
+    if (watches(waiting, ref)) {
+        // Without the preferred rack, which the pass would keep for the group.
+        observe(outcome, waiting, make_constraints(waiting, ref), candidates, now);
+    }
+}
+
+task_outcome task_placer::outcome_without_worker(const placement_request& request,
+                                                 const std::vector<candidate>& candidates,
+                                                 time_point now)
+{
+    const bool lacks_ticket =
+        request.m_tickets != nullptr && !workers_with_room(request, candidates, now).empty();
+    return lacks_ticket ? task_outcome::ticket : task_outcome::no_room;
+}
+
 void task_placer::log_first_placement(const job& target, const std::string& worker,
                                       moment now) const
 {
@@ -116,15 +214,18 @@
 {
     auto& target = *waiting.m_job;
     const auto count = target.spec().m_steps[step].m_count;
+    const run_key first{target.header().m_id, {occurrence, step, 0}};
     if (target.waiting(occurrence, step) != count) {
+        observe(task_outcome::gang, waiting, first.m_task, candidates, now.m_at);
         return true;
     }
-    const run_key first{target.header().m_id, {occurrence, step, 0}};
     if (has_stranger_of_step(first, count)) {
+        observe(task_outcome::stopping, waiting, first.m_task, candidates, now.m_at);
         return false;
     }
     const auto required = times(target.spec().m_steps[step].m_task_resources, count);
     if (!m_state->quota_allows(*waiting.m_account, required, now.m_at)) {
+        observe(task_outcome::quota, waiting, first.m_task, candidates, now.m_at);
         return false;
     }
     // All or nothing: capacity is reserved member by member and released if one does not fit.
@@ -139,6 +240,10 @@
                 chosen[placed]->m_session->release(
                     {target.header().m_id, {occurrence, step, placed}});
             }
+            if (watches(waiting, first.m_task)) {
+                observe(outcome_without_worker(request, candidates, now.m_at), waiting,
+                        make_placement_request(waiting, first.m_task), candidates, now.m_at);
+            }
             return false;
         }
         worker->m_session->reserve({target.header().m_id, ref},
@@ -150,6 +255,10 @@
     for (const auto* member : chosen) {
         instances.push_back(member->m_session->instance());
     }
+    if (watches(waiting, first.m_task)) {
+        observe(task_outcome::starts, waiting, make_placement_request(waiting, first.m_task),
+                candidates, now.m_at, chosen.front());
+    }
     log_first_placement(target, instances.front().m_worker, now);
     const auto number = target.place_gang(occurrence, step, instances);
     target.note_placement(now.m_unix_ms);
@@ -193,22 +302,28 @@
         }
         const bool runs_already = m_state->has_stranger({target.header().m_id, ref});
         if (runs_already || !may_start(spec, entry, suspects)) {
+            observe(runs_already ? task_outcome::stopping : task_outcome::trial, waiting, ref,
+                    candidates, now.m_at);
             all = false;
             continue;
         }
         if (!m_state->quota_allows(*waiting.m_account, spec.m_task_resources, now.m_at)) {
+            observe(task_outcome::quota, waiting, ref, candidates, now.m_at);
             return false;
         }
         const auto request = make_placement_request(waiting, ref);
         if (m_racks.still_waits(request, now.m_at)) {
+            observe(task_outcome::rack, waiting, request, candidates, now.m_at);
             all = false;
             continue;
         }
         if (auto* chosen = find_worker(waiting, request, candidates, now.m_at)) {
             if (m_racks.waits(request, *chosen, now.m_at)) {
+                observe(task_outcome::rack, waiting, request, candidates, now.m_at);
                 all = false;
                 continue;
             }
+            observe(task_outcome::starts, waiting, request, candidates, now.m_at, chosen);
             suspects.m_on_trial += on_trial ? 1 : 0;
             place_task(target, ref, *chosen, now);
             if (on_trial) {
@@ -223,9 +338,16 @@
         all = false;
         if (on_trial) {
             // A kept worker counts like one that is used.
-            suspects.m_on_trial += reserve_for_trial(request, candidates, now.m_at) ? 1 : 0;
+            const bool is_kept = reserve_for_trial(request, candidates, now.m_at);
+            suspects.m_on_trial += is_kept ? 1 : 0;
+            observe(is_kept ? task_outcome::trial : task_outcome::no_room, waiting, request,
+                    candidates, now.m_at);
             continue;
         }
+        if (watches(waiting, ref)) {
+            observe(outcome_without_worker(request, candidates, now.m_at), waiting, request,
+                    candidates, now.m_at);
+        }
         if (suspects.m_waiting == 0) {
             return false;
         }
@@ -371,6 +493,7 @@
         m_sizes_without_room.clear();
         m_racks.begin_pass(pool, candidates, now.m_at);
         m_starts = 0;
+        probe_room(pool, jobs, candidates, now.m_at);
         if (m_state->m_config.tenants().enabled()) {
             place_fairly(pool, jobs, candidates, now);
             note_free_workers(pool, candidates, now.m_at);
--- a/test/scheduling/uneven_load.hpp
+++ b/test/scheduling/uneven_load.hpp
@@ -10,6 +10,7 @@
 #include <cmath>
 #include <cstdint>
 #include <cstdio>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -170,6 +171,13 @@
             worker.m_silent = worker.m_silent || worker.m_rack == rack_name(rack);
         }
     }
+    /// Calls `observer` right before each placement pass.
+    void before_each_pass(std::function<void(moment)> observer)
+    {
+        m_before_pass = std::move(observer);
+    }
+    /// Calls `observer` right after each placement pass.
+    void after_each_pass(std::function<void()> observer) { m_after_pass = std::move(observer); }
     /// Returns how many of a job's tasks have a run.
     std::uint32_t placed_tasks(const std::string& id) const
     {
@@ -201,6 +209,9 @@
         bool m_silent{false};
     };
 
+    std::function<void(moment)> m_before_pass{[](moment) {}};
+    std::function<void()> m_after_pass{[] {}};
+
     struct sent_start {
         worker_instance m_instance;
         start_order m_order;
@@ -268,7 +279,9 @@
     void write()
     {
         while (m_scheduler->needs_write()) {
+            m_before_pass(now());
             const auto batch = m_scheduler->take_batch(now());
+            m_after_pass();
             if (batch.m_records.empty() && batch.m_effects.empty()) {
                 break;
             }
