peridotctl where: ask any node where a task would start

Seen: the report was only reachable in the owner's process. Cause: nodes forward callers' calls to the owner, and had no operators' questions. Change: POST /v1/where on the metrics port forwards the question as a query with an optional field, which earlier versions ignore; their answer has no report, and the node says so. The owner answers only while it can prove its ownership, and takes no further question for three times as long as an answer took, since the port has no key. The demo asks all three nodes.

--- a/apps/ctl_main.cpp
+++ b/apps/ctl_main.cpp
@@ -3,6 +3,8 @@
 
 #include "peridotrudder/entry/operator_api.hpp"
 #include "peridotrudder/links/http_client.hpp"
+#include "peridotrudder/node/operator_question.hpp"
+#include "peridotrudder/scheduling/placement_report.hpp"
 #include "peridotrudder/settings/entry_settings.hpp"
 #include "peridotrudder/telemetry/log_timeline.hpp"
 
@@ -15,11 +17,28 @@
 #include <sstream>
 #include <thread>
 
+namespace {
+
+constexpr auto default_cpu_millis = peridotrudder::default_task_resources.m_cpu_millis;
+constexpr auto default_memory_mb = peridotrudder::default_task_resources.m_memory_mb;
+constexpr auto default_estimate_ms = peridotrudder::default_task_estimate.count();
+
+} // namespace
+
 DEFINE_string(url, "http://127.0.0.1:7001", "URL of any entry's operator port");
 DEFINE_string(token_file, "", "File with the operator token");
 DEFINE_bool(json, false, "Print JSON instead of tables");
 DEFINE_bool(wait, false, "Wait until every entry has applied the change");
 DEFINE_uint32(timeout_s, 30, "Timeout of --wait, in seconds");
+DEFINE_string(tenant, "", "Tenant of the task that `where` asks for without a job");
+DEFINE_int64(cpu_millis, default_cpu_millis, "Its CPU, in thousandths of a core");
+DEFINE_int64(memory_mb, default_memory_mb, "Its memory, in MB");
+DEFINE_int64(accelerators, 0, "Its accelerators");
+DEFINE_int64(estimate_ms, default_estimate_ms, "Its estimated run time, in milliseconds");
+DEFINE_string(label, "", "Label that its worker must have");
+DEFINE_string(data_rack, "", "Rack that holds its input");
+DEFINE_uint32(workers, peridotrudder::default_listed_workers,
+              "Workers that `where` lists, at most 100");
 DEFINE_string(reason, "", "Reason for the change; recorded in the fleet's history");
 
 namespace {
@@ -36,6 +55,7 @@
     exit_conflict = 5,
     exit_log_unavailable = 6,
     exit_unknown_outcome = 7,
+    exit_no_answer = 8,
 };
 
 constexpr const char* usage =
@@ -51,11 +71,13 @@
     "  explain vm|customer|wave NAME  show an object with its history\n"
     "  explain request ID             show the trace spans of a request\n"
     "  explain job|worker|vm ID LOG.. show its timeline from log files of scheduler nodes\n"
+    "  where QUEUE [JOB]              show where a task of the queue or job would start now, and\n"
+    "                                 why; --url is the metrics port of any scheduler node\n"
     "  settings check FILE            check the settings of an entry VM\n"
     "  contracts check FILE           check a contracts file\n\n"
     "Exit codes: 0 done, 1 usage error, 2 invalid settings or contracts, 3 entry unreachable,\n"
     "4 refused, 5 conflict with another operator's change, 6 log unavailable (no effect),\n"
-    "7 outcome unknown (the change may still take effect).";
+    "7 outcome unknown (the change may still take effect), 8 no owner that can answer.";
 
 std::string read_token()
 {
@@ -328,6 +350,76 @@
     return exit_ok;
 }
 
+placement_question make_question(gsl::span<const std::string> names)
+{
+    placement_question question;
+    question.m_queue = names[0];
+    question.m_listed_workers = FLAGS_workers;
+    if (names.size() > 1) {
+        question.m_job = names[1];
+        return question;
+    }
+    question.m_tenant = FLAGS_tenant;
+    question.m_cpu_millis = FLAGS_cpu_millis;
+    question.m_memory_mb = FLAGS_memory_mb;
+    question.m_accelerators = FLAGS_accelerators;
+    question.m_estimate = milliseconds{FLAGS_estimate_ms};
+    question.m_label = FLAGS_label;
+    question.m_data_rack = FLAGS_data_rack;
+    return question;
+}
+
+int to_exit_code(placement_error error)
+{
+    switch (error) {
+    case placement_error::none:
+        return exit_ok;
+    case placement_error::bad_question:
+        return exit_usage;
+    case placement_error::unknown_queue:
+    case placement_error::unknown_tenant:
+    case placement_error::unknown_job:
+    case placement_error::job_ended:
+        return exit_refused;
+    case placement_error::no_configuration:
+    case placement_error::too_much_waiting:
+    case placement_error::busy:
+    case placement_error::no_owner:
+    case placement_error::not_supported:
+        break;
+    }
+    return exit_no_answer;
+}
+
+/// Prints where a task would start now. The names are those of a queue and, optionally, a job.
+int show_placement(gsl::span<const std::string> names)
+{
+    const auto question = make_question(names);
+    if (!split_queue(question.m_queue)) {
+        std::cerr << "a queue is HOST/PATH, such as jobs.example/render/\n";
+        return exit_usage;
+    }
+    const auto response =
+        send_request(FLAGS_url, "POST", std::string{placement_path}, encode_json(question).dump());
+    if (!response) {
+        std::cerr << "cannot get a response from the node at " << FLAGS_url << '\n';
+        return exit_unreachable;
+    }
+    const auto report = decode_text<placement_report>(response->m_body);
+    if (!report) {
+        std::cerr << FLAGS_url << " is no scheduler node's metrics port, or of another version\n";
+        return exit_refused;
+    }
+    const int code = to_exit_code(report->m_error);
+    if (FLAGS_json) {
+        std::cout << encode_json(*report).dump(2) << '\n';
+    }
+    else {
+        (code == exit_ok ? std::cout : std::cerr) << to_text(*report);
+    }
+    return code;
+}
+
 int check_settings(const std::string& file)
 {
     const auto settings = load_entry_settings(file);
@@ -430,6 +522,9 @@
     if (matches("explain", "", 3)) {
         return explain(arguments[1], arguments[2]);
     }
+    if (matches("where", "", 2) || matches("where", "", 3)) {
+        return show_placement(gsl::make_span(arguments).subspan(1));
+    }
     if (matches("settings", "check", 3)) {
         return check_settings(arguments[2]);
     }
--- a/include/peridotrudder/node/fleet_owner.hpp
+++ b/include/peridotrudder/node/fleet_owner.hpp
@@ -129,6 +129,9 @@
     void keep_usable_limits(fleet_config& config);
     void take_operator_records(const std::vector<keyed_record>& records);
     void handle_call(std::uint64_t token, const job_call& call);
+    /// Answers an operator's question. Needs no key.
+    void answer_question(std::uint64_t token, const placement_question& question);
+    placement_report explain_placement(const placement_question& question);
     /// Handles a call that has waited for `waited`. Returns false if it has to wait longer.
     bool serve_call(std::uint64_t token, const job_call& call, milliseconds waited);
     void take_answer(std::uint64_t token, const call_answer& answer);
@@ -173,6 +176,8 @@
     std::optional<write_batch> m_writing;
     time_point m_writing_since;
     time_point m_next_pass_at;
+    /// Operators' questions are not answered before.
+    time_point m_next_question_at;
     /// Jobs that are being restored from the journal; null before and after.
     std::unique_ptr<job_reader> m_reader;
     restore_report m_restored;
--- a/include/peridotrudder/scheduling/job_call.hpp
+++ b/include/peridotrudder/scheduling/job_call.hpp
@@ -4,6 +4,7 @@
 /// Calls that entries send to the owner about jobs, and their answers.
 
 #include "peridotrudder/jobs/job.hpp"
+#include "peridotrudder/scheduling/placement_question.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -37,6 +38,9 @@
     std::optional<std::size_t> m_body_bytes{};
     /// Request line and headers.
     std::optional<std::size_t> m_header_bytes{};
+    /// An operator's question, with the kind `query`. Earlier versions ignore it, and their answer
+    /// has no report.
+    std::optional<placement_question> m_question{};
 
     template <typename Archive, typename Self>
     static void describe(Archive& archive, Self& self)
@@ -48,6 +52,7 @@
         archive.field("key_digest", self.m_key_digest);
         archive.field("body_bytes", self.m_body_bytes);
         archive.field("header_bytes", self.m_header_bytes);
+        archive.field("question", self.m_question);
     }
 };
 
@@ -103,6 +108,9 @@
     std::uint64_t m_length{0};
     /// Time after which a rejected caller should retry; zero if unknown.
     milliseconds m_retry_after{0};
+    /// Answer to an operator's question: a `placement_report` as JSON text, since a newer owner may
+    /// name what this version does not know.
+    std::optional<std::string> m_report{};
 
     template <typename Archive, typename Self>
     static void describe(Archive& archive, Self& self)
@@ -111,6 +119,7 @@
         archive.field("state", self.m_state);
         archive.field("length", self.m_length);
         archive.field("retry_after_ms", self.m_retry_after);
+        archive.field("report", self.m_report);
     }
 };
 
--- a/scripts/demo-jobs.sh
+++ b/scripts/demo-jobs.sh
@@ -64,6 +64,13 @@
 echo "A job of two steps:       $(job 1 POST 00000000000000a1 "$short")"
 wait_until 10 has_state 2 00000000000000a1 completed
 echo "asked at another node:    $(job 2 GET 00000000000000a1)"
+where="$build_dir/apps/peridotctl --cpu_millis=2000 --workers=2"
+for node in 1 2 3; do
+    echo "Where a task would start, asked at node-$node:"
+    $where --url="http://127.0.0.1:$(($(node_port "$node") + 3))" where demo.example/quick/ |
+        tee "$run_dir/where"
+    grep -q '^starts now on ' "$run_dir/where"
+done
 echo "A job of three seconds:   $(job 1 POST 00000000000000a2 "$long")"
 sleep 1
 owner=$(grep -l owner_loaded "$run_dir"/node-*.log | sed 's/.*\(node-[0-9]\).*/\1/' | tail -n 1)
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -341,6 +341,10 @@
 
 void fleet_owner::handle_call(std::uint64_t token, const job_call& call)
 {
+    if (call.m_question) {
+        answer_question(token, *call.m_question);
+        return;
+    }
     if (!m_configured) {
         m_ports.m_answer(token, {call_status::unavailable, {}, 0, milliseconds{1'000}});
         return;
@@ -353,6 +357,31 @@
     }
 }
 
+void fleet_owner::answer_question(std::uint64_t token, const placement_question& question)
+{
+    call_answer answer;
+    answer.m_status = call_status::done;
+    answer.m_report = to_json_text(explain_placement(question));
+    m_ports.m_answer(token, answer);
+}
+
+placement_report fleet_owner::explain_placement(const placement_question& question)
+{
+    if (!may_answer()) {
+        return failed_report(question, placement_error::no_owner,
+                             "the owner can't show that it still is the owner");
+    }
+    const auto begun = m_ports.m_loop.m_now();
+    if (begun.m_at < m_next_question_at) {
+        return failed_report(question, placement_error::busy);
+    }
+    auto report = m_scheduler->explain_placement(question, begun);
+    // An answer takes as long as a placement pass, which questions must not hold up.
+    const auto ended_at = m_ports.m_loop.m_now().m_at;
+    m_next_question_at = ended_at + remaining(begun.m_at, ended_at) * pause_per_pass_time;
+    return report;
+}
+
 bool fleet_owner::serve_call(std::uint64_t token, const job_call& call, milliseconds waited)
 {
     const bool lacks_key = m_scheduler->lacks_key(call);
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -6,6 +6,7 @@
 #include "peridotrudder/node/call_transport.hpp"
 #include "peridotrudder/node/decision_log.hpp"
 #include "peridotrudder/node/fleet_owner.hpp"
+#include "peridotrudder/node/operator_question.hpp"
 #include "peridotrudder/node/order_relay.hpp"
 #include "peridotrudder/ownership/cluster_agent.hpp"
 #include "peridotrudder/scheduling/tenant_summary.hpp"
@@ -36,6 +37,8 @@
 /// Part of the grace period that is reserved for the exit of the process.
 constexpr milliseconds stop_reserve{700};
 constexpr std::size_t tenants_counted_by_name = 10;
+/// Longer than a change of owner usually takes.
+constexpr milliseconds question_timeout{5'000};
 constexpr std::uint32_t status_ok = 200;
 /// The others are summed up, which bounds the number of metrics.
 constexpr std::size_t tenants_in_metrics = 10;
@@ -132,7 +135,11 @@
         m_caller_server = std::move(*callers);
         auto metrics = http_server::create_on(
             m_loop, listen_at(m_settings.m_metrics, other_connections()),
-            [this](const http_request& /*request*/, const http_responder& respond) {
+            [this](const http_request& request, const http_responder& respond) {
+                if (request.m_path == placement_path) {
+                    take_question(request, respond);
+                    return;
+                }
                 http_response response;
                 response.m_headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
                 set_gauges();
@@ -531,6 +538,22 @@
             now());
     }
 
+    void take_question(const http_request& request, const http_responder& respond)
+    {
+        auto call = read_question(request);
+        if (!call) {
+            respond(write_report(failed_report({}, placement_error::bad_question)));
+            return;
+        }
+        const auto question = *call->m_question;
+        m_router.take(
+            std::move(*call), question_timeout,
+            [question, respond](const call_answer& answer) {
+                respond(write_report(read_report(question, answer)));
+            },
+            now());
+    }
+
     bool is_ready() const
     {
         return !m_stopping_since && m_agent->route().exists() &&
