Tests of the report's bounds, and clang-tidy's remark

Seen: no test had an unhealthy worker on a last attempt, an unlisted worker, a task beyond the starts of one pass, or more tasks than may be copied; clang-tidy asks for a reference. Cause: left out of the first set of tests. Change: a test for each; with_detail takes its text by reference.

--- a/src/scheduling/placement_question.cpp
+++ b/src/scheduling/placement_question.cpp
@@ -119,7 +119,7 @@
                        amount.m_memory_mb, amount.m_accelerators);
 }
 
-std::string with_detail(std::string text, const std::string& detail)
+std::string with_detail(const std::string& text, const std::string& detail)
 {
     return detail.empty() ? text : text + ": " + detail;
 }
--- a/test/scheduling/placement_report_test.cpp
+++ b/test/scheduling/placement_report_test.cpp
@@ -89,11 +89,14 @@
     CPPUNIT_TEST(unhealthy_worker_is_named);
     CPPUNIT_TEST(leaving_worker_is_named);
     CPPUNIT_TEST(draining_worker_is_named);
+    CPPUNIT_TEST(worker_that_is_not_listed_any_more_is_named);
     CPPUNIT_TEST(worker_of_unknown_capacity_is_named);
     CPPUNIT_TEST(worker_that_does_not_answer_is_named);
     CPPUNIT_TEST(task_on_trial_waits_for_its_trial);
     CPPUNIT_TEST(task_behind_another_job_waits_for_its_turn);
     CPPUNIT_TEST(task_behind_another_tenant_waits_for_its_turn);
+    CPPUNIT_TEST(task_beyond_the_starts_of_one_pass_waits_for_its_turn);
+    CPPUNIT_TEST(more_waiting_tasks_than_may_be_copied_are_an_error);
     CPPUNIT_TEST(task_of_a_later_step_waits_for_the_earlier_one);
     CPPUNIT_TEST(occurrence_in_the_future_is_not_due);
     CPPUNIT_TEST(gang_with_a_running_member_waits_for_it);
@@ -291,9 +294,11 @@
         const auto report = ask(ask_for_queue());
         CPPUNIT_ASSERT_EQUAL(std::string{"i-2"}, report.m_worker);
         CPPUNIT_ASSERT_EQUAL(std::string{"unhealthy"}, obstacle_in(report));
-        // The queue allows one attempt, which is the last one.
-        const auto large = ask(ask_for_queue(5'000));
-        CPPUNIT_ASSERT_EQUAL(std::string{"cpu"}, obstacle_in(large));
+        // The queue allows one attempt, which does not use an unhealthy worker.
+        m_owner.m_scheduler->set_leaving({"i-2"});
+        const auto alone = ask(ask_for_queue());
+        CPPUNIT_ASSERT_EQUAL(std::string{"no_room"}, verdict_in(alone));
+        CPPUNIT_ASSERT_EQUAL(std::string{"unhealthy"}, obstacle_in(alone));
     }
 
     void leaving_worker_is_named()
@@ -314,6 +319,12 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"draining"}, obstacle_in(report));
     }
 
+    void worker_that_is_not_listed_any_more_is_named()
+    {
+        m_owner.m_scheduler->worker_unlisted("i-1", m_owner.m_now);
+        CPPUNIT_ASSERT_EQUAL(std::string{"unlisted"}, obstacle_in(ask(ask_for_queue())));
+    }
+
     void worker_of_unknown_capacity_is_named()
     {
         auto unknown = report_of(first_birth_ms, "i-0");
@@ -359,6 +370,30 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"no_room"}, verdict_in(ask(ask_for_job(last_job_id))));
     }
 
+    void task_beyond_the_starts_of_one_pass_waits_for_its_turn()
+    {
+        step_spec free_of_charge;
+        free_of_charge.m_count = 1'500;
+        m_owner.submit_job(first_job_id, spec_of_steps({free_of_charge}));
+        m_owner.submit_step(last_job_id, {});
+        CPPUNIT_ASSERT_EQUAL(std::string{"turn"}, verdict_in(ask(ask_for_job(last_job_id))));
+        m_owner.write();
+        CPPUNIT_ASSERT_EQUAL(std::string{"starts"}, verdict_in(ask(ask_for_job(last_job_id))));
+    }
+
+    // The copy would take more memory than the smallest VM has to spare.
+    void more_waiting_tasks_than_may_be_copied_are_an_error()
+    {
+        step_spec step;
+        step.m_count = max_job_tasks;
+        for (std::uint32_t number = 1; number <= 5; ++number) {
+            m_owner.submit_job(id_of(number), spec_of_steps({step}));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string{"none"}, error_in(ask(ask_for_queue())));
+        m_owner.submit_job(id_of(6), spec_of_steps({step}));
+        CPPUNIT_ASSERT_EQUAL(std::string{"too_much_waiting"}, error_in(ask(ask_for_queue())));
+    }
+
     void task_behind_another_tenant_waits_for_its_turn()
     {
         set_tenants({tenant_of("acme", 0, 1'000.0), tenant_of("base", 0, 1'000.0)});
