Record a copy of a task's run beside the run

Callers of steps with the flag `speculative` may have two runs of one task, but a job's record has room for one, so a second run could be neither recorded before its start nor told from an older one by its end.

A task now has an optional copy with a number and a worker of its own, and the highest number it has used. Ends are matched by number: a success of either run finishes the task, a failed copy counts and leaves the run, and a copy becomes the run of a task that loses it. The list of leftover runs was ruled out as its place: it is dropped after a minute and ends are not matched with it.

The new fields follow the ten that earlier versions read, and are left out for tasks that never had a copy, whose records are as before.

--- a/include/peridotrudder/jobs/job.hpp
+++ b/include/peridotrudder/jobs/job.hpp
@@ -75,10 +75,20 @@
     failed,
 };
 
+/// A second run of a task that has one already, on another worker.
+struct task_copy {
+    std::uint32_t m_run{0};
+    worker_instance m_placed_on;
+    /// The start of the copy was answered, or the copy was seen on its worker.
+    bool m_start_settled{false};
+};
+
 struct task {
     task_phase m_phase{task_phase::waiting};
-    /// Number of the newest run; runs are numbered from one.
+    /// Number of the task's run, or of its last one; runs are numbered from one.
     std::uint32_t m_run{0};
+    /// Highest number that a run of the task has had, copies included.
+    std::uint32_t m_newest_run{0};
     /// Failed runs. A failed run of a gang is counted at one of its members.
     std::uint32_t m_failures{0};
     /// Number of the gang's run that was counted last at this member; zero for none.
@@ -91,6 +101,17 @@
     bool m_start_settled{false};
     /// State to resume from; empty for none.
     std::string m_checkpoint;
+    /// Only a placed task has a copy.
+    std::optional<task_copy> m_copy{};
+
+    /// Returns whether this is the number of the task's run, or of its last one, or of its copy.
+    bool has_run(std::uint32_t run) const { return run == m_run || is_copy(run); }
+    bool is_copy(std::uint32_t run) const { return m_copy && m_copy->m_run == run; }
+    /// Returns where the run or the copy with this number was placed.
+    const worker_instance& place_of(std::uint32_t run) const
+    {
+        return is_copy(run) ? m_copy->m_placed_on : m_placed_on;
+    }
 };
 
 /// A run that may be on a worker, or be started there late, though no task has it any more: its
@@ -213,6 +234,9 @@
     /// Gives the task a new run on `worker` and returns the run's number.
     std::uint32_t place(const task_ref& ref, const worker_instance& worker);
 
+    /// Gives a placed task without a copy one on `worker` and returns its run number.
+    std::uint32_t place_copy(const task_ref& ref, const worker_instance& worker);
+
     /// Gives each task of a gang a run on the worker at its index. All runs get the same number,
     /// which is returned.
     std::uint32_t place_gang(std::uint32_t occurrence, std::uint32_t step,
@@ -243,11 +267,13 @@
                         const std::function<bool(const leftover_run&)>& is_known);
 
     /// Reverts a placed task to waiting after a run that certainly never started, or that is
-    /// certainly over with an unknown result.
+    /// certainly over with an unknown result. If the task has a copy, that becomes its run instead.
     void void_run(const task_ref& ref);
+    /// The same for the run or the copy with this number. Returns whether the task had it.
+    bool void_run(const task_ref& ref, std::uint32_t run);
 
-    /// Records the end of a run. The end of an older run is ignored unless it is a success. Returns
-    /// whether anything changed.
+    /// Records the end of a run. The end of an older run is ignored unless it is a success. A copy
+    /// becomes the task's run if the run ends without success. Returns whether anything changed.
     bool end(const task_ref& ref, std::uint32_t run, run_end kind, const std::string& checkpoint,
              std::uint32_t attempts, std::int64_t now_ms);
 
@@ -281,6 +307,11 @@
     };
 
     task& find(const task_ref& ref);
+    /// Takes a run or copy from its placed task, which waits if it has no other.
+    void take_run(const task_ref& ref, std::uint32_t run);
+    /// Takes all runs from a placed task, and notes those of a speculative step as left over.
+    void leave_runs(const task_ref& ref, std::int64_t now_ms);
+    void note_copy_left(const task_ref& ref, std::int64_t now_ms);
     /// `run` is the number of the successful run.
     void finish_task(const task_ref& ref, std::uint32_t run, std::int64_t now_ms);
     void count_failure(const task_ref& ref);
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <numeric>
+#include <utility>
 
 namespace peridotrudder {
 
@@ -19,6 +20,11 @@
     std::string m_checkpoint;
     std::uint32_t m_suspicion{0};
     std::uint32_t m_counted_gang_run{0};
+    /// Zero if it is that of the run.
+    std::uint32_t m_newest_run{0};
+    /// Instance of the copy, whose number is the newest.
+    std::optional<std::uint32_t> m_copy_instance;
+    bool m_copy_settled{false};
 };
 
 nlohmann::json to_array(const stored_task& stored)
@@ -26,7 +32,8 @@
     auto row = nlohmann::json::array({stored.m_ref.m_occurrence, stored.m_ref.m_step,
                                       stored.m_ref.m_index, static_cast<unsigned>(stored.m_phase),
                                       stored.m_run, stored.m_failures});
-    const bool has_counted_run = stored.m_counted_gang_run != 0;
+    const bool has_newer_run = stored.m_newest_run != 0;
+    const bool has_counted_run = has_newer_run || stored.m_counted_gang_run != 0;
     const bool is_suspected = has_counted_run || stored.m_suspicion != 0;
     const bool has_checkpoint = is_suspected || !stored.m_checkpoint.empty();
     if (stored.m_instance || has_checkpoint) {
@@ -41,6 +48,14 @@
     if (has_counted_run) {
         row.push_back(stored.m_counted_gang_run);
     }
+    // Earlier versions do not read further.
+    if (has_newer_run) {
+        row.push_back(stored.m_newest_run);
+    }
+    if (stored.m_copy_instance) {
+        row.push_back(*stored.m_copy_instance);
+        row.push_back(stored.m_copy_settled);
+    }
     return row;
 }
 
@@ -60,6 +75,9 @@
     constexpr std::size_t checkpoint_index = 7;
     constexpr std::size_t suspicion_index = 8;
     constexpr std::size_t counted_run_index = 9;
+    constexpr std::size_t newest_run_index = 10;
+    constexpr std::size_t copy_instance_index = 11;
+    constexpr std::size_t copy_settled_index = 12;
     stored_task stored;
     stored.m_ref = {number_at(row, 0), number_at(row, 1), number_at(row, 2)};
     const auto phase = number_at(row, 3);
@@ -81,6 +99,13 @@
     if (row.size() > counted_run_index) {
         stored.m_counted_gang_run = number_at(row, counted_run_index);
     }
+    if (row.size() > newest_run_index) {
+        stored.m_newest_run = number_at(row, newest_run_index);
+    }
+    if (row.size() > copy_settled_index) {
+        stored.m_copy_instance = number_at(row, copy_instance_index);
+        stored.m_copy_settled = row[copy_settled_index].get<bool>();
+    }
     return stored;
 }
 
@@ -275,7 +300,17 @@
     placed.m_phase = task_phase::placed;
     placed.m_placed_on = worker;
     placed.m_start_settled = false;
-    return ++placed.m_run;
+    placed.m_run = std::max(placed.m_run, placed.m_newest_run) + 1;
+    placed.m_newest_run = placed.m_run;
+    return placed.m_run;
+}
+
+std::uint32_t job::place_copy(const task_ref& ref, const worker_instance& worker)
+{
+    auto& placed = find(ref);
+    placed.m_newest_run = std::max(placed.m_run, placed.m_newest_run) + 1;
+    placed.m_copy = task_copy{placed.m_newest_run, worker};
+    return placed.m_newest_run;
 }
 
 std::uint32_t job::place_gang(std::uint32_t occurrence, std::uint32_t step,
@@ -297,6 +332,9 @@
 {
     auto& entry = find(ref);
     entry.m_start_settled = entry.m_start_settled || entry.m_run == run;
+    if (entry.is_copy(run)) {
+        entry.m_copy->m_start_settled = true;
+    }
     m_begun = m_begun || entry.m_start_settled;
 }
 
@@ -353,13 +391,56 @@
 }
 
 void job::void_run(const task_ref& ref)
+{
+    void_run(ref, find(ref).m_run);
+}
+
+bool job::void_run(const task_ref& ref, std::uint32_t run)
+{
+    const auto& entry = find(ref);
+    if (entry.m_phase != task_phase::placed || !entry.has_run(run)) {
+        return false;
+    }
+    take_run(ref, run);
+    return true;
+}
+
+void job::take_run(const task_ref& ref, std::uint32_t run)
 {
     auto& entry = find(ref);
-    if (entry.m_phase == task_phase::placed) {
+    const auto copy = std::exchange(entry.m_copy, std::nullopt);
+    if (!copy) {
         entry.m_phase = task_phase::waiting;
         entry.m_placed_on = {};
         --m_placed;
     }
+    else if (copy->m_run != run) {
+        entry.m_run = copy->m_run;
+        entry.m_placed_on = copy->m_placed_on;
+        entry.m_start_settled = copy->m_start_settled;
+    }
+}
+
+void job::note_copy_left(const task_ref& ref, std::int64_t now_ms)
+{
+    if (const auto copy = std::exchange(find(ref).m_copy, std::nullopt)) {
+        note_leftover(
+            {ref, copy->m_run, copy->m_placed_on.m_worker, now_ms, copy->m_start_settled});
+    }
+}
+
+void job::leave_runs(const task_ref& ref, std::int64_t now_ms)
+{
+    const auto& entry = find(ref);
+    if (entry.m_phase != task_phase::placed) {
+        return;
+    }
+    note_copy_left(ref, now_ms);
+    if (spec().m_steps[ref.m_step].m_speculative) {
+        note_leftover(
+            {ref, entry.m_run, entry.m_placed_on.m_worker, now_ms, entry.m_start_settled});
+    }
+    take_run(ref, entry.m_run);
 }
 
 bool job::end(const task_ref& ref, std::uint32_t run, run_end kind, const std::string& checkpoint,
@@ -376,12 +457,9 @@
         finish_task(ref, run, now_ms);
         return true;
     }
-    if (ended.m_phase != task_phase::placed || run != ended.m_run) {
+    if (!void_run(ref, run)) {
         return false;
     }
-    ended.m_phase = task_phase::waiting;
-    ended.m_placed_on = {};
-    --m_placed;
     if (!checkpoint.empty()) {
         ended.m_checkpoint = checkpoint;
     }
@@ -398,6 +476,10 @@
         auto& member = m_tasks[ref.m_occurrence][ref.m_step][index];
         if (member.m_phase == task_phase::placed) {
             --m_placed;
+            if (member.is_copy(run)) {
+                member.m_copy.reset();
+            }
+            note_copy_left({ref.m_occurrence, ref.m_step, index}, now_ms);
             if (index != ref.m_index || member.m_run != run) {
                 note_leftover({{ref.m_occurrence, ref.m_step, index},
                                member.m_run,
@@ -447,6 +529,7 @@
 void job::fail_task(const task_ref& ref, std::uint32_t attempts, std::int64_t now_ms)
 {
     if (failures(ref) >= attempts) {
+        leave_runs(ref, now_ms);
         find(ref).m_phase = task_phase::failed;
         finish(job_phase::failed, now_ms);
     }
@@ -462,7 +545,7 @@
     }
     suspect.m_suspicion += weight;
     if (suspect.m_suspicion >= limit) {
-        void_run(ref);
+        leave_runs(ref, now_ms);
         suspect.m_phase = task_phase::failed;
         finish(job_phase::failed, now_ms);
     }
@@ -523,9 +606,22 @@
                                    std::nullopt,
                                    member.m_checkpoint,
                                    member.m_suspicion,
-                                   member.m_counted_gang_run};
+                                   member.m_counted_gang_run,
+                                   0,
+                                   std::nullopt,
+                                   false};
                 if (member.m_phase == task_phase::placed) {
                     stored.m_instance = instances.index_of(member.m_placed_on);
+                    stored.m_newest_run =
+                        member.m_newest_run > member.m_run ? member.m_newest_run : 0;
+                }
+                else {
+                    // Earlier versions number the next run after this one.
+                    stored.m_run = std::max(member.m_run, member.m_newest_run);
+                }
+                if (member.m_copy) {
+                    stored.m_copy_instance = instances.index_of(member.m_copy->m_placed_on);
+                    stored.m_copy_settled = member.m_copy->m_start_settled;
                 }
                 rows.push_back(to_array(stored));
                 settled.push_back(member.m_phase == task_phase::placed && member.m_start_settled);
@@ -603,6 +699,13 @@
             if (stored.m_instance) {
                 entry.m_placed_on = instances->at(*stored.m_instance);
             }
+            entry.m_newest_run = std::max(stored.m_run, stored.m_newest_run);
+            if (stored.m_copy_instance && stored.m_phase == task_phase::placed &&
+                stored.m_newest_run > stored.m_run) {
+                entry.m_copy =
+                    task_copy{stored.m_newest_run, instances->at(*stored.m_copy_instance),
+                              stored.m_copy_settled};
+            }
             entry.m_start_settled = settled.at(row_number);
             created.m_begun = created.m_begun || entry.m_start_settled;
             ++row_number;
--- a/test/jobs/job_test.cpp
+++ b/test/jobs/job_test.cpp
@@ -13,6 +13,7 @@
 constexpr std::uint32_t attempts = 3;
 constexpr std::int64_t now_ms = 5'000;
 const worker_instance some_worker{"i-1", 100};
+const worker_instance other_worker{"i-2", 100};
 
 job make_job(std::vector<step_spec> steps)
 {
@@ -99,6 +100,14 @@
     CPPUNIT_TEST(end_of_an_older_run_changes_nothing_unless_it_is_a_success);
     CPPUNIT_TEST(run_after_a_voided_run_has_a_higher_number);
     CPPUNIT_TEST(long_running_task_is_never_done);
+    CPPUNIT_TEST(success_of_either_run_completes_the_task);
+    CPPUNIT_TEST(failed_copy_counts_and_leaves_the_run);
+    CPPUNIT_TEST(copy_becomes_the_run_of_a_task_that_lost_its_run);
+    CPPUNIT_TEST(last_allowed_failure_of_a_copy_leaves_no_run);
+    CPPUNIT_TEST(copy_is_restored_from_its_record);
+    CPPUNIT_TEST(number_of_a_copy_that_is_over_stays_used);
+    CPPUNIT_TEST(record_of_a_job_without_copies_is_as_before);
+    CPPUNIT_TEST(runs_that_a_success_left_behind_are_recorded_for_jobs_of_tenants);
     CPPUNIT_TEST(one_success_completes_the_whole_gang);
     CPPUNIT_TEST(failures_of_a_gang_count_together);
     CPPUNIT_TEST(one_failed_run_of_a_gang_is_one_attempt_whoever_lists_it);
@@ -172,6 +181,126 @@
         CPPUNIT_ASSERT_EQUAL(0U, example.at({0, 0, 0}).m_failures);
     }
 
+    static job with_copy()
+    {
+        auto step = make_step(1);
+        step.m_speculative = true;
+        auto tested = make_job({step});
+        tested.place({0, 0, 0}, some_worker);
+        CPPUNIT_ASSERT_EQUAL(2U, tested.place_copy({0, 0, 0}, other_worker));
+        return tested;
+    }
+
+    static bool end_run(job& tested, std::uint32_t run, run_end end)
+    {
+        return tested.end({0, 0, 0}, run, end, "", attempts, now_ms);
+    }
+
+    void success_of_either_run_completes_the_task()
+    {
+        for (const std::uint32_t run : {1U, 2U}) {
+            auto tested = with_copy();
+            CPPUNIT_ASSERT(end_run(tested, run, run_end::done));
+            CPPUNIT_ASSERT(tested.phase() == job_phase::completed);
+            CPPUNIT_ASSERT_EQUAL(0U, tested.placed_tasks());
+            CPPUNIT_ASSERT(!end_run(tested, 3 - run, run_end::failed));
+            CPPUNIT_ASSERT(tested.phase() == job_phase::completed);
+        }
+    }
+
+    void failed_copy_counts_and_leaves_the_run()
+    {
+        auto tested = with_copy();
+        CPPUNIT_ASSERT(end_run(tested, 2, run_end::failed));
+        const auto& entry = tested.at({0, 0, 0});
+        CPPUNIT_ASSERT_EQUAL(1U, entry.m_failures);
+        CPPUNIT_ASSERT(entry.m_phase == task_phase::placed);
+        CPPUNIT_ASSERT_EQUAL(1U, entry.m_run);
+        CPPUNIT_ASSERT(entry.m_placed_on == some_worker);
+        CPPUNIT_ASSERT_EQUAL(1U, tested.placed_tasks());
+        CPPUNIT_ASSERT(end_run(tested, 1, run_end::stopped));
+        CPPUNIT_ASSERT_EQUAL(3U, tested.place({0, 0, 0}, some_worker));
+    }
+
+    void copy_becomes_the_run_of_a_task_that_lost_its_run()
+    {
+        auto tested = with_copy();
+        tested.settle_start({0, 0, 0}, 2);
+        CPPUNIT_ASSERT(tested.void_run({0, 0, 0}, 1));
+        const auto& entry = tested.at({0, 0, 0});
+        CPPUNIT_ASSERT(entry.m_phase == task_phase::placed);
+        CPPUNIT_ASSERT_EQUAL(2U, entry.m_run);
+        CPPUNIT_ASSERT(entry.m_placed_on == other_worker);
+        CPPUNIT_ASSERT(entry.m_start_settled);
+        CPPUNIT_ASSERT(!tested.void_run({0, 0, 0}, 1));
+        CPPUNIT_ASSERT(tested.void_run({0, 0, 0}, 2));
+        CPPUNIT_ASSERT_EQUAL(0U, tested.placed_tasks());
+    }
+
+    void last_allowed_failure_of_a_copy_leaves_no_run()
+    {
+        auto tested = with_copy();
+        CPPUNIT_ASSERT(tested.end({0, 0, 0}, 2, run_end::failed, "", 1, now_ms));
+        CPPUNIT_ASSERT(tested.phase() == job_phase::failed);
+        CPPUNIT_ASSERT_EQUAL(0U, tested.placed_tasks());
+        CPPUNIT_ASSERT(tested.at({0, 0, 0}).m_phase == task_phase::failed);
+    }
+
+    void copy_is_restored_from_its_record()
+    {
+        auto tested = with_copy();
+        tested.settle_start({0, 0, 0}, 2);
+        auto read = restored(tested);
+        const auto& entry = read.at({0, 0, 0});
+        CPPUNIT_ASSERT_EQUAL(1U, entry.m_run);
+        CPPUNIT_ASSERT(entry.m_copy.has_value());
+        CPPUNIT_ASSERT_EQUAL(2U, entry.m_copy->m_run);
+        CPPUNIT_ASSERT(entry.m_copy->m_placed_on == other_worker);
+        CPPUNIT_ASSERT(entry.m_copy->m_start_settled);
+        CPPUNIT_ASSERT(!entry.m_start_settled);
+        CPPUNIT_ASSERT(end_run(read, 2, run_end::done));
+        CPPUNIT_ASSERT(read.phase() == job_phase::completed);
+    }
+
+    // A worker rejects a run that is not higher than one that was there.
+    void number_of_a_copy_that_is_over_stays_used()
+    {
+        auto tested = with_copy();
+        CPPUNIT_ASSERT(tested.void_run({0, 0, 0}, 2));
+        auto read = restored(tested);
+        CPPUNIT_ASSERT_EQUAL(2U, read.at({0, 0, 0}).m_newest_run);
+        CPPUNIT_ASSERT(read.void_run({0, 0, 0}, 1));
+        auto waiting = restored(read);
+        CPPUNIT_ASSERT_EQUAL(3U, waiting.place({0, 0, 0}, other_worker));
+    }
+
+    // Nodes of an earlier version read the first ten fields of a task.
+    void record_of_a_job_without_copies_is_as_before()
+    {
+        auto plain = make_job({make_step(1)});
+        plain.place({0, 0, 0}, some_worker);
+        const auto rows = nlohmann::json::from_cbor(plain.encode_state()).at(4);
+        CPPUNIT_ASSERT(rows.at(0) == nlohmann::json::parse("[0, 0, 0, 1, 1, 0, 0]"));
+        const auto copied = nlohmann::json::from_cbor(with_copy().encode_state()).at(4);
+        CPPUNIT_ASSERT(copied.at(0) ==
+                       nlohmann::json::parse(R"([0, 0, 0, 1, 1, 0, 0, "", 0, 0, 2, 1, false])"));
+    }
+
+    // Successors count the slower run against the quota until it has been stopped.
+    void runs_that_a_success_left_behind_are_recorded_for_jobs_of_tenants()
+    {
+        for (const std::uint32_t run : {1U, 2U}) {
+            auto tested = with_tenant(with_copy());
+            tested.place({0, 0, 0}, some_worker);
+            tested.place_copy({0, 0, 0}, other_worker);
+            CPPUNIT_ASSERT(end_run(tested, run, run_end::done));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, tested.leftovers().size());
+            CPPUNIT_ASSERT_EQUAL(3 - run, tested.leftovers().front().m_run);
+            CPPUNIT_ASSERT_EQUAL((run == 1 ? other_worker : some_worker).m_worker,
+                                 tested.leftovers().front().m_worker);
+        }
+    }
+
     void long_running_task_is_never_done()
     {
         auto step = make_step(1);
