Start copies of late runs of speculative steps

Callers saw jobs miss their objective by one run in 33 that takes seven times as long as the others, with workers free.

`scheduling/task_copies` decides which runs are late, where a copy goes and what copies may use; `scheduling/copy_placement` judges the runs every 100 ms and places copies after all waiting tasks were tried, in room that none of them fits in. A copy must be expected to save half of a fresh run beyond the time to start it, and its job must miss the objective without it. Only a task's first run is copied, since a late start of an earlier one would be a third run. A successor adopts a copy as a run to be stopped, so that it is counted from the first moment and no new run begins beside it. Dropping the copy from the task when loading was ruled out: it would not be counted before its worker lists it. Copying at once in the tail of a step and a fixed factor of the estimate were ruled out, as estimates are off by half.

`[limits] copies_percent` (default 5, 0 for none) bounds the CPU of copies in a pool. Run times of speculative steps are learned also without a far factor. Steps without the flag are placed as before.

The simulation of workers knows speculative steps and failing runs, and its oracle checks the number of runs, rising run numbers, starts after acknowledged ends and runs that are left.

--- a/bench/uneven_load_main.cpp
+++ b/bench/uneven_load_main.cpp
@@ -23,6 +23,10 @@
     double m_near{0.0};
     std::size_t m_waits{0};
     std::size_t m_missed{0};
+    /// Share of the run time of all runs that stopped ones had.
+    double m_stopped{0.0};
+    std::size_t m_copies{0};
+    std::size_t m_won{0};
 };
 
 summary replay(uneven_load_options options)
@@ -43,6 +47,10 @@
                       static_cast<double>(std::max<std::size_t>(report.m_starts, 1)) / count;
         sum.m_waits += report.events("rack_wait");
         sum.m_missed += report.events("rack_missed");
+        sum.m_stopped += static_cast<double>(report.m_stopped_run_time.count()) /
+                         static_cast<double>(report.m_run_time.count()) / count;
+        sum.m_copies += report.events("copy_started");
+        sum.m_won += report.events("copy_won");
     }
     return sum;
 }
@@ -56,10 +64,45 @@
                result.m_waits, result.m_missed);
 }
 
+void print_copies(const std::string& name, uneven_load_options options)
+{
+    options.m_speculative = true;
+    options.m_known_far_factor = options.m_far_factor;
+    for (const std::uint32_t percent : {0U, 5U}) {
+        options.m_copies_percent = percent;
+        const auto result = replay(options);
+        fmt::print("{:<38} mean {:5.0f} ms, p95 {:5.0f} ms, in time {:.3f}, stopped {:.3f}, copies "
+                   "{}, won {}\n",
+                   fmt::format("{}, copies {} %", name, percent), result.m_mean_ms, result.m_p95_ms,
+                   result.m_in_time, result.m_stopped, result.m_copies, result.m_won);
+    }
+}
+
+void print_all_copies()
+{
+    for (const double rate : {15.0, 40.0, 60.0}) {
+        uneven_load_options options;
+        options.m_far_factor = 1.0;
+        options.m_peak_jobs_per_second = rate;
+        print_copies(fmt::format("{:.0f} jobs/s", rate), options);
+    }
+    uneven_load_options slow;
+    slow.m_far_factor = 1.0;
+    slow.m_slow_worker_factor = 3.0;
+    slow.m_peak_jobs_per_second = 15.0;
+    print_copies("15 jobs/s, one slow worker", slow);
+    for (const double rate : {15.0, 60.0}) {
+        uneven_load_options far;
+        far.m_peak_jobs_per_second = rate;
+        print_copies(fmt::format("{:.0f} jobs/s, far rack", rate), far);
+    }
+}
+
 } // namespace
 
 int main()
 {
+    print_all_copies();
     for (const bool same_rack : {false, true}) {
         for (const double far : {2.0, 3.0}) {
             for (const double rate : {10.0, 20.0, 30.0, 40.0}) {
--- a/include/peridotrudder/machines/worker_session.hpp
+++ b/include/peridotrudder/machines/worker_session.hpp
@@ -70,6 +70,8 @@
     time_point m_confirmed_at;
     /// The task is suspected of crashing its workers.
     bool m_on_trial{false};
+    /// The run was started as a copy of another one.
+    bool m_is_copy{false};
     /// A stop was requested; the capacity stays reserved until the worker lists the end.
     bool m_stopping{false};
     bool m_stop_in_flight{false};
@@ -226,6 +228,8 @@
     /// Returns the processor that the worker's best-effort tasks would use, in thousandths of a
     /// core.
     std::int64_t best_effort_cpu_millis() const { return m_best_effort_cpu_millis; }
+    /// Returns the processor that runs started as copies reserve, in thousandths of a core.
+    std::int64_t copies_cpu_millis() const { return m_copies_cpu_millis; }
     /// Returns how many runs have a requested stop.
     std::uint32_t stopping_runs() const { return m_stopping_runs; }
     void set_stopping(worker_run& run);
@@ -381,6 +385,7 @@
     resources m_used;
     std::uint32_t m_long_running_runs{0};
     std::int64_t m_best_effort_cpu_millis{0};
+    std::int64_t m_copies_cpu_millis{0};
     std::uint32_t m_stopping_runs{0};
 
     std::optional<time_point> m_watched_until;
--- a/include/peridotrudder/node/node_settings.hpp
+++ b/include/peridotrudder/node/node_settings.hpp
@@ -50,6 +50,8 @@
     milliseconds m_maintenance_time{2'000};
     /// Factor by which a task takes longer on another rack than its data or its group.
     double m_far_factor{1.0};
+    /// Most of a pool's CPU that copies of late runs may use, in percent; zero for no copies.
+    std::uint32_t m_copies_percent{0};
     /// Memory and open descriptors that the process may use; callers get a part of each.
     std::size_t m_memory_bytes{0};
     std::size_t m_max_descriptors{0};
--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -83,7 +83,8 @@
     void policy_answered(const policy_answer& answer, moment now);
     void tick(moment now);
 
-    /// Returns whether there are records to write, effects that wait for a write, or jobs to place.
+    /// Returns whether there are records to write, effects that wait for a write, jobs to place, or
+    /// runs to judge that may get copies.
     bool needs_write() const;
     /// Places the tasks that fit, and returns what there is to write.
     write_batch take_batch(moment now);
--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -64,6 +64,12 @@
     /// Lets the job's next record tell a successor that the start of the run is not open.
     void note_settled_start(const run_key& key, std::uint32_t run);
     void handle_end(worker_session& session, const ended_entry& ended, moment now);
+    /// Stops the runs that a task had before one of them ended, but for that one.
+    void stop_other_runs(const worker_session& session, const ended_entry& ended,
+                         const task& before, time_point now);
+    /// Orders a worker to stop a run, if it is still there.
+    void stop_run(const worker_instance& instance, const run_key& key, std::uint32_t run,
+                  time_point now);
     /// Learns from a run that succeeded how long such runs take.
     void learn_run_time(const worker_session& session, const worker_run& run,
                         const ended_entry& ended, time_point now);
--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -93,6 +93,8 @@
     /// Factor by which a task takes longer on another rack than its data or its group; 1 or less
     /// lets no task wait for a rack.
     double m_far_factor{1.0};
+    /// Most of a pool's CPU that copies of late runs may use, in percent; none are started at zero.
+    std::uint32_t m_copies_percent{0};
 };
 
 /// Totals over accepted jobs, based on their estimates. They grow as long as the owner serves,
@@ -145,6 +147,8 @@
     std::map<run_key, std::set<std::string>> m_strangers;
     /// Worker on which a task failed last.
     std::map<run_key, std::string> m_failed_on;
+    /// Jobs that may have runs of which copies may be started.
+    std::set<std::string> m_speculative_jobs;
     /// Learned run times. Only the quality of choices depends on them.
     run_times m_run_times;
     /// Effects to carry out once the next batch is written.
@@ -165,8 +169,12 @@
     bool quota_allows(tenant_account& account, const resources& required, time_point now);
     /// Logs which tenants have begun or ceased to wait for their quotas.
     void log_quota_waits(time_point now);
-    /// Returns whether the expected run times of tasks decide on anything.
-    bool uses_run_times() const { return m_options.m_far_factor > 1.0; }
+    /// Returns whether the expected run times of the step's tasks decide on anything.
+    bool uses_run_times(const step_spec& step) const
+    {
+        return m_options.m_far_factor > 1.0 ||
+               (step.m_speculative && m_options.m_copies_percent > 0);
+    }
     /// Returns whether a worker still has a run of the task that it is to stop.
     bool has_stranger(const run_key& key);
     worker_health& health_of(const std::string& pool);
--- a/include/peridotrudder/scheduling/task_placer.hpp
+++ b/include/peridotrudder/scheduling/task_placer.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// Places waiting tasks on workers.
 
+#include "peridotrudder/scheduling/copy_placement.hpp"
 #include "peridotrudder/scheduling/fair_order.hpp"
 #include "peridotrudder/scheduling/job_rank.hpp"
 #include "peridotrudder/scheduling/rack_placement.hpp"
@@ -19,12 +20,18 @@
 /// configuration has tenants. Not thread-safe.
 class task_placer {
 public:
-    explicit task_placer(scheduler_state& state) : m_state{&state}, m_racks{state} {}
+    explicit task_placer(scheduler_state& state) : m_state{&state}, m_racks{state}, m_copies{state}
+    {
+    }
 
     /// Places the waiting tasks that fit, up to a bounded number; the jobs of the others remain
-    /// schedulable. Starts are sent only after they are recorded.
+    /// schedulable. Then places copies of late runs. Starts are sent only after they are recorded.
     void place_all(moment now);
 
+    void tick(time_point now) { m_copies.tick(now); }
+    /// Returns whether runs are to be judged that may get copies.
+    bool copies_due() const { return m_copies.due(); }
+
 private:
     struct waiting_job {
         job_rank m_rank;
@@ -70,6 +77,7 @@
 
     scheduler_state* m_state;
     rack_placement m_racks;
+    copy_placement m_copies;
     /// Sizes that did not fit in this pass's pool; tasks at least as large are not tried.
     std::vector<resources> m_sizes_without_room;
     /// The order of the pool that is being placed; null without tenants.
--- a/src/machines/worker_session.cpp
+++ b/src/machines/worker_session.cpp
@@ -161,6 +161,7 @@
     m_used = m_used + run.m_reserved;
     m_long_running_runs += run.m_long_running && !run.m_best_effort ? 1 : 0;
     m_best_effort_cpu_millis += run.m_best_effort_cpu_millis;
+    m_copies_cpu_millis += run.m_is_copy ? run.m_reserved.m_cpu_millis : 0;
     m_stopping_runs += run.m_stopping ? 1 : 0;
 }
 
@@ -172,6 +173,7 @@
         m_used = m_used - run.m_reserved;
         m_long_running_runs -= run.m_long_running && !run.m_best_effort ? 1 : 0;
         m_best_effort_cpu_millis -= run.m_best_effort_cpu_millis;
+        m_copies_cpu_millis -= run.m_is_copy ? run.m_reserved.m_cpu_millis : 0;
         m_stopping_runs -= run.m_stopping ? 1 : 0;
         m_runs.erase(position);
     }
@@ -404,6 +406,7 @@
         named.insert(end.m_key);
         if (end.m_run == run->m_run) {
             // Its capacity is free, but its task must not start again.
+            m_copies_cpu_millis -= run->m_is_copy ? run->m_reserved.m_cpu_millis : 0;
             m_used = m_used - std::exchange(run->m_reserved, {});
             run->m_charge = {};
             run->m_phase = run_phase::uncertain;
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -340,6 +340,7 @@
         m_won_at = now();
         options.m_scheduler.m_retention = m_settings.m_retention;
         options.m_scheduler.m_far_factor = m_settings.m_far_factor;
+        options.m_scheduler.m_copies_percent = m_settings.m_copies_percent;
         options.m_scheduler.m_lease.m_max_lease = m_settings.m_longest_lease;
         options.m_planner.m_fleet.m_vm_lease = m_settings.m_vm_lease;
         options.m_planner.m_move_time = m_settings.m_move_time;
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -20,6 +20,8 @@
 constexpr std::uint64_t default_max_body_bytes = 262'144;
 /// More than the platform's limit of 16,384 for headers, since the request line counts too.
 constexpr std::uint64_t default_max_header_bytes = 32'768;
+constexpr std::uint64_t default_copies_percent = 5;
+constexpr std::uint64_t max_copies_percent = 100;
 constexpr std::uint64_t most_connections = 65'536;
 /// More than the nodes of a cluster of several hundred, which may all open their links at once.
 constexpr std::uint64_t default_max_handshakes = 512;
@@ -132,6 +134,8 @@
     settings.m_move_time = read_seconds(reader, "limits", "move_s");
     settings.m_maintenance_time = read_seconds(reader, "limits", "maintenance_s");
     settings.m_far_factor = read_factor(reader, "limits", "far_factor");
+    settings.m_copies_percent = static_cast<std::uint32_t>(reader.number_or(
+        "limits", "copies_percent", 0, max_copies_percent, default_copies_percent));
     read_caller_limits(reader, settings);
     auto errors = reader.finish();
     if (!errors.empty()) {
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -534,6 +534,7 @@
 void job_scheduler::tick(moment now)
 {
     m_runs.tick(now);
+    m_placer.tick(now.m_at);
     m_state.m_quotas.expire(now.m_at);
     m_state.log_quota_waits(now.m_at);
     if (now.m_at - m_expired_at >= expiry_interval) {
@@ -547,7 +548,7 @@
 
 bool job_scheduler::needs_write() const
 {
-    return has_changes() || !m_state.m_schedulable_jobs.empty();
+    return has_changes() || !m_state.m_schedulable_jobs.empty() || m_placer.copies_due();
 }
 
 write_batch job_scheduler::take_batch(moment now)
--- a/src/scheduling/rack_placement.cpp
+++ b/src/scheduling/rack_placement.cpp
@@ -293,7 +293,7 @@
                                      const worker_session& session)
 {
     const auto& step = source.spec().m_steps[ref.m_step];
-    if (step.m_long_running || step.m_best_effort || !m_state->uses_run_times()) {
+    if (step.m_long_running || step.m_best_effort || !m_state->uses_run_times(step)) {
         return;
     }
     const auto rack = preferred_rack(source, ref.m_occurrence, ref.m_step);
--- a/src/scheduling/run_adoption.cpp
+++ b/src/scheduling/run_adoption.cpp
@@ -19,33 +19,39 @@
     return now.m_at - std::max(age, milliseconds{0}) + slack;
 }
 
-void adopt(scheduler_state& state, const run_key& key, const job& source, moment now)
+/// Adopts the task's run or copy with this number. A copy is stopped, and remains the task's until
+/// it is certainly over.
+void adopt(scheduler_state& state, const run_key& key, std::uint32_t number, const job& source,
+           moment now)
 {
     const auto& placed = source.at(key.m_task);
-    auto entry = state.m_workers.find(placed.m_placed_on.m_worker);
+    const bool is_copy = placed.is_copy(number);
+    const auto& placed_on = placed.place_of(number);
+    auto entry = state.m_workers.find(placed_on.m_worker);
     if (entry == state.m_workers.end()) {
         // The worker is not listed now. It may return, or keep running until its lease expires.
         worker_report unseen;
-        unseen.m_instance = placed.m_placed_on;
+        unseen.m_instance = placed_on;
         auto session = worker_session::create(unseen, state.m_options.m_fence,
                                               state.m_options.m_lease, now.m_at);
         session.set_listed(false, now.m_at);
-        entry = state.m_workers.emplace(placed.m_placed_on.m_worker, std::move(session)).first;
+        entry = state.m_workers.emplace(placed_on.m_worker, std::move(session)).first;
     }
     auto& session = entry->second;
     // The list may be older than the record, and any incarnation may have got the start, so the
     // first hold decides.
-    auto run = make_charged_run(state, source, key.m_task.m_step, placed.m_run);
+    auto run = make_charged_run(state, source, key.m_task.m_step, number);
     run.m_phase = run_phase::uncertain;
     // Orders of the previous owner are rejected once the worker knows this owner's fencing token.
     run.m_cannot_start_since = now.m_at;
-    if (!placed.m_start_settled) {
+    if (!(is_copy ? placed.m_copy->m_start_settled : placed.m_start_settled)) {
         session.open_start(
             run, newest_start_of(source, state.m_options.m_lease.m_predecessor_start_slack, now));
     }
     run.m_pace_known = false;
     run.m_on_trial = is_on_trial(placed);
-    run.m_stopping = source.phase() != job_phase::active;
+    run.m_stopping = is_copy || source.phase() != job_phase::active;
+    run.m_is_copy = is_copy;
     session.reserve(key, run);
 }
 
@@ -76,7 +82,11 @@
         state.m_schedulable_jobs.insert(id);
     }
     for (const auto& ref : stored_job.placed_refs()) {
-        adopt(state, {id, ref}, stored_job, now);
+        const auto& placed = stored_job.at(ref);
+        adopt(state, {id, ref}, placed.m_run, stored_job, now);
+        if (placed.m_copy) {
+            adopt(state, {id, ref}, placed.m_copy->m_run, stored_job, now);
+        }
     }
     for (const auto& leftover : stored_job.leftovers()) {
         charge_leftover(state, stored_job, leftover, now);
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -1,5 +1,6 @@
 #include "peridotrudder/scheduling/run_tracker.hpp"
 
+#include "peridotrudder/scheduling/copy_placement.hpp"
 #include "peridotrudder/scheduling/crash_suspects.hpp"
 #include "peridotrudder/scheduling/job_rank.hpp"
 #include "peridotrudder/scheduling/pacing.hpp"
@@ -348,8 +349,17 @@
 bool run_tracker::is_of_other_incarnation(const worker_session& session, const run_key& key) const
 {
     const auto* target = m_state->m_job_store.find(key.m_job);
-    return target != nullptr && target->has(key.m_task) &&
-           !(target->at(key.m_task).m_placed_on == session.instance());
+    if (target == nullptr || !target->has(key.m_task)) {
+        return false;
+    }
+    const auto& entry = target->at(key.m_task);
+    const auto run = session.runs().at(key).m_run;
+    const bool left_behind = entry.m_phase != task_phase::placed || !entry.has_run(run);
+    if (left_behind && target->spec().m_steps[key.m_task.m_step].m_speculative) {
+        // The other run of the task has succeeded; its worker says nothing about this one.
+        return false;
+    }
+    return !(entry.place_of(run) == session.instance());
 }
 
 void run_tracker::note_settled_start(const run_key& key, std::uint32_t run)
@@ -384,18 +394,42 @@
     if (ended.m_run_end != run_end::done) {
         m_state->log_run("run_ended", ended.m_key, session.id(), to_string(ended.m_run_end));
     }
-    const auto& placed_on = before.m_placed_on.m_worker;
-    const bool other_run = before.m_phase == task_phase::placed &&
-                           (before.m_run != ended.m_run || placed_on != session.id());
-    auto* elsewhere = other_run ? m_state->find_worker(placed_on) : nullptr;
-    if (elsewhere != nullptr && ended.m_run_end == run_end::done) {
-        stop_run(*elsewhere, ended.m_key, now.m_at);
+    log_copy_end(*m_state, ended.m_key, before, ended.m_run, to_string(ended.m_run_end));
+    const bool failed = target->at(ended.m_key.m_task).m_phase == task_phase::failed;
+    if (ended.m_run_end == run_end::done || (failed && before.m_copy)) {
+        stop_other_runs(session, ended, before, now.m_at);
     }
     if (was_active && target->phase() != job_phase::active) {
         end_job(*target, now);
     }
 }
 
+void run_tracker::stop_other_runs(const worker_session& session, const ended_entry& ended,
+                                  const task& before, time_point now)
+{
+    if (before.m_phase != task_phase::placed) {
+        return;
+    }
+    if (before.m_run != ended.m_run || before.m_placed_on.m_worker != session.id()) {
+        if (auto* elsewhere = m_state->find_worker(before.m_placed_on.m_worker)) {
+            stop_run(*elsewhere, ended.m_key, now);
+        }
+    }
+    if (before.m_copy && !before.is_copy(ended.m_run)) {
+        stop_run(before.m_copy->m_placed_on, ended.m_key, before.m_copy->m_run, now);
+    }
+}
+
+void run_tracker::stop_run(const worker_instance& instance, const run_key& key, std::uint32_t run,
+                           time_point now)
+{
+    auto* session = m_state->find_worker(instance.m_worker);
+    const auto* there = session == nullptr ? nullptr : session->find(key);
+    if (there != nullptr && there->m_run == run) {
+        stop_run(*session, key, now);
+    }
+}
+
 void run_tracker::learn_run_time(const worker_session& session, const worker_run& run,
                                  const ended_entry& ended, time_point now)
 {
@@ -408,7 +442,7 @@
         return;
     }
     const auto& step = source->spec().m_steps[ended.m_key.m_task.m_step];
-    if (step.m_gang || !m_state->uses_run_times() ||
+    if (step.m_gang || !m_state->uses_run_times(step) ||
         !source->at(ended.m_key.m_task).m_checkpoint.empty()) {
         return;
     }
@@ -480,10 +514,10 @@
     if (target == nullptr || !target->has(key.m_task)) {
         return;
     }
-    const auto& lost_task = target->at(key.m_task);
-    if (lost_task.m_phase == task_phase::placed && lost_task.m_run == number) {
-        target->void_run(key.m_task);
+    const auto before = target->at(key.m_task);
+    if (target->void_run(key.m_task, number)) {
         m_state->changed(key.m_job);
+        log_copy_end(*m_state, key, before, number, reason);
         m_state->log_run("run_lost", key, session.id(), fmt::format("run {} {}", number, reason));
     }
 }
@@ -523,8 +557,12 @@
         mark_run_lost(session, key, reason, now);
     }
     for (const auto& suspect : suspects) {
+        // A copy that has become the task's run is not placed any more once the job has failed.
+        const auto before =
+            m_state->m_job_store.find(suspect.m_key.m_job)->at(suspect.m_key.m_task);
         if (m_crashes.blame(suspect, instance, reason, now)) {
             end_job(*m_state->m_job_store.find(suspect.m_key.m_job), now);
+            stop_run(before.m_placed_on, suspect.m_key, before.m_run, now.m_at);
         }
     }
 }
@@ -559,9 +597,14 @@
 void run_tracker::stop_job(const job& target, time_point now)
 {
     for (const auto& ref : target.placed_refs()) {
-        if (auto* session = m_state->find_worker(target.at(ref).m_placed_on.m_worker)) {
+        const auto& entry = target.at(ref);
+        if (auto* session = m_state->find_worker(entry.m_placed_on.m_worker)) {
             stop_run(*session, {target.header().m_id, ref}, now);
         }
+        if (entry.m_copy) {
+            stop_run(entry.m_copy->m_placed_on, {target.header().m_id, ref}, entry.m_copy->m_run,
+                     now);
+        }
     }
 }
 
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -96,6 +96,7 @@
     chosen.m_session->note_start(now.m_at + crash_window, run.m_on_trial);
     m_state->m_job_store.mark_changed(key.m_job);
     m_state->m_effects.emplace_back(start_effect{instance, key, number});
+    m_copies.note_start(target, ref.m_step);
     ++m_starts;
 }
 
@@ -366,6 +367,7 @@
     m_state->m_quotas.expire(now.m_at);
     auto by_pool = collect(now);
     m_max_starts = max_starts_per_pass / std::max<std::size_t>(by_pool.size(), 1) + 1;
+    std::set<std::string> unfinished;
     for (auto& [pool, jobs] : by_pool) {
         auto candidates = candidates_of(pool, now.m_at);
         m_sizes_without_room.clear();
@@ -382,7 +384,13 @@
         else {
             place_by_rank(jobs, candidates, now);
         }
+        if (m_starts >= m_max_starts) {
+            unfinished.insert(pool);
+        }
     }
+    m_copies.place_all(
+        [this, &now](const std::string& pool) { return candidates_of(pool, now.m_at); }, unfinished,
+        now);
     for (auto entry = m_state->m_schedulable_jobs.begin();
          entry != m_state->m_schedulable_jobs.end();) {
         const auto* target = m_state->m_job_store.find(*entry);
--- a/test/node/node_settings_test.cpp
+++ b/test/node/node_settings_test.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST_SUITE(node_settings_test);
     CPPUNIT_TEST(valid_settings_are_read);
     CPPUNIT_TEST(far_factor_may_be_absent_or_empty);
+    CPPUNIT_TEST(copies_use_a_twentieth_of_a_pool_unless_set_otherwise);
     CPPUNIT_TEST(wrong_or_missing_keys_are_reported);
     CPPUNIT_TEST(callers_limits_have_defaults_within_the_smallest_machine);
     CPPUNIT_TEST_SUITE_END();
@@ -72,6 +73,15 @@
     }
 
     // Platforms without racks do not define the factor.
+    void copies_use_a_twentieth_of_a_pool_unless_set_otherwise()
+    {
+        CPPUNIT_ASSERT_EQUAL(5U, parse_node_settings("node.ini", valid_settings)->m_copies_percent);
+        const auto off = std::string{valid_settings} + "copies_percent = 0\n";
+        CPPUNIT_ASSERT_EQUAL(0U, parse_node_settings("node.ini", off)->m_copies_percent);
+        CPPUNIT_ASSERT_EQUAL(std::string{"out_of_range"},
+                             first_fault(std::string{valid_settings} + "copies_percent = 101\n"));
+    }
+
     void far_factor_may_be_absent_or_empty()
     {
         const auto factor_in = [](const std::string& line) {
--- a/test/quotas/quota_test.cpp
+++ b/test/quotas/quota_test.cpp
@@ -99,6 +99,7 @@
     CPPUNIT_TEST(leftover_run_counts_with_a_successor_whose_time_of_day_is_ahead);
     CPPUNIT_TEST(leftover_run_counts_for_as_long_as_leases_last);
     CPPUNIT_TEST(quotas_hold_in_any_history);
+    CPPUNIT_TEST(quotas_hold_in_any_history_with_copies);
     CPPUNIT_TEST(quotas_hold_in_any_history_of_forgotten_workers);
     CPPUNIT_TEST(quotas_hold_though_later_incarnations_carry_out_late_starts);
     CPPUNIT_TEST_SUITE_END();
@@ -559,6 +560,36 @@
         });
     }
 
+    // A copy that a takeover or a lost answer leaves uncounted would bring its tenant above.
+    void quotas_hold_in_any_history_with_copies()
+    {
+        std::size_t copies = 0;
+        assert_property("no start brings a tenant above its quota beside copies", [&copies] {
+            constexpr std::uint32_t copies_percent = 50;
+            fleet_simulation simulation{*rc::gen::arbitrary<std::uint64_t>()};
+            simulation.keep_former_refusals();
+            simulation.set_speculative(copies_percent);
+            simulation.set_tenants({tenant_of_cores("acme", 6, 5.0), tenant_of_cores("base", 3),
+                                    tenant_of_cores("cove", 9, 0.5), tenant_of_cores("deep", 3)});
+            simulation.change_owner(false);
+            const auto actions = *rc::gen::container<std::vector<std::pair<int, std::uint32_t>>>(
+                rc::gen::pair(rc::gen::inRange(0, 22), rc::gen::inRange(0U, 1'000U)));
+            for (const auto& [action, number] : actions) {
+                apply_quota_action(simulation, action, number);
+                simulation.pass(milliseconds{40} * (number % 9 + 1));
+                RC_ASSERT(simulation.violation() == "");
+            }
+            for (std::uint32_t tenant = 0; tenant < 3; ++tenant) {
+                simulation.set_quota(tenant, 6 * core);
+            }
+            const bool all_completed = simulation.completes_all_jobs(settling_time);
+            RC_ASSERT(simulation.violation() == "");
+            RC_ASSERT(all_completed);
+            copies += simulation.events("copy_started");
+        });
+        CPPUNIT_ASSERT(copies > 0);
+    }
+
     void quotas_hold_in_any_history_of_forgotten_workers()
     {
         assert_property("no start brings a tenant above its quota if workers are forgotten", [] {
--- a/test/scheduling/uneven_load.hpp
+++ b/test/scheduling/uneven_load.hpp
@@ -34,6 +34,10 @@
     double m_peak_jobs_per_second{30.0};
     bool m_same_rack{false};
     bool m_speculative{false};
+    /// Most of the pool's CPU that copies may use.
+    std::uint32_t m_copies_percent{0};
+    /// Factor by which the first worker is slower than the others.
+    double m_slow_worker_factor{1.0};
     std::uint32_t m_tasks_per_job{8};
     std::uint32_t m_attempts{3};
 };
@@ -46,6 +50,13 @@
     double m_in_time_share{0.0};
     std::size_t m_starts{0};
     std::size_t m_near_starts{0};
+    /// Run time of all runs, and of those that were stopped.
+    milliseconds m_run_time{0};
+    milliseconds m_stopped_run_time{0};
+    /// Starts by worker.
+    std::map<std::string, std::size_t> m_starts_on;
+    /// Largest share of the pool's CPU that second runs of tasks used.
+    double m_largest_copy_share{0.0};
     std::map<std::string, std::size_t> m_events;
     std::string m_violation;
 
@@ -63,6 +74,7 @@
         scheduler_options scheduler;
         scheduler.m_fence = first_token(1);
         scheduler.m_far_factor = options.m_known_far_factor;
+        scheduler.m_copies_percent = options.m_copies_percent;
         m_scheduler = job_scheduler::create(scheduler, make_ports(), job_store{}, now());
         queue_config queue;
         queue.m_name = "queue";
@@ -296,6 +308,9 @@
             time = milliseconds{360 + static_cast<std::int64_t>(m_random() % 361)};
             time *= m_random() % 33 == 0 ? 7 : 1;
         }
+        if (&worker == &m_workers.begin()->second) {
+            time = milliseconds{std::llround(time.count() * m_options.m_slow_worker_factor)};
+        }
         const bool near = is_near(key, worker);
         m_report.m_near_starts += near ? 1 : 0;
         return near ? time : milliseconds{std::llround(time.count() * m_options.m_far_factor)};
@@ -331,8 +346,10 @@
             }
             check_start(order);
             ++m_report.m_starts;
+            ++m_report.m_starts_on[start.m_instance.m_worker];
             const auto time = draw_time(order.m_key, worker);
             worker.m_runs[order.m_key] = {order.m_run, {m_now, m_now + time}};
+            measure_copies();
             m_scheduler->start_answered({start.m_instance, order.m_fence}, order.m_key, order.m_run,
                                         {order_result::accepted, now().m_unix_ms}, now());
         }
@@ -349,6 +366,20 @@
         }
     }
 
+    void measure_copies()
+    {
+        std::set<run_key> tasks;
+        std::size_t copies = 0;
+        for (const auto& [id, worker] : m_workers) {
+            for (const auto& [key, run] : worker.m_runs) {
+                copies += tasks.insert(key).second ? 0 : 1;
+            }
+        }
+        const auto used = static_cast<double>(copies) * 3'100.0;
+        const auto capacity = static_cast<double>(m_workers.size()) * static_cast<double>(cores);
+        m_report.m_largest_copy_share = std::max(m_report.m_largest_copy_share, used / capacity);
+    }
+
     /// Fails if a task without a preference waits beside free room.
     void check_idle_room()
     {
@@ -376,6 +407,10 @@
                     continue;
                 }
                 const bool stopped = worker.m_stopping.erase(entry->first) != 0;
+                const auto ran =
+                    std::chrono::duration_cast<milliseconds>(m_now - entry->second.second.first);
+                m_report.m_run_time += ran;
+                m_report.m_stopped_run_time += stopped ? ran : milliseconds{0};
                 worker.m_ended.push_back({worker.m_next_end++, entry->first, entry->second.first,
                                           stopped ? run_end::stopped : run_end::done, ""});
                 entry = worker.m_runs.erase(entry);
