Place tasks by the grades of workers where these are enabled

With `m_graded_health`, ends, stalls, orders and holds feed `worker_grades` instead of `worker_health`, and placement applies the grades: a worker that is out is no candidate, a reduced one is used last and gets no gang, long-running task, last attempt or task on trial, one on probation gets one task at a time. Each change is logged with its evidence. Run times are learned with grades also without a far factor. Off by default; then nothing changes.

A new property lets jobs complete in any history of graded workers.

--- a/include/peridotrudder/scheduling/placement.hpp
+++ b/include/peridotrudder/scheduling/placement.hpp
@@ -4,6 +4,7 @@
 /// Chooses the worker for a task.
 
 #include "peridotrudder/jobs/job_spec.hpp"
+#include "peridotrudder/machines/worker_grade.hpp"
 #include "peridotrudder/machines/worker_session.hpp"
 #include "peridotrudder/scheduling/ticket_cache.hpp"
 
@@ -16,8 +17,10 @@
 /// A worker that the scheduler may use, and its health.
 struct candidate {
     worker_session* m_session{nullptr};
-    /// Recently had failed or stalled runs; used last.
+    /// Recently had failed or stalled runs, or is below full; used last.
     bool m_unhealthy{false};
+    /// Full where workers are not graded.
+    worker_grade m_grade{worker_grade::full};
 };
 
 /// A task to place and its constraints beyond its step's specification.
--- a/include/peridotrudder/scheduling/run_times.hpp
+++ b/include/peridotrudder/scheduling/run_times.hpp
@@ -48,6 +48,7 @@
     void add(double value);
     std::size_t count() const { return m_values.size(); }
     double median() const;
+    double upper_quartile() const;
     /// Returns the upper quartile as a multiple of the lower one.
     double spread() const;
 
@@ -75,7 +76,9 @@
 /// estimates are used.
 class run_times {
 public:
-    void learn(const measured_run& run);
+    /// Learns from a run, and returns its time as a multiple of the upper quartile of the runs of
+    /// its class before it; zero without enough of them.
+    double learn(const measured_run& run);
 
     /// Returns the expected run time on a worker of normal speed at the best place. Without enough
     /// runs of the class this is the declared estimate, corrected by how long the queue's tasks
@@ -116,6 +119,11 @@
 
     /// Returns the expected time of a class of which enough is known.
     static milliseconds expected_of(const class_times& known, milliseconds declared);
+    /// Returns the upper quartile of the times of runs with this estimate; zero if too few are
+    /// known.
+    static double upper_time_of(const class_times& known, milliseconds declared);
+    /// Returns whether estimates tell the times of the class better than a common time.
+    static bool follows_estimates(const class_times& known, milliseconds declared);
     class_times& times_of(const run_class& tasks);
     recent_values& ratios_of(const std::string& queue);
     void learn_speed(const measured_run& run, double relative);
--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -7,6 +7,7 @@
 #include "peridotrudder/scheduling/crash_tracker.hpp"
 #include "peridotrudder/scheduling/placement.hpp"
 #include "peridotrudder/scheduling/scheduler_state.hpp"
+#include "peridotrudder/scheduling/worker_evidence.hpp"
 
 namespace peridotrudder {
 
@@ -25,7 +26,12 @@
 /// deadlines of an earlier one, so an open start keeps its task placed beyond leases and VMs.
 class run_tracker {
 public:
-    explicit run_tracker(scheduler_state& state) : m_state{&state}, m_crashes{state} {}
+    explicit run_tracker(scheduler_state& state)
+        : m_state{&state},
+          m_crashes{state},
+          m_evidence{state}
+    {
+    }
 
     /// Sends a recorded start, unless the job has ended or the worker cannot take it any more.
     void send_start(const start_effect& start, moment now);
@@ -70,13 +76,12 @@
     /// Orders a worker to stop a run, if it is still there.
     void stop_run(const worker_instance& instance, const run_key& key, std::uint32_t run,
                   time_point now);
-    /// Learns from a run that succeeded how long such runs take.
-    void learn_run_time(const worker_session& session, const worker_run& run,
-                        const ended_entry& ended, time_point now);
+    /// Learns from a run that succeeded how long such runs take. Returns its time as a multiple of
+    /// the upper quartile of such runs; zero if that is not known.
+    double learn_run_time(const worker_session& session, const worker_run& run,
+                          const ended_entry& ended, time_point now);
     /// Lets an unclear end be acknowledged if its task will not start again.
     void judge_unclear_end(worker_session& session, const unclear_end& end);
-    void update_worker_health(worker_session& session, const job& target, const run_key& key,
-                              run_end end, time_point now);
     void mark_run_lost(worker_session& session, const run_key& key, std::string_view reason,
                        moment now);
     /// Marks runs as lost with their worker, which was last heard of at `last_heard_at`, and blames
@@ -106,6 +111,7 @@
 
     scheduler_state* m_state;
     crash_tracker m_crashes;
+    worker_evidence m_evidence;
 };
 
 } // namespace peridotrudder
--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -4,6 +4,7 @@
 /// State of an owner: its jobs, workers and configuration, shared by the scheduler's modules.
 
 #include "peridotrudder/jobs/job_store.hpp"
+#include "peridotrudder/machines/worker_grade.hpp"
 #include "peridotrudder/machines/worker_health.hpp"
 #include "peridotrudder/machines/worker_session.hpp"
 #include "peridotrudder/scheduling/admission.hpp"
@@ -95,6 +96,8 @@
     double m_far_factor{1.0};
     /// Most of a pool's CPU that copies of late runs may use, in percent; none are started at zero.
     std::uint32_t m_copies_percent{0};
+    /// Grades workers by their runs; otherwise workers that fail repeatedly are used last.
+    bool m_graded_health{false};
 };
 
 /// Totals over accepted jobs, based on their estimates. They grow as long as the owner serves,
@@ -128,7 +131,10 @@
     /// What the tenants' runs use. Each run in a worker's session holds its charge.
     quota_ledger m_quotas;
     std::map<std::string, worker_session, std::less<>> m_workers;
+    /// By pool; used without `m_graded_health`.
     std::map<std::string, worker_health, std::less<>> m_health;
+    /// By pool; used with `m_graded_health`. Only choices of workers depend on them.
+    std::map<std::string, worker_grades, std::less<>> m_grades;
     /// Workers whose VMs are being drained; they get no new work.
     std::set<std::string, std::less<>> m_leaving;
     /// Jobs that may have tasks to start.
@@ -172,7 +178,7 @@
     /// Returns whether the expected run times of the step's tasks decide on anything.
     bool uses_run_times(const step_spec& step) const
     {
-        return m_options.m_far_factor > 1.0 ||
+        return m_options.m_far_factor > 1.0 || m_options.m_graded_health ||
                (step.m_speculative && m_options.m_copies_percent > 0);
     }
     /// Returns whether a worker still has a run of the task that it is to stop.
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -49,8 +49,37 @@
     return !request.m_on_trial || request.m_step->m_gang || worker.m_session->is_calm(now);
 }
 
+/// Returns whether the grade permits to start the task. A failure costs a gang all its runs, a
+/// long-running task its place, and a last attempt the job; a crash under a task on trial would say
+/// nothing about the task.
+bool grade_permits(const placement_request& request, const candidate& worker)
+{
+    if (worker.m_grade == worker_grade::full) {
+        return true;
+    }
+    const auto& step = *request.m_step;
+    const bool needs_full =
+        request.m_last_attempt || request.m_on_trial || step.m_gang || step.m_long_running;
+    const bool has_turn =
+        worker.m_grade == worker_grade::reduced || worker.m_session->runs().empty();
+    return worker.m_grade != worker_grade::out && !needs_full && has_turn;
+}
+
 /// Compared lexicographically; lower is better.
-using rank = std::tuple<bool, bool, bool, std::int64_t, std::int64_t>;
+using rank = std::tuple<int, bool, bool, std::int64_t, std::int64_t>;
+
+/// Returns the first part of a rank. A worker on probation comes first for a task that has not
+/// failed yet: otherwise it would have no runs to pass on while the pool is not full.
+int standing_of(const placement_request& request, const candidate& worker, bool off_rack)
+{
+    enum standing { tested, sound, doubtful };
+    const bool may_test = worker.m_grade == worker_grade::probation && request.m_avoid.empty() &&
+                          !request.m_step->m_best_effort && !off_rack;
+    if (may_test) {
+        return tested;
+    }
+    return worker.m_unhealthy ? doubtful : sound;
+}
 
 rank rank_of(const placement_request& request, const candidate& worker)
 {
@@ -60,20 +89,19 @@
         !request.m_preferred_rack.empty() && session.report().m_rack != request.m_preferred_rack;
     const bool avoided = session.id() == request.m_avoid;
     const auto room = session.room().m_cpu_millis;
+    const auto standing = standing_of(request, worker, off_rack);
     if (request.m_on_trial) {
         // As few runs as possible would be lost with the worker.
-        return {worker.m_unhealthy, avoided, off_rack,
-                static_cast<std::int64_t>(session.runs().size()), room};
+        return {standing, avoided, off_rack, static_cast<std::int64_t>(session.runs().size()),
+                room};
     }
     if (step.m_best_effort) {
-        return {worker.m_unhealthy, avoided, off_rack, session.best_effort_cpu_millis() - room,
-                room};
+        return {standing, avoided, off_rack, session.best_effort_cpu_millis() - room, room};
     }
     if (step.m_long_running) {
-        return {worker.m_unhealthy, avoided, off_rack, -std::int64_t{session.long_running_runs()},
-                room};
+        return {standing, avoided, off_rack, -std::int64_t{session.long_running_runs()}, room};
     }
-    return {worker.m_unhealthy, avoided, off_rack, room, 0};
+    return {standing, avoided, off_rack, room, 0};
 }
 
 } // namespace
@@ -106,7 +134,7 @@
     if (session.has_trial(now) || kept_for_other) {
         return false;
     }
-    if (worker.m_unhealthy && request.m_last_attempt) {
+    if ((worker.m_unhealthy && request.m_last_attempt) || !grade_permits(request, worker)) {
         return false;
     }
     if (!has_required_label(step, session)) {
--- a/src/scheduling/run_times.cpp
+++ b/src/scheduling/run_times.cpp
@@ -78,6 +78,11 @@
     return summary().m_median;
 }
 
+double recent_values::upper_quartile() const
+{
+    return summary().m_upper;
+}
+
 double recent_values::spread() const
 {
     const auto& values = summary();
@@ -107,7 +112,7 @@
     return known.m_ratios;
 }
 
-void run_times::learn(const measured_run& run)
+double run_times::learn(const measured_run& run)
 {
     ++m_learned;
     const double normal = in_ms(run.m_took) / run.m_place_factor;
@@ -117,12 +122,14 @@
     if (times.m_times.count() >= enough_runs) {
         learn_speed(run, normal / std::max(in_ms(expected_of(times, run.m_declared)), 1.0));
     }
+    const double upper = upper_time_of(times, run.m_declared);
     times.m_times.add(normal);
     if (run.m_declared.count() > 0) {
         const double ratio = normal / in_ms(run.m_declared);
         times.m_ratios.add(ratio);
         ratios_of(run.m_class.m_queue).add(ratio);
     }
+    return upper > 0.0 ? normal / std::max(upper, 1.0) : 0.0;
 }
 
 void run_times::learn_speed(const measured_run& run, double relative)
@@ -137,14 +144,27 @@
     speed.m_relative_times.add(relative);
 }
 
-milliseconds run_times::expected_of(const class_times& known, milliseconds declared)
+bool run_times::follows_estimates(const class_times& known, milliseconds declared)
 {
     // Jobs of one class may differ in size, which their estimates show if these fit better than a
     // common time.
-    const bool follows_estimates = declared.count() > 0 && known.m_ratios.count() >= enough_runs &&
-                                   known.m_ratios.spread() < known.m_times.spread();
-    return from_ms(follows_estimates ? in_ms(declared) * known.m_ratios.median()
-                                     : known.m_times.median());
+    return declared.count() > 0 && known.m_ratios.count() >= enough_runs &&
+           known.m_ratios.spread() < known.m_times.spread();
+}
+
+milliseconds run_times::expected_of(const class_times& known, milliseconds declared)
+{
+    return from_ms(follows_estimates(known, declared) ? in_ms(declared) * known.m_ratios.median()
+                                                      : known.m_times.median());
+}
+
+double run_times::upper_time_of(const class_times& known, milliseconds declared)
+{
+    if (known.m_times.count() < max_values) {
+        return 0.0;
+    }
+    return follows_estimates(known, declared) ? in_ms(declared) * known.m_ratios.upper_quartile()
+                                              : known.m_times.upper_quartile();
 }
 
 milliseconds run_times::expected(const run_class& tasks, milliseconds declared) const
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -198,6 +198,7 @@
             // worker's next list decides.
             m_state->log_run("start_unanswered", key, session->id(), fmt::format("run {}", number));
             session->set_unanswered(*run, now.m_at);
+            m_evidence.start_unanswered(*session, key, now.m_at);
         }
         return;
     case order_result::obsolete:
@@ -210,6 +211,9 @@
         session->hold_back_until(now.m_at + invalid_pause);
         break;
     case order_result::unhealthy:
+        m_evidence.start_refused(*session, key, now.m_at);
+        session->hold_back_until(now.m_at + unhealthy_pause);
+        break;
     case order_result::no_room:
         session->hold_back_until(now.m_at + unhealthy_pause);
         break;
@@ -273,6 +277,10 @@
         m_state->log(was_silent ? "worker_answers" : "worker_silent", "", session->id(),
                      std::string{to_string(answer.m_result)});
     }
+    // A worker that was silent before it restarted went down once.
+    if (!was_silent && (session->silent() || outcome.m_restarted)) {
+        m_evidence.went_down(*session, now.m_at);
+    }
     if (answer.m_result == order_result::other_instance && is_present(target, *session)) {
         // The worker may live on at an address that this owner has not read yet, with runs that a
         // predecessor started there.
@@ -373,8 +381,9 @@
 void run_tracker::handle_end(worker_session& session, const ended_entry& ended, moment now)
 {
     const auto* run = session.find(ended.m_key);
+    double slowness = 0.0;
     if (run != nullptr && run->m_run == ended.m_run) {
-        learn_run_time(session, *run, ended, now.m_at);
+        slowness = learn_run_time(session, *run, ended, now.m_at);
         session.release(ended.m_key);
     }
     auto* target = m_state->m_job_store.find(ended.m_key.m_job);
@@ -386,7 +395,7 @@
     const auto attempts = m_state->queue_of(target->header()).m_attempts;
     const bool changed = target->end(ended.m_key.m_task, ended.m_run, ended.m_run_end,
                                      ended.m_checkpoint, attempts, now.m_unix_ms);
-    update_worker_health(session, *target, ended.m_key, ended.m_run_end, now.m_at);
+    m_evidence.run_ended(session, *target, ended, slowness, now.m_at);
     if (!changed) {
         return;
     }
@@ -430,8 +439,8 @@
     }
 }
 
-void run_tracker::learn_run_time(const worker_session& session, const worker_run& run,
-                                 const ended_entry& ended, time_point now)
+double run_tracker::learn_run_time(const worker_session& session, const worker_run& run,
+                                   const ended_entry& ended, time_point now)
 {
     // Adopted runs began at an unknown time, and tasks with a checkpoint had done part of the work.
     const bool measured = ended.m_run_end == run_end::done && run.m_ordered_at &&
@@ -439,16 +448,17 @@
                           !run.m_best_effort && !run.m_long_running;
     const auto* source = measured ? m_state->m_job_store.find(ended.m_key.m_job) : nullptr;
     if (source == nullptr || !source->has(ended.m_key.m_task)) {
-        return;
+        return 0.0;
     }
     const auto& step = source->spec().m_steps[ended.m_key.m_task.m_step];
     if (step.m_gang || !m_state->uses_run_times(step) ||
         !source->at(ended.m_key.m_task).m_checkpoint.empty()) {
-        return;
+        return 0.0;
     }
-    m_state->m_run_times.learn({class_of(*source, ended.m_key.m_task.m_step), session.instance(),
-                                step.m_estimate, remaining(run.m_confirmed_at, now),
-                                run.m_place_factor});
+    const measured_run measured_one{class_of(*source, ended.m_key.m_task.m_step),
+                                    session.instance(), step.m_estimate,
+                                    remaining(run.m_confirmed_at, now), run.m_place_factor};
+    return m_state->m_run_times.learn(measured_one);
 }
 
 void run_tracker::judge_unclear_end(worker_session& session, const unclear_end& end)
@@ -478,28 +488,6 @@
     stop_job(target, now.m_at);
 }
 
-void run_tracker::update_worker_health(worker_session& session, const job& target,
-                                       const run_key& key, run_end end, time_point now)
-{
-    auto& health = m_state->health_of(session.report().m_pool);
-    if (end == run_end::done) {
-        health.succeeded(session.id());
-        m_state->m_failed_on.erase(key);
-        return;
-    }
-    if (end != run_end::failed) {
-        return;
-    }
-    // A task that fails on different workers is itself at fault, not the workers.
-    const auto failed = m_state->m_failed_on.find(key);
-    const bool elsewhere_too =
-        failed != m_state->m_failed_on.end() && failed->second != session.id();
-    if (!elsewhere_too && !target.spec().m_steps[key.m_task.m_step].m_long_running) {
-        health.failed(session.id(), m_state->pool_size(session.report().m_pool), now);
-    }
-    m_state->m_failed_on[key] = session.id();
-}
-
 void run_tracker::mark_run_lost(worker_session& session, const run_key& key,
                                 std::string_view reason, moment now)
 {
@@ -648,8 +636,7 @@
                          fmt::format("{} percent for {} ms, confirmed {} ms ago", run->m_percent,
                                      remaining(run->m_progress_at, now).count(),
                                      remaining(run->m_confirmed_at, now).count()));
-        auto& health = m_state->health_of(session.report().m_pool);
-        health.failed(session.id(), m_state->pool_size(session.report().m_pool), now);
+        m_evidence.run_stalled(session, key, now);
         stop_run(session, key, now);
     }
 }
@@ -694,6 +681,7 @@
 void run_tracker::tick(moment now)
 {
     static const std::map<run_key, worker_run> no_runs;
+    m_evidence.tick(now.m_at);
     std::size_t first_holds = 0;
     for (auto entry = m_state->m_workers.begin(); entry != m_state->m_workers.end();) {
         auto& session = entry->second;
@@ -704,6 +692,7 @@
         session.end_watch(now.m_at);
         if (!session.listed() && session.empty() && !session.watched()) {
             m_state->log("worker_forgotten", "", session.id(), "");
+            m_evidence.forget(session);
             // Orders with this token may still be on their way when the worker is listed again.
             auto& first_fence = m_state->m_options.m_fence;
             first_fence = std::max(first_fence, session.fence() + 1);
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -38,6 +38,7 @@
 {
     std::vector<candidate> candidates;
     auto& health = m_state->health_of(pool);
+    const auto grades = m_state->m_grades.find(pool);
     for (auto& [id, session] : m_state->m_workers) {
         const bool leaving = m_state->m_leaving.count(id) != 0;
         if (session.report().m_pool != pool || leaving || !session.takes_work(now)) {
@@ -45,7 +46,13 @@
         }
         candidate worker;
         worker.m_session = &session;
-        worker.m_unhealthy = !health.usable(id, now);
+        if (grades != m_state->m_grades.end()) {
+            worker.m_grade = grades->second.grade_of(id);
+        }
+        if (worker.m_grade == worker_grade::out) {
+            continue;
+        }
+        worker.m_unhealthy = worker.m_grade != worker_grade::full || !health.usable(id, now);
         candidates.push_back(worker);
     }
     return candidates;
--- a/test/scheduling/fleet_simulation.hpp
+++ b/test/scheduling/fleet_simulation.hpp
@@ -402,6 +402,8 @@
     }
     /// Puts the workers in two racks, which tasks prefer. Call before the first owner starts.
     void set_racks(bool in_racks) { m_in_racks = in_racks; }
+    /// Lets owners grade their workers. Call before the first owner starts.
+    void set_graded(bool graded) { m_graded = graded; }
     /// Lets no worker carry out a late start that a former incarnation had come to refuse. Workers
     /// do carry it out; this leaves out one known fault, which has a test of its own
     /// (`ruled_out_starts`).
@@ -771,6 +773,11 @@
         options.m_fence = first_token(fresh.m_epoch);
         options.m_far_factor = m_in_racks ? 2.5 : 1.0;
         options.m_copies_percent = m_copies_percent;
+        options.m_graded_health = m_graded;
+        if (m_graded) {
+            // Ended jobs are looked up after the longest time that a grade may last.
+            options.m_retention *= 3;
+        }
         m_journal_epoch = fresh.m_epoch;
         fresh.m_ownership_proven_at = m_now;
         fresh.m_scheduler = job_scheduler::create(options, make_ports(fresh),
@@ -1652,6 +1659,7 @@
     static constexpr milliseconds ticket_time{1'500};
     bool m_restricted{false};
     bool m_in_racks{false};
+    bool m_graded{false};
     std::map<std::string, time_point> m_tickets;
     std::size_t m_bad_tickets{0};
     std::map<std::string, milliseconds> m_timed;
--- a/test/scheduling/job_scheduler_test.cpp
+++ b/test/scheduling/job_scheduler_test.cpp
@@ -13,6 +13,8 @@
 
 constexpr milliseconds short_time{30};
 constexpr milliseconds settling_time{40'000};
+/// The same where the longest term of a worker below full, with its probation, comes first.
+constexpr milliseconds graded_settling_time{settling_time + milliseconds{84'000}};
 constexpr std::uint32_t workers = 4;
 
 /// Restarts all workers under their ids; their entries in the list follow `lag` later.
@@ -111,6 +113,7 @@
     CPPUNIT_TEST(neighbours_of_a_task_that_crashes_its_workers_are_completed);
     CPPUNIT_TEST(invariants_hold_in_any_history);
     CPPUNIT_TEST(tasks_that_prefer_racks_complete_in_any_history);
+    CPPUNIT_TEST(jobs_complete_in_any_history_of_graded_workers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -731,6 +734,31 @@
         CPPUNIT_ASSERT(waits > 0);
     }
 
+    // A grade that does not end would keep gangs, long-running tasks and last attempts waiting.
+    void jobs_complete_in_any_history_of_graded_workers()
+    {
+        std::size_t changes = 0;
+        assert_property("jobs complete in any history of graded workers", [&changes] {
+            fleet_simulation simulation{*rc::gen::arbitrary<std::uint64_t>()};
+            simulation.set_graded(true);
+            simulation.set_racks(*rc::gen::arbitrary<bool>());
+            simulation.keep_former_refusals();
+            simulation.change_owner(false);
+            const auto actions = *rc::gen::container<std::vector<std::pair<int, std::uint32_t>>>(
+                rc::gen::pair(rc::gen::inRange(0, 16), rc::gen::inRange(0U, 1'000U)));
+            for (const auto& [action, number] : actions) {
+                apply_action(simulation, action, number);
+                simulation.pass(short_time * (number % 9 + 1));
+                RC_ASSERT(simulation.violation().empty());
+            }
+            const bool all_completed = simulation.completes_all_jobs(graded_settling_time);
+            RC_ASSERT(simulation.violation() == "");
+            RC_ASSERT(all_completed);
+            changes += simulation.events("worker_graded");
+        });
+        CPPUNIT_ASSERT(changes > 0);
+    }
+
     void invariants_hold_in_any_history()
     {
         assert_property(
