--- a/include/peridotrudder/telemetry/node_metrics.hpp
+++ b/include/peridotrudder/telemetry/node_metrics.hpp
@@ -21,6 +21,13 @@
     double m_value{0.0};
 };
 
+/// How many workers of a pool have a grade.
+struct grade_gauge {
+    std::string m_pool;
+    std::string m_grade;
+    double m_workers{0.0};
+};
+
 /// Counts what a node does. Thread-safe.
 class node_metrics {
 public:
@@ -49,6 +56,8 @@
     void set_gauge(const std::string& name, double value);
     /// Replaces the gauges of all tenants.
     void set_tenant_gauges(const std::vector<tenant_gauge>& gauges);
+    /// Replaces the gauges of all grades.
+    void set_grade_gauges(const std::vector<grade_gauge>& gauges);
 
     /// Returns all metrics in Prometheus' text format.
     std::string expose() const;
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -30,6 +30,7 @@
 vm_lease_ms = 3000
 move_s = 1.5
 maintenance_s = 2
+graded_health = {graded}
 """
 
 # Reason of the stops by a quota, see `hold`.
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -83,7 +83,8 @@
     shape = SHAPES[options.shape]() if options.shape else drawn_shape(nodes, cores)
     tenants = Tenants(random.Random(f"tenants {options.seed}"), options.tenants,
                       options.tenant_quotas) if options.tenants else None
-    system = System(folder, options.build, options.base_port, shape, options.quotas, tenants)
+    system = System(folder, options.build, options.base_port, shape, options.quotas, tenants,
+                    options.graded_health)
     caller_rng, fault_rng = random.Random(rng.random()), random.Random(rng.random())
     worker_rng, deadly_rng = random.Random(rng.random()), random.Random(rng.random())
     slow_rng = random.Random(rng.random())
@@ -199,6 +200,7 @@
                         help="number of tenants, whose keys are added and removed; none by default")
     parser.add_argument("--tenant_quotas", action="store_true",
                         help="give the tenants quotas and check what they have running (QUOTA)")
+    parser.add_argument("--graded_health", action="store_true", help="owners grade their workers")
     parser.add_argument("--keep_logs", action="store_true", help="also if nothing was violated")
     parser.add_argument("--build", default="build")
     parser.add_argument("--base_port", type=int, default=17200)
--- a/soak/system.py
+++ b/soak/system.py
@@ -16,9 +16,11 @@
 class System:
     """Uses ports from `base_port` upwards, so that several systems can run at once."""
 
-    def __init__(self, folder, build, base_port, shape, quotas=False, tenants=None):
+    def __init__(self, folder, build, base_port, shape, quotas=False, tenants=None,
+                 graded_health=False):
         self._folder = folder
         self._build = build
+        self._graded = "true" if graded_health else "false"
         self._base = base_port
         self._version = 0
         self.more_routes = []
@@ -54,7 +56,8 @@
         with open(settings, "w", encoding="utf-8") as file:
             file.write(NODE_SETTINGS.format(
                 name=name, zone=zone, callers=port, ready=port + 1, peers=port + 2,
-                advertised=port + 3, metrics=port + 4, log=port + 5, vms=self._base, cores=cores))
+                advertised=port + 3, metrics=port + 4, log=port + 5, vms=self._base, cores=cores,
+                graded=self._graded))
         self.peer_links.append(Link(port + 3, port + 2))
         self.log_links.append(Link(port + 5, self._base))
         self.caller_ports.append(port)
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -17,6 +17,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <ctime>
 #include <fmt/format.h>
@@ -341,6 +342,7 @@
         options.m_scheduler.m_retention = m_settings.m_retention;
         options.m_scheduler.m_far_factor = m_settings.m_far_factor;
         options.m_scheduler.m_copies_percent = m_settings.m_copies_percent;
+        options.m_scheduler.m_graded_health = m_settings.m_graded_health;
         options.m_scheduler.m_lease.m_max_lease = m_settings.m_longest_lease;
         options.m_planner.m_fleet.m_vm_lease = m_settings.m_vm_lease;
         options.m_planner.m_move_time = m_settings.m_move_time;
@@ -415,6 +417,25 @@
         }
         metrics.set_tenant_gauges(scheduler == nullptr ? std::vector<tenant_gauge>{}
                                                        : tenant_gauges(scheduler->state()));
+        metrics.set_grade_gauges(scheduler == nullptr ? std::vector<grade_gauge>{}
+                                                      : grade_gauges(scheduler->state()));
+    }
+
+    static std::vector<grade_gauge> grade_gauges(const scheduler_state& state)
+    {
+        constexpr std::array lowered{worker_grade::reduced, worker_grade::out,
+                                     worker_grade::probation};
+        std::vector<grade_gauge> gauges;
+        for (const auto& [pool, grades] : state.m_grades) {
+            auto at_full = static_cast<double>(state.pool_size(pool));
+            for (const auto grade : lowered) {
+                const auto workers = static_cast<double>(grades.count(grade));
+                at_full = std::max(at_full - workers, 0.0);
+                gauges.push_back({pool, std::string{to_string(grade)}, workers});
+            }
+            gauges.push_back({pool, std::string{to_string(worker_grade::full)}, at_full});
+        }
+        return gauges;
     }
 
     static std::vector<tenant_gauge> tenant_gauges(const scheduler_state& state)
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -89,6 +89,33 @@
     return milliseconds{reader.number(section, key, 0, max_ms)};
 }
 
+/// Returns whether a list of names has this one, however the platform writes its lists: with
+/// commas, brackets or quotes.
+bool lists(std::string_view text, std::string_view name)
+{
+    constexpr std::string_view separators = " \t,;[]\"'";
+    while (!text.empty()) {
+        const auto end = std::min(text.find_first_of(separators), text.size());
+        if (text.substr(0, end) == name) {
+            return true;
+        }
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return false;
+}
+
+/// Reads whether workers are graded: as set or, if the key is absent or empty, where the platform
+/// has unhealthy workers.
+bool read_graded_health(ini_reader& reader)
+{
+    const auto features = reader.optional_text("platform", "features");
+    const auto text = reader.optional_text("limits", "graded_health");
+    if (!text.empty() && text != "true" && text != "false") {
+        reader.report(settings_fault::wrong_type, "limits", "graded_health", "true or false");
+    }
+    return text.empty() ? lists(features, "health") : text == "true";
+}
+
 void read_caller_limits(ini_reader& reader, node_settings& settings)
 {
     settings.m_memory_bytes =
@@ -136,6 +163,7 @@
     settings.m_far_factor = read_factor(reader, "limits", "far_factor");
     settings.m_copies_percent = static_cast<std::uint32_t>(reader.number_or(
         "limits", "copies_percent", 0, max_copies_percent, default_copies_percent));
+    settings.m_graded_health = read_graded_health(reader);
     read_caller_limits(reader, settings);
     auto errors = reader.finish();
     if (!errors.empty()) {
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -530,6 +530,9 @@
         // Each list shows the same crash again while a start is open.
         return;
     }
+    if (!session.silent()) {
+        m_evidence.went_down(session, now.m_at);
+    }
     mark_lost_in_crash(session, lost, session.last_heard_at(), true,
                        fate == vm_fate::gone ? "its VM has another worker" : "its VM is down", now);
 }
--- a/src/scheduling/worker_evidence.cpp
+++ b/src/scheduling/worker_evidence.cpp
@@ -42,10 +42,11 @@
     }
     // A task that fails on different workers is itself at fault, not the workers.
     const auto elsewhere = failed_elsewhere_on(session, key);
-    if (!elsewhere.empty()) {
+    const bool counts = !target.spec().m_steps[key.m_task.m_step].m_long_running;
+    if (counts && !elsewhere.empty()) {
         withdraw_failure(elsewhere, now);
     }
-    else if (!target.spec().m_steps[key.m_task.m_step].m_long_running) {
+    else if (counts) {
         count_failure(session, key, now);
     }
     m_state->m_failed_on[key] = session.id();
--- a/src/telemetry/node_metrics.cpp
+++ b/src/telemetry/node_metrics.cpp
@@ -82,6 +82,14 @@
     /// Those of the last call; guarded by `m_tenants_mutex`.
     std::set<prometheus::Gauge*> m_tenant_gauges;
 
+    prometheus::Family<prometheus::Gauge>& m_graded_workers =
+        prometheus::BuildGauge()
+            .Name("peridot_graded_workers")
+            .Help("Workers by pool and grade, with the owner that grades them")
+            .Register(m_registry);
+    /// Those of the last call; guarded by `m_tenants_mutex`.
+    std::set<prometheus::Gauge*> m_grade_gauges;
+
     void count_for_tenant(const tenant_key& key, double amount)
     {
         auto& counter = m_tenant_counters[key];
@@ -178,6 +186,22 @@
     }
 }
 
+void node_metrics::set_grade_gauges(const std::vector<grade_gauge>& gauges)
+{
+    const std::lock_guard lock{m_implementation->m_tenants_mutex};
+    auto& known = m_implementation->m_grade_gauges;
+    for (auto* gauge : known) {
+        m_implementation->m_graded_workers.Remove(gauge);
+    }
+    known.clear();
+    for (const auto& gauge : gauges) {
+        auto& added = m_implementation->m_graded_workers.Add(
+            {{"pool", gauge.m_pool}, {"grade", gauge.m_grade}});
+        added.Set(gauge.m_workers);
+        known.insert(&added);
+    }
+}
+
 std::string node_metrics::expose() const
 {
     return prometheus::TextSerializer{}.Serialize(m_implementation->m_registry.Collect());
--- a/test/node/node_settings_test.cpp
+++ b/test/node/node_settings_test.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(valid_settings_are_read);
     CPPUNIT_TEST(far_factor_may_be_absent_or_empty);
     CPPUNIT_TEST(copies_use_a_twentieth_of_a_pool_unless_set_otherwise);
+    CPPUNIT_TEST(workers_are_graded_where_the_platform_has_unhealthy_ones);
     CPPUNIT_TEST(wrong_or_missing_keys_are_reported);
     CPPUNIT_TEST(callers_limits_have_defaults_within_the_smallest_machine);
     CPPUNIT_TEST_SUITE_END();
@@ -97,6 +98,30 @@
                              first_fault(std::string{valid_settings} + "far_factor = twice\n"));
     }
 
+    // How a platform writes a list into the settings is not known, nor whether it has the list.
+    void workers_are_graded_where_the_platform_has_unhealthy_ones()
+    {
+        const auto is_graded = [](const std::string& features, const std::string& limits) {
+            const auto text =
+                replaced(valid_settings, "[limits]\n", features + "[limits]\n" + limits);
+            const auto read = parse_node_settings("node.ini", text);
+            CPPUNIT_ASSERT(read.has_value());
+            return read->m_graded_health;
+        };
+        CPPUNIT_ASSERT(!is_graded("", ""));
+        CPPUNIT_ASSERT(!is_graded("features =\n", ""));
+        CPPUNIT_ASSERT(!is_graded("features = {{contracts}}\n", ""));
+        CPPUNIT_ASSERT(!is_graded("features = unhealthy, healthy, health-2\n", ""));
+        for (const std::string list : {"health", "keyed, health", "[\"keyed\",\"health\"]",
+                                       "['health', 'keyed']", "keyed health other"}) {
+            CPPUNIT_ASSERT(is_graded("features = " + list + "\n", ""));
+        }
+        CPPUNIT_ASSERT(!is_graded("features = health\n", "graded_health = false\n"));
+        CPPUNIT_ASSERT(is_graded("", "graded_health = true\n"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"wrong_type"},
+                             first_fault(std::string{valid_settings} + "graded_health = yes\n"));
+    }
+
     void wrong_or_missing_keys_are_reported()
     {
         CPPUNIT_ASSERT_EQUAL(std::string{"missing_key"},
--- a/test/scheduling/worker_evidence_test.cpp
+++ b/test/scheduling/worker_evidence_test.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(worker_that_is_out_gets_no_work);
     CPPUNIT_TEST(gang_waits_for_workers_at_full);
     CPPUNIT_TEST(last_attempt_waits_for_a_worker_at_full);
+    CPPUNIT_TEST(worker_whose_vm_was_seen_down_twice_stayed_at_full);
     CPPUNIT_TEST(worker_on_probation_gets_one_task_at_a_time);
     CPPUNIT_TEST(running_tasks_outlast_a_lower_grade);
     CPPUNIT_TEST(without_the_setting_nothing_is_graded);
@@ -219,6 +220,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, owner.count_starts_after_write());
     }
 
+    // The list of VMs shows a crash before holds do; the silence after it counted for nothing.
+    void worker_whose_vm_was_seen_down_twice_stayed_at_full()
+    {
+        graded_owner owner;
+        owner.add_worker("i-2");
+        owner.submit(8);
+        owner.write();
+        for (const auto& [to, order] : owner.m_starts) {
+            owner.answer_start(to, order, order_result::accepted);
+        }
+        owner.m_scheduler->worker_ended("i-1", vm_fate::down, owner.m_now.m_at, owner.m_now);
+        CPPUNIT_ASSERT(owner.grades().grade_of("i-1") == worker_grade::full);
+        owner.pass(milliseconds{100});
+        owner.grades().went_down("i-1", owner.m_now.m_at);
+        CPPUNIT_ASSERT(owner.grades().grade_of("i-1") == worker_grade::out);
+    }
+
     void worker_on_probation_gets_one_task_at_a_time()
     {
         graded_owner owner;
--- a/test/telemetry/node_metrics_test.cpp
+++ b/test/telemetry/node_metrics_test.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(tenants_without_a_name_of_their_own_are_counted_together);
     CPPUNIT_TEST(counts_of_a_tenant_that_loses_its_name_are_kept_in_the_sum);
     CPPUNIT_TEST(gauges_of_tenants_are_replaced_together);
+    CPPUNIT_TEST(gauges_of_grades_are_replaced_together);
     CPPUNIT_TEST_SUITE_END();
 
     node_metrics m_metrics;
@@ -76,6 +77,18 @@
         CPPUNIT_ASSERT(!shows("peridot_tenant{"));
     }
 
+    // A node that has lost its ownership must not show old grades.
+    void gauges_of_grades_are_replaced_together()
+    {
+        m_metrics.set_grade_gauges({{"pool", "full", 3}, {"pool", "out", 1}});
+        CPPUNIT_ASSERT(shows(R"(peridot_graded_workers{grade="out",pool="pool"} 1)"));
+        m_metrics.set_grade_gauges({{"pool", "full", 4}});
+        CPPUNIT_ASSERT(shows(R"(peridot_graded_workers{grade="full",pool="pool"} 4)"));
+        CPPUNIT_ASSERT(!shows(R"(grade="out")"));
+        m_metrics.set_grade_gauges({});
+        CPPUNIT_ASSERT(!shows("peridot_graded_workers{"));
+    }
+
 private:
     /// Returns the name of a tenant's counter with its labels, which are sorted by name.
     static std::string series(const std::string& tenant, const std::string& kind,
