--- a/test/scheduling/worker_evidence_test.cpp
+++ b/test/scheduling/worker_evidence_test.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(lost_owner_leaves_all_workers_at_full);
     CPPUNIT_TEST(worker_that_is_out_gets_no_work);
     CPPUNIT_TEST(gang_waits_for_workers_at_full);
+    CPPUNIT_TEST(long_running_task_waits_for_a_worker_at_full);
     CPPUNIT_TEST(last_attempt_waits_for_a_worker_at_full);
     CPPUNIT_TEST(worker_whose_vm_was_seen_down_twice_stayed_at_full);
     CPPUNIT_TEST(worker_on_probation_gets_one_task_at_a_time);
@@ -209,6 +210,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, owner.count_starts_after_write());
     }
 
+    void long_running_task_waits_for_a_worker_at_full()
+    {
+        graded_owner owner;
+        owner.reduce("i-1");
+        step_spec step;
+        step.m_long_running = true;
+        owner.submit_step(job_id, step);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, owner.count_starts_after_write());
+        owner.add_worker("i-2");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, owner.count_starts_after_write());
+    }
+
     void last_attempt_waits_for_a_worker_at_full()
     {
         graded_owner owner;
