Build the judged run at the end, for optimized builds

Seen: GCC 12 with -O3 -Werror fails in copy_placement.cpp (maybe-uninitialized in judge_run). Cause: the optional result is returned on some paths while a local with the same layout is filled in later. Change: the late run is filled in by itself, and the judged run is built in the return statement. Measured: the file compiles with -O3 -Werror; before, the same command reported two lines of the warning.

--- a/src/scheduling/copy_placement.cpp
+++ b/src/scheduling/copy_placement.cpp
@@ -118,11 +118,11 @@
     const auto& step = target.spec().m_steps[ref.m_step];
     const auto tasks = class_of(target, ref.m_step);
     const auto& times = m_state->m_run_times;
-    judged_run judged{&target, &queue, ref, {}, times.runs_of(tasks)};
-    auto& late = judged.m_run;
+    const auto learned_runs = times.runs_of(tasks);
+    late_run late;
     late.m_worker = session->id();
     late.m_cpu_millis = reserved_for(step).m_cpu_millis;
-    late.m_usual = cautious_time(times.expected(tasks, step.m_estimate), judged.m_learned_runs);
+    late.m_usual = cautious_time(times.expected(tasks, step.m_estimate), learned_runs);
     const auto slowness = run->m_place_factor * times.slowness(session->instance());
     const auto expected = milliseconds{
         static_cast<std::int64_t>(static_cast<double>(late.m_usual.count()) * slowness)};
@@ -134,7 +134,7 @@
     if (!is_worth_a_copy(late, 1.0)) {
         return std::nullopt;
     }
-    return judged;
+    return judged_run{&target, &queue, ref, std::move(late), learned_runs};
 }
 
 void copy_placement::place_in_pool(const std::string& pool, std::vector<judged_run>& late,
