Leave copies and graded health off unless a node sets them

Steps marked speculative were also judged differently after crashes with copies off, and grades were looked up whatever the option.

What changed for speculative steps after a crash applies where copies are on, or a predecessor's were adopted. Grades are looked up with the option only.

--- a/include/peridotrudder/node/node_settings.hpp
+++ b/include/peridotrudder/node/node_settings.hpp
@@ -52,7 +52,7 @@
     double m_far_factor{1.0};
     /// Most of a pool's CPU that copies of late runs may use, in percent; zero for no copies.
     std::uint32_t m_copies_percent{0};
-    /// Grades workers by their runs: the platform says that workers may be unhealthy.
+    /// Grades workers by their runs.
     bool m_graded_health{false};
     /// Memory and open descriptors that the process may use; callers get a part of each.
     std::size_t m_memory_bytes{0};
--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -155,6 +155,8 @@
     std::map<run_key, std::string> m_failed_on;
     /// Jobs that may have runs of which copies may be started.
     std::set<std::string> m_speculative_jobs;
+    /// Whether copies of a predecessor were adopted.
+    bool m_adopted_copies{false};
     /// Learned run times. Only the quality of choices depends on them.
     run_times m_run_times;
     /// Effects to carry out once the next batch is written.
@@ -181,6 +183,11 @@
         return m_options.m_far_factor > 1.0 || m_options.m_graded_health ||
                (step.m_speculative && m_options.m_copies_percent > 0);
     }
+    /// Returns whether a task of the step may have had a copy in this owner's term.
+    bool may_have_copies(const step_spec& step) const
+    {
+        return step.m_speculative && (m_options.m_copies_percent > 0 || m_adopted_copies);
+    }
     /// Returns whether a worker still has a run of the task that it is to stop.
     bool has_stranger(const run_key& key);
     worker_health& health_of(const std::string& pool);
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -20,7 +20,7 @@
 constexpr std::uint64_t default_max_body_bytes = 262'144;
 /// More than the platform's limit of 16,384 for headers, since the request line counts too.
 constexpr std::uint64_t default_max_header_bytes = 32'768;
-constexpr std::uint64_t default_copies_percent = 5;
+constexpr std::uint64_t default_copies_percent = 0;
 constexpr std::uint64_t max_copies_percent = 100;
 constexpr std::uint64_t most_connections = 65'536;
 /// More than the nodes of a cluster of several hundred, which may all open their links at once.
@@ -104,16 +104,17 @@
     return false;
 }
 
-/// Reads whether workers are graded: as set or, if the key is absent or empty, where the platform
-/// has unhealthy workers.
+/// Reads whether workers are graded: not if the key is absent or empty, and with `platform` where
+/// the platform has unhealthy workers.
 bool read_graded_health(ini_reader& reader)
 {
     const auto features = reader.optional_text("platform", "features");
     const auto text = reader.optional_text("limits", "graded_health");
-    if (!text.empty() && text != "true" && text != "false") {
-        reader.report(settings_fault::wrong_type, "limits", "graded_health", "true or false");
+    if (!text.empty() && text != "true" && text != "false" && text != "platform") {
+        reader.report(settings_fault::wrong_type, "limits", "graded_health",
+                      "true, false or platform");
     }
-    return text.empty() ? lists(features, "health") : text == "true";
+    return text == "true" || (text == "platform" && lists(features, "health"));
 }
 
 void read_caller_limits(ini_reader& reader, node_settings& settings)
--- a/src/scheduling/run_adoption.cpp
+++ b/src/scheduling/run_adoption.cpp
@@ -52,6 +52,7 @@
     run.m_on_trial = is_on_trial(placed);
     run.m_stopping = is_copy || source.phase() != job_phase::active;
     run.m_is_copy = is_copy;
+    state.m_adopted_copies = state.m_adopted_copies || is_copy;
     session.reserve(key, run);
 }
 
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -35,6 +35,12 @@
                     run.m_estimate * stall_estimate_percent / percent_per_whole + stall_time);
 }
 
+/// Returns whether the task is over, or has another run by now.
+bool is_left_behind(const task& entry, std::uint32_t run)
+{
+    return entry.m_phase != task_phase::placed || !entry.has_run(run);
+}
+
 step_key step_of(const run_key& key)
 {
     return {key.m_job, key.m_task.m_occurrence, key.m_task.m_step};
@@ -362,8 +368,8 @@
     }
     const auto& entry = target->at(key.m_task);
     const auto run = session.runs().at(key).m_run;
-    const bool left_behind = entry.m_phase != task_phase::placed || !entry.has_run(run);
-    if (left_behind && target->spec().m_steps[key.m_task.m_step].m_speculative) {
+    const auto& step = target->spec().m_steps[key.m_task.m_step];
+    if (m_state->may_have_copies(step) && is_left_behind(entry, run)) {
         // The other run of the task has succeeded; its worker says nothing about this one.
         return false;
     }
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -38,7 +38,8 @@
 {
     std::vector<candidate> candidates;
     auto& health = m_state->health_of(pool);
-    const auto grades = m_state->m_grades.find(pool);
+    const auto grades =
+        m_state->m_options.m_graded_health ? m_state->m_grades.find(pool) : m_state->m_grades.end();
     for (auto& [id, session] : m_state->m_workers) {
         const bool leaving = m_state->m_leaving.count(id) != 0;
         if (session.report().m_pool != pool || leaving || !session.takes_work(now)) {
--- a/test/scheduling/worker_evidence_test.cpp
+++ b/test/scheduling/worker_evidence_test.cpp
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(worker_on_probation_gets_one_task_at_a_time);
     CPPUNIT_TEST(running_tasks_outlast_a_lower_grade);
     CPPUNIT_TEST(without_the_setting_nothing_is_graded);
+    CPPUNIT_TEST(default_options_consult_no_grade);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -281,6 +282,17 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, report.events("worker_graded"));
     }
 
+    // Guards against grades that decide although nothing keeps them up to date.
+    void default_options_consult_no_grade()
+    {
+        graded_owner owner;
+        owner.m_scheduler->mutable_state().m_options.m_graded_health =
+            scheduler_options{}.m_graded_health;
+        owner.take_out("i-1");
+        owner.submit(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, owner.count_starts_after_write());
+    }
+
 private:
     /// An owner that grades its workers.
     struct graded_owner : owner_fixture {
