Keep runs stopped for the task's other run out of their workers' evidence

Seen: when both features are on, a run that was told to stop since its task's other run had ended, and that its worker then lists as failed, counted as a failure of the worker (grades, or worker_health without them). Cause: the end of a run was judged without asking why it ended. Change: the failure of a copy that is being stopped, or of a run that is being stopped after its task has another outcome, is not passed on. A failure by itself is.

--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -388,7 +388,11 @@
 {
     const auto* run = session.find(ended.m_key);
     double slowness = 0.0;
+    bool was_stopped = false;
+    bool was_copy = false;
     if (run != nullptr && run->m_run == ended.m_run) {
+        was_stopped = run->m_stopping;
+        was_copy = run->m_is_copy;
         slowness = learn_run_time(session, *run, ended, now.m_at);
         session.release(ended.m_key);
     }
@@ -401,7 +405,13 @@
     const auto attempts = m_state->queue_of(target->header()).m_attempts;
     const bool changed = target->end(ended.m_key.m_task, ended.m_run, ended.m_run_end,
                                      ended.m_checkpoint, attempts, now.m_unix_ms);
-    m_evidence.run_ended(session, *target, ended, slowness, now.m_at);
+    // A worker may list a run that is stopped in favor of the task's other run as failed.
+    const bool stopped_for_other =
+        was_stopped && (was_copy || is_left_behind(before, ended.m_run)) &&
+        m_state->may_have_copies(target->spec().m_steps[ended.m_key.m_task.m_step]);
+    if (!stopped_for_other || ended.m_run_end == run_end::done) {
+        m_evidence.run_ended(session, *target, ended, slowness, now.m_at);
+    }
     if (!changed) {
         return;
     }
--- a/test/scheduling/copy_placement_test.cpp
+++ b/test/scheduling/copy_placement_test.cpp
@@ -15,6 +15,8 @@
 constexpr std::uint32_t copy = 2;
 const run_key only_task{job_id, {0, 0, 0}};
 constexpr milliseconds settling_time{40'000};
+/// The same where the longest term of a worker below full, with its probation, comes first.
+constexpr milliseconds graded_settling_time{settling_time + milliseconds{84'000}};
 
 /// An owner of two workers. Its job's one task runs on the first and is late.
 struct late_run_fixture : owner_fixture {
@@ -134,6 +136,34 @@
     }
 };
 
+/// The same with graded workers.
+struct graded_late_run_fixture : late_run_fixture {
+    graded_late_run_fixture() { m_scheduler->mutable_state().m_options.m_graded_health = true; }
+
+    worker_grades& grades()
+    {
+        auto& pool = m_scheduler->mutable_state().m_grades["pool"];
+        pool.set_pool_size(2);
+        return pool;
+    }
+
+    void lower(const std::string& worker, worker_grade grade)
+    {
+        if (grade == worker_grade::reduced) {
+            grades().run_failed(worker, "one", m_now.m_at);
+            grades().run_failed(worker, "another", m_now.m_at);
+        }
+        else {
+            grades().went_down(worker, m_now.m_at);
+            grades().went_down(worker, m_now.m_at);
+        }
+        if (grade == worker_grade::probation) {
+            grades().advance(m_now.m_at + milliseconds{8'000});
+        }
+        CPPUNIT_ASSERT(grades().grade_of(worker) == grade);
+    }
+};
+
 tenant_directory acme_with(std::int64_t cpu_millis)
 {
     tenant_config tenant;
@@ -192,7 +222,12 @@
     CPPUNIT_TEST(quota_is_lowered_while_a_copy_is_recorded);
     CPPUNIT_TEST(ticket_of_a_copy_expires);
     CPPUNIT_TEST(default_options_start_no_copy);
+    CPPUNIT_TEST(copy_goes_to_no_worker_below_full);
+    CPPUNIT_TEST(run_stopped_for_the_other_does_not_lower_its_worker);
+    CPPUNIT_TEST(run_stopped_for_the_other_does_not_eject_its_worker);
+    CPPUNIT_TEST(copy_that_fails_by_itself_lowers_its_worker);
     CPPUNIT_TEST(invariants_hold_in_any_history_with_copies);
+    CPPUNIT_TEST(invariants_hold_in_any_history_with_copies_and_grades);
     CPPUNIT_TEST(invariants_hold_in_any_history_of_forgotten_workers_with_copies);
     CPPUNIT_TEST_SUITE_END();
 
@@ -499,6 +534,75 @@
         CPPUNIT_ASSERT(owner.m_scheduler->state().m_speculative_jobs.empty());
     }
 
+    // A copy on a worker that fails or is slow would end no sooner than the late run.
+    void copy_goes_to_no_worker_below_full()
+    {
+        for (const auto grade :
+             {worker_grade::reduced, worker_grade::out, worker_grade::probation}) {
+            graded_late_run_fixture owner;
+            owner.submit_task();
+            owner.write_through();
+            CPPUNIT_ASSERT_EQUAL(std::string{"i-1"},
+                                 owner.m_starts.at(0).first.m_instance.m_worker);
+            owner.lower("i-2", grade);
+            owner.confirm_late();
+            owner.write_through();
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, owner.m_starts.size());
+            owner.add_worker("i-3");
+            owner.m_scheduler->tick(owner.m_now);
+            owner.write_through();
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, owner.m_starts.size());
+            CPPUNIT_ASSERT_EQUAL(std::string{"i-3"},
+                                 owner.m_starts.at(1).first.m_instance.m_worker);
+        }
+    }
+
+    // Copies would lower the grades of the workers that they relieve, or that they are stopped on.
+    // A worker may list a run that it was told to stop as failed.
+    void run_stopped_for_the_other_does_not_lower_its_worker()
+    {
+        for (const auto end : {run_end::stopped, run_end::failed}) {
+            for (const bool copy_wins : {false, true}) {
+                graded_late_run_fixture owner;
+                const std::string loser{copy_wins ? "i-1" : "i-2"};
+                owner.start_copy();
+                owner.confirm_copy();
+                // A failure of one more job would lower the grade.
+                owner.grades().run_failed(loser, "another", owner.m_now.m_at);
+                end_one_run_for_the_other(owner, copy_wins, end);
+                CPPUNIT_ASSERT(owner.grades().grade_of(loser) == worker_grade::full);
+            }
+        }
+    }
+
+    void run_stopped_for_the_other_does_not_eject_its_worker()
+    {
+        for (const bool copy_wins : {false, true}) {
+            late_run_fixture owner;
+            const std::string loser{copy_wins ? "i-1" : "i-2"};
+            owner.start_copy();
+            owner.confirm_copy();
+            auto& health = owner.m_scheduler->mutable_state().health_of("pool");
+            health.failed(loser, 2, owner.m_now.m_at);
+            end_one_run_for_the_other(owner, copy_wins, run_end::failed);
+            CPPUNIT_ASSERT(health.usable(loser, owner.m_now.m_at));
+            health.failed(loser, 2, owner.m_now.m_at);
+            CPPUNIT_ASSERT(!health.usable(loser, owner.m_now.m_at));
+        }
+    }
+
+    // Guards against copies that hide failures from the grades.
+    void copy_that_fails_by_itself_lowers_its_worker()
+    {
+        graded_late_run_fixture owner;
+        owner.start_copy();
+        owner.confirm_copy();
+        owner.grades().run_failed("i-2", "another", owner.m_now.m_at);
+        owner.end_run_on("i-2", copy, run_end::failed);
+        CPPUNIT_ASSERT(owner.grades().grade_of("i-2") == worker_grade::reduced);
+        CPPUNIT_ASSERT(owner.task_is_placed());
+    }
+
     void invariants_hold_in_any_history_with_copies()
     {
         std::size_t copies = 0;
@@ -509,26 +613,30 @@
                 simulation.set_policy(*rc::gen::arbitrary<bool>());
                 simulation.set_speculative(copies_percent);
                 simulation.set_failing(*rc::gen::element(0, 10), 8);
-                simulation.keep_former_refusals();
-                simulation.change_owner(false);
-                const auto action = rc::gen::inRange(0, 20);
-                const auto number = rc::gen::inRange(0U, 1'000U);
-                const auto actions =
-                    *rc::gen::container<std::vector<std::pair<int, std::uint32_t>>>(
-                        rc::gen::pair(action, number));
-                for (const auto& [kind, value] : actions) {
-                    apply_copies_action(simulation, kind, value);
-                    simulation.pass(milliseconds{30} * (value % 9 + 1));
-                    RC_ASSERT(simulation.violation() == "");
-                }
-                const bool all_completed = simulation.completes_all_jobs(settling_time);
-                RC_ASSERT(simulation.violation() == "");
-                RC_ASSERT(all_completed);
+                play_copies_history(simulation, settling_time);
                 copies += simulation.events("copy_started");
             });
         CPPUNIT_ASSERT(copies > 0);
     }
 
+    // A copy could keep a task from the worker at full that its last attempt waits for.
+    void invariants_hold_in_any_history_with_copies_and_grades()
+    {
+        std::size_t copies = 0;
+        std::size_t changes = 0;
+        assert_property("the same in any history with copies and grades", [&copies, &changes] {
+            fleet_simulation simulation{*rc::gen::arbitrary<std::uint64_t>()};
+            simulation.set_speculative(copies_percent);
+            simulation.set_graded(true);
+            simulation.set_failing(*rc::gen::element(0, 10), 8);
+            play_copies_history(simulation, graded_settling_time);
+            copies += simulation.events("copy_started");
+            changes += simulation.events("worker_graded");
+        });
+        CPPUNIT_ASSERT(copies > 0);
+        CPPUNIT_ASSERT(changes > 0);
+    }
+
     void invariants_hold_in_any_history_of_forgotten_workers_with_copies()
     {
         assert_property("the same in any history of forgotten workers", [] {
@@ -538,6 +646,38 @@
             RC_ASSERT(play_forgetting_history(simulation, *forgetting_actions()) == "");
         });
     }
+
+private:
+    static void play_copies_history(fleet_simulation& simulation, milliseconds time)
+    {
+        simulation.keep_former_refusals();
+        simulation.change_owner(false);
+        const auto action = rc::gen::inRange(0, 20);
+        const auto number = rc::gen::inRange(0U, 1'000U);
+        const auto actions = *rc::gen::container<std::vector<std::pair<int, std::uint32_t>>>(
+            rc::gen::pair(action, number));
+        for (const auto& [kind, value] : actions) {
+            apply_copies_action(simulation, kind, value);
+            simulation.pass(milliseconds{30} * (value % 9 + 1));
+            RC_ASSERT(simulation.violation() == "");
+        }
+        const bool all_completed = simulation.completes_all_jobs(time);
+        RC_ASSERT(simulation.violation() == "");
+        RC_ASSERT(all_completed);
+    }
+
+    /// Lets the copy or the original succeed, and the other run end like this after its stop.
+    static void end_one_run_for_the_other(late_run_fixture& owner, bool copy_wins, run_end end)
+    {
+        const auto [winner, loser] =
+            copy_wins ? std::pair{copy, original} : std::pair{original, copy};
+        owner.end_run_on(copy_wins ? "i-2" : "i-1", winner, run_end::done);
+        CPPUNIT_ASSERT(owner.phase() == job_phase::completed);
+        CPPUNIT_ASSERT(owner.has_stop_of(loser));
+        owner.pass(milliseconds{100});
+        owner.end_run_on(copy_wins ? "i-1" : "i-2", loser, end);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, owner.used_cpu_millis(copy_wins ? "i-1" : "i-2"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(copy_placement_test);
--- a/test/scheduling/worker_evidence_test.cpp
+++ b/test/scheduling/worker_evidence_test.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(calm_pool_is_not_changed);
     CPPUNIT_TEST(worker_that_fails_nearly_half_of_its_runs_wastes_less);
     CPPUNIT_TEST(more_jobs_end_in_time_beside_a_slow_worker);
+    CPPUNIT_TEST(slow_worker_is_graded_though_copies_stop_its_runs);
     CPPUNIT_TEST(flapping_worker_loses_fewer_runs);
     CPPUNIT_TEST(all_workers_failing_at_once_are_used_on);
     CPPUNIT_TEST(full_pool_uses_a_worker_that_fails_nearly_half_of_its_runs);
@@ -115,6 +116,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, lowered_without_fault(after, options));
     }
 
+    // Guards against copies that hide a slow worker: those of its runs that lose to a copy are
+    // stopped, and are no evidence.
+    void slow_worker_is_graded_though_copies_stop_its_runs()
+    {
+        auto options = with_fault({0, 3.0, {}});
+        options.m_speculative = true;
+        const auto graded = replay(options, true);
+        options.m_copies_percent = 5;
+        const auto copied = replay(options, false);
+        const auto both = replay(options, true);
+        CPPUNIT_ASSERT(both.events("copy_won") > 0);
+        CPPUNIT_ASSERT(both.events("copy_started") < copied.events("copy_started"));
+        CPPUNIT_ASSERT(both.events("worker_graded") > 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, lowered_without_fault(both, options));
+        CPPUNIT_ASSERT(both.m_in_time_share > copied.m_in_time_share);
+        CPPUNIT_ASSERT(both.m_in_time_share > graded.m_in_time_share);
+    }
+
     void flapping_worker_loses_fewer_runs()
     {
         const auto options = with_fault({0, 1.0, milliseconds{5'000}});
