--- a/bench/uneven_load_main.cpp
+++ b/bench/uneven_load_main.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace {
@@ -57,7 +58,7 @@
 
 void print(const std::string& name, uneven_load_options options)
 {
-    const auto result = replay(options);
+    const auto result = replay(std::move(options));
     fmt::print("{:<38} mean {:5.0f} ms, p95 {:5.0f} ms, in time {:.3f}, near {:.3f}, waits {}, "
                "missed {}\n",
                name, result.m_mean_ms, result.m_p95_ms, result.m_in_time, result.m_near,
