--- a/include/peridotrudder/scheduling/placement.hpp
+++ b/include/peridotrudder/scheduling/placement.hpp
@@ -4,6 +4,7 @@
 /// Chooses the worker for a task.
 
 #include "peridotrudder/jobs/job_spec.hpp"
+#include "peridotrudder/machines/worker_grade.hpp"
 #include "peridotrudder/machines/worker_session.hpp"
 #include "peridotrudder/scheduling/ticket_cache.hpp"
 
@@ -16,8 +17,10 @@
 /// A worker that the scheduler may use, and its health.
 struct candidate {
     worker_session* m_session{nullptr};
-    /// Recently had failed or stalled runs; used last.
+    /// Recently had failed or stalled runs, or is below full; used last.
     bool m_unhealthy{false};
+    /// Full where workers are not graded.
+    worker_grade m_grade{worker_grade::full};
 };
 
 /// A task to place and its constraints beyond its step's specification.
@@ -48,6 +51,9 @@
 /// Returns whether the worker has the label that the step requires, if any.
 bool has_required_label(const step_spec& step, const worker_session& session);
 
+/// Returns whether the task may only start on a worker whose grade is full.
+bool needs_worker_at_full(const placement_request& request);
+
 /// Returns what keeps the task off the worker now, apart from tickets and trials of the task
 /// itself.
 worker_obstacle room_obstacle(const placement_request& request, const candidate& worker,
--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -8,6 +8,7 @@
 #include "peridotrudder/scheduling/leftover_runs.hpp"
 #include "peridotrudder/scheduling/placement.hpp"
 #include "peridotrudder/scheduling/scheduler_state.hpp"
+#include "peridotrudder/scheduling/worker_evidence.hpp"
 
 namespace peridotrudder {
 
@@ -29,7 +30,8 @@
     explicit run_tracker(scheduler_state& state)
         : m_state{&state},
           m_crashes{state},
-          m_leftovers{state}
+          m_leftovers{state},
+          m_evidence{state}
     {
     }
 
@@ -65,13 +67,18 @@
     /// Lets the job's next record tell a successor that the start of the run is not open.
     void note_settled_start(const run_key& key, std::uint32_t run);
     void handle_end(worker_session& session, const ended_entry& ended, moment now);
-    /// Learns from a run that succeeded how long such runs take.
-    void learn_run_time(const worker_session& session, const worker_run& run,
-                        const ended_entry& ended, time_point now);
+    /// Stops the runs that a task had before one of them ended, but for that one.
+    void stop_other_runs(const worker_session& session, const ended_entry& ended,
+                         const task& before, time_point now);
+    /// Orders a worker to stop a run, if it is still there.
+    void stop_run(const worker_instance& instance, const run_key& key, std::uint32_t run,
+                  time_point now);
+    /// Learns from a run that succeeded how long such runs take. Returns its time as a multiple of
+    /// the upper quartile of such runs; zero if that is not known.
+    double learn_run_time(const worker_session& session, const worker_run& run,
+                          const ended_entry& ended, time_point now);
     /// Lets an unclear end be acknowledged if its task will not start again.
     void judge_unclear_end(worker_session& session, const unclear_end& end);
-    void update_worker_health(worker_session& session, const job& target, const run_key& key,
-                              run_end end, time_point now);
     void mark_run_lost(worker_session& session, const run_key& key, std::string_view reason,
                        moment now);
     /// Marks runs as lost with their worker, which was last heard of at `last_heard_at`, and blames
@@ -102,6 +109,7 @@
     scheduler_state* m_state;
     crash_tracker m_crashes;
     leftover_runs m_leftovers;
+    worker_evidence m_evidence;
 };
 
 } // namespace peridotrudder
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -20,6 +20,8 @@
 constexpr std::uint64_t default_max_body_bytes = 262'144;
 /// More than the platform's limit of 16,384 for headers, since the request line counts too.
 constexpr std::uint64_t default_max_header_bytes = 32'768;
+constexpr std::uint64_t default_copies_percent = 0;
+constexpr std::uint64_t max_copies_percent = 100;
 constexpr std::uint64_t most_connections = 65'536;
 /// More than the nodes of a cluster of several hundred, which may all open their links at once.
 constexpr std::uint64_t default_max_handshakes = 512;
@@ -87,6 +89,34 @@
     return milliseconds{reader.number(section, key, 0, max_ms)};
 }
 
+/// Returns whether a list of names has this one, however the platform writes its lists: with
+/// commas, brackets or quotes.
+bool lists(std::string_view text, std::string_view name)
+{
+    constexpr std::string_view separators = " \t,;[]\"'";
+    while (!text.empty()) {
+        const auto end = std::min(text.find_first_of(separators), text.size());
+        if (text.substr(0, end) == name) {
+            return true;
+        }
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return false;
+}
+
+/// Reads whether workers are graded: not if the key is absent or empty, and with `platform` where
+/// the platform has unhealthy workers.
+bool read_graded_health(ini_reader& reader)
+{
+    const auto features = reader.optional_text("platform", "features");
+    const auto text = reader.optional_text("limits", "graded_health");
+    if (!text.empty() && text != "true" && text != "false" && text != "platform") {
+        reader.report(settings_fault::wrong_type, "limits", "graded_health",
+                      "true, false or platform");
+    }
+    return text == "true" || (text == "platform" && lists(features, "health"));
+}
+
 void read_caller_limits(ini_reader& reader, node_settings& settings)
 {
     settings.m_memory_bytes =
@@ -132,6 +162,9 @@
     settings.m_move_time = read_seconds(reader, "limits", "move_s");
     settings.m_maintenance_time = read_seconds(reader, "limits", "maintenance_s");
     settings.m_far_factor = read_factor(reader, "limits", "far_factor");
+    settings.m_copies_percent = static_cast<std::uint32_t>(reader.number_or(
+        "limits", "copies_percent", 0, max_copies_percent, default_copies_percent));
+    settings.m_graded_health = read_graded_health(reader);
     read_caller_limits(reader, settings);
     auto errors = reader.finish();
     if (!errors.empty()) {
--- a/src/scheduling/placement_report.cpp
+++ b/src/scheduling/placement_report.cpp
@@ -38,6 +38,7 @@
         copy.m_workers.emplace(id, session.without_charges());
     }
     copy.m_health = state.m_health;
+    copy.m_grades = state.m_grades;
     copy.m_leaving = state.m_leaving;
     copy.m_schedulable_jobs = state.m_schedulable_jobs;
     copy.m_tickets = state.m_tickets;
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -1,5 +1,6 @@
 #include "peridotrudder/scheduling/run_tracker.hpp"
 
+#include "peridotrudder/scheduling/copy_placement.hpp"
 #include "peridotrudder/scheduling/crash_suspects.hpp"
 #include "peridotrudder/scheduling/job_rank.hpp"
 #include "peridotrudder/scheduling/pacing.hpp"
@@ -34,6 +35,12 @@
                     run.m_estimate * stall_estimate_percent / percent_per_whole + stall_time);
 }
 
+/// Returns whether the task is over, or has another run by now.
+bool is_left_behind(const task& entry, std::uint32_t run)
+{
+    return entry.m_phase != task_phase::placed || !entry.has_run(run);
+}
+
 step_key step_of(const run_key& key)
 {
     return {key.m_job, key.m_task.m_occurrence, key.m_task.m_step};
@@ -169,6 +176,7 @@
             // worker's next list decides.
             m_state->log_run("start_unanswered", key, session->id(), fmt::format("run {}", number));
             session->set_unanswered(*run, now.m_at);
+            m_evidence.start_unanswered(*session, key, now.m_at);
         }
         return;
     case order_result::obsolete:
@@ -181,6 +189,9 @@
         session->hold_back_until(now.m_at + invalid_pause);
         break;
     case order_result::unhealthy:
+        m_evidence.start_refused(*session, key, now.m_at);
+        session->hold_back_until(now.m_at + unhealthy_pause);
+        break;
     case order_result::no_room:
         session->hold_back_until(now.m_at + unhealthy_pause);
         break;
@@ -244,6 +255,10 @@
         m_state->log(was_silent ? "worker_answers" : "worker_silent", "", session->id(),
                      std::string{to_string(answer.m_result)});
     }
+    // A worker that was silent before it restarted went down once.
+    if (!was_silent && (session->silent() || outcome.m_restarted)) {
+        m_evidence.went_down(*session, now.m_at);
+    }
     if (answer.m_result == order_result::other_instance && is_present(target, *session)) {
         // The worker may live on at an address that this owner has not read yet, with runs that a
         // predecessor started there.
@@ -320,8 +335,17 @@
 bool run_tracker::is_of_other_incarnation(const worker_session& session, const run_key& key) const
 {
     const auto* target = m_state->m_job_store.find(key.m_job);
-    return target != nullptr && target->has(key.m_task) &&
-           !(target->at(key.m_task).m_placed_on == session.instance());
+    if (target == nullptr || !target->has(key.m_task)) {
+        return false;
+    }
+    const auto& entry = target->at(key.m_task);
+    const auto run = session.runs().at(key).m_run;
+    const auto& step = target->spec().m_steps[key.m_task.m_step];
+    if (m_state->may_have_copies(step) && is_left_behind(entry, run)) {
+        // The other run of the task has succeeded; its worker says nothing about this one.
+        return false;
+    }
+    return !(entry.place_of(run) == session.instance());
 }
 
 void run_tracker::note_settled_start(const run_key& key, std::uint32_t run)
@@ -335,8 +359,13 @@
 void run_tracker::handle_end(worker_session& session, const ended_entry& ended, moment now)
 {
     const auto* run = session.find(ended.m_key);
+    double slowness = 0.0;
+    bool was_stopped = false;
+    bool was_copy = false;
     if (run != nullptr && run->m_run == ended.m_run) {
-        learn_run_time(session, *run, ended, now.m_at);
+        was_stopped = run->m_stopping;
+        was_copy = run->m_is_copy;
+        slowness = learn_run_time(session, *run, ended, now.m_at);
         session.release(ended.m_key);
     }
     auto* target = m_state->m_job_store.find(ended.m_key.m_job);
@@ -348,7 +377,13 @@
     const auto attempts = m_state->queue_of(target->header()).m_attempts;
     const bool changed = target->end(ended.m_key.m_task, ended.m_run, ended.m_run_end,
                                      ended.m_checkpoint, attempts, now.m_unix_ms);
-    update_worker_health(session, *target, ended.m_key, ended.m_run_end, now.m_at);
+    // A worker may list a run that is stopped in favor of the task's other run as failed.
+    const bool stopped_for_other =
+        was_stopped && (was_copy || is_left_behind(before, ended.m_run)) &&
+        m_state->may_have_copies(target->spec().m_steps[ended.m_key.m_task.m_step]);
+    if (!stopped_for_other || ended.m_run_end == run_end::done) {
+        m_evidence.run_ended(session, *target, ended, slowness, now.m_at);
+    }
     if (!changed) {
         return;
     }
@@ -356,20 +391,44 @@
     if (ended.m_run_end != run_end::done) {
         m_state->log_run("run_ended", ended.m_key, session.id(), to_string(ended.m_run_end));
     }
-    const auto& placed_on = before.m_placed_on.m_worker;
-    const bool other_run = before.m_phase == task_phase::placed &&
-                           (before.m_run != ended.m_run || placed_on != session.id());
-    auto* elsewhere = other_run ? m_state->find_worker(placed_on) : nullptr;
-    if (elsewhere != nullptr && ended.m_run_end == run_end::done) {
-        stop_run(*elsewhere, ended.m_key, now.m_at);
+    log_copy_end(*m_state, ended.m_key, before, ended.m_run, to_string(ended.m_run_end));
+    const bool failed = target->at(ended.m_key.m_task).m_phase == task_phase::failed;
+    if (ended.m_run_end == run_end::done || (failed && before.m_copy)) {
+        stop_other_runs(session, ended, before, now.m_at);
     }
     if (was_active && target->phase() != job_phase::active) {
         end_job(*target, now);
     }
 }
 
-void run_tracker::learn_run_time(const worker_session& session, const worker_run& run,
-                                 const ended_entry& ended, time_point now)
+void run_tracker::stop_other_runs(const worker_session& session, const ended_entry& ended,
+                                  const task& before, time_point now)
+{
+    if (before.m_phase != task_phase::placed) {
+        return;
+    }
+    if (before.m_run != ended.m_run || before.m_placed_on.m_worker != session.id()) {
+        if (auto* elsewhere = m_state->find_worker(before.m_placed_on.m_worker)) {
+            stop_run(*elsewhere, ended.m_key, now);
+        }
+    }
+    if (before.m_copy && !before.is_copy(ended.m_run)) {
+        stop_run(before.m_copy->m_placed_on, ended.m_key, before.m_copy->m_run, now);
+    }
+}
+
+void run_tracker::stop_run(const worker_instance& instance, const run_key& key, std::uint32_t run,
+                           time_point now)
+{
+    auto* session = m_state->find_worker(instance.m_worker);
+    const auto* there = session == nullptr ? nullptr : session->find(key);
+    if (there != nullptr && there->m_run == run) {
+        stop_run(*session, key, now);
+    }
+}
+
+double run_tracker::learn_run_time(const worker_session& session, const worker_run& run,
+                                   const ended_entry& ended, time_point now)
 {
     // Adopted runs began at an unknown time, and tasks with a checkpoint had done part of the work.
     const bool measured = ended.m_run_end == run_end::done && run.m_ordered_at &&
@@ -377,16 +436,17 @@
                           !run.m_best_effort && !run.m_long_running;
     const auto* source = measured ? m_state->m_job_store.find(ended.m_key.m_job) : nullptr;
     if (source == nullptr || !source->has(ended.m_key.m_task)) {
-        return;
+        return 0.0;
     }
     const auto& step = source->spec().m_steps[ended.m_key.m_task.m_step];
-    if (step.m_gang || !m_state->uses_run_times() ||
+    if (step.m_gang || !m_state->uses_run_times(step) ||
         !source->at(ended.m_key.m_task).m_checkpoint.empty()) {
-        return;
+        return 0.0;
     }
-    m_state->m_run_times.learn({class_of(*source, ended.m_key.m_task.m_step), session.instance(),
-                                step.m_estimate, remaining(run.m_confirmed_at, now),
-                                run.m_place_factor});
+    const measured_run measured_one{class_of(*source, ended.m_key.m_task.m_step),
+                                    session.instance(), step.m_estimate,
+                                    remaining(run.m_confirmed_at, now), run.m_place_factor};
+    return m_state->m_run_times.learn(measured_one);
 }
 
 void run_tracker::judge_unclear_end(worker_session& session, const unclear_end& end)
@@ -416,28 +476,6 @@
     stop_job(target, now.m_at);
 }
 
-void run_tracker::update_worker_health(worker_session& session, const job& target,
-                                       const run_key& key, run_end end, time_point now)
-{
-    auto& health = m_state->health_of(session.report().m_pool);
-    if (end == run_end::done) {
-        health.succeeded(session.id());
-        m_state->m_failed_on.erase(key);
-        return;
-    }
-    if (end != run_end::failed) {
-        return;
-    }
-    // A task that fails on different workers is itself at fault, not the workers.
-    const auto failed = m_state->m_failed_on.find(key);
-    const bool elsewhere_too =
-        failed != m_state->m_failed_on.end() && failed->second != session.id();
-    if (!elsewhere_too && !target.spec().m_steps[key.m_task.m_step].m_long_running) {
-        health.failed(session.id(), m_state->pool_size(session.report().m_pool), now);
-    }
-    m_state->m_failed_on[key] = session.id();
-}
-
 void run_tracker::mark_run_lost(worker_session& session, const run_key& key,
                                 std::string_view reason, moment now)
 {
@@ -452,10 +490,10 @@
     if (target == nullptr || !target->has(key.m_task)) {
         return;
     }
-    const auto& lost_task = target->at(key.m_task);
-    if (lost_task.m_phase == task_phase::placed && lost_task.m_run == number) {
-        target->void_run(key.m_task);
+    const auto before = target->at(key.m_task);
+    if (target->void_run(key.m_task, number)) {
         m_state->changed(key.m_job);
+        log_copy_end(*m_state, key, before, number, reason);
         m_state->log_run("run_lost", key, session.id(), fmt::format("run {} {}", number, reason));
     }
 }
@@ -480,6 +518,9 @@
         // Each list shows the same crash again while a start is open.
         return;
     }
+    if (!session.silent()) {
+        m_evidence.went_down(session, now.m_at);
+    }
     mark_lost_in_crash(session, lost, session.last_heard_at(), true,
                        fate == vm_fate::gone ? "its VM has another worker" : "its VM is down", now);
 }
@@ -495,8 +536,12 @@
         mark_run_lost(session, key, reason, now);
     }
     for (const auto& suspect : suspects) {
+        // A copy that has become the task's run is not placed any more once the job has failed.
+        const auto before =
+            m_state->m_job_store.find(suspect.m_key.m_job)->at(suspect.m_key.m_task);
         if (m_crashes.blame(suspect, instance, reason, now)) {
             end_job(*m_state->m_job_store.find(suspect.m_key.m_job), now);
+            stop_run(before.m_placed_on, suspect.m_key, before.m_run, now.m_at);
         }
     }
 }
@@ -531,9 +576,14 @@
 void run_tracker::stop_job(const job& target, time_point now)
 {
     for (const auto& ref : target.placed_refs()) {
-        if (auto* session = m_state->find_worker(target.at(ref).m_placed_on.m_worker)) {
+        const auto& entry = target.at(ref);
+        if (auto* session = m_state->find_worker(entry.m_placed_on.m_worker)) {
             stop_run(*session, {target.header().m_id, ref}, now);
         }
+        if (entry.m_copy) {
+            stop_run(entry.m_copy->m_placed_on, {target.header().m_id, ref}, entry.m_copy->m_run,
+                     now);
+        }
     }
 }
 
@@ -577,8 +627,7 @@
                          fmt::format("{} percent for {} ms, confirmed {} ms ago", run->m_percent,
                                      remaining(run->m_progress_at, now).count(),
                                      remaining(run->m_confirmed_at, now).count()));
-        auto& health = m_state->health_of(session.report().m_pool);
-        health.failed(session.id(), m_state->pool_size(session.report().m_pool), now);
+        m_evidence.run_stalled(session, key, now);
         stop_run(session, key, now);
     }
 }
@@ -623,6 +672,7 @@
 void run_tracker::tick(moment now)
 {
     static const std::map<run_key, worker_run> no_runs;
+    m_evidence.tick(now.m_at);
     std::size_t first_holds = 0;
     for (auto entry = m_state->m_workers.begin(); entry != m_state->m_workers.end();) {
         auto& session = entry->second;
@@ -633,6 +683,7 @@
         session.end_watch(now.m_at);
         if (!session.listed() && session.empty() && !session.watched()) {
             m_state->log("worker_forgotten", "", session.id(), "");
+            m_evidence.forget(session);
             // Orders with this token may still be on their way when the worker is listed again.
             auto& first_fence = m_state->m_options.m_fence;
             first_fence = std::max(first_fence, session.fence() + 1);
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -12,12 +12,27 @@
 /// processor when a whole fleet is free, as after a takeover that outlasts the runs.
 constexpr std::size_t max_starts_per_pass = 1'000;
 
+/// Returns the worker's grade; full where workers are not graded.
+worker_grade grade_of(const scheduler_state& state, const worker_session& session)
+{
+    const auto grades = state.m_options.m_graded_health
+                            ? state.m_grades.find(session.report().m_pool)
+                            : state.m_grades.end();
+    return grades == state.m_grades.end() ? worker_grade::full
+                                          : grades->second.grade_of(session.id());
+}
+
 /// Returns why the worker is no candidate in its pool; `none` if it is one.
 worker_obstacle candidate_obstacle(const scheduler_state& state, const worker_session& session,
                                    time_point now)
 {
-    return state.m_leaving.count(session.id()) != 0 ? worker_obstacle::leaving
-                                                    : session.work_obstacle(now);
+    if (state.m_leaving.count(session.id()) != 0) {
+        return worker_obstacle::leaving;
+    }
+    const auto obstacle = session.work_obstacle(now);
+    const bool is_out =
+        obstacle == worker_obstacle::none && grade_of(state, session) == worker_grade::out;
+    return is_out ? worker_obstacle::unhealthy : obstacle;
 }
 
 bool has_waiting(const job& source, std::uint32_t occurrence, std::uint32_t step)
@@ -53,7 +68,8 @@
         }
         candidate worker;
         worker.m_session = &session;
-        worker.m_unhealthy = !health.usable(id, now);
+        worker.m_grade = grade_of(*m_state, session);
+        worker.m_unhealthy = worker.m_grade != worker_grade::full || !health.usable(id, now);
         candidates.push_back(worker);
     }
     return candidates;
@@ -194,6 +210,7 @@
     chosen.m_session->note_start(now.m_at + crash_window, run.m_on_trial);
     m_state->m_job_store.mark_changed(key.m_job);
     m_state->m_effects.emplace_back(start_effect{instance, key, number});
+    m_copies.note_start(target, ref.m_step);
     ++m_starts;
 }
 
@@ -393,8 +410,9 @@
 {
     const auto& step = *request.m_step;
     // Only the failure of an unconstrained task shows that no task of its size fits.
+    const bool may_use_all = !m_state->m_options.m_graded_health || !needs_worker_at_full(request);
     const bool plain = step.m_required_label.empty() && step.m_max_per_worker == 0 &&
-                       !request.m_last_attempt && request.m_tickets == nullptr;
+                       !request.m_last_attempt && request.m_tickets == nullptr && may_use_all;
     if (plain && !is_known_not_to_fit(step)) {
         m_sizes_without_room.push_back(reserved_for(step));
     }
@@ -488,6 +506,7 @@
     m_state->m_quotas.expire(now.m_at);
     auto by_pool = collect(now);
     m_max_starts = max_starts_per_pass / std::max<std::size_t>(by_pool.size(), 1) + 1;
+    std::set<std::string> unfinished;
     for (auto& [pool, jobs] : by_pool) {
         auto candidates = candidates_of(pool, now.m_at);
         m_sizes_without_room.clear();
@@ -505,7 +524,13 @@
         else {
             place_by_rank(jobs, candidates, now);
         }
+        if (m_starts >= m_max_starts) {
+            unfinished.insert(pool);
+        }
     }
+    m_copies.place_all(
+        [this, &now](const std::string& pool) { return candidates_of(pool, now.m_at); }, unfinished,
+        now);
     for (auto entry = m_state->m_schedulable_jobs.begin();
          entry != m_state->m_schedulable_jobs.end();) {
         const auto* target = m_state->m_job_store.find(*entry);
--- a/test/node/node_settings_test.cpp
+++ b/test/node/node_settings_test.cpp
@@ -50,6 +50,9 @@
     CPPUNIT_TEST_SUITE(node_settings_test);
     CPPUNIT_TEST(valid_settings_are_read);
     CPPUNIT_TEST(far_factor_may_be_absent_or_empty);
+    CPPUNIT_TEST(copies_use_the_share_of_a_pool_that_is_set);
+    CPPUNIT_TEST(copies_and_grades_are_off_unless_set);
+    CPPUNIT_TEST(workers_are_graded_where_the_platform_has_unhealthy_ones);
     CPPUNIT_TEST(wrong_or_missing_keys_are_reported);
     CPPUNIT_TEST(callers_limits_have_defaults_within_the_smallest_machine);
     CPPUNIT_TEST_SUITE_END();
@@ -71,6 +74,29 @@
         CPPUNIT_ASSERT(read->m_policy.empty());
     }
 
+    // A node that sets neither would decide otherwise than before both existed.
+    void copies_and_grades_are_off_unless_set()
+    {
+        for (const std::string lines : {"", "graded_health =\n"}) {
+            const auto read = parse_node_settings("node.ini", valid_settings + lines);
+            CPPUNIT_ASSERT(read.has_value());
+            CPPUNIT_ASSERT_EQUAL(0U, read->m_copies_percent);
+            CPPUNIT_ASSERT(!read->m_graded_health);
+        }
+        const auto listed = replaced(valid_settings, "[limits]\n", "features = health\n[limits]\n");
+        CPPUNIT_ASSERT(!parse_node_settings("node.ini", listed)->m_graded_health);
+    }
+
+    void copies_use_the_share_of_a_pool_that_is_set()
+    {
+        const auto twentieth = std::string{valid_settings} + "copies_percent = 5\n";
+        CPPUNIT_ASSERT_EQUAL(5U, parse_node_settings("node.ini", twentieth)->m_copies_percent);
+        const auto off = std::string{valid_settings} + "copies_percent = 0\n";
+        CPPUNIT_ASSERT_EQUAL(0U, parse_node_settings("node.ini", off)->m_copies_percent);
+        CPPUNIT_ASSERT_EQUAL(std::string{"out_of_range"},
+                             first_fault(std::string{valid_settings} + "copies_percent = 101\n"));
+    }
+
     // Platforms without racks do not define the factor.
     void far_factor_may_be_absent_or_empty()
     {
@@ -87,6 +113,31 @@
                              first_fault(std::string{valid_settings} + "far_factor = twice\n"));
     }
 
+    // How a platform writes a list into the settings is not known, nor whether it has the list.
+    void workers_are_graded_where_the_platform_has_unhealthy_ones()
+    {
+        const auto is_graded = [](const std::string& features, const std::string& limits) {
+            const auto text =
+                replaced(valid_settings, "[limits]\n", features + "[limits]\n" + limits);
+            const auto read = parse_node_settings("node.ini", text);
+            CPPUNIT_ASSERT(read.has_value());
+            return read->m_graded_health;
+        };
+        const std::string by_platform{"graded_health = platform\n"};
+        CPPUNIT_ASSERT(!is_graded("", by_platform));
+        CPPUNIT_ASSERT(!is_graded("features =\n", by_platform));
+        CPPUNIT_ASSERT(!is_graded("features = {{contracts}}\n", by_platform));
+        CPPUNIT_ASSERT(!is_graded("features = unhealthy, healthy, health-2\n", by_platform));
+        for (const std::string list : {"health", "keyed, health", "[\"keyed\",\"health\"]",
+                                       "['health', 'keyed']", "keyed health other"}) {
+            CPPUNIT_ASSERT(is_graded("features = " + list + "\n", by_platform));
+        }
+        CPPUNIT_ASSERT(!is_graded("features = health\n", "graded_health = false\n"));
+        CPPUNIT_ASSERT(is_graded("", "graded_health = true\n"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"wrong_type"},
+                             first_fault(std::string{valid_settings} + "graded_health = yes\n"));
+    }
+
     void wrong_or_missing_keys_are_reported()
     {
         CPPUNIT_ASSERT_EQUAL(std::string{"missing_key"},
