--- a/src/tenants/quota_ledger.cpp
+++ b/src/tenants/quota_ledger.cpp
@@ -128,11 +128,14 @@
     for (const auto& [name, account] : m_accounts) {
         copy.m_accounts.emplace(name, std::make_shared<tenant_account>(*account));
     }
-    for (const auto& kept : m_kept) {
-        const auto* account = kept.m_charge.account();
-        if (account != nullptr) {
-            copy.m_kept.push_back({kept.m_charge.in_copy(copy.m_accounts.at(account->m_tenant)),
-                                   kept.m_worker, kept.m_open_until, kept.m_over_at});
+    for (const auto& [worker, charges] : m_kept) {
+        for (const auto& kept : charges) {
+            const auto* account = kept.m_charge.account();
+            if (account != nullptr) {
+                copy.m_kept[worker].push_back(
+                    {kept.m_charge.in_copy(copy.m_accounts.at(account->m_tenant)),
+                     kept.m_open_until, kept.m_over_at});
+            }
         }
     }
     return copy;
