Orders wait as names of runs until their worker has a place

Cause: each recorded start became a transfer of the HTTP client at once, however many its worker had not answered yet. The same for the starts of a gang, the stops of a cancelled job and their repetitions, stops of runs without a record, and paces.

Change: order_queue keeps orders by kind, task and run; 16 places for a worker and 512 in all. order_sender, taken out of run_tracker, makes an order when it has a place and drops it if its reason has gone. The placer puts no further task on a worker with 64 unanswered starts; gangs are exempt, since their members start together. The owner hears of answers to paces now, as they free a place. Gauges orders_waiting and orders_under_way.

--- a/include/peridotrudder/machines/worker_obstacle.hpp
+++ b/include/peridotrudder/machines/worker_obstacle.hpp
@@ -36,21 +36,33 @@
     ticket,
     /// A task on trial starts only where no other task just has.
     recent_start,
+    /// As many starts as it may have at a time are not answered yet.
+    pending_starts,
     /// It could take the task, which runs faster on another rack.
     other_rack,
 };
 
 template <>
 struct enum_names<worker_obstacle> {
-    static constexpr std::array<std::string_view, 19> values{"none",         "leaving",
-                                                             "unlisted",     "unknown_capacity",
-                                                             "unconfirmed",  "restart_suspected",
-                                                             "draining",     "silent",
-                                                             "held_back",    "label",
-                                                             "cpu",          "memory",
-                                                             "accelerators", "trial",
-                                                             "unhealthy",    "max_per_worker",
-                                                             "ticket",       "recent_start",
+    static constexpr std::array<std::string_view, 20> values{"none",
+                                                             "leaving",
+                                                             "unlisted",
+                                                             "unknown_capacity",
+                                                             "unconfirmed",
+                                                             "restart_suspected",
+                                                             "draining",
+                                                             "silent",
+                                                             "held_back",
+                                                             "label",
+                                                             "cpu",
+                                                             "memory",
+                                                             "accelerators",
+                                                             "trial",
+                                                             "unhealthy",
+                                                             "max_per_worker",
+                                                             "ticket",
+                                                             "recent_start",
+                                                             "pending_starts",
                                                              "other_rack"};
 };
 
--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -78,6 +78,7 @@
                         const order_answer& answer, moment now);
     void stop_answered(const order_target& target, const run_key& key, std::uint32_t run,
                        const order_answer& answer, moment now);
+    void pace_answered(const order_target& target, moment now);
     void hold_answered(const order_target& target, const hold_answer& answer, time_point sent_at,
                        moment now);
     /// Handles the answer to the most recent policy request.
--- a/include/peridotrudder/scheduling/placement.hpp
+++ b/include/peridotrudder/scheduling/placement.hpp
@@ -8,7 +8,9 @@
 #include "peridotrudder/machines/worker_session.hpp"
 #include "peridotrudder/scheduling/ticket_cache.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -21,6 +23,11 @@
     bool m_unhealthy{false};
     /// Full where workers are not graded.
     worker_grade m_grade{worker_grade::full};
+    /// How many further starts may wait for the worker's answers; gangs may exceed it.
+    std::size_t m_starts_left{std::numeric_limits<std::size_t>::max()};
+
+    /// Notes a start that was decided.
+    void note_start() { m_starts_left -= m_starts_left == 0 ? 0 : 1; }
 };
 
 /// A task to place and its constraints beyond its step's specification.
--- a/include/peridotrudder/scheduling/run_tracker.hpp
+++ b/include/peridotrudder/scheduling/run_tracker.hpp
@@ -6,6 +6,7 @@
 #include "peridotrudder/machines/vm_fate.hpp"
 #include "peridotrudder/scheduling/crash_tracker.hpp"
 #include "peridotrudder/scheduling/leftover_runs.hpp"
+#include "peridotrudder/scheduling/order_sender.hpp"
 #include "peridotrudder/scheduling/placement.hpp"
 #include "peridotrudder/scheduling/scheduler_state.hpp"
 #include "peridotrudder/scheduling/worker_evidence.hpp"
@@ -31,12 +32,20 @@
         : m_state{&state},
           m_crashes{state},
           m_leftovers{state},
-          m_evidence{state}
+          m_evidence{state},
+          m_sender{state,
+                   [this](worker_session& session, const run_key& key, std::string_view reason,
+                          moment now) { mark_run_lost(session, key, reason, now); }}
     {
     }
+    run_tracker(const run_tracker&) = delete;
+    run_tracker& operator=(const run_tracker&) = delete;
+    run_tracker(run_tracker&&) = delete;
+    run_tracker& operator=(run_tracker&&) = delete;
+    ~run_tracker() = default;
 
-    /// Sends a recorded start, unless the job has ended or the worker cannot take it any more.
-    void send_start(const start_effect& start, moment now);
+    /// Sends the orders that wait, as far as there are places. Call after each event.
+    void send_waiting(moment now) { m_sender.send_waiting(now); }
     void start_answered(const order_target& target, const run_key& key, std::uint32_t run,
                         const order_answer& answer, moment now);
     void stop_answered(const order_target& target, const run_key& key, std::uint32_t run,
@@ -45,8 +54,8 @@
                        moment now);
 
     /// Orders a worker to stop a run.
-    void stop_run(worker_session& session, const run_key& key, time_point now);
-    /// Stops all runs of a job.
+    void stop_run(worker_session& session, const run_key& key, moment now);
+    /// Queues the stops of all runs of a job.
     void stop_job(const job& target, time_point now);
     /// Marks those runs as lost that cannot be on the worker any more by what the list of VMs
     /// showed at `seen_at`, which may be the fault of one of its tasks.
@@ -58,9 +67,8 @@
     leftover_runs& leftovers() { return m_leftovers; }
 
 private:
-    /// Gives up a recorded start that its tenant's quota does not allow any more, with all members
-    /// of its gang.
-    void withdraw_start(const start_effect& start, moment now);
+    /// Queues the stop of a run, unless it is queued or sent already.
+    void queue_stop(worker_session& session, const run_key& key, time_point now);
     /// Counts a run that is given up against its tenant's quota while it may still be started, also
     /// with a successor.
     void keep_charge(const worker_session& session, const run_key& key, moment now);
@@ -110,6 +118,7 @@
     crash_tracker m_crashes;
     leftover_runs m_leftovers;
     worker_evidence m_evidence;
+    order_sender m_sender;
 };
 
 } // namespace peridotrudder
--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -4,6 +4,7 @@
 /// State of an owner: its jobs, workers and configuration, shared by the scheduler's modules.
 
 #include "peridotrudder/jobs/job_store.hpp"
+#include "peridotrudder/machines/order_queue.hpp"
 #include "peridotrudder/machines/worker_grade.hpp"
 #include "peridotrudder/machines/worker_health.hpp"
 #include "peridotrudder/machines/worker_session.hpp"
@@ -131,6 +132,8 @@
     /// What the tenants' runs use. Each run in a worker's session holds its charge.
     quota_ledger m_quotas;
     std::map<std::string, worker_session, std::less<>> m_workers;
+    /// Orders that wait until they may be sent.
+    order_queue m_orders{order_queue::create({})};
     /// By pool; used without `m_graded_health`.
     std::map<std::string, worker_health, std::less<>> m_health;
     /// By pool; used with `m_graded_health`. Only choices of workers depend on them.
@@ -192,6 +195,9 @@
     bool has_stranger(const run_key& key);
     worker_health& health_of(const std::string& pool);
     std::size_t pool_size(std::string_view pool) const;
+    /// Starts a run once its placement is recorded.
+    void start_when_recorded(const worker_instance& instance, const run_key& key,
+                             std::uint32_t run);
     /// Marks the job for writing and for placement.
     void changed(const std::string& job_id);
     void log(std::string_view event, const std::string& job, const std::string& worker,
--- a/include/peridotrudder/scheduling/ticket_cache.hpp
+++ b/include/peridotrudder/scheduling/ticket_cache.hpp
@@ -3,7 +3,7 @@
 /// @file
 /// Tickets of a placement policy, whose service decides which workers may run a step.
 
-#include "peridotrudder/jobs/job.hpp"
+#include "peridotrudder/machines/worker_orders.hpp"
 
 #include <cstdint>
 #include <map>
@@ -28,6 +28,12 @@
            std::tie(right.m_job, right.m_occurrence, right.m_step);
 }
 
+/// Returns the step that the task belongs to.
+inline step_key step_of(const run_key& key)
+{
+    return {key.m_job, key.m_task.m_occurrence, key.m_task.m_step};
+}
+
 /// Request to the policy service: which of the workers may run the step?
 struct policy_request {
     step_key m_step;
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -697,11 +697,18 @@
         }
         m_ports.m_workers.m_stop(to, order, answered);
     };
-    ports.m_pace = [this](const worker_report& to, const pace_order& order) {
+    ports.m_pace = [this, self](const worker_report& to, const pace_order& order) {
+        const order_target target{to.m_instance, order.m_fence};
+        const auto answered = [self, target](const order_answer& /*answer*/) {
+            with_scheduler(self, [&](job_scheduler& scheduler, moment now) {
+                scheduler.pace_answered(target, now);
+            });
+        };
         if (!may(owner_act::stop)) {
+            m_ports.m_loop.m_after(milliseconds{0}, [answered] { answered({}); });
             return;
         }
-        m_ports.m_workers.m_pace(to, order, [](const order_answer& /*answer*/) {});
+        m_ports.m_workers.m_pace(to, order, answered);
     };
     ports.m_hold = [this, self](const worker_report& to, const hold_order& order) {
         const order_target target{to.m_instance, order.m_fence};
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -415,6 +415,8 @@
             metrics.set_gauge("jobs", static_cast<double>(state.m_job_store.jobs().size()));
             metrics.set_gauge("hungry_jobs", static_cast<double>(state.m_schedulable_jobs.size()));
             metrics.set_gauge("workers", static_cast<double>(state.m_workers.size()));
+            metrics.set_gauge("orders_waiting", static_cast<double>(state.m_orders.waiting()));
+            metrics.set_gauge("orders_under_way", static_cast<double>(state.m_orders.under_way()));
             metrics.set_gauge("config_version", static_cast<double>(state.m_config.version()));
             metrics.name_tenants(state.m_config.tenants().largest(tenants_counted_by_name));
             metrics.set_gauge("journal_failing_ms",
--- a/src/planning/fleet_planner.cpp
+++ b/src/planning/fleet_planner.cpp
@@ -276,7 +276,7 @@
                 "task_moved_off", key, session->id(),
                 fmt::format("to drain {}: {} of the step's tasks missing, {} allowed",
                             managed.m_listed.m_id, missing, may_miss));
-            scheduler.runs().stop_run(*session, key, now.m_at);
+            scheduler.runs().stop_run(*session, key, now);
         }
     }
 }
--- a/src/scheduling/copy_placement.cpp
+++ b/src/scheduling/copy_placement.cpp
@@ -248,7 +248,8 @@
     session.reserve(key, run);
     session.note_start(now.m_at + crash_window, false);
     m_state->m_job_store.mark_changed(key.m_job);
-    m_state->m_effects.emplace_back(start_effect{session.instance(), key, number});
+    m_state->start_when_recorded(session.instance(), key, number);
+    chosen.note_start();
     for (auto& free : m_state->m_free_workers[judged.m_queue->m_pool]) {
         free.m_room = free.m_id == session.id() ? session.room() : free.m_room;
     }
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -128,6 +128,7 @@
     }
     m_runs.mark_lost_with_vm(*session, fate, seen_at, now);
     session->set_down(seen_at);
+    m_runs.send_waiting(now);
 }
 
 void job_scheduler::begin(moment now)
@@ -462,6 +463,7 @@
         m_state.log("job_cancelled", id, "", "");
         m_state.m_tickets.drop_job(id);
         m_runs.stop_job(*target, now.m_at);
+        m_runs.send_waiting(now);
     }
     answer_when_written(token, status_only(call_status::done), id);
 }
@@ -511,19 +513,30 @@
 void job_scheduler::start_answered(const order_target& target, const run_key& key,
                                    std::uint32_t run, const order_answer& answer, moment now)
 {
+    m_state.m_orders.free_place(target.m_instance.m_worker, order_kind::start);
     m_runs.start_answered(target, key, run, answer, now);
+    m_runs.send_waiting(now);
 }
 
 void job_scheduler::stop_answered(const order_target& target, const run_key& key, std::uint32_t run,
                                   const order_answer& answer, moment now)
 {
+    m_state.m_orders.free_place(target.m_instance.m_worker, order_kind::stop);
     m_runs.stop_answered(target, key, run, answer, now);
+    m_runs.send_waiting(now);
+}
+
+void job_scheduler::pace_answered(const order_target& target, moment now)
+{
+    m_state.m_orders.free_place(target.m_instance.m_worker, order_kind::pace);
+    m_runs.send_waiting(now);
 }
 
 void job_scheduler::hold_answered(const order_target& target, const hold_answer& answer,
                                   time_point sent_at, moment now)
 {
     m_runs.hold_answered(target, answer, sent_at, now);
+    m_runs.send_waiting(now);
 }
 
 void job_scheduler::policy_answered(const policy_answer& answer, moment now)
@@ -595,7 +608,8 @@
             m_state.m_ports.m_answer(answer->m_token, answer->m_answer);
         }
         else if (const auto* start = std::get_if<start_effect>(&effect)) {
-            m_runs.send_start(*start, now);
+            m_state.m_orders.push(
+                {order_kind::start, start->m_instance, start->m_key, start->m_run});
         }
         else if (const auto* acknowledgement = std::get_if<ends_effect>(&effect)) {
             auto* session = m_state.find_instance(acknowledgement->m_instance);
@@ -604,6 +618,7 @@
             }
         }
     }
+    m_runs.send_waiting(now);
 }
 
 } // namespace peridotrudder
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -183,7 +183,12 @@
     if (!has_ticket(request, worker, now)) {
         return worker_obstacle::ticket;
     }
-    return is_calm(request, worker, now) ? worker_obstacle::none : worker_obstacle::recent_start;
+    if (!is_calm(request, worker, now)) {
+        return worker_obstacle::recent_start;
+    }
+    // The members of a gang start together or not at all.
+    return worker.m_starts_left == 0 && !request.m_step->m_gang ? worker_obstacle::pending_starts
+                                                                : worker_obstacle::none;
 }
 
 std::vector<worker_instance> workers_with_room(const placement_request& request,
--- a/src/scheduling/placement_question.cpp
+++ b/src/scheduling/placement_question.cpp
@@ -78,6 +78,8 @@
         return "has no ticket";
     case worker_obstacle::recent_start:
         return "has started another task just now";
+    case worker_obstacle::pending_starts:
+        return "has not answered as many starts as may wait for it";
     case worker_obstacle::other_rack:
         return "is on another rack";
     }
--- a/src/scheduling/placement_report.cpp
+++ b/src/scheduling/placement_report.cpp
@@ -48,6 +48,7 @@
     for (const auto& [id, session] : state.m_workers) {
         copy.m_workers.emplace(id, session.without_charges());
     }
+    copy.m_orders = state.m_orders;
     copy.m_health = state.m_health;
     copy.m_grades = state.m_grades;
     copy.m_leaving = state.m_leaving;
--- a/src/scheduling/run_tracker.cpp
+++ b/src/scheduling/run_tracker.cpp
@@ -16,8 +16,6 @@
 /// Time for which a worker that rejected an order gets no new work.
 constexpr milliseconds unhealthy_pause{500};
 constexpr milliseconds invalid_pause{1'000};
-/// Time from the placement of a run after which its start is not sent any more.
-constexpr milliseconds longest_placement_age{3'000};
 /// A run without progress for this long counts as stalled.
 constexpr milliseconds stall_time{1'200};
 /// Progress is reported in whole percent, so a long run may take several percent of its estimate
@@ -41,11 +39,6 @@
     return entry.m_phase != task_phase::placed || !entry.has_run(run);
 }
 
-step_key step_of(const run_key& key)
-{
-    return {key.m_job, key.m_task.m_occurrence, key.m_task.m_step};
-}
-
 /// Returns whether an order was meant for the incarnation that answers now. The token tells apart
 /// two that seem to have the same birth.
 bool is_present(const order_target& target, const worker_session& session)
@@ -65,76 +58,6 @@
 
 } // namespace
 
-void run_tracker::send_start(const start_effect& start, moment now)
-{
-    auto* session = m_state->find_instance(start.m_instance);
-    auto* run = session == nullptr ? nullptr : session->find(start.m_key);
-    auto* target = m_state->m_job_store.find(start.m_key.m_job);
-    if (run == nullptr || target == nullptr || run->m_run != start.m_run ||
-        run->m_phase != run_phase::recording) {
-        return;
-    }
-    const bool runnable = target->phase() == job_phase::active && !run->m_stopping;
-    // The worker's capacity may have shrunk while the start was being recorded.
-    const bool has_room = fits(resources{}, session->room());
-    // A successor reckons by the record's time until when the start may have been sent.
-    const bool recent = now.m_at - run->m_placed_at <= longest_placement_age;
-    if (!runnable || !has_room || !recent || !session->takes_work(now.m_at)) {
-        mark_run_lost(*session, start.m_key, "not sent", now);
-        return;
-    }
-    // The quota may have been lowered while the start was being recorded.
-    if (!m_state->quota_allows(m_state->account_of(target->header()), {}, now.m_at)) {
-        withdraw_start(start, now);
-        return;
-    }
-    const auto step = step_of(start.m_key);
-    const bool restricted = m_state->queue_of(target->header()).m_policy.has_value();
-    const auto ticket = m_state->m_tickets.ticket_for(step, start.m_instance, now.m_at);
-    if (restricted && ticket.empty()) {
-        mark_run_lost(*session, start.m_key, "ticket expired", now);
-        return;
-    }
-    start_order order;
-    order.m_ticket = restricted ? ticket : std::string{};
-    order.m_key = start.m_key;
-    order.m_run = start.m_run;
-    order.m_payload = target->spec().m_payload;
-    order.m_checkpoint = target->at(start.m_key.m_task).m_checkpoint;
-    order.m_fence = session->fence();
-    order.m_deadline_ms = session->start_deadline(now.m_at);
-    run->m_start_deadline_ms = order.m_deadline_ms;
-    run->m_phase = run_phase::ordered;
-    run->m_ordered_at = now.m_at;
-    session->open_start(*run, now.m_at);
-    session->note_start(now.m_at + crash_window, run->m_on_trial);
-    m_state->m_ports.m_start(session->report(), order);
-}
-
-void run_tracker::withdraw_start(const start_effect& start, moment now)
-{
-    constexpr std::string_view reason = "above its tenant's quota";
-    const auto* target = m_state->m_job_store.find(start.m_key.m_job);
-    const auto& ref = start.m_key.m_task;
-    std::vector<std::pair<worker_instance, run_key>> withdrawn{{start.m_instance, start.m_key}};
-    if (target->spec().m_steps[ref.m_step].m_gang) {
-        std::uint32_t index = 0;
-        for (const auto& member : target->tasks(ref.m_occurrence, ref.m_step)) {
-            run_key key{start.m_key.m_job, {ref.m_occurrence, ref.m_step, index++}};
-            if (member.m_phase == task_phase::placed && member.m_run == start.m_run) {
-                withdrawn.emplace_back(member.m_placed_on, std::move(key));
-            }
-        }
-    }
-    for (const auto& [instance, key] : withdrawn) {
-        auto* session = m_state->find_instance(instance);
-        const auto* run = session == nullptr ? nullptr : session->find(key);
-        if (run != nullptr && run->m_run == start.m_run && run->m_phase == run_phase::recording) {
-            mark_run_lost(*session, key, reason, now);
-        }
-    }
-}
-
 void run_tracker::keep_charge(const worker_session& session, const run_key& key, moment now)
 {
     const auto& run = session.runs().at(key);
@@ -413,7 +336,7 @@
     }
     if (before.m_run != ended.m_run || before.m_placed_on.m_worker != session.id()) {
         if (auto* elsewhere = m_state->find_worker(before.m_placed_on.m_worker)) {
-            stop_run(*elsewhere, ended.m_key, now);
+            queue_stop(*elsewhere, ended.m_key, now);
         }
     }
     if (before.m_copy && !before.is_copy(ended.m_run)) {
@@ -427,7 +350,7 @@
     auto* session = m_state->find_worker(instance.m_worker);
     const auto* there = session == nullptr ? nullptr : session->find(key);
     if (there != nullptr && there->m_run == run) {
-        stop_run(*session, key, now);
+        queue_stop(*session, key, now);
     }
 }
 
@@ -550,7 +473,13 @@
     }
 }
 
-void run_tracker::stop_run(worker_session& session, const run_key& key, time_point now)
+void run_tracker::stop_run(worker_session& session, const run_key& key, moment now)
+{
+    queue_stop(session, key, now.m_at);
+    m_sender.send_waiting(now);
+}
+
+void run_tracker::queue_stop(worker_session& session, const run_key& key, time_point now)
 {
     auto* run = session.find(key);
     if (run == nullptr) {
@@ -563,7 +492,7 @@
     }
     run->m_stop_in_flight = true;
     run->m_stop_sent_at = now;
-    m_state->m_ports.m_stop(session.report(), {key, run->m_run, session.fence()});
+    m_state->m_orders.push({order_kind::stop, session.instance(), key, run->m_run});
 }
 
 void run_tracker::stop_not_begun(worker_session& session, const run_key& key, time_point now)
@@ -573,7 +502,7 @@
     // there is one, because no more tasks of its step may be stopped than may be missing.
     const auto* run = session.find(key);
     if (!run->m_long_running || run->m_start_deadline_ms == 0) {
-        stop_run(session, key, now);
+        queue_stop(session, key, now);
     }
 }
 
@@ -582,7 +511,7 @@
     for (const auto& ref : target.placed_refs()) {
         const auto& entry = target.at(ref);
         if (auto* session = m_state->find_worker(entry.m_placed_on.m_worker)) {
-            stop_run(*session, {target.header().m_id, ref}, now);
+            queue_stop(*session, {target.header().m_id, ref}, now);
         }
         if (entry.m_copy) {
             stop_run(entry.m_copy->m_placed_on, {target.header().m_id, ref}, entry.m_copy->m_run,
@@ -606,12 +535,13 @@
             run.m_phase = run_phase::running;
             run.m_confirmed_at = now.m_at;
             session.reserve(unknown.m_key, run);
-            stop_run(session, unknown.m_key, now.m_at);
+            queue_stop(session, unknown.m_key, now.m_at);
             return;
         }
         session.reserve_beside(unknown.m_key, run);
     }
-    m_state->m_ports.m_stop(session.report(), {unknown.m_key, unknown.m_run, session.fence()});
+    m_state->m_orders.push(
+        {order_kind::stop_unknown, session.instance(), unknown.m_key, unknown.m_run});
 }
 
 void run_tracker::stop_stalled(worker_session& session, time_point now)
@@ -632,7 +562,7 @@
                                      remaining(run->m_progress_at, now).count(),
                                      remaining(run->m_confirmed_at, now).count()));
         m_evidence.run_stalled(session, key, now);
-        stop_run(session, key, now);
+        queue_stop(session, key, now);
     }
 }
 
@@ -648,8 +578,7 @@
         run->m_pace_known = true;
         run->m_paced_at = now;
         run->m_progress_at = now;
-        m_state->m_ports.m_pace(session.report(),
-                                {change.m_key, run->m_run, change.m_percent, session.fence()});
+        m_state->m_orders.push({order_kind::pace, session.instance(), change.m_key, run->m_run});
     }
 }
 
@@ -702,8 +631,9 @@
             }
         }
         for (const auto& key : repeated_stops) {
-            stop_run(session, key, now.m_at);
+            queue_stop(session, key, now.m_at);
         }
+        m_sender.send_waiting(now);
         const bool is_first = session.never_held();
         const bool must_wait = is_first && first_holds >= max_first_holds_per_tick;
         if (session.report().m_port != 0 && !must_wait) {
--- a/src/scheduling/scheduler_state.cpp
+++ b/src/scheduling/scheduler_state.cpp
@@ -36,6 +36,13 @@
     return session != nullptr && session->instance() == instance ? session : nullptr;
 }
 
+void scheduler_state::start_when_recorded(const worker_instance& instance, const run_key& key,
+                                          std::uint32_t run)
+{
+    m_effects.emplace_back(start_effect{instance, key, run});
+    m_orders.announce_start(instance.m_worker);
+}
+
 const queue_config& scheduler_state::queue_of(const job_header& header) const
 {
     const auto* configured = m_config.find_queue(queue_key(header.m_queue));
--- a/src/scheduling/task_placer.cpp
+++ b/src/scheduling/task_placer.cpp
@@ -70,6 +70,7 @@
         worker.m_session = &session;
         worker.m_grade = grade_of(*m_state, session);
         worker.m_unhealthy = worker.m_grade != worker_grade::full || !health.usable(id, now);
+        worker.m_starts_left = m_state->m_orders.starts_left(id);
         candidates.push_back(worker);
     }
     return candidates;
@@ -209,7 +210,8 @@
     chosen.m_session->reserve(key, run);
     chosen.m_session->note_start(now.m_at + crash_window, run.m_on_trial);
     m_state->m_job_store.mark_changed(key.m_job);
-    m_state->m_effects.emplace_back(start_effect{instance, key, number});
+    m_state->start_when_recorded(instance, key, number);
+    chosen.note_start();
     m_copies.note_start(target, ref.m_step);
     ++m_starts;
 }
@@ -286,7 +288,8 @@
         run.m_on_trial = is_on_trial(target.at(key.m_task));
         chosen[index]->m_session->reserve(key, run);
         chosen[index]->m_session->note_start(now.m_at + crash_window, run.m_on_trial);
-        m_state->m_effects.emplace_back(start_effect{instances[index], key, number});
+        m_state->start_when_recorded(instances[index], key, number);
+        chosen[index]->note_start();
     }
     m_state->m_job_store.mark_changed(target.header().m_id);
     m_starts += count;
--- a/test/scheduling/placement_report_test.cpp
+++ b/test/scheduling/placement_report_test.cpp
@@ -377,6 +377,9 @@
     {
         step_spec free_of_charge;
         free_of_charge.m_count = 1'500;
+        for (int number = 0; number < 30; ++number) {
+            m_owner.add_worker(fmt::format("w-{:03}", number));
+        }
         m_owner.submit_job(first_job_id, spec_of_steps({free_of_charge}));
         m_owner.submit_step(last_job_id, {});
         CPPUNIT_ASSERT_EQUAL(std::string{"turn"}, verdict_in(ask(ask_for_job(last_job_id))));
