Tasks that have not changed take no memory

Cause: job::create made an object for each task of each occurrence, due or not: 4.6 MB for 20,000 occurrences of one task. The same for the waiting tasks of a wide step and for occurrences that are done.

Ruled out: that records, calls or placement keep something for each occurrence; a store alone, without a scheduler, grows by the same amount, also when it is restored.

Change: task_table keeps chunks of tasks that exist once one of them has changed, counts by phase, and of an occurrence that is done only that. The form of the records is as before. Readers of all tasks of a step use counts or only the tasks that may have changed.

--- a/include/peridotrudder/jobs/job.hpp
+++ b/include/peridotrudder/jobs/job.hpp
@@ -3,10 +3,10 @@
 /// @file
 /// A job with the state of each of its tasks, and their stored form.
 
-#include "peridotrudder/base/boxed_optional.hpp"
 #include "peridotrudder/base/clock.hpp"
 #include "peridotrudder/jobs/job_spec.hpp"
 #include "peridotrudder/jobs/queue_config.hpp"
+#include "peridotrudder/jobs/task_table.hpp"
 
 #include <algorithm>
 #include <cstdint>
@@ -20,101 +20,6 @@
 
 namespace peridotrudder {
 
-/// Identifies a task within its job.
-struct task_ref {
-    /// Number of the occurrence; zero for a job that runs once.
-    std::uint32_t m_occurrence{0};
-    std::uint32_t m_step{0};
-    std::uint32_t m_index{0};
-
-    template <typename Archive, typename Self>
-    static void describe(Archive& archive, Self& self)
-    {
-        archive.field("occurrence", self.m_occurrence);
-        archive.field("step", self.m_step);
-        archive.field("index", self.m_index);
-    }
-};
-
-inline bool operator<(const task_ref& left, const task_ref& right)
-{
-    return std::tie(left.m_occurrence, left.m_step, left.m_index) <
-           std::tie(right.m_occurrence, right.m_step, right.m_index);
-}
-
-inline bool operator==(const task_ref& left, const task_ref& right)
-{
-    return !(left < right) && !(right < left);
-}
-
-/// One incarnation of a worker: after a restart under the same id it is another instance.
-struct worker_instance {
-    std::string m_worker;
-    /// Unix milliseconds of the worker's start, as it reports it; zero if unknown.
-    std::int64_t m_born_ms{0};
-
-    template <typename Archive, typename Self>
-    static void describe(Archive& archive, Self& self)
-    {
-        archive.field("worker", self.m_worker);
-        archive.field("born_ms", self.m_born_ms);
-    }
-};
-
-inline bool operator==(const worker_instance& left, const worker_instance& right)
-{
-    return left.m_worker == right.m_worker && left.m_born_ms == right.m_born_ms;
-}
-
-enum class task_phase {
-    /// Has no run: waits for its dependencies or for a worker.
-    waiting,
-    /// Has a run that is ordered or running.
-    placed,
-    done,
-    /// Its runs failed as often as its queue allows, or it crashed as many workers as tolerated.
-    failed,
-};
-
-/// A second run of a task that has one already, on another worker.
-struct task_copy {
-    std::uint32_t m_run{0};
-    worker_instance m_placed_on;
-    /// The start of the copy was answered, or the copy was seen on its worker.
-    bool m_start_settled{false};
-};
-
-struct task {
-    task_phase m_phase{task_phase::waiting};
-    /// Number of the task's run, or of its last one; runs are numbered from one.
-    std::uint32_t m_run{0};
-    /// Highest number that a run of the task has had, copies included.
-    std::uint32_t m_newest_run{0};
-    /// Failed runs. A failed run of a gang is counted at one of its members.
-    std::uint32_t m_failures{0};
-    /// Number of the gang's run that was counted last at this member; zero for none.
-    std::uint32_t m_counted_gang_run{0};
-    /// Weight of the crashes of workers that its runs may have caused, since its last success.
-    std::uint32_t m_suspicion{0};
-    /// Worker of the run, while the task is placed.
-    worker_instance m_placed_on;
-    /// The start of the run was answered, or the run was seen on its worker.
-    bool m_start_settled{false};
-    /// State to resume from; empty for none.
-    std::string m_checkpoint;
-    /// Only a placed task has a copy.
-    boxed_optional<task_copy> m_copy{};
-
-    /// Returns whether this is the number of the task's run, or of its last one, or of its copy.
-    bool has_run(std::uint32_t run) const { return run == m_run || is_copy(run); }
-    bool is_copy(std::uint32_t run) const { return m_copy && m_copy->m_run == run; }
-    /// Returns where the run or the copy with this number was placed.
-    const worker_instance& place_of(std::uint32_t run) const
-    {
-        return is_copy(run) ? m_copy->m_placed_on : m_placed_on;
-    }
-};
-
 /// A run that may be on a worker, or be started there late, though no task has it any more: its
 /// task has another run, waits or is done.
 struct leftover_run {
@@ -215,28 +120,46 @@
     /// Returns whether a worker is known to have started a run of the job.
     bool begun() const { return m_begun; }
 
-    std::uint32_t occurrences() const { return static_cast<std::uint32_t>(m_tasks.size()); }
+    std::uint32_t occurrences() const { return m_tasks.occurrences(); }
     /// Returns the Unix milliseconds at which an occurrence is due.
     std::int64_t due_ms(std::uint32_t occurrence) const;
     /// Returns whether the task exists.
-    bool has(const task_ref& ref) const;
-    const task& at(const task_ref& ref) const;
-    gsl::span<const task> tasks(std::uint32_t occurrence, std::uint32_t step) const;
+    bool has(const task_ref& ref) const { return m_tasks.has(ref); }
+    const task& at(const task_ref& ref) const { return m_tasks.at(ref); }
+    /// Returns the tasks of a step; the view is valid until the job changes.
+    task_list tasks(std::uint32_t occurrence, std::uint32_t step) const
+    {
+        return m_tasks.list(occurrence, step);
+    }
     /// Returns whether all steps that the step depends on are done.
     bool unblocked(std::uint32_t occurrence, std::uint32_t step) const;
     /// Returns how many tasks of the step have no run and are not finished.
-    std::uint32_t waiting(std::uint32_t occurrence, std::uint32_t step) const;
+    std::uint32_t waiting(std::uint32_t occurrence, std::uint32_t step) const
+    {
+        return m_tasks.count(occurrence, step, task_phase::waiting);
+    }
+    /// Returns how many tasks of the step have a run.
+    std::uint32_t placed(std::uint32_t occurrence, std::uint32_t step) const
+    {
+        return m_tasks.count(occurrence, step, task_phase::placed);
+    }
     /// Returns how many tasks of the step are not done.
-    std::uint32_t open_tasks(std::uint32_t occurrence, std::uint32_t step) const;
+    std::uint32_t open_tasks(std::uint32_t occurrence, std::uint32_t step) const
+    {
+        return m_tasks.open(occurrence, step);
+    }
     /// Returns how many runs of the task, or of its gang, have failed.
     std::uint32_t failures(const task_ref& ref) const;
-    std::uint32_t placed_tasks() const { return m_placed; }
+    std::uint32_t placed_tasks() const
+    {
+        return static_cast<std::uint32_t>(m_tasks.count(task_phase::placed));
+    }
     /// Returns the tasks that have a run.
-    std::vector<task_ref> placed_refs() const;
+    std::vector<task_ref> placed_refs() const { return m_tasks.placed(); }
     /// Returns how many tasks are not done.
-    std::uint64_t unfinished_tasks() const { return m_open_total; }
+    std::uint64_t unfinished_tasks() const { return all_tasks() - m_tasks.count(task_phase::done); }
     /// Returns the number of tasks of all occurrences, those that are done included.
-    std::uint64_t all_tasks() const;
+    std::uint64_t all_tasks() const { return m_tasks.size(); }
 
     /// Gives the task a new run on `worker` and returns the run's number.
     std::uint32_t place(const task_ref& ref, const worker_instance& worker);
@@ -291,7 +214,7 @@
                                std::int64_t now_ms);
 
     /// Forgets the task's crashes, after a run that its worker survived.
-    void clear_crashes(const task_ref& ref) { find(ref).m_suspicion = 0; }
+    void clear_crashes(const task_ref& ref);
 
     /// Cancels an active job. Returns whether it was active.
     bool cancel(std::int64_t now_ms);
@@ -314,7 +237,9 @@
         std::optional<time_point> m_over_at;
     };
 
-    task& find(const task_ref& ref);
+    explicit job(job_header header);
+
+    task& find(const task_ref& ref) { return m_tasks.edit(ref); }
     /// Takes a run or copy from its placed task, which waits if it has no other.
     void take_run(const task_ref& ref, std::uint32_t run);
     /// Takes all runs from a placed task, and notes those of a speculative step as left over.
@@ -324,20 +249,17 @@
     void finish_task(const task_ref& ref, std::uint32_t run, std::int64_t now_ms);
     void count_failure(const task_ref& ref);
     void fail_task(const task_ref& ref, std::uint32_t attempts, std::int64_t now_ms);
+    /// Completes one task, of which the run with this number was successful or was not needed.
+    void complete_task(const task_ref& ref, bool was_successful, std::uint32_t run,
+                       std::int64_t now_ms);
     void finish(job_phase phase, std::int64_t now_ms);
-    void recount();
 
     job_header m_header;
     job_phase m_phase{job_phase::active};
     std::int64_t m_ended_ms{0};
     std::int64_t m_placed_ms{0};
     bool m_begun{false};
-    /// By occurrence, then step.
-    std::vector<std::vector<std::vector<task>>> m_tasks;
-    /// Tasks of each step that are not done, by occurrence.
-    std::vector<std::vector<std::uint32_t>> m_open;
-    std::uint64_t m_open_total{0};
-    std::uint32_t m_placed{0};
+    task_table m_tasks;
     std::map<leftover_key, leftover_note> m_leftovers;
 };
 
--- a/src/planning/pool_demand.cpp
+++ b/src/planning/pool_demand.cpp
@@ -91,18 +91,13 @@
     for (std::uint32_t index = 0; index < pool_job.spec().m_steps.size(); ++index) {
         const auto& step = pool_job.spec().m_steps[index];
         const bool unblocked = pool_job.unblocked(occurrence, index);
-        for (const auto& task : pool_job.tasks(occurrence, index)) {
-            const auto task_work = work_of_task(step);
-            if (task.m_phase == task_phase::waiting) {
-                work += task_work;
-                load.m_waiting += unblocked ? step.m_task_resources.m_cpu_millis : 0;
-            }
-            else if (task.m_phase == task_phase::placed) {
-                // It has run for an unknown time: on average half of its work is left.
-                work += task_work / 2.0;
-                load.m_placed += step.m_task_resources.m_cpu_millis;
-            }
-        }
+        const auto waiting = std::int64_t{pool_job.waiting(occurrence, index)};
+        const auto placed = std::int64_t{pool_job.placed(occurrence, index)};
+        load.m_waiting += unblocked ? waiting * step.m_task_resources.m_cpu_millis : 0;
+        load.m_placed += placed * step.m_task_resources.m_cpu_millis;
+        // A placed task has run for an unknown time: on average half of its work is left.
+        work +=
+            work_of_task(step) * (static_cast<double>(waiting) + static_cast<double>(placed) / 2.0);
     }
     return work;
 }
--- a/src/planning/quota_demand.cpp
+++ b/src/planning/quota_demand.cpp
@@ -46,15 +46,6 @@
                      fit_in(each.m_accelerators, room.m_accelerators)});
 }
 
-std::uint32_t count_placed(const job& active, std::uint32_t occurrence, std::uint32_t step)
-{
-    const auto tasks = active.tasks(occurrence, step);
-    return static_cast<std::uint32_t>(
-        std::count_if(tasks.begin(), tasks.end(), [](const task& candidate) {
-            return candidate.m_phase == task_phase::placed;
-        }));
-}
-
 double room_beside(std::int64_t room, double ready)
 {
     if (room == unlimited) {
@@ -123,7 +114,7 @@
     for (std::uint32_t occurrence = 0; occurrence < active.occurrences(); ++occurrence) {
         for (std::uint32_t index = 0; index < active.spec().m_steps.size(); ++index) {
             const auto& step = active.spec().m_steps[index];
-            const auto count = count_placed(active, occurrence, index);
+            const auto count = active.placed(occurrence, index);
             const auto used = multiply(step.m_task_resources, count);
             tenant.m_used = tenant.m_used + used;
             if (step.m_long_running) {
@@ -146,7 +137,7 @@
             continue;
         }
         const auto waiting = std::int64_t{active.waiting(0, index)};
-        const auto placed = std::int64_t{count_placed(active, 0, index)};
+        const auto placed = std::int64_t{active.placed(0, index)};
         const auto startable = count_that_fit(step.m_task_resources, tenant.room(), waiting);
         tenant.m_room = left_of(tenant.m_room, multiply(step.m_task_resources, startable));
         const auto count = placed + startable;
--- a/src/scheduling/copy_placement.cpp
+++ b/src/scheduling/copy_placement.cpp
@@ -29,9 +29,12 @@
 
 bool has_suspects(const job& source, const task_ref& ref)
 {
-    const auto tasks = source.tasks(ref.m_occurrence, ref.m_step);
-    return std::any_of(tasks.begin(), tasks.end(),
-                       [](const task& entry) { return is_on_trial(entry); });
+    bool has_any = false;
+    source.tasks(ref.m_occurrence, ref.m_step)
+        .visit_changed([&has_any](std::uint32_t /*index*/, const task& entry) {
+            has_any = has_any || is_on_trial(entry);
+        });
+    return has_any;
 }
 
 } // namespace
--- a/src/scheduling/crash_suspects.cpp
+++ b/src/scheduling/crash_suspects.cpp
@@ -114,18 +114,17 @@
                              const trial_check& is_trial)
 {
     step_suspects suspects;
-    std::uint32_t index = 0;
-    for (const auto& entry : source.tasks(occurrence, step)) {
-        const task_ref ref{occurrence, step, index++};
+    source.tasks(occurrence, step).visit_changed([&](std::uint32_t index, const task& entry) {
+        const task_ref ref{occurrence, step, index};
         const bool waits = entry.m_phase == task_phase::waiting;
         const bool placed = entry.m_phase == task_phase::placed;
         if (!is_on_trial(entry) || !(waits || (placed && is_trial(ref, entry)))) {
-            continue;
+            return;
         }
         suspects.m_waiting += waits ? 1 : 0;
         suspects.m_on_trial += waits ? 0 : 1;
         suspects.m_strong = suspects.m_strong || entry.m_suspicion >= strong_suspicion;
-    }
+    });
     return suspects;
 }
 
--- a/src/scheduling/job_rank.cpp
+++ b/src/scheduling/job_rank.cpp
@@ -53,10 +53,7 @@
         for (const auto dependency : steps[index].m_depends_on) {
             start = std::max(start, finish[dependency]);
         }
-        const auto tasks = source.tasks(occurrence, index);
-        const bool open = std::any_of(tasks.begin(), tasks.end(), [](const task& candidate) {
-            return candidate.m_phase != task_phase::done;
-        });
+        const bool open = source.open_tasks(occurrence, index) != 0;
         finish[index] = start + (open ? steps[index].m_estimate : milliseconds{0});
         longest = std::max(longest, finish[index]);
     }
--- a/src/scheduling/placement_report.cpp
+++ b/src/scheduling/placement_report.cpp
@@ -104,13 +104,13 @@
     std::optional<task_ref> blocked;
     for (std::uint32_t occurrence = 0; occurrence < source.occurrences(); ++occurrence) {
         for (std::uint32_t step = 0; step < source.spec().m_steps.size(); ++step) {
+            if (source.waiting(occurrence, step) == 0) {
+                continue;
+            }
             const auto tasks = source.tasks(occurrence, step);
             const auto found = std::find_if(tasks.begin(), tasks.end(), [](const task& each) {
                 return each.m_phase == task_phase::waiting;
             });
-            if (found == tasks.end()) {
-                continue;
-            }
             const task_ref ref{occurrence, step, static_cast<std::uint32_t>(found - tasks.begin())};
             if (source.unblocked(occurrence, step)) {
                 return ref;
--- a/src/scheduling/rack_placement.cpp
+++ b/src/scheduling/rack_placement.cpp
@@ -94,14 +94,14 @@
                                                 std::uint32_t step) const
 {
     std::map<std::string, std::size_t> runs;
-    for (const auto& member : source.tasks(occurrence, step)) {
+    source.tasks(occurrence, step).visit_changed([&](std::uint32_t /*index*/, const task& member) {
         const auto* session = member.m_phase == task_phase::placed
                                   ? m_state->find_worker(member.m_placed_on.m_worker)
                                   : nullptr;
         if (session != nullptr) {
             ++runs[session->report().m_rack];
         }
-    }
+    });
     const auto most =
         std::max_element(runs.begin(), runs.end(), [](const auto& left, const auto& right) {
             return left.second < right.second;
