Accepted jobs may take a third of the memory

Cause: nothing bounded the sum over accepted jobs, whatever each of them takes. With tasks that cost nothing until they change, specifications are what is left.

Change: waiting_cost prices a specification, job_store keeps the sum over its jobs, restored ones included, and a submission that does not fit into a third of memory_mb is refused before it is recorded: 429 with Retry-After, 413 if it could never fit. Gauges job_bytes and max_job_bytes.

--- a/include/peridotrudder/jobs/job_store.hpp
+++ b/include/peridotrudder/jobs/job_store.hpp
@@ -5,6 +5,7 @@
 
 #include "peridotrudder/jobs/job.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -52,6 +53,8 @@
     job& add(job_header header);
     job* find(std::string_view id);
     const std::map<std::string, job, std::less<>>& jobs() const { return m_jobs; }
+    /// Returns the sum of the jobs' `waiting_cost`, in bytes.
+    std::size_t waiting_bytes() const { return m_waiting_bytes; }
 
     /// Marks the job's state for writing.
     void mark_changed(const std::string& id) { m_dirty.insert(id); }
@@ -69,6 +72,7 @@
 
 private:
     std::map<std::string, job, std::less<>> m_jobs;
+    std::size_t m_waiting_bytes{0};
     std::set<std::string> m_dirty;
     std::set<std::string> m_without_header;
     std::vector<std::string> m_dropped;
--- a/include/peridotrudder/scheduling/job_scheduler.hpp
+++ b/include/peridotrudder/scheduling/job_scheduler.hpp
@@ -128,6 +128,9 @@
     /// Rejects a submission that is longer than the configuration allows. Returns whether it was
     /// rejected.
     bool reject_if_too_long(std::uint64_t token, const std::string& id, const job_call& call);
+    /// Rejects the job if the accepted ones leave too little memory for it. Returns whether it was
+    /// rejected.
+    bool reject_if_out_of_memory(std::uint64_t token, const std::string& id, const job_spec& spec);
     /// Rejects the job if a task or gang of it exceeds the quota of the caller's tenant. Returns
     /// whether it was rejected.
     bool reject_if_above_quota(std::uint64_t token, const std::string& id, const job_spec& spec,
--- a/include/peridotrudder/scheduling/scheduler_state.hpp
+++ b/include/peridotrudder/scheduling/scheduler_state.hpp
@@ -15,8 +15,10 @@
 #include "peridotrudder/scheduling/ticket_cache.hpp"
 #include "peridotrudder/tenants/quota_ledger.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -92,6 +94,9 @@
     lease_options m_lease;
     /// Time for which an ended job is kept for queries.
     milliseconds m_retention{120'000};
+    /// Most bytes that accepted jobs may take until their tasks start; beyond it new jobs are
+    /// refused.
+    std::size_t m_max_job_bytes{std::numeric_limits<std::size_t>::max()};
     /// Factor by which a task takes longer on another rack than its data or its group; 1 or less
     /// lets no task wait for a rack.
     double m_far_factor{1.0};
--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -1,6 +1,7 @@
 #include "peridotrudder/jobs/job_store.hpp"
 
 #include "peridotrudder/base/packed_cbor.hpp"
+#include "peridotrudder/jobs/job_cost.hpp"
 #include "peridotrudder/jobs/job_reader.hpp"
 
 namespace peridotrudder {
@@ -30,12 +31,16 @@
 bool job_store::add_restored(job restored)
 {
     const auto id = restored.header().m_id;
-    return m_jobs.emplace(id, std::move(restored)).second;
+    const auto cost = waiting_cost(restored.spec());
+    const bool is_new = m_jobs.emplace(id, std::move(restored)).second;
+    m_waiting_bytes += is_new ? cost : 0;
+    return is_new;
 }
 
 job& job_store::add(job_header header)
 {
     const auto id = header.m_id;
+    m_waiting_bytes += waiting_cost(header.m_spec);
     m_without_header.insert(id);
     m_dirty.insert(id);
     return m_jobs.emplace(id, job::create(std::move(header))).first->second;
@@ -83,6 +88,7 @@
         }
         m_dropped.push_back(entry->first);
         expired.push_back(entry->first);
+        m_waiting_bytes -= waiting_cost(candidate.spec());
         entry = m_jobs.erase(entry);
     }
     return expired;
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -38,6 +38,8 @@
 /// Part of the grace period that is reserved for the exit of the process.
 constexpr milliseconds stop_reserve{700};
 constexpr std::size_t tenants_counted_by_name = 10;
+/// Accepted jobs may take this part of the process's memory, beside a fifth for callers.
+constexpr std::size_t memory_parts_of_jobs = 3;
 /// Longer than a change of owner usually takes.
 constexpr milliseconds question_timeout{5'000};
 constexpr std::uint32_t status_ok = 200;
@@ -347,6 +349,7 @@
         options.m_tick_interval = owner_tick;
         m_won_at = now();
         options.m_scheduler.m_retention = m_settings.m_retention;
+        options.m_scheduler.m_max_job_bytes = m_settings.m_memory_bytes / memory_parts_of_jobs;
         options.m_scheduler.m_far_factor = m_settings.m_far_factor;
         options.m_scheduler.m_copies_percent = m_settings.m_copies_percent;
         options.m_scheduler.m_graded_health = m_settings.m_graded_health;
@@ -413,6 +416,9 @@
         if (scheduler != nullptr) {
             const auto& state = scheduler->state();
             metrics.set_gauge("jobs", static_cast<double>(state.m_job_store.jobs().size()));
+            metrics.set_gauge("job_bytes", static_cast<double>(state.m_job_store.waiting_bytes()));
+            metrics.set_gauge("max_job_bytes",
+                              static_cast<double>(state.m_options.m_max_job_bytes));
             metrics.set_gauge("hungry_jobs", static_cast<double>(state.m_schedulable_jobs.size()));
             metrics.set_gauge("workers", static_cast<double>(state.m_workers.size()));
             metrics.set_gauge("orders_waiting", static_cast<double>(state.m_orders.waiting()));
--- a/src/scheduling/job_scheduler.cpp
+++ b/src/scheduling/job_scheduler.cpp
@@ -1,5 +1,7 @@
 #include "peridotrudder/scheduling/job_scheduler.hpp"
 
+#include "peridotrudder/jobs/job_cost.hpp"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <limits>
@@ -14,6 +16,8 @@
 constexpr std::int64_t millis_per_core = 1'000;
 /// Pause between removals of expired jobs.
 constexpr milliseconds expiry_interval{1'000};
+/// Jobs leave the memory when their retention ends, which is checked every second.
+constexpr milliseconds memory_retry_after{5'000};
 /// Names of repeated tenants in a log line.
 constexpr std::size_t max_listed_names = 10;
 
@@ -304,7 +308,8 @@
         m_state.m_ports.m_answer(token, status_only(call_status::invalid));
         return;
     }
-    if (reject_if_above_quota(token, id, *call.m_spec, caller)) {
+    if (reject_if_above_quota(token, id, *call.m_spec, caller) ||
+        reject_if_out_of_memory(token, id, *call.m_spec)) {
         return;
     }
     tenant_job submitted{"", false, &*call.m_spec, &queue};
@@ -355,6 +360,26 @@
     return true;
 }
 
+bool job_scheduler::reject_if_out_of_memory(std::uint64_t token, const std::string& id,
+                                            const job_spec& spec)
+{
+    const auto cost = waiting_cost(spec);
+    const auto used = m_state.m_job_store.waiting_bytes();
+    const auto most = m_state.m_options.m_max_job_bytes;
+    if (cost <= most && used <= most - cost) {
+        return false;
+    }
+    m_state.log(
+        "job_refused", id, "",
+        fmt::format("needs {} bytes of memory: accepted jobs take {} of {}", cost, used, most));
+    if (cost > most) {
+        m_state.m_ports.m_answer(token, status_only(call_status::body_too_long));
+        return true;
+    }
+    answer_overloaded(token, memory_retry_after);
+    return true;
+}
+
 void job_scheduler::count_accepted(const tenant_job& accepted)
 {
     const auto& pool = accepted.m_queue->m_pool;
--- a/test/jobs/job_memory_test.cpp
+++ b/test/jobs/job_memory_test.cpp
@@ -1,3 +1,4 @@
+#include "peridotrudder/jobs/job_cost.hpp"
 #include "peridotrudder/jobs/job_store.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -57,6 +58,8 @@
     CPPUNIT_TEST(tasks_that_wait_take_no_memory_each);
     CPPUNIT_TEST(successor_takes_no_more_memory_than_its_predecessor);
     CPPUNIT_TEST(occurrences_that_are_done_take_no_memory_each);
+    CPPUNIT_TEST(job_takes_no_more_than_its_cost);
+    CPPUNIT_TEST(sum_of_the_costs_follows_the_jobs);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -106,6 +109,39 @@
         // A note that each is done.
         CPPUNIT_ASSERT(allocated_bytes() - before < std::size_t{many_tasks} * 64);
     }
+
+    void job_takes_no_more_than_its_cost()
+    {
+        job_spec many_steps;
+        many_steps.m_steps.resize(5'000);
+        for (auto& step : many_steps.m_steps) {
+            step.m_depends_on.assign(5, 0);
+            step.m_required_label.assign(100, 'x');
+        }
+        job_spec long_payload = wide_spec();
+        long_payload.m_payload.assign(4'000, 'x');
+        for (const auto& spec : {scheduled_spec(), wide_spec(), many_steps, long_payload}) {
+            const auto before = allocated_bytes();
+            job_store store;
+            add_jobs(store, spec);
+            store.take_changes();
+            CPPUNIT_ASSERT(allocated_bytes() - before <= many_jobs * waiting_cost(spec));
+        }
+    }
+
+    void sum_of_the_costs_follows_the_jobs()
+    {
+        job_store store;
+        add_jobs(store, scheduled_spec());
+        const auto all = many_jobs * waiting_cost(scheduled_spec());
+        CPPUNIT_ASSERT_EQUAL(all, store.waiting_bytes());
+        restore_report report;
+        const auto restored = job_store::restore(store.take_changes(), report);
+        CPPUNIT_ASSERT_EQUAL(all, restored.waiting_bytes());
+        store.find(id_of(7))->cancel(6'000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store.expire(7'000).size());
+        CPPUNIT_ASSERT_EQUAL(all - waiting_cost(scheduled_spec()), store.waiting_bytes());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(job_memory_test);
