--- a/include/peridotrudder/machines/order_queue.hpp
+++ b/include/peridotrudder/machines/order_queue.hpp
@@ -38,7 +38,7 @@
 struct order_queue_options {
     /// Most orders to one worker that are sent and not answered.
     std::size_t m_places_per_worker{16};
-    /// The same for all workers. An order takes some 20 kB until it is answered.
+    /// The same for all workers. An order takes kilobytes until it is answered.
     std::size_t m_places{512};
     /// Most starts of a worker, from their placement to their answers, beyond which no further task
     /// is placed on it. A gang may exceed it.
